--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,261 @@
+// Command benchlink lets the simulator drive the decision module: it hosts one
+// sender for each instance and translates between the wire and the module.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"robinbank/internal/wire"
+	"robinbank/policy"
+)
+
+func main() {
+	debug.SetGCPercent(400)
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintf(os.Stderr, "benchlink: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// run answers batches until the input ends.
+func run(r io.Reader, w io.Writer) error {
+	in, out := bufio.NewReaderSize(r, 1<<20), bufio.NewWriterSize(w, 1<<20)
+	h := newHost()
+	var buf []byte
+	for {
+		batch, err := wire.ReadBatch(in)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		actions, err := h.answer(batch)
+		if err != nil {
+			return fmt.Errorf("batch %d: %w", batch.Number, err)
+		}
+		if buf, err = wire.AppendReply(buf[:0], batch.Number, actions); err != nil {
+			return err
+		}
+		if _, err := out.Write(buf); err != nil {
+			return fmt.Errorf("writing a reply: %w", err)
+		}
+		if err := out.Flush(); err != nil {
+			return fmt.Errorf("writing a reply: %w", err)
+		}
+	}
+}
+
+// instance is one sender and what is pending for it within a batch.
+type instance struct {
+	sender *policy.Sender
+	events []policy.Event
+	queued bool
+}
+
+// host holds the instances by number and the lists of the process.
+type host struct {
+	instances map[uint16]*instance
+	lists     map[uint32][]policy.Entry
+	actions   []policy.Action
+}
+
+func newHost() *host {
+	return &host{instances: map[uint16]*instance{}, lists: map[uint32][]policy.Entry{}}
+}
+
+// answer hands the events of a batch to their instances and collects the
+// actions. A panic of the module becomes a crash action.
+func (h *host) answer(b wire.Batch) (reply []wire.Action, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			reply, err = []wire.Action{{Code: wire.CodeCrash, Data: fmt.Append(nil, p)}}, nil
+		}
+	}()
+	var order []uint16
+	selected, at := false, uint16(0)
+	for i, e := range b.Events {
+		switch e.Code {
+		case wire.CodeSelect:
+			selected, at = true, e.Instance
+			continue
+		case wire.CodePage:
+			h.lists[e.List] = toEntries(e.Entries)
+			continue
+		}
+		if !selected {
+			return nil, fmt.Errorf("record %d: event code %d before any select", i, e.Code)
+		}
+		switch e.Code {
+		case wire.CodeStop:
+			if in := h.instances[at]; in != nil {
+				in.sender, in.events = nil, nil
+			}
+			continue
+		case wire.CodeBorn:
+			settings, err := wire.DecodeSettings(e.Data)
+			if err != nil {
+				return nil, fmt.Errorf("record %d: %w", i, err)
+			}
+			if h.instances[at] == nil {
+				h.instances[at] = &instance{}
+			}
+			in := h.instances[at]
+			in.sender, in.events = policy.New(settings, e.Seed), nil
+			if !in.queued {
+				in.queued, order = true, append(order, at)
+			}
+			continue
+		}
+		in := h.instances[at]
+		if in == nil || in.sender == nil {
+			return nil, fmt.Errorf("record %d: event code %d for instance %d, which is not running", i, e.Code, at)
+		}
+		if !in.queued {
+			in.queued, order = true, append(order, at)
+		}
+		event, err := h.toEvent(e)
+		if err != nil {
+			return nil, fmt.Errorf("record %d: %w", i, err)
+		}
+		if event != nil {
+			in.events = append(in.events, event)
+		}
+	}
+	now := time.Duration(b.NowUs) * time.Microsecond
+	for _, n := range order {
+		in := h.instances[n]
+		in.queued = false
+		if in.sender == nil {
+			continue
+		}
+		h.actions = in.sender.Step(now, in.events, h.actions[:0])
+		in.events = in.events[:0]
+		if len(h.actions) == 0 {
+			continue
+		}
+		reply = append(reply, wire.Action{Code: wire.CodeBy, Instance: n})
+		for _, a := range h.actions {
+			reply = append(reply, toWire(a))
+		}
+	}
+	return reply, nil
+}
+
+// toEvent translates one event; nil where the module has no use for it.
+func (h *host) toEvent(e wire.Event) (policy.Event, error) {
+	switch e.Code {
+	case wire.CodeFleet:
+		if e.Kind == wire.FleetFailed {
+			return policy.ListFailed{}, nil
+		}
+		list, ok := h.lists[e.List]
+		if !ok {
+			return nil, fmt.Errorf("list %d was never given", e.List)
+		}
+		return policy.Listed{Whole: e.Kind != wire.FleetDelta, Entries: list}, nil
+	case wire.CodeIngress:
+		return policy.Arrived{Message: policy.MessageID(e.Tid), Destination: int(e.Destination),
+			Class: int(e.Class), Key: e.Key, GiveUpAt: time.Duration(e.GiveUpAtUs) * time.Microsecond}, nil
+	case wire.CodeDone:
+		return policy.Ended{Message: policy.MessageID(e.Tid), Attempt: int(e.Attempt),
+			Endpoint: policy.EndpointID(e.Endpoint), Outcome: toOutcome(e.Result), Final: e.Final,
+			Wait: time.Duration(e.HoldMs) * time.Millisecond,
+			Took: time.Duration(e.TimeTakenUs) * time.Microsecond}, nil
+	case wire.CodeAborted:
+		return policy.Withdrawn{Message: policy.MessageID(e.Tid)}, nil
+	case wire.CodeWakeup:
+		return policy.Woken{}, nil
+	case wire.CodeFromPeer:
+		return toNote(e.Data), nil
+	case wire.CodeFirst, wire.CodePingResult:
+		return nil, nil
+	}
+	return nil, fmt.Errorf("event code %d has no meaning for an instance", e.Code)
+}
+
+// noteSize is the length of a note on the wire: two bits of news, then a tag.
+const noteSize = 3
+
+// toNote reads a note of another instance; nil where it has no meaning, since
+// what others send is no fault of this one.
+func toNote(b []byte) policy.Event {
+	if len(b) != noteSize {
+		return nil
+	}
+	v := uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2])
+	return policy.Told{Tag: policy.Tag(v & (1<<policy.TagBits - 1)), News: policy.News(v >> policy.TagBits)}
+}
+
+func fromNote(a policy.Tell) []byte {
+	v := uint32(a.News)<<policy.TagBits | uint32(a.Tag)
+	return []byte{byte(v >> 16), byte(v >> 8), byte(v)}
+}
+
+func toEntries(list []wire.Entry) []policy.Entry {
+	out := make([]policy.Entry, len(list))
+	for i, e := range list {
+		out[i] = policy.Entry{Endpoint: policy.EndpointID(e.Endpoint), Destination: int(e.Destination),
+			Kind: int(e.Kind), Zone: int(e.Zone), State: toState(e.State), Rate: float64(e.Share)}
+	}
+	return out
+}
+
+func toState(s uint8) policy.EndpointState {
+	switch s {
+	case 1:
+		return policy.Ready
+	case 2:
+		return policy.Draining
+	}
+	return policy.Gone
+}
+
+func toOutcome(result uint16) policy.Outcome {
+	switch result {
+	case wire.ResultOK:
+		return policy.Delivered
+	case wire.ResultError:
+		return policy.Failed
+	case wire.ResultFull:
+		return policy.Full
+	case wire.ResultTimeout:
+		return policy.TimedOut
+	case wire.ResultConnectFailed:
+		return policy.Unreachable
+	case wire.ResultReset:
+		return policy.Reset
+	case wire.ResultCancelled:
+		return policy.Cancelled
+	case wire.ResultMoot:
+		return policy.Moot
+	}
+	panic(fmt.Sprintf("result %d passed the decoder", result))
+}
+
+func toWire(a policy.Action) wire.Action {
+	switch a := a.(type) {
+	case policy.Send:
+		return wire.Action{Code: wire.CodeRoute, Tid: uint64(a.Message),
+			Endpoint: wire.Endpoint(a.Endpoint), LimitUs: uint32(a.Timeout.Microseconds())}
+	case policy.Refuse:
+		return wire.Action{Code: wire.CodePushBack, Tid: uint64(a.Message), WaitUs: uint32(a.Wait.Microseconds())}
+	case policy.Fail:
+		return wire.Action{Code: wire.CodeFail, Tid: uint64(a.Message)}
+	case policy.Subscribe:
+		return wire.Action{Code: wire.CodeSubscribe, On: true}
+	case policy.CloseIdle:
+		return wire.Action{Code: wire.CodeShutIdle, Endpoint: wire.Endpoint(a.Endpoint)}
+	case policy.Tell:
+		return wire.Action{Code: wire.CodeTell, Whom: wire.AllPeers, Data: fromNote(a)}
+	case policy.Wake:
+		return wire.Action{Code: wire.CodeTimer, TimeUs: uint64(a.At.Microseconds())}
+	}
+	panic(fmt.Sprintf("unknown action %T", a))
+}
--- /dev/null
+++ b/cmd/benchlink/main_test.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"strings"
+	"testing"
+
+	"robinbank/internal/wire"
+	"robinbank/policy"
+)
+
+const settings = `{"NInstances": 1, "Classes": [{"AimUs": 1000000, "DeadlineUs": 5000000,
+	"Idempotency": "idempotent", "Worth": 1}], "MachineTypes": ["x"], "TickUs": 5000,
+	"Extra": {"MaxCalls": 4}, "PolicyLimits": {"MaxOpen": 10, "MaxAttempts": 5}}`
+
+func born(n uint16) []wire.Event {
+	return []wire.Event{
+		{Code: wire.CodeSelect, Instance: n},
+		{Code: wire.CodeBorn, Seed: 1, Data: []byte(settings)},
+		{Code: wire.CodeFleet, Kind: wire.FleetCached},
+	}
+}
+
+func page(number uint32, endpoints ...wire.Endpoint) wire.Event {
+	e := wire.Event{Code: wire.CodePage, List: number}
+	for _, id := range endpoints {
+		e.Entries = append(e.Entries, wire.Entry{Endpoint: id, State: 1})
+	}
+	return e
+}
+
+func answer(t *testing.T, h *host, events ...wire.Event) []wire.Action {
+	t.Helper()
+	actions, err := h.answer(wire.Batch{NowUs: 1e9, Events: events})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return actions
+}
+
+func TestListsAreResolvedInOrder(t *testing.T) {
+	h := newHost()
+	events := append([]wire.Event{page(0, 1)}, born(3)...)
+	events = append(events, page(0, 2))
+	events = append(events, born(5)...)
+	arrival := wire.Event{Code: wire.CodeIngress, Tid: 9, GiveUpAtUs: 1e9 + 5e6}
+	events = append(events, wire.Event{Code: wire.CodeSelect, Instance: 3}, arrival)
+	arrival.Tid = 10
+	events = append(events, wire.Event{Code: wire.CodeSelect, Instance: 5}, arrival)
+	got := map[uint64]wire.Endpoint{}
+	for _, a := range answer(t, h, events...) {
+		if a.Code == wire.CodeRoute {
+			got[a.Tid] = a.Endpoint
+		}
+	}
+	if got[9] != 1 || got[10] != 2 {
+		t.Errorf("routes %v, want 9 to endpoint 1 and 10 to endpoint 2", got)
+	}
+}
+
+func TestStopAndBornInOneBatch(t *testing.T) {
+	h := newHost()
+	answer(t, h, append([]wire.Event{page(0, 1)}, born(3)...)...)
+	old := h.instances[3].sender
+	events := append([]wire.Event{{Code: wire.CodeSelect, Instance: 3}, {Code: wire.CodeStop}}, born(3)...)
+	answer(t, h, events...)
+	if h.instances[3].sender == old || h.instances[3].sender == nil {
+		t.Error("the sender of the killed instance lives on, or none came after it")
+	}
+	if got := answer(t, h, wire.Event{Code: wire.CodeSelect, Instance: 3}, wire.Event{Code: wire.CodeStop}); len(got) != 0 {
+		t.Errorf("a killed instance acts: %v", got)
+	}
+}
+
+func TestEventsThatMeanNothing(t *testing.T) {
+	for name, events := range map[string][]wire.Event{
+		"no select":        {{Code: wire.CodeWakeup}},
+		"not running":      {{Code: wire.CodeSelect, Instance: 1}, {Code: wire.CodeWakeup}},
+		"list never given": born(1),
+		"bad settings":     {{Code: wire.CodeSelect}, {Code: wire.CodeBorn, Data: []byte("{")}},
+	} {
+		if _, err := newHost().answer(wire.Batch{Events: events}); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+func TestPanicBecomesCrash(t *testing.T) {
+	h := newHost()
+	answer(t, h, append([]wire.Event{page(0, 1)}, born(3)...)...)
+	got := answer(t, h, wire.Event{Code: wire.CodeSelect, Instance: 3},
+		wire.Event{Code: wire.CodeIngress, Tid: 1, Class: 77, GiveUpAtUs: 2e9})
+	if len(got) != 1 || got[0].Code != wire.CodeCrash || !strings.Contains(string(got[0].Data), "index") {
+		t.Errorf("got %+v, want a crash with the text of the panic", got)
+	}
+}
+
+func TestRunEndsCleanlyOrWithAnError(t *testing.T) {
+	empty := binary.LittleEndian.AppendUint64(nil, 12<<32|1)
+	empty = append(empty, make([]byte, 12)...)
+	var out bytes.Buffer
+	if err := run(bytes.NewReader(empty), &out); err != nil || out.Len() != 12 {
+		t.Errorf("error %v, %d bytes of reply, want 12", err, out.Len())
+	}
+	if err := run(bytes.NewReader(empty[:15]), io.Discard); err == nil {
+		t.Error("a frame cut short is no error")
+	}
+}
+
+func TestEveryActionHasAForm(t *testing.T) {
+	for _, c := range []struct {
+		action policy.Action
+		code   uint8
+	}{
+		{policy.Send{}, wire.CodeRoute}, {policy.Refuse{}, wire.CodePushBack}, {policy.Fail{}, wire.CodeFail},
+		{policy.Subscribe{}, wire.CodeSubscribe}, {policy.CloseIdle{}, wire.CodeShutIdle}, {policy.Wake{}, wire.CodeTimer},
+	} {
+		if got := toWire(c.action); got.Code != c.code {
+			t.Errorf("%T became code %d, want %d", c.action, got.Code, c.code)
+		}
+	}
+}
+
+func TestNotesKeepTheirContent(t *testing.T) {
+	want := policy.Tell{Tag: 1<<policy.TagBits - 2, News: policy.Jam}
+	data := fromNote(want)
+	if len(data) != noteSize {
+		t.Fatalf("a note of %d bytes, want %d", len(data), noteSize)
+	}
+	if got := toNote(data); got != (policy.Told{Tag: want.Tag, News: want.News}) {
+		t.Errorf("note %+v came back as %+v", want, got)
+	}
+	if got := toNote([]byte("what?")); got != nil {
+		t.Errorf("a note of another size became %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,118 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"robinbank/policy"
+)
+
+// config is the part of the settings that the module acts on. Other keys are
+// disregarded.
+type config struct {
+	NInstances *int
+	Classes    []struct {
+		AimUs, DeadlineUs, WindowUs int64
+		Group, Idempotency          string
+		Sequential                  bool
+		Worth, LateWorth            float64
+	}
+	MachineTypes []string
+	Extra        struct {
+		BundleMax   []int
+		RoutesApart []bool
+		FeeByZone   []float64
+		Late        string
+		MaxCalls    int
+	}
+	PolicyLimits struct {
+		MaxAttempts, MaxOpen int
+		MaxRetryAfterUs      int64
+		ConnectTimeoutUs     int64
+		RetryAfter, MayTell  bool
+	}
+	Obligations struct {
+		DrainGraceUs, WarmUpUs, FallUs, TurnGapUs int64
+		ColdFrom, FallMultiple                    float64
+	}
+	TickUs       int64
+	WeightSource string
+	Discovery    string
+}
+
+func us(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
+
+// DecodeSettings reads the settings of an instance.
+func DecodeSettings(text []byte) (policy.Settings, error) {
+	var c config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return policy.Settings{}, fmt.Errorf("unreadable settings: %w", err)
+	}
+	if c.NInstances == nil || len(c.Classes) == 0 {
+		return policy.Settings{}, errors.New("unreadable settings: NInstances or Classes is missing")
+	}
+	s := policy.Settings{
+		Senders: *c.NInstances, ZoneFee: c.Extra.FeeByZone,
+		MayTell: c.PolicyLimits.MayTell,
+		Slots:   c.Extra.MaxCalls, MaxHeld: c.PolicyLimits.MaxOpen, MaxAttempts: c.PolicyLimits.MaxAttempts,
+		MaxWait: us(c.PolicyLimits.MaxRetryAfterUs), AdviseWait: c.PolicyLimits.RetryAfter,
+		Tick: us(c.TickUs), ConnectTimeout: us(c.PolicyLimits.ConnectTimeoutUs),
+		DrainGrace: us(c.Obligations.DrainGraceUs), ColdShare: c.Obligations.ColdFrom,
+		WarmUp: us(c.Obligations.WarmUpUs), FallMultiple: c.Obligations.FallMultiple,
+		FallWindow: us(c.Obligations.FallUs), TurnGap: us(c.Obligations.TurnGapUs),
+	}
+	switch c.Extra.Late {
+	case "even", "":
+	case "by_half":
+		s.HalvesLate = true
+	default:
+		return policy.Settings{}, fmt.Errorf("unreadable settings: Extra.Late is %q", c.Extra.Late)
+	}
+	switch c.Discovery {
+	case "automatic", "":
+	case "subscribe":
+		s.MustSubscribe = true
+	default:
+		return policy.Settings{}, fmt.Errorf("unreadable settings: Discovery is %q", c.Discovery)
+	}
+	switch c.WeightSource {
+	case "silent", "":
+	case "nominal":
+		s.Listing = policy.RateNominal
+	case "rough":
+		s.Listing = policy.RateRough
+	default:
+		return policy.Settings{}, fmt.Errorf("unreadable settings: WeightSource is %q", c.WeightSource)
+	}
+	for i, k := range c.Classes {
+		class := policy.Class{
+			Window: us(k.WindowUs), Ordered: k.Sequential, Aim: us(k.AimUs), Deadline: us(k.DeadlineUs),
+			Worth: k.Worth, LateWorth: k.LateWorth,
+			GroupAll: k.Group == "all", GroupZone: k.Group == "zone",
+		}
+		switch k.Idempotency {
+		case "idempotent":
+			class.Repeat = policy.Idempotent
+		case "deduplicated":
+			class.Repeat = policy.Deduplicated
+		case "at_most_once":
+			class.Repeat = policy.AtMostOnce
+		default:
+			return policy.Settings{}, fmt.Errorf("unreadable settings: Idempotency of class %d is %q", i, k.Idempotency)
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	for i := range c.MachineTypes {
+		kind := policy.Kind{BundleMax: 1}
+		if i < len(c.Extra.BundleMax) {
+			kind.BundleMax = max(1, c.Extra.BundleMax[i])
+		}
+		if i < len(c.Extra.RoutesApart) {
+			kind.RoutesApart = c.Extra.RoutesApart[i]
+		}
+		s.Kinds = append(s.Kinds, kind)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,242 @@
+// Package policy decides for one sender of a delivery service: which message
+// goes to which endpoint, when, with what time-out, and when to try again,
+// refuse or give up.
+//
+// A [Sender] does no I/O, starts no goroutines and reads no clock. The node
+// that owns it hands in events with the time at which they were seen, and
+// carries out the actions that come back. The same events give the same
+// actions. A Sender is not safe for concurrent use.
+package policy
+
+import "time"
+
+// Time is a reading of the node's clock, counted from any fixed origin.
+type Time = time.Duration
+
+// MessageID names a message. The node chooses it and never uses one twice.
+type MessageID uint64
+
+// EndpointID names an endpoint. It is the node's own name for it and carries
+// no meaning.
+type EndpointID uint64
+
+// Repeat says what a repeat of a message does at its destination.
+type Repeat int
+
+// The kinds of message, by what a repeat of them does.
+const (
+	// Idempotent messages may be sent and refused at will.
+	Idempotent Repeat = iota
+	// Deduplicated messages are dropped when repeated within a window, by
+	// the endpoints of a group.
+	Deduplicated
+	// AtMostOnce messages must never take effect twice.
+	AtMostOnce
+)
+
+// Class is what the settings say of one class of message.
+type Class struct {
+	Repeat    Repeat
+	GroupAll  bool          // Deduplicated: every endpoint of the destination drops repeats
+	GroupZone bool          // Deduplicated: the endpoints of one zone drop repeats
+	Window    time.Duration // Deduplicated: how long repeats are dropped
+	Ordered   bool          // messages with the same key go one at a time, in order
+	Aim       time.Duration // delivered within this time, a message earns its full worth
+	Deadline  time.Duration // a message is given up this long after it was first handed in
+	Worth     float64       // full worth
+	LateWorth float64       // the share of Worth that is left at the deadline
+}
+
+// Kind is what the settings say of one kind of destination.
+type Kind struct {
+	RoutesApart bool // each endpoint has its own limit, pace and outages
+	BundleMax   int  // messages in one call at most
+}
+
+// Listing says what the rate that the list gives for a destination is worth.
+type Listing int
+
+// The ways in which rates are listed.
+const (
+	RateUnlisted Listing = iota // no rates are given
+	RateNominal                 // rates are right
+	RateRough                   // rates are up to half too high or too low
+)
+
+// Settings is what a sender knows when it starts.
+type Settings struct {
+	Senders int // how many senders there are
+	Classes []Class
+	Kinds   []Kind
+	// MustSubscribe says that changes to the list come only to who asked.
+	MustSubscribe bool
+	ZoneFee       []float64 // per zone: worth lost for each message that a route apart there takes
+	Listing       Listing
+
+	HalvesLate  bool          // worth halves with each aim after the first, instead of falling evenly
+	Slots       int           // calls that may be out at once
+	MaxHeld     int           // messages held at most, sent or not
+	MaxAttempts int           // attempts for a message at most
+	MayTell     bool          // senders may send each other notes
+	MaxWait     time.Duration // the longest wait that a client heeds
+	AdviseWait  bool          // clients are told how long to wait
+	// ConnectTimeout is when an attempt without a connection is Unreachable.
+	ConnectTimeout time.Duration
+	Tick           time.Duration // how often the sender is called at most
+
+	DrainGrace   time.Duration // sends to a draining endpoint must cease within this time
+	ColdShare    float64       // the share of its capacity that a destination has after an outage
+	WarmUp       time.Duration // the time within which it is back to all of it
+	FallMultiple float64       // sent more than this multiple of its present capacity
+	FallWindow   time.Duration // for this long, it falls over
+	TurnGap      time.Duration // Ordered: how long a key rests after an attempt that may still run
+}
+
+// Event is something that the node has seen.
+type Event interface{ event() }
+
+// EndpointState is what the list says of an endpoint. It tells nothing of its
+// health.
+type EndpointState int
+
+// The states of an endpoint in the list.
+const (
+	Gone EndpointState = iota
+	Ready
+	Draining
+)
+
+// Entry is one endpoint in a list.
+type Entry struct {
+	Endpoint    EndpointID
+	Destination int
+	Kind        int
+	Zone        int
+	State       EndpointState
+	Rate        float64 // see Settings.Listing: calls a second from all senders together
+}
+
+// Listed brings the whole list of endpoints, or changes to it.
+type Listed struct {
+	Whole   bool // endpoints that are missing are gone
+	Entries []Entry
+}
+
+// ListFailed says that a [Subscribe] failed or was broken. The list stays.
+type ListFailed struct{}
+
+// Arrived brings a new message.
+type Arrived struct {
+	Message     MessageID
+	Destination int
+	Class       int
+	Key         uint64 // 0 where the message has none
+	GiveUpAt    Time
+}
+
+// Outcome says how an attempt ended.
+type Outcome int
+
+// The outcomes. Full, Unreachable and Moot prove that the attempt never ran.
+const (
+	Delivered   Outcome = iota
+	Failed              // the destination answered with an error
+	Full                // turned away unseen
+	TimedOut            // no answer in time
+	Unreachable         // no connection could be made
+	Reset               // the connection broke
+	Cancelled           // called off
+	Moot                // not sent at all
+)
+
+// Ended tells how an attempt ended. Every [Send] has exactly one.
+type Ended struct {
+	Message  MessageID
+	Attempt  int // from 0
+	Endpoint EndpointID
+	Outcome  Outcome
+	Wait     time.Duration // with Full: the wait that was told, or 0
+	Final    bool          // the message has concluded
+	Took     time.Duration
+}
+
+// Withdrawn says that nobody wants a message any more.
+type Withdrawn struct{ Message MessageID }
+
+// News is what one sender tells the others of an endpoint.
+type News int
+
+// The news.
+const (
+	Down     News = iota // an outage is on
+	Back                 // it answers again
+	BackCold             // it answers again and is cold
+	Jam                  // it refuses calls as full
+)
+
+// TagBits is the size of a [Tag].
+const TagBits = 22
+
+// Tag names an endpoint in a note, in few bits: notes are priced. Two endpoints
+// may, rarely, have the same one.
+type Tag uint32
+
+// Told brings a note of another sender. Notes may be lost or late.
+type Told struct {
+	Tag  Tag
+	News News
+}
+
+// Woken says that the time of a [Wake] has come.
+type Woken struct{}
+
+func (Listed) event()     {}
+func (ListFailed) event() {}
+func (Arrived) event()    {}
+func (Ended) event()      {}
+func (Withdrawn) event()  {}
+func (Told) event()       {}
+func (Woken) event()      {}
+
+// Action is something that the node shall do, at once and in the order given.
+type Action interface{ action() }
+
+// Send makes one attempt. Sends of one step to one endpoint travel as one call
+// as far as its kind allows.
+type Send struct {
+	Message  MessageID
+	Endpoint EndpointID
+	Timeout  time.Duration
+}
+
+// Refuse ends a message undelivered. Its client may hand it in again.
+type Refuse struct {
+	Message MessageID
+	Wait    time.Duration // how long the client should stay away, or 0
+}
+
+// Fail ends a message with no promise about its effect.
+type Fail struct{ Message MessageID }
+
+// Subscribe asks for changes to the list from now on.
+type Subscribe struct{}
+
+// CloseIdle closes the idle connections to an endpoint.
+type CloseIdle struct{ Endpoint EndpointID }
+
+// Tell sends a note to all other senders. It comes only with Settings.MayTell.
+type Tell struct {
+	Tag  Tag
+	News News
+}
+
+// Wake asks for a [Woken] at the first step at or after a time.
+type Wake struct{ At Time }
+
+func (Send) action()      {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (Subscribe) action() {}
+func (CloseIdle) action() {}
+func (Tell) action()      {}
+func (Wake) action()      {}
--- /dev/null
+++ b/policy/example_test.go
@@ -0,0 +1,37 @@
+package policy_test
+
+import (
+	"fmt"
+	"time"
+
+	"robinbank/policy"
+)
+
+// A node hands in what it has seen and carries out what comes back.
+func Example() {
+	s := policy.New(policy.Settings{
+		Senders: 1, Slots: 4, MaxHeld: 100, MaxAttempts: 5, Tick: 5 * time.Millisecond,
+		Kinds: []policy.Kind{{BundleMax: 1}},
+		Classes: []policy.Class{{Repeat: policy.Idempotent, Aim: time.Second,
+			Deadline: 10 * time.Second, Worth: 1}},
+		DrainGrace: time.Second, ColdShare: 0.2, WarmUp: 10 * time.Second,
+		FallMultiple: 2, FallWindow: 2 * time.Second,
+	}, 1)
+
+	now := time.Hour // a reading of the node's clock
+	actions := s.Step(now, []policy.Event{
+		policy.Listed{Whole: true, Entries: []policy.Entry{{Endpoint: 7, State: policy.Ready}}},
+		policy.Arrived{Message: 1, GiveUpAt: now + 10*time.Second},
+	}, nil)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case policy.Send:
+			fmt.Printf("send message %d to endpoint %d\n", a.Message, a.Endpoint)
+		case policy.Wake:
+			fmt.Println("wake in", (a.At - now).Round(time.Second))
+		}
+	}
+	// Output:
+	// send message 1 to endpoint 7
+	// wake in 10s
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,736 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// bench drives one sender by hand; calls end when a test says so.
+type bench struct {
+	t    *testing.T
+	s    *Sender
+	now  Time
+	id   MessageID
+	sent []Send // not yet ended
+}
+
+// with starts a sender with one destination 0 of so many endpoints 1, 2, ...
+func with(t *testing.T, set Settings, kind, endpoints int, rate float64) *bench {
+	b := &bench{t: t, s: New(set, 1), now: time.Hour}
+	var list []Entry
+	for i := range endpoints {
+		list = append(list, Entry{Endpoint: EndpointID(i + 1), Kind: kind, Zone: i % 2, State: Ready, Rate: rate})
+	}
+	b.step(Listed{Whole: true, Entries: list})
+	return b
+}
+
+func (b *bench) step(events ...Event) []Action {
+	actions := b.s.Step(b.now, events, nil)
+	for _, a := range actions {
+		if s, ok := a.(Send); ok {
+			b.sent = append(b.sent, s)
+		}
+	}
+	return actions
+}
+
+func (b *bench) arrive(class int) []Action {
+	b.id++
+	return b.step(Arrived{Message: b.id, Class: class, GiveUpAt: b.now + b.s.set.Classes[class].Deadline})
+}
+
+// finish ends the oldest attempt that is out.
+func (b *bench) finish(o Outcome, wait time.Duration) []Action {
+	b.t.Helper()
+	if len(b.sent) == 0 {
+		b.t.Fatal("no attempt is out")
+	}
+	s := b.sent[0]
+	b.sent = b.sent[1:]
+	return b.step(Ended{Message: s.Message, Endpoint: s.Endpoint, Outcome: o, Wait: wait,
+		Final: o == Delivered, Took: 100 * time.Millisecond})
+}
+
+func (b *bench) wait(d time.Duration) { b.now += d; b.step(Woken{}) }
+
+func (b *bench) path() *path { return b.s.ordered[0].paths[0] }
+
+func count[T Action](actions []Action) int {
+	n := 0
+	for _, a := range actions {
+		if _, ok := a.(T); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func TestSendLogDropsWhatIsAWindowOld(t *testing.T) {
+	l := sendLog{window: 2 * time.Second}
+	l.record(10 * time.Second)
+	if n := l.count(12*time.Second - 1); n != 1 {
+		t.Errorf("%d entries just before a window has passed, want 1", n)
+	}
+	if n := l.count(12 * time.Second); n != 0 {
+		t.Errorf("%d entries exactly a window later, want 0", n)
+	}
+}
+
+func TestSliceFromListedRate(t *testing.T) {
+	set := testSettings()
+	set.Listing, set.Senders = RateNominal, 4
+	if got := with(t, set, 0, 1, 12).path().slice; got != 6 {
+		t.Errorf("slice %v for 12 a second over 4 senders, want 6 in 2 s", got)
+	}
+	if got := with(t, set, 0, 1, 1).path().slice; got != 1 {
+		t.Errorf("slice %v for a low rate, want at least one call", got)
+	}
+	if got := with(t, testSettings(), 0, 1, 12).path().slice; !math.IsInf(got, 1) {
+		t.Errorf("slice %v without listed rates, want unbound", got)
+	}
+}
+
+func TestBothWindowsBind(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	p := b.path()
+	p.slice = 3
+	for range 3 {
+		p.narrow.record(b.now)
+	}
+	b.s.now = b.now + narrowWindow - 1
+	if b.s.hasRoom(p) {
+		t.Error("room with the narrow count at the slice")
+	}
+	b.s.now++
+	if !b.s.hasRoom(p) {
+		t.Error("no room once the oldest entries are a window old")
+	}
+	for range 18 {
+		p.wide.record(b.s.now)
+	}
+	if b.s.hasRoom(p) {
+		t.Error("room with the wide count at six slices")
+	}
+}
+
+func TestCallsAreRecordedInBothWindowsOncePerBundle(t *testing.T) {
+	b := with(t, testSettings(), 1, 1, 0)
+	p := b.path()
+	p.closedUntil = b.now + 1
+	for range 3 {
+		b.arrive(1)
+	}
+	b.wait(time.Millisecond)
+	if len(b.sent) != 3 || len(p.narrow.times) != 1 || len(p.wide.times) != 1 || b.s.inFlight != 1 {
+		t.Errorf("%d sends, logs %d and %d, %d in flight; want one call with 3 messages", len(b.sent),
+			len(p.narrow.times), len(p.wide.times), b.s.inFlight)
+	}
+}
+
+func TestFirstFullSetsTheSliceLaterOnesCutIt(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	p := b.path()
+	for range 3 {
+		b.arrive(1)
+		b.finish(Delivered, 0)
+	}
+	b.arrive(1)
+	b.finish(Full, 0)
+	if p.slice != 4 {
+		t.Fatalf("slice %v after the first full, want the narrow count 4", p.slice)
+	}
+	b.wait(3 * time.Second)
+	b.finish(Full, 0)
+	if want := 4 * jamCut; math.Abs(p.slice-want) > 1e-9 {
+		t.Errorf("slice %v after a full right after a full, want %v", p.slice, want)
+	}
+	p.slice, p.beforeRun = 1/float64(b.s.set.Senders), 0
+	p.wide.times = nil // the wide window remembers what the cut slice let through
+	b.wait(4 * time.Second)
+	b.finish(Full, 0)
+	if p.slice < 1/float64(b.s.set.Senders) {
+		t.Errorf("slice %v fell below one call for all senders", p.slice)
+	}
+}
+
+func TestSuccessGrowsABindingSliceOnly(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	p := b.path()
+	p.slice = 5
+	b.arrive(0)
+	b.finish(Delivered, 0)
+	if p.slice != 5 {
+		t.Errorf("slice %v grew though it does not bind", p.slice)
+	}
+	p.slice = 1
+	b.wait(3 * time.Second)
+	b.arrive(0)
+	b.finish(Delivered, 0)
+	if math.Abs(p.slice-1-growthShare) > 1e-9 {
+		t.Errorf("slice %v, want %v", p.slice, 1+growthShare)
+	}
+}
+
+func TestCallsUnderABindingSliceAreSpread(t *testing.T) {
+	b := with(t, testSettings(), 0, 2, 0)
+	b.path().slice = 4
+	b.arrive(0)
+	b.arrive(0)
+	if len(b.sent) != 1 {
+		t.Fatalf("%d sends at once under a slice of 4, want 1", len(b.sent))
+	}
+	b.wait(narrowWindow / 4)
+	if len(b.sent) != 2 {
+		t.Errorf("%d sends after a quarter of the window, want 2", len(b.sent))
+	}
+}
+
+func TestToldWaitClosesAllOfTheDestination(t *testing.T) {
+	b := with(t, testSettings(), 0, 2, 0)
+	b.arrive(0)
+	b.finish(Full, time.Second)
+	b.arrive(0)
+	b.wait(time.Second - 1)
+	if len(b.sent) != 0 {
+		t.Fatal("a send during the told wait")
+	}
+	b.wait(narrowWindow)
+	if len(b.sent) == 0 {
+		t.Error("nothing sent after the wait")
+	}
+}
+
+// A message of a bundle may time out before the others are told to wait.
+func TestWaitToldAfterTheFirstOutcomeOfABundle(t *testing.T) {
+	b := with(t, testSettings(), 1, 1, 0)
+	b.path().closedUntil = b.now + 1
+	b.arrive(1)
+	b.arrive(1)
+	b.wait(time.Millisecond)
+	b.finish(TimedOut, 0)
+	b.finish(Full, 3*time.Second)
+	if until := b.path().closedUntil; until < b.now+3*time.Second {
+		t.Errorf("closed until %v, told to wait from %v for 3 s", until, b.now)
+	}
+}
+
+func TestWaitOfOneRouteLeavesTheOther(t *testing.T) {
+	b := with(t, testSettings(), 2, 2, 0)
+	b.arrive(0)
+	first := b.sent[0].Endpoint
+	b.finish(Full, 2*time.Second)
+	if len(b.sent) != 1 || b.sent[0].Endpoint == first {
+		t.Errorf("sends %v after a wait of route %d, want the other route", b.sent, first)
+	}
+}
+
+func TestFeeIsWeighedAgainstWaiting(t *testing.T) {
+	b := with(t, testSettings(), 2, 2, 0) // endpoint 1 has a fee, 2 has none
+	b.arrive(1)
+	if b.sent[0].Endpoint != 2 {
+		t.Fatalf("endpoint %d, want the route without a fee", b.sent[0].Endpoint)
+	}
+	b.s.ordered[0].paths[1].closedUntil = b.now + 100*time.Millisecond
+	b.arrive(1)
+	if len(b.sent) != 1 {
+		t.Error("a fee was paid to save a short wait within the aim")
+	}
+	b.s.ordered[0].paths[1].closedUntil = b.now + 10*time.Second
+	b.wait(time.Millisecond)
+	if len(b.sent) != 2 || b.sent[1].Endpoint != 1 {
+		t.Errorf("sends %v, want the route with a fee where waiting costs more", b.sent)
+	}
+}
+
+func TestNeverBeyondTheSlots(t *testing.T) {
+	set := testSettings()
+	set.Slots = 2
+	b := with(t, set, 0, 4, 0)
+	for range 5 {
+		b.arrive(0)
+	}
+	if len(b.sent) != 2 {
+		t.Errorf("%d sends with 2 slots", len(b.sent))
+	}
+}
+
+// Starts alone do not bound what a hanging destination holds.
+func TestHangingDestinationLeavesSlots(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	for range 20 {
+		b.arrive(1)
+	}
+	if n := len(b.sent); n != 3 {
+		t.Errorf("%d of 6 slots for one destination, want half", n)
+	}
+	b.wait(4 * time.Second)
+	if !b.s.stalled(b.path().endpoints[0]) {
+		t.Error("not found hanging after 4 s without an answer")
+	}
+}
+
+// Many endpoints may hang at once; trials of them leave slots.
+func TestDoubtLeavesSlots(t *testing.T) {
+	set := testSettings()
+	set.Slots = 8
+	s := New(set, 1)
+	now := Time(time.Hour)
+	var list []Entry
+	for i := range 10 {
+		list = append(list, Entry{Endpoint: EndpointID(i + 1), Destination: i, State: Ready})
+	}
+	s.Step(now, []Event{Listed{Whole: true, Entries: list}}, nil)
+	for _, d := range s.ordered {
+		d.paths[0].endpoints[0].suspect = true
+	}
+	var arrivals []Event
+	for i := range 10 {
+		arrivals = append(arrivals, Arrived{Message: MessageID(i + 1), Destination: i, GiveUpAt: now + 5*time.Second})
+	}
+	if n := count[Send](s.Step(now, arrivals, nil)); n != 4 {
+		t.Errorf("%d calls to endpoints in doubt with 8 slots, want 4", n)
+	}
+}
+
+func TestOneTrialAtATimeDuringAnOutage(t *testing.T) {
+	b := with(t, testSettings(), 0, 2, 0)
+	for range 8 {
+		b.arrive(0)
+	}
+	for b.path().endpoints[0].out == false || b.path().endpoints[1].out == false {
+		if len(b.sent) > 0 {
+			b.finish(Unreachable, 0)
+		}
+		b.wait(50 * time.Millisecond)
+	}
+	for len(b.sent) > 0 {
+		b.finish(Unreachable, 0)
+	}
+	sends := 0
+	for range 100 { // ten seconds
+		b.wait(100 * time.Millisecond)
+		sends += len(b.sent)
+		if len(b.sent) > 1 {
+			t.Fatalf("%d trials at once", len(b.sent))
+		}
+		for len(b.sent) > 0 {
+			b.finish(Unreachable, 0)
+		}
+		b.arrive(0)
+	}
+	if most := int(10 * time.Second / b.s.set.FallWindow); sends > most || sends == 0 {
+		t.Errorf("%d trials in 10 s, want 1 to %d", sends, most)
+	}
+}
+
+// A destination that returns cold is pushed over by what its queue would send.
+func TestColdReturnIsSentItsPart(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	p, e := b.path(), b.path().endpoints[0]
+	p.peak = 24 // calls of this sender in a narrow window before
+	e.out, e.broken, e.since, e.troubled = true, true, b.now-10*time.Second, b.now-10*time.Second
+	e.score = 1
+	for range 30 {
+		b.arrive(1)
+	}
+	b.finish(Delivered, 0) // the trial
+	if !e.warming {
+		t.Fatal("not taken for a cold return")
+	}
+	start, set := b.now, b.s.set
+	sent := []Time{start}
+	for b.now < start+2*set.FallWindow {
+		for len(b.sent) > 0 {
+			sent = append(sent, b.now)
+			b.finish(Delivered, 0)
+		}
+		n := 0
+		for _, at := range sent {
+			if b.now-at < set.FallWindow {
+				n++
+			}
+		}
+		bears := set.FallMultiple * b.s.warmth(start) * float64(p.peak) / narrowWindow.Seconds() * set.FallWindow.Seconds()
+		if float64(n) > bears {
+			t.Fatalf("%v after the return: %d calls in a fall window, it bears %.1f from this sender",
+				b.now-start, n, bears)
+		}
+		b.wait(20 * time.Millisecond)
+	}
+	if len(sent) < 6 {
+		t.Errorf("%d calls in two fall windows: it does not reopen", len(sent))
+	}
+	b.s.now = start + set.WarmUp
+	if w := b.s.warmth(start); w != 1 {
+		t.Errorf("warmth %v after the warm-up, want 1", w)
+	}
+}
+
+// Single lost calls are no outage, errors are.
+func TestShortSilenceIsNoColdReturn(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		broken bool
+		silent time.Duration
+		cold   bool
+	}{
+		{"a few lost calls", false, time.Second, false},
+		{"long silence", false, 10 * time.Second, true},
+		{"errors", true, time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := with(t, testSettings(), 0, 1, 0)
+			e := b.path().endpoints[0]
+			e.out, e.broken, e.lastOK = true, c.broken, b.now-c.silent
+			b.s.wellDone(e, 100*time.Millisecond)
+			if e.warming != c.cold {
+				t.Errorf("warming %v, want %v", e.warming, c.cold)
+			}
+		})
+	}
+}
+
+func TestShutDestinationIsAnOutageAndKeepsItsSlice(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	b.path().slice = 5
+	b.arrive(0)
+	b.finish(Full, 4*time.Second)
+	if e := b.path().endpoints[0]; !e.out {
+		t.Error("a wait longer than a window is not taken for a shut destination")
+	}
+	if b.path().slice != 5 {
+		t.Errorf("slice %v, want the 5 from before", b.path().slice)
+	}
+}
+
+// Trials of one endpoint must not be put off by sends to the others.
+func TestPartialOutageIsTried(t *testing.T) {
+	b := with(t, testSettings(), 0, 2, 0)
+	e := b.path().endpoints[0]
+	e.out, e.score = true, 1
+	b.path().nextTrial = b.now + b.s.set.FallWindow
+	tried := false
+	for range 40 {
+		b.arrive(0)
+		for len(b.sent) > 0 {
+			tried = tried || b.sent[0].Endpoint == e.id
+			b.finish(Delivered, 0)
+		}
+		b.wait(100 * time.Millisecond)
+	}
+	if !tried {
+		t.Error("an endpoint that is out was not tried in 4 s while the other works")
+	}
+}
+
+func TestRetryLeavesOutTheEndpointThatFailed(t *testing.T) {
+	b := with(t, testSettings(), 0, 2, 0)
+	b.arrive(0)
+	first := b.sent[0].Endpoint
+	b.finish(Failed, 0)
+	b.wait(backoffBase)
+	if len(b.sent) != 1 || b.sent[0].Endpoint == first {
+		t.Errorf("sends %v, want the endpoint other than %d", b.sent, first)
+	}
+}
+
+func TestTimeoutsGrowWithBundlesAndInARow(t *testing.T) {
+	b := with(t, testSettings(), 1, 1, 0)
+	b.arrive(1)
+	b.finish(Delivered, 0)
+	p, e := b.path(), b.path().endpoints[0]
+	p.latency, p.deviation = time.Second, time.Second
+	m := &message{class: &b.s.set.Classes[1]}
+	one, five := b.s.timeout(e, m, 1), b.s.timeout(e, m, 5)
+	if five <= one {
+		t.Errorf("time-out %v for five messages, %v for one", five, one)
+	}
+	p.latency, p.deviation = 10*time.Millisecond, 10*time.Millisecond
+	one = b.s.timeout(e, m, 1)
+	e.timeouts = 1
+	if next := b.s.timeout(e, m, 1); next <= one {
+		t.Errorf("time-out %v after a time-out, %v before: slow looks like silent", next, one)
+	}
+	if one < minTimeout {
+		t.Errorf("time-out %v, want %v at least", one, minTimeout)
+	}
+}
+
+func TestSlowIsJudgedAgainstTheOthers(t *testing.T) {
+	p := &path{latency: 4 * time.Second, baseline: time.Second}
+	if !p.slow(1) {
+		t.Error("four times its baseline is not slow while the others are at theirs")
+	}
+	if p.slow(3) {
+		t.Error("called slow though everything is")
+	}
+}
+
+func TestHoldKeepsRoom(t *testing.T) {
+	set := testSettings()
+	set.MaxHeld = 20
+	b := with(t, set, 0, 1, 0)
+	b.path().closedUntil = b.now + time.Hour
+	refused := 0
+	for range 30 {
+		refused += count[Refuse](b.arrive(0))
+	}
+	if refused == 0 || len(b.s.open) >= set.MaxHeld {
+		t.Errorf("%d refused, %d of %d held", refused, len(b.s.open), set.MaxHeld)
+	}
+}
+
+func TestAnswerComesBeforeTheDeadline(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	b.arrive(3)
+	giveUp := b.s.open[0].giveUpAt
+	b.now = giveUp - b.s.set.Tick - 1
+	if n := count[Fail](b.step(Woken{})); n != 0 {
+		t.Error("failed before its time")
+	}
+	b.now++
+	if n := count[Fail](b.step(Woken{})); n != 1 {
+		t.Error("no answer a tick before the deadline, with an attempt out that may run")
+	}
+}
+
+func TestNothingListedIsHeldAndAnswered(t *testing.T) {
+	b := &bench{t: t, s: New(testSettings(), 1), now: time.Hour}
+	if n := len(b.arrive(0)); n != 1 {
+		t.Errorf("%d actions for a message without endpoints, want a wake", n)
+	}
+	b.wait(5 * time.Second)
+	if len(b.s.open) != 0 {
+		t.Error("not answered")
+	}
+}
+
+// A crash resets calls, but so may a destination that is up.
+func TestResetIsTriedAtOnceAndNoColdReturn(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	b.arrive(0)
+	b.finish(Delivered, 0)
+	b.arrive(0)
+	b.finish(Reset, 0)
+	b.wait(backoffBase)
+	if len(b.sent) != 1 {
+		t.Fatalf("%d sends after the backoff, want a trial at once", len(b.sent))
+	}
+	b.finish(Delivered, 0)
+	if b.path().endpoints[0].warming {
+		t.Error("taken for a cold return after one reset between two answers")
+	}
+}
+
+func TestUnsafeMessagesKeepOffSuspectEndpoints(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	b.path().endpoints[0].suspect = true
+	b.arrive(3)
+	if len(b.sent) != 0 {
+		t.Error("a message that must not run twice was sent to an endpoint that just failed")
+	}
+	b.arrive(0)
+	if len(b.sent) != 1 {
+		t.Fatal("the safe message was not sent")
+	}
+	b.finish(Delivered, 0)
+	if len(b.sent) != 1 {
+		t.Error("the unsafe message still waits after a success")
+	}
+}
+
+// One endpoint that is back alone gets no more than its part of the budget, also
+// when the list names no others any more.
+func TestReturnedEndpointGetsItsPartOnly(t *testing.T) {
+	b := with(t, testSettings(), 0, 4, 0)
+	b.path().peak = 40
+	e := b.path().endpoints[0]
+	whole := b.s.coldBudget(e, 1)
+	b.step(Listed{Entries: []Entry{{Endpoint: 2, State: Gone}, {Endpoint: 3, State: Gone}, {Endpoint: 4, State: Gone}}})
+	e.warming, e.warmFrom, b.s.now = true, b.now-b.s.set.WarmUp, b.now
+	e.cold.record(b.now)
+	b.s.coldRoom(e)
+	if got, want := e.cold.window, time.Duration(4*float64(b.s.set.FallWindow)/whole); got < want-1 || got > want+1 {
+		t.Errorf("a call each %v to one of four endpoints, want %v", got, want)
+	}
+}
+
+func TestSilentConnectionIsClosed(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	b.arrive(0)
+	if n := count[CloseIdle](b.finish(TimedOut, 0)); n != 1 {
+		t.Errorf("%d idle connections closed after a time-out, want those of its endpoint", n)
+	}
+}
+
+// A replacement that joins during an outage would get the whole queue at once.
+func TestEndpointThatJoinsAnOutageIsTriedFirst(t *testing.T) {
+	for _, state := range []EndpointState{Ready, Draining, Gone} {
+		b := with(t, testSettings(), 0, 1, 0)
+		e := b.path().endpoints[0]
+		e.out, e.suspect, e.score = true, true, 1
+		b.path().nextTrial = b.now + time.Second
+		for range 8 {
+			b.arrive(1)
+		}
+		b.step(Listed{Entries: []Entry{{Endpoint: 1, State: state}, {Endpoint: 9, State: Ready}}})
+		b.wait(time.Second)
+		if len(b.sent) != 1 {
+			t.Errorf("state %d of the old endpoint: %d sends to the new one, want a trial", state, len(b.sent))
+		}
+		b.sent = b.sent[len(b.sent):]
+	}
+}
+
+func TestEndpointThatJoinsAHealthyDestinationIsUsed(t *testing.T) {
+	b := with(t, testSettings(), 0, 2, 0)
+	b.path().endpoints[0].out = true
+	b.step(Listed{Entries: []Entry{{Endpoint: 9, State: Ready}}})
+	if b.s.endpoints[9].out {
+		t.Error("taken to be out though another endpoint of the destination works")
+	}
+}
+
+func TestSubscribesAgainAfterAFailure(t *testing.T) {
+	set := testSettings()
+	set.MustSubscribe = true
+	b := &bench{t: t, s: New(set, 1), now: time.Hour}
+	if n := count[Subscribe](b.step()); n != 1 {
+		t.Fatalf("%d subscriptions at the start, want 1", n)
+	}
+	if n := count[Subscribe](b.step(ListFailed{})); n != 0 {
+		t.Error("asked again in the same instant")
+	}
+	b.now += backoffMax
+	if n := count[Subscribe](b.step(Woken{})); n != 1 {
+		t.Error("not asked again after a failure")
+	}
+	b.now += time.Hour
+	if n := count[Subscribe](b.step()); n != 0 {
+		t.Error("asked again though subscribed")
+	}
+}
+
+// Where many senders share a small limit, one call a window from each jams it.
+func TestSliceUnderOneCallStretchesBothWindows(t *testing.T) {
+	set := testSettings()
+	set.Senders = 400
+	b := with(t, set, 0, 1, 0)
+	p := b.path()
+	b.s.now = b.now
+	b.s.resize(p, 0.25)
+	if least, most := 4*time.Second, 12*time.Second; p.narrow.window < least || p.narrow.window > most {
+		t.Errorf("narrow window of %v for a quarter of a call in 2 s, want %v to %v", p.narrow.window, least, most)
+	}
+	if ratio := float64(p.wide.window) / float64(p.narrow.window); math.Abs(ratio-6) > 1e-6 {
+		t.Errorf("windows of %v and %v, want the ratio kept", p.narrow.window, p.wide.window)
+	}
+	p.narrow.record(b.now)
+	if b.s.now += p.narrow.window - 1; b.s.hasRoom(p) {
+		t.Error("room before the stretched window has passed")
+	}
+	if b.s.now++; !b.s.hasRoom(p) {
+		t.Error("no room after it")
+	}
+	b.s.full(p, p.endpoints[0], b.s.now, 0)
+	if want := 0.25 * b.s.smallCut; math.Abs(p.slice-want) > 1e-9 {
+		t.Errorf("slice %v after a full, want %v", p.slice, want)
+	}
+}
+
+// One call in each fall window from each of many senders pushes a cold
+// destination over.
+func TestTrialsOfManySendersAreSpaced(t *testing.T) {
+	for _, senders := range []int{2, 400} {
+		set := testSettings()
+		set.Senders = senders
+		b := with(t, set, 0, 1, 0)
+		e := b.path().endpoints[0]
+		e.out, e.since, e.troubled, b.s.now = true, b.now-10*time.Second, b.now-10*time.Second, b.now
+		least := set.FallWindow
+		if senders > 10 {
+			least = 10 * time.Second // as long as the outage has lasted
+		}
+		if gap := b.s.trialGap(e); gap < least || senders == 2 && gap > 3*least {
+			t.Errorf("%d senders: trials %v apart, want %v at least", senders, gap, least)
+		}
+	}
+}
+
+func toldSettings() Settings {
+	set := testSettings()
+	set.Senders, set.MayTell = 400, true
+	return set
+}
+
+// What one sender sees of an outage the others would learn by a failure each.
+func TestOutageAndReturnAreTold(t *testing.T) {
+	b := with(t, toldSettings(), 0, 1, 0)
+	b.arrive(0)
+	told := b.finish(Unreachable, 0)
+	if count[Tell](told) != 1 {
+		t.Fatalf("%d notes for an outage, want 1", count[Tell](told))
+	}
+	c := with(t, toldSettings(), 0, 1, 0)
+	for _, a := range told {
+		if n, ok := a.(Tell); ok {
+			c.step(Told{Tag: n.Tag, News: n.News})
+		}
+	}
+	e := c.path().endpoints[0]
+	if !e.out {
+		t.Fatal("an outage that was told is not heeded")
+	}
+	if c.arrive(0); len(c.sent) != 0 {
+		t.Error("sent at once to an endpoint that was told to be down")
+	}
+	c.step(Told{Tag: e.id.tag(), News: BackCold})
+	if e.out || !e.warming {
+		t.Error("a cold return that was told is not heeded")
+	}
+	c.step(Told{Tag: 1<<TagBits - 1, News: Down}) // an endpoint that is not listed
+}
+
+// First calls of many senders alone keep a limit full that refusals use up.
+func TestJamIsToldOnceAndClosesTheLogs(t *testing.T) {
+	b := with(t, toldSettings(), 0, 1, 0)
+	b.arrive(1)
+	if n := count[Tell](b.finish(Full, 0)); n != 1 {
+		t.Errorf("%d notes for a full under one call a window, want 1", n)
+	}
+	p := b.path()
+	if b.s.jam(p) {
+		t.Error("a full right after a note is news again")
+	}
+	first := p.jamFor
+	b.s.now = p.jamAt + first
+	if !b.s.jam(p) || p.jamFor != 2*first {
+		t.Errorf("closed for up to %v after %v, want twice as long while fulls go on", p.jamFor, first)
+	}
+}
+
+func TestMessagesGatherWhileASliceBinds(t *testing.T) {
+	b := with(t, testSettings(), 1, 1, 0)
+	if b.arrive(1); len(b.sent) != 1 {
+		t.Fatal("held back with no slice bound")
+	}
+	b.finish(Delivered, 0)
+	b.s.resize(b.path(), 3)
+	b.wait(2 * time.Second)
+	if b.arrive(1); len(b.sent) != 0 {
+		t.Error("sent alone while a slice binds")
+	}
+	if b.wait(time.Second); len(b.sent) != 1 {
+		t.Error("held back beyond its share of the aim")
+	}
+}
+
+// A step for each note in hundreds of nodes is paid for hundreds of times.
+func TestNotesAloneDecideNothing(t *testing.T) {
+	b := with(t, toldSettings(), 0, 1, 0)
+	if actions := b.step(Told{Tag: 1, News: Jam}); len(actions) != 0 {
+		t.Errorf("%d actions on a note about nothing", len(actions))
+	}
+}
