--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -173,31 +173,16 @@
 	case wire.CodeWakeup:
 		return policy.Woken{}, nil
 	case wire.CodeFromPeer:
-		return toNote(e.Data), nil
+		if note, ok := wire.DecodeNote(e.Data); ok {
+			return note, nil
+		}
+		return nil, nil
 	case wire.CodeFirst, wire.CodePingResult:
 		return nil, nil
 	}
 	return nil, fmt.Errorf("event code %d has no meaning for an instance", e.Code)
 }
 
-// noteSize is the length of a note on the wire: two bits of news, then a tag.
-const noteSize = 3
-
-// toNote reads a note of another instance; nil where it has no meaning, since
-// what others send is no fault of this one.
-func toNote(b []byte) policy.Event {
-	if len(b) != noteSize {
-		return nil
-	}
-	v := uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2])
-	return policy.Told{Tag: policy.Tag(v & (1<<policy.TagBits - 1)), News: policy.News(v >> policy.TagBits)}
-}
-
-func fromNote(a policy.Tell) []byte {
-	v := uint32(a.News)<<policy.TagBits | uint32(a.Tag)
-	return []byte{byte(v >> 16), byte(v >> 8), byte(v)}
-}
-
 func toEntries(list []wire.Entry) []policy.Entry {
 	out := make([]policy.Entry, len(list))
 	for i, e := range list {
@@ -253,7 +238,7 @@
 	case policy.CloseIdle:
 		return wire.Action{Code: wire.CodeShutIdle, Endpoint: wire.Endpoint(a.Endpoint)}
 	case policy.Tell:
-		return wire.Action{Code: wire.CodeTell, Whom: wire.AllPeers, Data: fromNote(a)}
+		return wire.Action{Code: wire.CodeTell, Whom: wire.AllPeers, Data: wire.EncodeNote(a)}
 	case policy.Wake:
 		return wire.Action{Code: wire.CodeTimer, TimeUs: uint64(a.At.Microseconds())}
 	}
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -122,17 +122,3 @@
 		}
 	}
 }
-
-func TestNotesKeepTheirContent(t *testing.T) {
-	want := policy.Tell{Tag: 1<<policy.TagBits - 2, News: policy.Jam}
-	data := fromNote(want)
-	if len(data) != noteSize {
-		t.Fatalf("a note of %d bytes, want %d", len(data), noteSize)
-	}
-	if got := toNote(data); got != (policy.Told{Tag: want.Tag, News: want.News}) {
-		t.Errorf("note %+v came back as %+v", want, got)
-	}
-	if got := toNote([]byte("what?")); got != nil {
-		t.Errorf("a note of another size became %+v", got)
-	}
-}
--- /dev/null
+++ b/cmd/wingmount/main.go
@@ -0,0 +1,35 @@
+// Command wingmount is one delivery node.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"robinbank/internal/node"
+)
+
+func main() {
+	level := slog.LevelInfo
+	if os.Getenv("WINGMOUNT_DEBUG") != "" {
+		level = slog.LevelDebug
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, log); err != nil {
+		fmt.Fprintf(os.Stderr, "wingmount: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, log *slog.Logger) error {
+	c, err := node.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	return node.Run(ctx, c, log)
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"robinbank/internal/wire"
+	"robinbank/policy"
+)
+
+// Config is what a delivery node is told when it starts.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	State     string
+	Seed      uint64
+	Cores     float64
+	MemoryMB  int
+	Sockets   int
+	DiskBytes int64
+	PeerBind  string // empty where delivery nodes may not tell each other anything
+	Peers     []netip.AddrPort
+	PeersAll  string
+	Me        int
+	Known     list // the endpoints as this node last had them
+	Settings  policy.Settings
+	Names     names
+	IdleClose time.Duration
+}
+
+// names translates between the words of the settings and the module's numbers.
+type names struct {
+	classes, kinds, zones map[string]int
+}
+
+func index(list []string) map[string]int {
+	m := make(map[string]int, len(list))
+	for i, s := range list {
+		m[s] = i
+	}
+	return m
+}
+
+// configFile is the form of the configuration file.
+type configFile struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      string
+	Limits    struct {
+		Cores    float64
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int
+		DiskMB   float64 `json:"disk_mb"`
+	}
+	PeerListen string   `json:"peer_listen"`
+	Peers      []string `json:"peers"`
+	PeersAll   string   `json:"peers_all"`
+	Known      list
+	Settings   json.RawMessage
+}
+
+// settingNames is the part of the settings that only a real node needs.
+type settingNames struct {
+	Me             int
+	Classes        []struct{ Name string }
+	MachineTypes   []string
+	FailureDomains []string
+	PolicyLimits   struct{ IdleCloseUs int64 }
+}
+
+// LoadConfig reads the file that PROXY_CONFIG names; the other variables of the
+// platform come first where both tell something.
+func LoadConfig(env func(string) string) (Config, error) {
+	path := env("PROXY_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("PROXY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("reading the configuration: %w", err)
+	}
+	var f configFile
+	if err := json.Unmarshal(text, &f); err != nil {
+		return Config{}, fmt.Errorf("reading the configuration %s: %w", path, err)
+	}
+	c := Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, State: env("PROXY_STATE"),
+		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		DiskBytes: int64(f.Limits.DiskMB * 1e6), PeerBind: f.PeerListen, PeersAll: f.PeersAll, Known: f.Known,
+	}
+	for name, field := range map[string]*string{
+		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery} {
+		if v := env(name); v != "" {
+			*field = v
+		}
+	}
+	for name, value := range map[string]string{"PROXY_LISTEN": c.Listen, "PROXY_DISCOVERY": c.Discovery} {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			return Config{}, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	if c.State == "" {
+		return Config{}, errors.New("PROXY_STATE is not set")
+	}
+	if c.DiskBytes < minDisk {
+		return Config{}, fmt.Errorf("limits.disk_mb is %v, less than a journal needs", f.Limits.DiskMB)
+	}
+	if f.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return Config{}, fmt.Errorf("seed: %w", err)
+		}
+	}
+	for _, p := range f.Peers {
+		a, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return Config{}, fmt.Errorf("peers: %w", err)
+		}
+		c.Peers = append(c.Peers, a)
+	}
+	if c.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
+		return Config{}, err
+	}
+	var n settingNames
+	if err := json.Unmarshal(f.Settings, &n); err != nil {
+		return Config{}, fmt.Errorf("unreadable settings: %w", err)
+	}
+	classes := make([]string, len(n.Classes))
+	for i, k := range n.Classes {
+		if k.Name == "" {
+			return Config{}, fmt.Errorf("unreadable settings: class %d has no name", i)
+		}
+		classes[i] = k.Name
+	}
+	c.Me = n.Me
+	c.Names = names{classes: index(classes), kinds: index(n.MachineTypes), zones: index(n.FailureDomains)}
+	c.IdleClose = time.Duration(n.PolicyLimits.IdleCloseUs) * time.Microsecond
+	if c.IdleClose <= 0 {
+		c.IdleClose = 15 * time.Second
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+)
+
+const (
+	// watchWait is how long one watch waits for news. It is short, so that a call
+	// which hangs in a silent agent is soon given up for a new one.
+	watchWait   = 2 * time.Second
+	watchMargin = time.Second
+	// watchPause must stay well under the 200 ms in which a watch goes on.
+	watchPause = 50 * time.Millisecond
+	maxList    = 4 << 20
+)
+
+// list is the endpoints, or what has changed of them, in discovery's form.
+type list struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+// member is one endpoint in a list.
+type member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+}
+
+// discovery follows the list of endpoints.
+type discovery struct {
+	url    string
+	client *http.Client
+	log    *slog.Logger
+	tell   func(list)
+}
+
+func newDiscovery(addr string, log *slog.Logger, tell func(list)) *discovery {
+	return &discovery{url: "http://" + addr + "/v1/servers", log: log, tell: tell,
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+}
+
+// run fetches the whole list and then watches it until the context ends.
+func (d *discovery) run(ctx context.Context) {
+	defer d.client.CloseIdleConnections()
+	at := int64(-1)
+	for ctx.Err() == nil {
+		url, limit := d.url, watchMargin
+		if at >= 0 {
+			url = fmt.Sprintf("%s?index=%d&wait=%d", d.url, at, watchWait.Milliseconds())
+			limit += watchWait
+		}
+		l, err := d.get(ctx, url, limit)
+		if err != nil {
+			if ctx.Err() == nil {
+				d.log.Warn("discovery: no list", "err", err)
+			}
+			select {
+			case <-time.After(watchPause):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if l.Complete || l.Revision > at && at >= 0 {
+			d.tell(l)
+			at = l.Revision
+		} else if at < 0 {
+			d.log.Warn("discovery: the whole list was asked for and a part came")
+			select {
+			case <-time.After(watchPause):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (list, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return list{}, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return list{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return list{}, fmt.Errorf("answered %s", resp.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return list{}, err
+	}
+	var l list
+	if err := json.Unmarshal(data, &l); err != nil {
+		return list{}, fmt.Errorf("unreadable list: %w", err)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/node/intake.go
@@ -0,0 +1,226 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	maxID = 256
+	// fullRetry is what a client is told that finds the hold full.
+	fullRetry = time.Second
+	// maxTimeout bounds what a client may ask for.
+	maxTimeout = 24 * time.Hour
+)
+
+// intake takes messages from clients. A message is journaled before it is
+// answered, and from then on the node owes its end.
+type intake struct {
+	names   names
+	keyed   []bool // per class: a message needs a key
+	journal *journal
+	log     *slog.Logger
+	maxHeld int
+	accept  func(*message)
+
+	mu      sync.Mutex
+	held    map[string]bool // ids of messages that have not ended; true once taken
+	closing bool            // answers close their connections
+	refuse  bool            // nothing is taken any more
+}
+
+// badRequest is a fault of the client.
+type badRequest struct {
+	status int
+	text   string
+}
+
+func (b badRequest) Error() string { return b.text }
+
+// ServeHTTP answers a client.
+func (in *intake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if in.isClosing() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/healthz" {
+		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+			w.Header().Set("Allow", "GET, HEAD")
+			http.Error(w, "GET only", http.StatusMethodNotAllowed)
+			return
+		}
+		if in.isRefusing() {
+			in.turnAway(w, "stopping")
+			return
+		}
+		_, _ = io.WriteString(w, "ok\n") // a client that has gone needs no answer
+		return
+	}
+	m, err := in.read(r)
+	var bad badRequest
+	switch {
+	case errors.As(err, &bad):
+		if bad.status == http.StatusMethodNotAllowed {
+			w.Header().Set("Allow", http.MethodPost)
+		}
+		in.log.Warn("intake: bad request", "status", bad.status, "why", bad.text)
+		http.Error(w, bad.text, bad.status)
+		return
+	case err != nil:
+		in.log.Warn("intake: half a request", "err", err)
+		http.Error(w, "the body could not be read", http.StatusBadRequest)
+		return
+	}
+	if r.Context().Err() != nil {
+		return // the client has gone and hands it in elsewhere
+	}
+	again, ok := in.reserve(m.id)
+	if again { // sent once more by a client that did not hear the answer
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	if !ok {
+		in.turnAway(w, "the hold is full")
+		return
+	}
+	if err := in.journal.take(m); err != nil {
+		in.ended(m.id)
+		if !errors.Is(err, errNoRoom) {
+			in.log.Error("intake: not journaled", "id", m.id, "err", err)
+		}
+		in.turnAway(w, "the journal takes no more")
+		return
+	}
+	in.taken(m.id)
+	in.accept(m)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// read checks a request and reads its message.
+func (in *intake) read(r *http.Request) (*message, error) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	class, ok := in.names.classes[name]
+	if !ok {
+		return nil, badRequest{http.StatusNotFound, "no such path"}
+	}
+	if r.Method != http.MethodPost {
+		return nil, badRequest{http.StatusMethodNotAllowed, "POST only"}
+	}
+	bad := func(format string, args ...any) error {
+		return badRequest{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+	}
+	if r.Header.Get("X-Priority-Class") != name {
+		return nil, bad("X-Priority-Class must name the class of the path")
+	}
+	m := &message{id: r.Header.Get("X-Request-ID"), key: r.Header.Get("Idempotency-Key"), class: class}
+	if !validWord(m.id) {
+		return nil, bad("X-Request-ID is missing or malformed")
+	}
+	if in.keyed[class] && m.key == "" || m.key != "" && !validWord(m.key) {
+		return nil, bad("Idempotency-Key is missing or malformed")
+	}
+	ms, err := strconv.ParseInt(r.Header.Get("X-Timeout-Ms"), 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+		return nil, bad("X-Timeout-Ms is missing or malformed")
+	}
+	m.deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	if m.dest, err = destination(r.Header.Get("X-Route-To")); err != nil {
+		return nil, bad("X-Route-To: %v", err)
+	}
+	if r.ContentLength < 0 {
+		return nil, bad("Content-Length is missing")
+	}
+	if r.ContentLength > maxBody {
+		return nil, badRequest{http.StatusRequestEntityTooLarge, "over 64 KiB"}
+	}
+	m.body = make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, m.body); err != nil {
+		return nil, fmt.Errorf("reading the body: %w", err)
+	}
+	return m, nil
+}
+
+// validWord keeps ids and keys to what fits a header and a line of a bundle.
+func validWord(s string) bool {
+	return s != "" && len(s) <= maxID && strings.IndexFunc(s, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
+}
+
+// destination reads 'dest=7', among other fields or alone.
+func destination(s string) (int, error) {
+	for _, field := range strings.FieldsFunc(s, func(c rune) bool { return c == ',' || c == ';' || c == ' ' }) {
+		if v, ok := strings.CutPrefix(field, "dest="); ok {
+			n, err := strconv.ParseUint(v, 10, 16)
+			if err != nil {
+				return 0, errors.New("dest is no number of a destination")
+			}
+			return int(n), nil
+		}
+	}
+	return 0, errors.New("dest is missing")
+}
+
+// reserve keeps a place in the hold. Again tells that the message is held already.
+func (in *intake) reserve(id string) (again, ok bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if taken, known := in.held[id]; known {
+		return taken, false
+	}
+	if in.refuse || in.maxHeld > 0 && len(in.held) >= in.maxHeld {
+		return false, false
+	}
+	in.held[id] = false
+	return false, true
+}
+
+// taken tells that the journal has a message; one of an earlier life may come so.
+func (in *intake) taken(id string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.held[id] = true
+}
+
+func (in *intake) count() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return len(in.held)
+}
+
+// ended frees the place of a message.
+func (in *intake) ended(id string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	delete(in.held, id)
+}
+
+// close makes every answer the last of its connection, so that clients go
+// elsewhere by themselves and no request is cut off.
+func (in *intake) close(refuse bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.closing, in.refuse = true, refuse
+}
+
+func (in *intake) isClosing() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.closing
+}
+
+func (in *intake) isRefusing() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.refuse
+}
+
+// turnAway refuses: handing the message in again is harmless.
+func (in *intake) turnAway(w http.ResponseWriter, why string) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(fullRetry.Seconds(), 'f', -1, 64))
+	http.Error(w, why, http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,287 @@
+package node
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"time"
+
+	"robinbank/policy"
+)
+
+// clockStart keeps the module's clock away from zero, which means 'never' to it.
+const clockStart = time.Hour
+
+// loop owns the module: it hands in what has come, once a tick, and carries out
+// what the module wants, in order. It waits for nothing else.
+type loop struct {
+	sender    *policy.Sender
+	settings  policy.Settings
+	names     names
+	log       *slog.Logger
+	caller    *caller
+	journal   *journal
+	finals    *finals
+	intake    *intake
+	peers     *peers // nil where notes are not allowed
+	origin    time.Time
+	events    chan any      // policy.Event, list or *message
+	done      chan struct{} // closed when the loop has ended
+	quieted   chan struct{} // closed when no call is started any more
+	held      map[policy.MessageID]*message
+	endpoints map[policy.EndpointID]*endpoint
+	waits     map[int]*gate // by destination, where routes share a limit
+	batch     []policy.Event
+	actions   []policy.Action
+	quiet     bool // no call is started any more
+}
+
+func (l *loop) now() policy.Time { return clockStart + time.Since(l.origin) }
+
+// post hands an event to the loop.
+func (l *loop) post(e any) {
+	select {
+	case l.events <- e:
+	case <-l.done:
+	}
+}
+
+// run steps the module until the context ends. Once quiet ends no new call is
+// started; outcomes are still taken in.
+func (l *loop) run(ctx context.Context, quiet <-chan struct{}) {
+	defer close(l.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	reaper := time.NewTicker(time.Second)
+	defer reaper.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-quiet:
+			l.quiet, quiet = true, nil
+			close(l.quieted)
+			continue
+		case now := <-reaper.C:
+			for _, e := range l.endpoints {
+				e.pool.closeIdle(now.Add(-l.caller.idle))
+			}
+			continue
+		case e := <-l.events:
+			l.take(e)
+		case <-timer.C:
+			l.batch = append(l.batch, policy.Woken{})
+		}
+		// What comes within a tick is taken together.
+		if rest := l.settings.Tick - time.Since(last); rest > 0 {
+			time.Sleep(rest)
+		}
+		for more := true; more; {
+			select {
+			case e := <-l.events:
+				l.take(e)
+			default:
+				more = false
+			}
+		}
+		last = time.Now()
+		if l.quiet {
+			l.batch = l.batch[:0]
+			continue
+		}
+		if wake := l.step(ctx); wake > 0 {
+			timer.Reset(wake - l.now())
+		}
+	}
+}
+
+// take turns what has come into an event of the module.
+func (l *loop) take(e any) {
+	switch e := e.(type) {
+	case *message:
+		l.held[e.seq] = e
+		l.batch = append(l.batch, l.arrived(e))
+	case list:
+		l.batch = append(l.batch, l.listed(e))
+	case policy.Ended:
+		if e.Final {
+			if m := l.held[e.Message]; m != nil {
+				l.forget(m)
+			}
+		}
+		l.batch = append(l.batch, e)
+	case policy.Event:
+		l.batch = append(l.batch, e)
+	}
+}
+
+func (l *loop) arrived(m *message) policy.Arrived {
+	now := l.now()
+	a := policy.Arrived{Message: m.seq, Destination: m.dest, Class: m.class, GiveUpAt: now + time.Until(m.deadline)}
+	if p := m.past; p.attempts > 0 {
+		a.Past = policy.Past{Attempts: p.attempts, MayRun: p.mayRun, RanZone: p.ranZone}
+		if p.mayRun {
+			a.Past.RanAt = now - time.Since(p.ranAt)
+		}
+	}
+	if l.settings.Classes[m.class].Ordered && m.key != "" {
+		a.Key = hash(m.key) | 1
+	}
+	return a
+}
+
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s)) // never fails
+	return h.Sum64()
+}
+
+// listed keeps the node's own table of endpoints and tells the module of it.
+func (l *loop) listed(in list) policy.Listed {
+	out := policy.Listed{Whole: in.Complete}
+	named := map[policy.EndpointID]bool{}
+	for _, m := range in.Members {
+		// The same at all nodes, so that they can tell each other of it.
+		id := policy.EndpointID(hash(m.ID))
+		e := l.endpoints[id]
+		var state policy.EndpointState
+		switch m.Phase {
+		case "active":
+			state = policy.Ready
+		case "leaving":
+			state = policy.Draining
+		case "left":
+			state = policy.Gone
+		default:
+			l.log.Warn("discovery: unknown phase, nothing changes", "id", m.ID, "phase", m.Phase)
+			if e != nil {
+				// The module takes what a whole list leaves out for gone.
+				state = policy.Ready
+				if e.leaves.closedFrom.Load() != 0 {
+					state = policy.Draining
+				}
+				named[id] = true
+				out.Entries = append(out.Entries, l.entry(e, m, state))
+			}
+			continue
+		}
+		if e == nil {
+			if state == policy.Gone {
+				continue
+			}
+			kind, okKind := l.names.kinds[m.Flavor]
+			zone, okZone := l.names.zones[m.Locality]
+			if !okKind || !okZone || m.ID == "" || m.Cell < 0 {
+				l.log.Warn("discovery: an endpoint that makes no sense", "id", m.ID, "flavor", m.Flavor, "locality", m.Locality)
+				continue
+			}
+			e = &endpoint{id: id, name: m.ID, dest: m.Cell, kind: kind, zone: zone, leaves: &gate{}, waits: &gate{}}
+			if kind >= len(l.settings.Kinds) || !l.settings.Kinds[kind].RoutesApart {
+				if l.waits[m.Cell] == nil {
+					l.waits[m.Cell] = e.waits
+				}
+				e.waits = l.waits[m.Cell]
+			}
+			l.endpoints[id] = e
+		}
+		if state != policy.Gone {
+			e.addr = m.HostPort
+		}
+		named[id] = true
+		l.setLeaving(e, state != policy.Ready)
+		out.Entries = append(out.Entries, l.entry(e, m, state))
+	}
+	if in.Complete {
+		for id, e := range l.endpoints {
+			if !named[id] {
+				l.setLeaving(e, true)
+			}
+		}
+	}
+	return out
+}
+
+func (l *loop) entry(e *endpoint, m member, state policy.EndpointState) policy.Entry {
+	return policy.Entry{Endpoint: e.id, Destination: e.dest, Kind: e.kind, Zone: e.zone, State: state, Rate: m.Size}
+}
+
+// setLeaving closes an endpoint's gate half the grace after it was first told to
+// drain or to be gone.
+func (l *loop) setLeaving(e *endpoint, leaves bool) {
+	if !leaves {
+		e.leaves.closedFrom.Store(0)
+	} else {
+		e.leaves.closedFrom.CompareAndSwap(0, time.Now().Add(l.settings.DrainGrace/2).UnixNano())
+	}
+}
+
+// step hands the batch to the module and carries out what it wants. It returns
+// when the module wants to be woken, or 0.
+func (l *loop) step(ctx context.Context) (wake policy.Time) {
+	l.actions = l.sender.Step(l.now(), l.batch, l.actions[:0])
+	clear(l.batch)
+	l.batch = l.batch[:0]
+	var calls []*call
+	open := map[policy.EndpointID]*call{}
+	for _, a := range l.actions {
+		switch a := a.(type) {
+		case policy.Send:
+			// Sends of one step to one endpoint travel as one call.
+			m, e := l.held[a.Message], l.endpoints[a.Endpoint]
+			k := open[a.Endpoint]
+			if k == nil || len(k.parts) >= l.bundleMax(e) {
+				k = &call{endpoint: e, addr: e.addr, started: time.Now()}
+				open[a.Endpoint] = k
+				calls = append(calls, k)
+			}
+			k.parts = append(k.parts, &part{message: m, timeout: a.Timeout})
+			k.limit = max(k.limit, a.Timeout)
+		case policy.Refuse:
+			l.end(a.Message, true, a.Wait)
+		case policy.Fail:
+			l.end(a.Message, false, 0)
+		case policy.CloseIdle:
+			if e := l.endpoints[a.Endpoint]; e != nil {
+				e.pool.closeIdle(time.Now())
+			}
+		case policy.Tell:
+			if l.peers != nil {
+				l.peers.send(a)
+			}
+		case policy.Wake:
+			wake = a.At
+		}
+	}
+	for _, k := range calls {
+		l.caller.start(ctx, k)
+	}
+	return wake
+}
+
+func (l *loop) bundleMax(e *endpoint) int {
+	if e.kind < len(l.settings.Kinds) {
+		return l.settings.Kinds[e.kind].BundleMax
+	}
+	return 1
+}
+
+// end gives a message its final answer: first on record, then to the platform.
+func (l *loop) end(id policy.MessageID, back bool, wait time.Duration) {
+	m := l.held[id]
+	if m == nil {
+		return
+	}
+	n := newNotice(m.id, back, wait)
+	if err := l.journal.ended(m, n); err != nil {
+		l.log.Error("journal: end", "id", m.id, "err", err)
+	}
+	l.log.Debug("ended", "id", m.id, "dest", m.dest, "outcome", n.Outcome, "left", time.Until(m.deadline))
+	l.forget(m)
+	l.finals.add(m)
+}
+
+func (l *loop) forget(m *message) {
+	delete(l.held, m.seq)
+	l.intake.ended(m.id)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,138 @@
+// Package node is a delivery node: it takes messages from clients, lets the
+// decision module say what to do with them, and carries that out over sockets.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"robinbank/policy"
+)
+
+const (
+	// Times from the word to stop on. New connections go on coming for up to 0.4 s
+	// and the process is killed after 3.7 s at the earliest: messages are taken and
+	// sent until stopTaking, and what is out then has until stopWaiting.
+	stopTaking  = 2200 * time.Millisecond
+	stopWaiting = 3300 * time.Millisecond
+	// A request must come in whole within these times.
+	headerTimeout  = 5 * time.Second
+	requestTimeout = 10 * time.Second
+	keepAlive      = 2 * time.Minute
+	maxHeader      = 16 << 10
+	// clientShare of the sockets may be held by clients' connections.
+	clientShare = 0.6
+	eventRoom   = 4096
+)
+
+// Run serves until the context ends and then stops in good order.
+func Run(ctx context.Context, c Config, log *slog.Logger) error {
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
+	}
+	j, owed, err := openJournal(c.State, c.DiskBytes, log)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listening for clients: %w", err), j.close())
+	}
+	if c.Sockets > 0 {
+		listener = netutil.LimitListener(listener, max(1, int(clientShare*float64(c.Sockets))))
+	}
+	in := &intake{names: c.Names, journal: j, log: log, maxHeld: c.Settings.MaxHeld, held: map[string]bool{}}
+	for _, k := range c.Settings.Classes {
+		in.keyed = append(in.keyed, k.Repeat == policy.Deduplicated)
+	}
+	l := &loop{
+		sender: policy.New(c.Settings, c.Seed), settings: c.Settings, names: c.Names, log: log,
+		journal: j, finals: newFinals(c.Discovery, j, log), intake: in, origin: time.Now(),
+		events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
+		held:      map[policy.MessageID]*message{},
+		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
+	}
+	l.caller = newCaller(c, j, log, func(e policy.Event) { l.post(e) })
+	in.accept = func(m *message) { l.post(m) }
+	if c.Settings.MayTell && c.PeerBind != "" && c.PeersAll != "" {
+		if l.peers, err = openPeers(c, log, func(e policy.Event) { l.post(e) }); err != nil {
+			return errors.Join(err, listener.Close(), j.close())
+		}
+	}
+
+	// Everything below runs until the node has stopped, not until it is told to.
+	life, end := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	quiet := make(chan struct{})
+	running.Go(func() { l.run(life, quiet) })
+	running.Go(func() { l.finals.run(life) })
+	running.Go(func() { newDiscovery(c.Discovery, log, func(in list) { l.post(in) }).run(life) })
+	if l.peers != nil {
+		running.Go(func() { l.peers.run(life) })
+	}
+	if len(c.Known.Members) > 0 {
+		l.post(c.Known)
+	}
+	for _, m := range owed {
+		if m.notice != nil {
+			l.finals.add(m)
+			continue
+		}
+		in.taken(m.id)
+		l.post(m)
+	}
+	server := &http.Server{Handler: in, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
+		WriteTimeout: requestTimeout, IdleTimeout: keepAlive, MaxHeaderBytes: maxHeader,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	served := make(chan error, 1)
+	running.Go(func() { served <- server.Serve(listener) })
+	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(owed))
+
+	select {
+	case <-ctx.Done():
+		l.stop(server, quiet)
+		err = nil
+	case err = <-served:
+		err = fmt.Errorf("serving clients: %w", err)
+	}
+	end()
+	running.Wait()
+	log.Info("stopped", "owed", len(l.held))
+	return errors.Join(err, j.close())
+}
+
+// stop lets go of the clients first, then of the endpoints. What is still owed
+// after that waits in the journal for the next start.
+func (l *loop) stop(server *http.Server, quiet chan<- struct{}) {
+	start := time.Now()
+	l.log.Info("stopping", "owed", l.intake.count())
+	l.intake.close(false)
+	time.Sleep(stopTaking)
+	l.intake.close(true)
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(stopWaiting))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		l.log.Warn("stopping: clients are left", "err", err)
+	}
+	close(quiet)
+	<-l.quieted
+	calls := make(chan struct{})
+	go func() {
+		l.caller.running.Wait()
+		close(calls)
+	}()
+	select {
+	case <-calls:
+	case <-ctx.Done():
+		l.log.Warn("stopping: calls are out")
+	}
+}
--- /dev/null
+++ b/internal/wire/note_test.go
@@ -0,0 +1,21 @@
+package wire
+
+import (
+	"testing"
+
+	"robinbank/policy"
+)
+
+func TestNotesKeepTheirContent(t *testing.T) {
+	want := policy.Tell{Tag: 1<<policy.TagBits - 3, News: policy.Jam}
+	data := EncodeNote(want)
+	if len(data) != noteSize {
+		t.Fatalf("a note of %d bytes, want %d", len(data), noteSize)
+	}
+	if got, ok := DecodeNote(data); !ok || got != (policy.Told{Tag: want.Tag, News: want.News}) {
+		t.Errorf("note %+v came back as %+v, %v", want, got, ok)
+	}
+	if got, ok := DecodeNote([]byte("what?")); ok {
+		t.Errorf("a note of another size became %+v", got)
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -125,13 +125,22 @@
 // ListFailed says that a [Subscribe] failed or was broken. The list stays.
 type ListFailed struct{}
 
-// Arrived brings a new message.
+// Arrived brings a new message, or one that an earlier life of the node had.
 type Arrived struct {
 	Message     MessageID
 	Destination int
 	Class       int
 	Key         uint64 // 0 where the message has none
 	GiveUpAt    Time
+	Past        Past // what lies behind it; nothing for a new message
+}
+
+// Past is what a message has behind it from an earlier life of the node.
+type Past struct {
+	Attempts int
+	MayRun   bool // one of them may have run, or may run yet
+	RanAt    Time // when the first such attempt was sent
+	RanZone  int  // where it was sent
 }
 
 // Outcome says how an attempt ended.
@@ -155,7 +164,7 @@
 	Attempt  int // from 0
 	Endpoint EndpointID
 	Outcome  Outcome
-	Wait     time.Duration // with Full: the wait that was told, or 0
+	Wait     time.Duration // the wait that was told, or 0
 	Final    bool          // the message has concluded
 	Took     time.Duration
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -808,7 +808,7 @@
 		c.judged = true
 		s.judge(c.endpoint, o.Outcome, o.Wait, c, o.Took)
 	}
-	if p := c.endpoint.path; o.Outcome == Full && o.Wait > 0 {
+	if p := c.endpoint.path; o.Wait > 0 {
 		// Messages of one call may end apart, so each told wait is heeded.
 		p.closedUntil = max(p.closedUntil, s.now+o.Wait)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -315,7 +315,9 @@
 func (s *Sender) arrived(a Arrived) {
 	class := &s.set.Classes[a.Class]
 	m := &message{id: a.Message, class: class, dest: s.destination(a.Destination),
-		born: a.GiveUpAt - class.Deadline, giveUpAt: a.GiveUpAt}
+		born: min(s.now, a.GiveUpAt-class.Deadline), giveUpAt: a.GiveUpAt,
+		attempts: a.Past.Attempts, ran: a.Past.MayRun, settled: a.Past.MayRun,
+		ranAt: a.Past.RanAt, ranZone: a.Past.RanZone}
 	s.messages[m.id] = m
 	s.open = append(s.open, m)
 	m.dest.queue = append(m.dest.queue, m)
