Node: a restart remembers sends and sick endpoints; tests over loopback

Restored messages keep zone, window and attempts.

Tests: calls (no unseen second copy on a kept connection, reset against could not connect, time-out closes, drain and wait told while dialling, every answer),

SIGKILL, notices across a crash, the watch's 200 ms and a silent agent, bad requests, a full hold, bad configuration.

--- /dev/null
+++ b/cmd/wingmount/main_test.go
@@ -0,0 +1,431 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 15 * time.Second
+
+// TestMain lets the test binary be the node itself, so that the tests below can
+// stop and kill a real process.
+func TestMain(m *testing.M) {
+	if os.Getenv("WINGMOUNT_TEST_NODE") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// platform stands for discovery and for one endpoint.
+type platform struct {
+	t         *testing.T
+	discovery *httptest.Server
+	endpoint  *httptest.Server
+	dir       string
+	listen    string
+
+	mu       sync.Mutex
+	answer   func(id string) int // 0 for none
+	calls    map[string]int
+	finals   map[string]string
+	deaf     int // so many notices go unanswered
+	watches  []time.Time
+	answered []time.Time
+	silent   int // so many watches get no answer
+}
+
+func newPlatform(t *testing.T) *platform {
+	p := &platform{t: t, dir: t.TempDir(), calls: map[string]int{}, finals: map[string]string{},
+		answer: func(string) int { return http.StatusOK }}
+	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
+	p.endpoint = httptest.NewServer(http.HandlerFunc(p.serveEndpoint))
+	t.Cleanup(p.discovery.Close)
+	t.Cleanup(p.discovery.CloseClientConnections)
+	t.Cleanup(p.endpoint.Close)
+	t.Cleanup(p.endpoint.CloseClientConnections)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	p.listen = l.Addr().String()
+	must(t, l.Close())
+	return p
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (p *platform) serveDiscovery(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v2/finals" {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.deaf > 0 {
+			p.deaf--
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		for dec := json.NewDecoder(r.Body); ; {
+			var n struct{ Message, Outcome string }
+			if dec.Decode(&n) != nil {
+				break
+			}
+			p.finals[n.Message] = n.Outcome
+		}
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	if r.URL.Query().Get("index") == "" {
+		fmt.Fprintf(w, `{"revision":1,"complete":true,"members":[{"id":"s1","host_port":%q,"locality":"a",`+
+			`"flavor":"general","cell":7,"phase":"active","size":100},{"id":"odd","phase":"whatever"}]}`,
+			p.endpoint.Listener.Addr())
+		return
+	}
+	p.mu.Lock()
+	p.watches = append(p.watches, time.Now())
+	silent := p.silent > 0
+	if silent {
+		p.silent--
+	}
+	p.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
+	select {
+	case <-r.Context().Done():
+		return
+	case <-time.After(300 * time.Millisecond):
+	}
+	fmt.Fprint(w, `{"revision":1,"complete":false,"members":[]}`)
+	p.mu.Lock()
+	p.answered = append(p.answered, time.Now())
+	p.mu.Unlock()
+}
+
+func (p *platform) serveEndpoint(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-ID")
+	_, _ = io.Copy(io.Discard, r.Body)
+	p.mu.Lock()
+	p.calls[id]++
+	status := p.answer(id)
+	p.mu.Unlock()
+	if status == 0 {
+		<-r.Context().Done()
+		return
+	}
+	w.WriteHeader(status)
+}
+
+func (p *platform) set(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
+}
+
+// eventually waits for something that the platform sees.
+func (p *platform) eventually(what string, f func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		p.mu.Lock()
+		ok := f()
+		p.mu.Unlock()
+		if ok {
+			return
+		}
+	}
+	p.t.Fatalf("never seen: %s; calls %v, notices %v", what, p.calls, p.finals)
+}
+
+const settings = `{"NInstances":1,"Me":0,"TickUs":5000,"Classes":[{"Name":"meter-message","AimUs":3000000,
+	"DeadlineUs":28000000,"WindowUs":12000000,"Group":"zone","Idempotency":"deduplicated","Worth":1,"LateWorth":0.5}],
+	"MachineTypes":["major","general"],"FailureDomains":["a","b"],"WeightSource":"rough","Discovery":"automatic",
+	"Extra":{"BundleMax":[5,1],"RoutesApart":[true,false],"FeeByZone":[0.06,0],"Late":"even","MaxCalls":8},
+	"PolicyLimits":{"MaxAttempts":6,"MaxOpen":4,"MaxRetryAfterUs":2000000,"ConnectTimeoutUs":1000000,
+	"RetryAfter":true,"MayTell":false,"IdleCloseUs":15000000},
+	"Obligations":{"DrainGraceUs":1000000,"WarmUpUs":14000000,"FallUs":1500000,"ColdFrom":0.21,"FallMultiple":2}}`
+
+// process is one running node.
+type process struct {
+	cmd *exec.Cmd
+	log bytes.Buffer
+	end chan error
+}
+
+// start starts a process and waits until it is ready.
+func (p *platform) start() *process {
+	p.t.Helper()
+	config := filepath.Join(p.t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
+		`"memory_mb":192,"sockets":256,"disk_mb":3},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
+		p.listen, p.discovery.Listener.Addr(), settings)
+	must(p.t, os.WriteFile(config, []byte(text), 0o600))
+	n := &process{cmd: exec.Command(os.Args[0]), end: make(chan error, 1)}
+	n.cmd.Env = append(os.Environ(), "WINGMOUNT_TEST_NODE=1", "PROXY_CONFIG="+config, "PROXY_STATE="+p.dir,
+		"GORACE=atexit_sleep_ms=0") // the race detector would add a second to each end
+	n.cmd.Stderr = &n.log
+	must(p.t, n.cmd.Start())
+	go func() { n.end <- n.cmd.Wait() }()
+	p.t.Cleanup(func() { _ = n.cmd.Process.Kill() })
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		resp, err := http.Get("http://" + p.listen + "/healthz")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return n
+			}
+		}
+	}
+	p.t.Fatalf("the node never got ready: %s", n.log.String())
+	return nil
+}
+
+func (n *process) wait(t *testing.T) error {
+	t.Helper()
+	select {
+	case err := <-n.end:
+		return err
+	case <-time.After(patience):
+		t.Fatal("the process did not end")
+		return nil
+	}
+}
+
+// send hands in a message and returns the answer.
+func (p *platform) send(id string, timeout time.Duration) *http.Response {
+	p.t.Helper()
+	resp, err := http.DefaultClient.Do(p.request(id, timeout))
+	must(p.t, err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp
+}
+
+func (p *platform) request(id string, timeout time.Duration) *http.Request {
+	p.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.listen+"/meter-message", strings.NewReader("body"))
+	must(p.t, err)
+	req.Header.Set("X-Request-ID", id)
+	req.Header.Set("X-Priority-Class", "meter-message")
+	req.Header.Set("X-Timeout-Ms", fmt.Sprint(timeout.Milliseconds()))
+	req.Header.Set("X-Route-To", "dest=7")
+	req.Header.Set("Idempotency-Key", "key-"+id)
+	return req
+}
+
+// A message is taken, delivered once, and costs no notice.
+func TestDelivers(t *testing.T) {
+	p := newPlatform(t)
+	p.start()
+	if resp := p.send("a", 5*time.Second); resp.StatusCode != http.StatusAccepted {
+		t.Fatalf("answered %s", resp.Status)
+	}
+	p.eventually("the call", func() bool { return p.calls["a"] == 1 })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.finals) != 0 {
+		t.Errorf("notices %v for a delivered message", p.finals)
+	}
+}
+
+// SIGKILL: what was taken, and what was out, is picked up by the next life.
+func TestPicksUpAfterKill(t *testing.T) {
+	p := newPlatform(t)
+	p.answer = func(string) int { return 0 }
+	n := p.start()
+	p.send("a", 20*time.Second)
+	p.send("b", 20*time.Second)
+	p.eventually("both calls", func() bool { return p.calls["a"] == 1 && p.calls["b"] == 1 })
+	must(t, n.cmd.Process.Signal(syscall.SIGKILL))
+	_ = n.wait(t) // killed
+	p.set(func() { p.answer = func(string) int { return http.StatusOK } })
+	p.start()
+	p.eventually("both calls again", func() bool { return p.calls["a"] == 2 && p.calls["b"] == 2 })
+}
+
+// A crash between the end of a message and the answer to its notice must not lose
+// the notice, and a message whose time ran out meanwhile gets one at once.
+func TestNoticesOutlastTheProcess(t *testing.T) {
+	p := newPlatform(t)
+	p.answer = func(string) int { return 0 }
+	p.deaf = 1 << 30
+	n := p.start()
+	p.send("a", 300*time.Millisecond)
+	p.eventually("a notice that goes unanswered", func() bool { return p.deaf < 1<<30 })
+	p.send("b", 300*time.Millisecond)
+	p.eventually("the call", func() bool { return p.calls["b"] == 1 })
+	must(t, n.cmd.Process.Signal(syscall.SIGKILL))
+	_ = n.wait(t) // killed
+	p.set(func() { p.deaf = 2 })
+	p.start()
+	p.eventually("both notices", func() bool { return p.finals["a"] == "given_up" && p.finals["b"] == "given_up" })
+}
+
+// SIGTERM: what comes is still taken, calls out finish, no request goes unanswered
+// and the process ends well before it is killed.
+func TestStopsInGoodOrder(t *testing.T) {
+	p := newPlatform(t)
+	p.answer = func(string) int { return 0 }
+	n := p.start()
+	p.send("a", 20*time.Second)
+	p.eventually("the call", func() bool { return p.calls["a"] == 1 })
+	start := time.Now()
+	must(t, n.cmd.Process.Signal(syscall.SIGTERM))
+	p.set(func() { p.answer = func(string) int { return http.StatusOK } })
+	accepted := 0
+	for i := range 5 {
+		time.Sleep(80 * time.Millisecond) // clients that come over a while, not a wait for anything
+		switch resp := p.send(fmt.Sprint("late", i), 20*time.Second); resp.StatusCode {
+		case http.StatusAccepted:
+			accepted++
+		case http.StatusServiceUnavailable:
+		default:
+			t.Fatalf("answered %s while stopping", resp.Status)
+		}
+	}
+	if accepted == 0 {
+		t.Error("nothing was taken while stopping")
+	}
+	if err := n.wait(t); err != nil {
+		t.Errorf("ended with %v: %s", err, n.log.String())
+	}
+	if took := time.Since(start); took > 3600*time.Millisecond {
+		t.Errorf("it took %v to stop", took)
+	}
+	p.start()
+	p.eventually("the call that was cut off, once more, and an end for all that came late", func() bool {
+		late := len(p.finals)
+		for id := range p.calls {
+			if id != "a" && p.finals[id] == "" {
+				late++
+			}
+		}
+		return p.calls["a"] == 2 && late >= accepted
+	})
+}
+
+// The watch comes again within 200 ms of an answer, or changes in between would
+// not count as told; and a silent agent must not stall it.
+func TestWatchGoesOn(t *testing.T) {
+	p := newPlatform(t)
+	p.start()
+	p.eventually("watches", func() bool { return len(p.watches) >= 4 && len(p.answered) >= 3 })
+	p.mu.Lock()
+	for i := range 3 {
+		if gap := p.watches[i+1].Sub(p.answered[i]); gap > 200*time.Millisecond {
+			t.Errorf("the watch came again after %v", gap)
+		}
+	}
+	p.silent = 1
+	before := len(p.answered)
+	p.mu.Unlock()
+	p.eventually("an answer after the silence", func() bool { return p.silent == 0 && len(p.answered) > before+1 })
+}
+
+// Bad requests get the answer that the protocol names, and nothing is sent.
+func TestBadRequests(t *testing.T) {
+	p := newPlatform(t)
+	p.start()
+	for name, c := range map[string]struct {
+		spoil func(*http.Request)
+		want  int
+	}{
+		"good":        {func(*http.Request) {}, 202},
+		"id":          {func(r *http.Request) { r.Header.Del("X-Request-ID") }, 400},
+		"id form":     {func(r *http.Request) { r.Header.Set("X-Request-ID", "a b") }, 400},
+		"key":         {func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		"class":       {func(r *http.Request) { r.Header.Del("X-Priority-Class") }, 400},
+		"other class": {func(r *http.Request) { r.Header.Set("X-Priority-Class", "x") }, 400},
+		"dest":        {func(r *http.Request) { r.Header.Del("X-Route-To") }, 400},
+		"dest form":   {func(r *http.Request) { r.Header.Set("X-Route-To", "dest=-1") }, 400},
+		"timeout":     {func(r *http.Request) { r.Header.Set("X-Timeout-Ms", "1.5") }, 400},
+		"no time":     {func(r *http.Request) { r.Header.Set("X-Timeout-Ms", "0") }, 400},
+		"length":      {func(r *http.Request) { r.ContentLength = -1 }, 400},
+		"too long": {func(r *http.Request) {
+			r.ContentLength, r.Body = 64<<10+1, io.NopCloser(bytes.NewReader(make([]byte, 64<<10+1)))
+		}, 413},
+		"path":   {func(r *http.Request) { r.URL.Path = "/nothing" }, 404},
+		"method": {func(r *http.Request) { r.Method = http.MethodPut }, 405},
+		"health": {func(r *http.Request) { r.URL.Path = "/healthz" }, 405},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req := p.request("id-"+strings.ReplaceAll(name, " ", "-"), 5*time.Second)
+			c.spoil(req)
+			resp, err := http.DefaultClient.Do(req)
+			must(t, err)
+			_ = resp.Body.Close()
+			if resp.StatusCode != c.want {
+				t.Errorf("answered %s, want %d", resp.Status, c.want)
+			}
+		})
+	}
+	p.eventually("the good one's call", func() bool { return p.calls["id-good"] == 1 })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.calls) != 1 {
+		t.Errorf("calls %v, want the good one alone", p.calls)
+	}
+}
+
+// A full hold turns away with a time to come again; a message that comes twice
+// under one id is taken once.
+func TestFullHoldTurnsAway(t *testing.T) {
+	p := newPlatform(t)
+	p.answer = func(string) int { return 0 }
+	p.start()
+	p.send("m0", 20*time.Second)
+	p.eventually("the first call", func() bool { return p.calls["m0"] == 1 })
+	full := 0
+	for i := range 40 {
+		resp := p.send(fmt.Sprint("m", i+1), 20*time.Second)
+		if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "" {
+			full++
+		} else if resp.StatusCode != http.StatusAccepted {
+			t.Fatalf("answered %s", resp.Status)
+		}
+	}
+	if full == 0 {
+		t.Error("40 messages went into a hold of 4")
+	}
+	if resp := p.send("m0", 20*time.Second); resp.StatusCode != http.StatusAccepted {
+		t.Errorf("a message that is held was answered %s", resp.Status)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.calls["m0"] > 1 {
+		t.Errorf("%d calls for a message that came twice", p.calls["m0"])
+	}
+}
+
+// A bad configuration ends the program with one clear line.
+func TestBadConfiguration(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"form": "{", "listen": `{"listen":"nowhere"}`,
+		"settings": `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","limits":{"disk_mb":3},"settings":{}}`,
+	} {
+		path := filepath.Join(dir, name)
+		must(t, os.WriteFile(path, []byte(text), 0o600))
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "WINGMOUNT_TEST_NODE=1", "PROXY_CONFIG="+path, "PROXY_STATE="+dir)
+		out, err := cmd.CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.HasPrefix(string(out), "wingmount: ") {
+			t.Errorf("%s: %v, said %q", name, err, out)
+		}
+	}
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -431,10 +431,12 @@
 	}
 	var err error
 	switch {
-	case outcome == policy.Delivered || over:
-		err = c.journal.closed(p.message)
+	case outcome == policy.Delivered:
+		err = c.journal.closed(p.message, k.endpoint.name, time.Now())
+	case over:
+		err = c.journal.closed(p.message, "", time.Now())
 	default:
-		err = c.journal.outcome(p.message, neverRan(outcome))
+		err = c.journal.outcome(p.message, outcome, k.endpoint.name, time.Now())
 	}
 	if err != nil {
 		// The attempt alone is on record then: after a restart it may have run.
--- /dev/null
+++ b/internal/node/calls_test.go
@@ -0,0 +1,306 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"robinbank/policy"
+)
+
+const patience = 10 * time.Second
+
+// callRig makes calls to one address and collects their outcomes.
+type callRig struct {
+	t        *testing.T
+	caller   *caller
+	endpoint *endpoint
+	outcomes chan policy.Ended
+	journal  *journal
+	seq      int
+}
+
+func newCallRig(t *testing.T, addr string) *callRig {
+	r := &callRig{t: t, outcomes: make(chan policy.Ended, 16)}
+	r.journal, _ = mustOpen(t, t.TempDir(), minDisk)
+	c := Config{IdleClose: 15 * time.Second}
+	c.Settings.ConnectTimeout = time.Second
+	r.caller = newCaller(c, r.journal, quietLog(), func(e policy.Event) { r.outcomes <- e.(policy.Ended) })
+	r.endpoint = &endpoint{id: 1, name: "e1", addr: addr, leaves: &gate{}, waits: &gate{}}
+	t.Cleanup(func() { r.caller.running.Wait() })
+	return r
+}
+
+func (r *callRig) start(limit time.Duration, n int) []*message {
+	r.t.Helper()
+	k := &call{endpoint: r.endpoint, addr: r.endpoint.addr, started: time.Now(), limit: limit}
+	var messages []*message
+	for range n {
+		r.seq++
+		m := newMessage(fmt.Sprint("id", r.seq), 20)
+		must(r.t, r.journal.take(m))
+		k.parts = append(k.parts, &part{message: m, timeout: limit})
+		messages = append(messages, m)
+	}
+	r.caller.start(context.Background(), k)
+	return messages
+}
+
+func (r *callRig) next() policy.Ended {
+	r.t.Helper()
+	select {
+	case e := <-r.outcomes:
+		return e
+	case <-time.After(patience):
+		r.t.Fatal("no outcome came")
+		return policy.Ended{}
+	}
+}
+
+// rawServer serves each connection by a function of its own, and counts them.
+func rawServer(t *testing.T, serve func(n int64, conn net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var n atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(n.Add(1), conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(r *bufio.Reader) error {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err
+}
+
+// http.Transport sends a request again by itself when a kept connection turns out
+// to be closed, and an Idempotency-Key makes it willing: a copy that the journal
+// knows nothing of. The calls must never do that.
+func TestCallIsNeverSentAgainUnseen(t *testing.T) {
+	var copies atomic.Int64
+	addr := rawServer(t, func(n int64, conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for i := 0; ; i++ {
+			if readRequest(r) != nil {
+				return
+			}
+			copies.Add(1)
+			if n == 1 && i == 1 {
+				return // a kept connection, closed with the request read
+			}
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	r := newCallRig(t, addr)
+	r.start(5*time.Second, 1)
+	if e := r.next(); e.Outcome != policy.Delivered {
+		t.Fatalf("first call: %+v", e)
+	}
+	r.caller.running.Wait()
+	r.start(5*time.Second, 1)
+	if e := r.next(); e.Outcome != policy.Reset {
+		t.Errorf("a call that was cut off ended as %v, want a reset", e.Outcome)
+	}
+	r.caller.running.Wait()
+	if n := copies.Load(); n != 2 {
+		t.Errorf("%d requests came for 2 calls", n)
+	}
+}
+
+// A kept connection carries the next call, and a closed one is not tried.
+func TestCallsReuseGoodConnectionsOnly(t *testing.T) {
+	var conns atomic.Int64
+	closed := make(chan struct{}, 1)
+	addr := rawServer(t, func(n int64, conn net.Conn) {
+		defer conn.Close()
+		conns.Store(n)
+		r := bufio.NewReader(conn)
+		for range 2 {
+			if readRequest(r) != nil {
+				return
+			}
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+		_ = conn.Close()
+		closed <- struct{}{}
+	})
+	r := newCallRig(t, addr)
+	for i := range 2 {
+		r.start(5*time.Second, 1)
+		if e := r.next(); e.Outcome != policy.Delivered {
+			t.Fatalf("call %d: %+v", i, e)
+		}
+		r.caller.running.Wait()
+	}
+	if n := conns.Load(); n != 1 {
+		t.Errorf("%d connections for two calls, want 1", n)
+	}
+	<-closed
+	deadline := time.Now().Add(patience)
+	for p := &r.endpoint.pool; len(p.idle) > 0 && p.idle[0].Err() == nil && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	r.start(5*time.Second, 1)
+	if e := r.next(); e.Outcome != policy.Delivered {
+		t.Errorf("after the endpoint closed an idle connection: %+v", e)
+	}
+}
+
+func TestCallThatFindsNobodyNeverRan(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	addr := l.Addr().String()
+	must(t, l.Close())
+	r := newCallRig(t, addr)
+	m := r.start(5*time.Second, 1)[0]
+	if e := r.next(); e.Outcome != policy.Unreachable {
+		t.Errorf("outcome %v, want unreachable", e.Outcome)
+	}
+	if m.past.mayRun || m.past.attempts != 0 {
+		t.Errorf("the journal has %+v of a call that was never sent", m.past)
+	}
+}
+
+// A time-out ends the call and its connection: a silent endpoint holds no socket.
+func TestTimeOutClosesTheConnection(t *testing.T) {
+	gone := make(chan error, 1)
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		_ = conn.SetReadDeadline(time.Now().Add(patience))
+		_, err := io.Copy(io.Discard, conn)
+		gone <- err
+	})
+	r := newCallRig(t, addr)
+	m := r.start(100*time.Millisecond, 1)[0]
+	if e := r.next(); e.Outcome != policy.TimedOut {
+		t.Errorf("outcome %v, want a time-out", e.Outcome)
+	}
+	if err := <-gone; err != nil {
+		t.Errorf("the connection was left open: %v", err)
+	}
+	if !m.past.mayRun {
+		t.Error("a call that timed out may have run")
+	}
+}
+
+// What is told while a call dials binds it: nothing has been sent yet.
+func TestCallHeedsWhatIsToldWhileItDials(t *testing.T) {
+	var bytes atomic.Int64
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		n, _ := io.Copy(io.Discard, conn)
+		bytes.Add(n)
+	})
+	for name, tell := range map[string]func(*endpoint){
+		"drain": func(e *endpoint) { e.leaves.closedFrom.Store(time.Now().UnixNano()) },
+		"wait":  func(e *endpoint) { e.waits.wait(time.Now().Add(time.Minute)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newCallRig(t, addr)
+			tell(r.endpoint)
+			m := r.start(5*time.Second, 1)[0]
+			if e := r.next(); e.Outcome != policy.Moot || e.Final {
+				t.Errorf("outcome %+v, want moot", e)
+			}
+			if m.past.mayRun {
+				t.Error("it may have run, says the journal")
+			}
+			r.caller.running.Wait()
+			r.endpoint.pool.closeIdle(time.Now())
+			if n := bytes.Load(); n != 0 {
+				t.Errorf("%d bytes were sent", n)
+			}
+		})
+	}
+}
+
+// Every answer has its meaning, and one that makes no sense may have run.
+func TestAnswers(t *testing.T) {
+	const wait = "X-Backoff-Ms: 250\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		n      int
+		want   []policy.Ended
+	}{
+		"delivered":    {"200 OK\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Delivered, Final: true}}},
+		"error":        {"500 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Failed}}},
+		"wait":         {"429 X\r\n" + wait + "Content-Length: 0", 1, []policy.Ended{{Outcome: policy.Full, Wait: 250 * time.Millisecond}}},
+		"nonsense":     {"429 X\r\nX-Backoff-Ms: soon\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Full}}},
+		"full":         {"503 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Full}}},
+		"no slot":      {"503 X\r\nX-Egress-Full: 1\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Moot}}},
+		"used up":      {"504 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Moot}}},
+		"over":         {"410 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Moot, Final: true}}},
+		"teapot":       {"418 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Failed}}},
+		"bundle full":  {"503 X\r\nContent-Length: 0", 2, []policy.Ended{{Outcome: policy.Full}, {Outcome: policy.Full}}},
+		"bundle mixed": {"200 OK\r\n" + wait + "Content-Length: 62\r\n\r\nid1 done\r\nid2 failed\r\nid3 busy\r\nid4 void\r\nid5 used_up\r\nhello\r\n", 6, []policy.Ended{{Outcome: policy.Delivered, Final: true, Wait: 250 * time.Millisecond}, {Outcome: policy.Failed, Wait: 250 * time.Millisecond}, {Outcome: policy.Full, Wait: 250 * time.Millisecond}, {Outcome: policy.Moot, Final: true, Wait: 250 * time.Millisecond}, {Outcome: policy.Moot, Wait: 250 * time.Millisecond}, {Outcome: policy.Failed, Wait: 250 * time.Millisecond}}},
+		"bundle torn":  {"200 OK\r\nContent-Length: 61\r\n\r\nid1 do", 2, []policy.Ended{{Outcome: policy.Reset}, {Outcome: policy.Reset}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := rawServer(t, func(_ int64, conn net.Conn) {
+				defer conn.Close()
+				if readRequest(bufio.NewReader(conn)) == nil {
+					answer := "HTTP/1.1 " + c.answer
+					if !strings.Contains(answer, "\r\n\r\n") {
+						answer += "\r\n\r\n"
+					}
+					fmt.Fprint(conn, answer)
+				}
+			})
+			r := newCallRig(t, addr)
+			messages := r.start(5*time.Second, c.n)
+			for i, m := range messages {
+				got := r.next()
+				want := c.want[i]
+				want.Message, want.Endpoint, want.Took = m.seq, 1, got.Took
+				if got != want {
+					t.Errorf("message %d: %+v, want %+v", i, got, want)
+				}
+			}
+		})
+	}
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		if readRequest(bufio.NewReader(conn)) == nil {
+			fmt.Fprint(conn, "what?\r\n\r\n")
+		}
+	})
+	r := newCallRig(t, addr)
+	r.start(5*time.Second, 1)
+	if e := r.next(); e.Outcome != policy.Reset {
+		t.Errorf("an unreadable answer: %v, want a reset", e.Outcome)
+	}
+}
+
+// The bundle's form is fixed by the protocol.
+func TestBundleForm(t *testing.T) {
+	a, b := newMessage("a", 0), newMessage("b", 0)
+	a.body, a.key, b.body = []byte("hello"), "", []byte("x\r\ny")
+	k := &call{addr: "127.0.0.1:1", limit: time.Second, started: time.Now(), parts: []*part{{message: a}, {message: b}}}
+	req, err := k.request(context.Background())
+	must(t, err)
+	body, err := io.ReadAll(req.Body)
+	must(t, err)
+	if want := "a - 5\r\nhello\r\nb k-b 4\r\nx\r\ny\r\n"; string(body) != want || req.URL.Path != "/events/bundle" {
+		t.Errorf("%s with %q, want %q", req.URL.Path, body, want)
+	}
+}
--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -104,7 +104,7 @@
 		}
 		if err == nil && status == http.StatusNoContent {
 			for _, m := range batch {
-				if err := f.journal.closed(m); err != nil {
+				if err := f.journal.closed(m, "", time.Now()); err != nil {
 					f.log.Error("journal: notice answered", "id", m.id, "err", err)
 				}
 			}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -35,9 +35,9 @@
 const (
 	recTaken   = 1 // a message with all that lies behind it; replaces what came before
 	recAttempt = 2 // written before the first byte of an attempt
-	recOutcome = 3
+	recOutcome = 3 // how the last attempt ended
 	recEnded   = 4 // ended undelivered; the notice is owed
-	recClosed  = 5 // nothing is owed any more
+	recClosed  = 5 // nothing is owed any more; delivered where it names an endpoint
 )
 
 var (
@@ -88,6 +88,20 @@
 	}
 }
 
+// memory is what the records tell of an endpoint, for the next life of the node.
+type memory struct {
+	sent     []time.Time // calls, one for a bundle
+	failedAt time.Time   // the last failure
+	backAt   time.Time   // the first success since, zero while there is none
+}
+
+func (j *journal) remember(endpoint string) *memory {
+	if j.memories[endpoint] == nil {
+		j.memories[endpoint] = &memory{}
+	}
+	return j.memories[endpoint]
+}
+
 // segment is one file of the journal.
 type segment struct {
 	number uint64
@@ -111,6 +125,7 @@
 	home     map[policy.MessageID]uint64 // the segment with the last recTaken of each
 	liveSize int64
 	next     policy.MessageID
+	memories map[string]*memory // of the lives before this one
 	buf      []byte
 }
 
@@ -124,7 +139,7 @@
 // something come back in the order in which they were taken.
 func openJournal(dir string, limit int64, log *slog.Logger) (*journal, []*message, error) {
 	j := &journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, maxBody+4<<10),
-		live: map[policy.MessageID]*message{}, home: map[policy.MessageID]uint64{}}
+		live: map[policy.MessageID]*message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*memory{}}
 	files, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, nil, fmt.Errorf("opening the journal: %w", err)
@@ -200,7 +215,9 @@
 		m.past.attempts, m.past.ranZone = int(r.uvarint()), int(r.uvarint())
 		flags := r.u8()
 		m.past.settled, m.past.out, m.past.mayRun = flags&1 != 0, flags&2 != 0, flags&4 != 0
-		m.past.ranAt = time.UnixMicro(int64(r.uvarint()))
+		if at := r.uvarint(); m.past.mayRun {
+			m.past.ranAt = time.UnixMicro(int64(at))
+		}
 		if flags&8 != 0 {
 			m.notice = r.notice(m.id)
 		}
@@ -210,19 +227,38 @@
 		}
 		j.live[seq], j.home[seq] = m, segment
 	case recAttempt:
-		_, zone, at := r.bytes(), int(r.uvarint()), time.UnixMicro(int64(r.uvarint()))
-		if m != nil && !r.bad {
+		name, zone, at := string(r.bytes()), int(r.uvarint()), time.UnixMicro(int64(r.uvarint()))
+		if r.bad {
+			break
+		}
+		if e := j.remember(name); len(e.sent) == 0 || !e.sent[len(e.sent)-1].Equal(at) {
+			e.sent = append(e.sent, at)
+		}
+		if m != nil {
 			m.past.attempt(zone, at)
 		}
 	case recOutcome:
-		if never := r.u8(); m != nil && !r.bad {
-			m.past.outcome(never == 1)
+		outcome, name, at := policy.Outcome(r.u8()), string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
+		if r.bad {
+			break
+		}
+		if m != nil {
+			m.past.outcome(neverRan(outcome))
+		}
+		switch outcome {
+		case policy.Failed, policy.TimedOut, policy.Unreachable, policy.Reset:
+			e := j.remember(name)
+			e.failedAt, e.backAt = at, time.Time{}
 		}
 	case recEnded:
 		if m != nil {
 			m.notice = r.notice(m.id)
 		}
 	case recClosed:
+		name, at := string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
+		if e := j.remember(name); name != "" && !r.bad && e.backAt.IsZero() {
+			e.backAt = at
+		}
 		delete(j.live, seq)
 		delete(j.home, seq)
 	default:
@@ -275,18 +311,15 @@
 }
 
 // outcome journals how the last attempt at a message ended.
-func (j *journal) outcome(m *message, neverRan bool) error {
+func (j *journal) outcome(m *message, o policy.Outcome, endpoint string, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.live[m.seq] == nil {
 		return nil
 	}
-	m.past.outcome(neverRan)
-	b := record(recOutcome, m.seq)
-	if neverRan {
-		return j.append(append(b, 1), nil)
-	}
-	return j.append(append(b, 0), nil)
+	m.past.outcome(neverRan(o))
+	b := appendBytes(append(record(recOutcome, m.seq), byte(o)), []byte(endpoint))
+	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
 }
 
 // ended journals that a message is over and that its notice is owed.
@@ -300,8 +333,9 @@
 	return j.append(appendNotice(record(recEnded, m.seq), n), nil)
 }
 
-// closed journals that nothing is owed for a message any more.
-func (j *journal) closed(m *message) error {
+// closed journals that nothing is owed for a message any more. It names the
+// endpoint that took it, if one did.
+func (j *journal) closed(m *message, endpoint string, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.live[m.seq] == nil {
@@ -310,7 +344,8 @@
 	j.liveSize -= cost(m)
 	delete(j.live, m.seq)
 	delete(j.home, m.seq)
-	return j.append(record(recClosed, m.seq), nil)
+	b := appendBytes(record(recClosed, m.seq), []byte(endpoint))
+	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
 }
 
 func (j *journal) close() error {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -104,6 +104,7 @@
 		l.batch = append(l.batch, l.arrived(e))
 	case list:
 		l.batch = append(l.batch, l.listed(e))
+		l.remind()
 	case policy.Ended:
 		if e.Final {
 			if m := l.held[e.Message]; m != nil {
@@ -122,7 +123,7 @@
 	if p := m.past; p.attempts > 0 {
 		a.Past = policy.Past{Attempts: p.attempts, MayRun: p.mayRun, RanZone: p.ranZone}
 		if p.mayRun {
-			a.Past.RanAt = now - time.Since(p.ranAt)
+			a.Past.RanAt = l.past(p.ranAt)
 		}
 	}
 	if l.settings.Classes[m.class].Ordered && m.key != "" {
@@ -206,6 +207,33 @@
 	return policy.Entry{Endpoint: e.id, Destination: e.dest, Kind: e.kind, Zone: e.zone, State: state, Rate: m.Size}
 }
 
+// remind tells the module what an earlier life saw of the endpoints that it has
+// just been given: its backlog must not go to one that is out or cold, and the
+// calls of late count for the limits still.
+func (l *loop) remind() {
+	for name, m := range l.journal.memories {
+		id := policy.EndpointID(hash(name))
+		if l.endpoints[id] == nil {
+			continue
+		}
+		r := policy.Remembered{Endpoint: id}
+		for _, at := range m.sent {
+			r.Sent = append(r.Sent, l.past(at))
+		}
+		if !m.failedAt.IsZero() {
+			r.Failed, r.FailedAt = true, l.past(m.failedAt)
+			if !m.backAt.IsZero() {
+				r.Back, r.BackAt = true, l.past(m.backAt)
+			}
+		}
+		l.batch = append(l.batch, r)
+		delete(l.journal.memories, name)
+	}
+}
+
+// past turns a time of the wall clock into one of the module's.
+func (l *loop) past(t time.Time) policy.Time { return min(l.now(), l.now()-time.Since(t)) }
+
 // setLeaving closes an endpoint's gate half the grace after it was first told to
 // drain or to be gone.
 func (l *loop) setLeaving(e *endpoint, leaves bool) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -196,6 +196,17 @@
 	News News
 }
 
+// Remembered tells what an earlier life of the node saw of an endpoint. It comes
+// before the first call to it.
+type Remembered struct {
+	Endpoint EndpointID
+	Sent     []Time // calls, oldest first
+	Failed   bool
+	FailedAt Time // the last failure
+	Back     bool // a success came after it
+	BackAt   Time // the first such
+}
+
 // Woken says that the time of a [Wake] has come.
 type Woken struct{}
 
@@ -205,6 +216,7 @@
 func (Ended) event()      {}
 func (Withdrawn) event()  {}
 func (Told) event()       {}
+func (Remembered) event() {}
 func (Woken) event()      {}
 
 // Action is something that the node shall do, at once and in the order given.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -124,6 +124,8 @@
 			}
 		case Told:
 			s.heard(e)
+		case Remembered:
+			s.remembered(e)
 		case Woken:
 			if s.armed <= now {
 				s.armed = 0
@@ -751,13 +753,6 @@
 	}
 }
 
-func (s *Sender) returned(e *endpoint, news News) {
-	e.out = false
-	if news == BackCold {
-		e.warming, e.warmFrom = true, s.now
-	}
-}
-
 func (s *Sender) wellDone(e *endpoint, took time.Duration) {
 	p := e.path
 	if e.out {
--- /dev/null
+++ b/policy/restart_test.go
@@ -0,0 +1,97 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// restartSettings has one keyed class and two senders under the rule on cold
+// destinations.
+func restartSettings() Settings {
+	return Settings{
+		Senders: 2, Slots: 8, MaxHeld: 100, MaxAttempts: 6, Tick: 5 * time.Millisecond,
+		Listing: RateRough, Kinds: []Kind{{BundleMax: 1}},
+		Classes: []Class{{Repeat: Deduplicated, GroupZone: true, Window: 12 * time.Second,
+			Aim: 3 * time.Second, Deadline: 28 * time.Second, Worth: 1, LateWorth: 0.5}},
+		DrainGrace: time.Second, ColdShare: 0.21, WarmUp: 14 * time.Second, FallMultiple: 2,
+		FallWindow: 1500 * time.Millisecond, ConnectTimeout: time.Second,
+	}
+}
+
+func sendsOf(actions []Action) []Send {
+	var sends []Send
+	for _, a := range actions {
+		if s, ok := a.(Send); ok {
+			sends = append(sends, s)
+		}
+	}
+	return sends
+}
+
+// A message that may have run in an earlier life goes to the same zone only, and
+// is given up once its key is forgotten.
+func TestRestoredMessageKeepsItsZoneAndWindow(t *testing.T) {
+	start := time.Hour
+	both := Listed{Whole: true, Entries: []Entry{
+		{Endpoint: 1, Zone: 0, State: Ready, Rate: 10}, {Endpoint: 2, Zone: 1, State: Ready, Rate: 10}}}
+	s := New(restartSettings(), 1)
+	sends := sendsOf(s.Step(start, []Event{both, Arrived{Message: 1, GiveUpAt: start + 20*time.Second,
+		Past: Past{Attempts: 2, MayRun: true, RanAt: start - 2*time.Second, RanZone: 1}}}, nil))
+	if len(sends) != 1 || sends[0].Endpoint != 2 {
+		t.Fatalf("sends %v, want one to endpoint 2", sends)
+	}
+	s = New(restartSettings(), 1)
+	actions := s.Step(start, []Event{both, Arrived{Message: 1, GiveUpAt: start + 20*time.Second,
+		Past: Past{Attempts: 2, MayRun: true, RanAt: start - 13*time.Second, RanZone: 1}}}, nil)
+	if len(actions) == 0 || actions[0] != (Fail{Message: 1}) {
+		t.Errorf("actions %v, want a Fail", actions)
+	}
+	s = New(restartSettings(), 1)
+	actions = s.Step(start, []Event{both, Arrived{Message: 1, GiveUpAt: start + 20*time.Second,
+		Past: Past{Attempts: 6}}}, nil)
+	if _, ok := actions[0].(Refuse); !ok || len(sendsOf(actions)) > 0 {
+		t.Errorf("actions %v after all attempts, want a refusal alone", actions)
+	}
+}
+
+// What an earlier life saw fail last gets no backlog at the start: first one trial.
+func TestRestoredBacklogWaitsForATrial(t *testing.T) {
+	start := time.Hour
+	events := []Event{Listed{Whole: true, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 100}}},
+		Remembered{Endpoint: 1, Failed: true, FailedAt: start - time.Second, Sent: []Time{start - time.Second}}}
+	for i := range 50 {
+		events = append(events, Arrived{Message: MessageID(i + 1), GiveUpAt: start + 20*time.Second})
+	}
+	s := New(restartSettings(), 1)
+	sends, first := 0, Time(0)
+	for now := start; now < start+5*time.Second; now += 5 * time.Millisecond {
+		n := len(sendsOf(s.Step(now, append(events, Woken{}), nil)))
+		if n > 0 && first == 0 {
+			first = now
+		}
+		sends, events = sends+n, nil
+	}
+	if first == 0 || first < start+time.Second {
+		t.Errorf("the first send came %v after the start, want a pause and then one", first-start)
+	}
+	if sends != 1 {
+		t.Errorf("%d sends while the first has no outcome, want 1", sends)
+	}
+}
+
+// The calls of an earlier life count in both logs.
+func TestRestoredSendsCount(t *testing.T) {
+	start := time.Hour
+	s := New(restartSettings(), 1)
+	sent := make([]Time, 10)
+	for i := range sent {
+		sent[i] = start - 100*time.Millisecond
+	}
+	actions := s.Step(start, []Event{
+		Listed{Whole: true, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 10}}},
+		Remembered{Endpoint: 1, Sent: sent},
+		Arrived{Message: 1, GiveUpAt: start + 20*time.Second}}, nil)
+	if sends := sendsOf(actions); len(sends) > 0 {
+		t.Errorf("sent %v over a full narrow window", sends)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -407,3 +408,38 @@
 func (id EndpointID) tag() Tag {
 	return Tag(uint64(id) * 0x9e3779b97f4a7c15 >> (64 - TagBits))
 }
+
+// remembered takes over what an earlier life of the node saw of an endpoint: its
+// calls count for the logs still, and one that failed last is out, or cold if it
+// came back less than a warm-up ago, so that a restored backlog waits for a trial.
+func (s *Sender) remembered(r Remembered) {
+	e := s.endpoints[r.Endpoint]
+	if e == nil {
+		return
+	}
+	p := e.path
+	for _, log := range []*sendLog{&p.narrow, &p.wide} {
+		log.times = append(log.times, r.Sent...)
+		slices.Sort(log.times)
+		log.count(s.now)
+	}
+	switch {
+	case !r.Failed:
+	case !r.Back:
+		e.out, e.suspect, e.broken, e.since, e.score = true, true, true, s.now, outScore
+		e.trouble(r.FailedAt)
+		p.nextTrial = max(p.nextTrial, s.now+s.trialGap(e))
+	case s.warmth(r.BackAt) < 1:
+		e.warming, e.warmFrom = true, r.BackAt
+		e.trouble(r.FailedAt)
+		e.cold.times = append(e.cold.times, r.Sent...)
+	}
+}
+
+// returned takes an endpoint out of its outage.
+func (s *Sender) returned(e *endpoint, news News) {
+	e.out = false
+	if news == BackCold {
+		e.warming, e.warmFrom = true, s.now
+	}
+}
