--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -382,6 +383,51 @@
 	}
 }
 
+// raw sends bytes as they are and returns the first line of the answer.
+func (p *platform) raw(text string, closeSending bool) string {
+	p.t.Helper()
+	conn, err := net.Dial("tcp", p.listen)
+	must(p.t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, text)
+	must(p.t, err)
+	if closeSending {
+		must(p.t, conn.(*net.TCPConn).CloseWrite())
+	}
+	must(p.t, conn.SetReadDeadline(time.Now().Add(patience)))
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	must(p.t, err)
+	return strings.TrimSpace(line)
+}
+
+// A request without a length is refused, and one whose client closes its sending
+// side is taken on like any other: a 200 without taking it would lose it.
+func TestOddRequests(t *testing.T) {
+	p := newPlatform(t)
+	p.start()
+	head := "POST /meter-message HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Priority-Class: meter-message\r\n" +
+		"X-Timeout-Ms: 5000\r\nIdempotency-Key: k\r\nX-Route-To: dest=7\r\n"
+	if line := p.raw(fmt.Sprintf(head, "nolength")+"\r\n", false); !strings.Contains(line, " 400 ") {
+		t.Errorf("no length: %q", line)
+	}
+	if line := p.raw(fmt.Sprintf(head, "half")+"Content-Length: 9\r\n\r\nhalf", true); !strings.Contains(line, " 400 ") {
+		t.Errorf("half a body: %q", line)
+	}
+	if line := p.raw("what?\r\n\r\n", false); !strings.Contains(line, " 400 ") {
+		t.Errorf("no request at all: %q", line)
+	}
+	for i := range 20 {
+		id := fmt.Sprint("closed", i)
+		line := p.raw(fmt.Sprintf(head, id)+"Content-Length: 2\r\n\r\nok", true)
+		if !strings.Contains(line, " 202 ") && !strings.Contains(line, " 503 ") {
+			t.Fatalf("sending side closed: %q", line)
+		}
+		if strings.Contains(line, " 202 ") {
+			p.eventually("its call or its notice", func() bool { return p.calls[id] == 1 || p.finals[id] != "" })
+		}
+	}
+}
+
 // A full hold turns away with a time to come again; a message that comes twice
 // under one id is taken once.
 func TestFullHoldTurnsAway(t *testing.T) {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -26,8 +26,8 @@
 	// connection can be used again.
 	drainAnswer = 100 * time.Millisecond
 	waitHeader  = "X-Backoff-Ms"
-	// waitSlack is in how much time after a told wait a call may still go out.
-	waitSlack = 50 * time.Millisecond
+	// maxIdle bounds the kept connections to one endpoint, and so those to all.
+	maxIdle = 8
 )
 
 // gate says from when, or until when, nothing may be sent. The module keeps both
@@ -115,6 +115,10 @@
 	defer p.mu.Unlock()
 	c.since = time.Now()
 	p.idle = append(p.idle, c)
+	if len(p.idle) > maxIdle {
+		_ = p.idle[0].Close()
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+	}
 }
 
 // closeIdle closes the connections that are idle since before a time.
@@ -219,7 +223,7 @@
 	}
 	for _, p := range k.parts {
 		if err := c.journal.attempt(p.message, k.endpoint.name, k.endpoint.zone, now); err != nil {
-			c.log.Error("journal: attempt", "id", p.message.id, "err", err)
+			c.log.Warn("call: not sent", "id", p.message.id, "err", err)
 			k.endpoint.pool.put(conn)
 			c.endAll(k, policy.Moot, 0, false)
 			return
@@ -310,14 +314,13 @@
 func (c *caller) answered(ctx context.Context, k *call, conn *connection, resp *http.Response) {
 	wait := toldWait(resp.Header)
 	if wait > 0 {
-		k.endpoint.waits.wait(time.Now().Add(wait + waitSlack))
+		// Not a moment longer than the module counts: a send that it decides on
+		// when the wait is over would be stopped here, and use up an attempt.
+		k.endpoint.waits.wait(time.Now().Add(wait))
 	}
 	bundle := len(k.parts) > 1 && resp.StatusCode == http.StatusOK
 	if !bundle {
 		outcome, over := c.single(k, resp)
-		if outcome != policy.Full && outcome != policy.Moot {
-			wait = 0
-		}
 		c.endAll(k, outcome, wait, over)
 		ctx2, cancel := context.WithTimeout(ctx, drainAnswer)
 		defer cancel()
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -291,6 +291,72 @@
 	}
 }
 
+// The gate of a told wait opens when the module counts it over, not later: a send
+// that was stopped in between used up one of the message's attempts each tick.
+func TestWaitEndsWhenTheModuleCountsItOver(t *testing.T) {
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		if readRequest(bufio.NewReader(conn)) == nil {
+			fmt.Fprint(conn, "HTTP/1.1 429 X\r\nX-Backoff-Ms: 60000\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	r := newCallRig(t, addr)
+	before := time.Now()
+	r.start(5*time.Second, 1)
+	e := r.next()
+	over := time.Now().Add(e.Wait)
+	if e.Wait != time.Minute || !r.endpoint.waits.open(over) || r.endpoint.waits.open(before.Add(e.Wait)) {
+		t.Errorf("told %v, gate open at its end: %v", e.Wait, r.endpoint.waits.open(over))
+	}
+}
+
+// Making a connection may take until the key is forgotten: then the call is not sent.
+func TestCallIsNotSentAfterTheKeysWindow(t *testing.T) {
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		if readRequest(bufio.NewReader(conn)) == nil {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	r := newCallRig(t, addr)
+	for name, c := range map[string]struct {
+		ago  time.Duration
+		want policy.Outcome
+	}{"within": {5 * time.Second, policy.Delivered}, "after": {13 * time.Second, policy.Moot}} {
+		m := newMessage(name, 5)
+		m.window = 12 * time.Second
+		must(t, r.journal.take(m))
+		must(t, r.journal.attempt(m, "e1", 0, time.Now().Add(-c.ago)))
+		must(t, r.journal.outcome(m, policy.TimedOut, "e1", time.Now()))
+		r.caller.start(context.Background(), &call{endpoint: r.endpoint, addr: addr, started: time.Now(),
+			limit: 5 * time.Second, parts: []*part{{message: m, timeout: 5 * time.Second}}})
+		if e := r.next(); e.Outcome != c.want {
+			t.Errorf("%s the window: %v, want %v", name, e.Outcome, c.want)
+		}
+	}
+}
+
+// Kept connections to one endpoint are few, however many calls it had at once.
+func TestPoolIsBounded(t *testing.T) {
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		_, _ = io.Copy(io.Discard, conn) // until the other side closes
+	})
+	r := newCallRig(t, addr)
+	for range 3 * maxIdle {
+		conn, err := r.caller.connection(context.Background(), &call{endpoint: &endpoint{}, addr: addr})
+		must(t, err)
+		r.endpoint.pool.put(conn)
+	}
+	if n := len(r.endpoint.pool.idle); n != maxIdle {
+		t.Errorf("%d kept connections, want %d", n, maxIdle)
+	}
+	r.endpoint.pool.closeIdle(time.Now())
+	if n := len(r.endpoint.pool.idle); n != 0 {
+		t.Errorf("%d left after closing all", n)
+	}
+}
+
 // The bundle's form is fixed by the protocol.
 func TestBundleForm(t *testing.T) {
 	a, b := newMessage("a", 0), newMessage("b", 0)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -61,22 +62,20 @@
 			url = fmt.Sprintf("%s?index=%d&wait=%d", d.url, at, watchWait.Milliseconds())
 			limit += watchWait
 		}
+		asked := time.Now()
 		l, err := d.get(ctx, url, limit)
-		if err != nil {
-			if ctx.Err() == nil {
-				d.log.Warn("discovery: no list", "err", err)
-			}
-			select {
-			case <-time.After(watchPause):
-			case <-ctx.Done():
-			}
-			continue
-		}
-		if l.Complete || l.Revision > at && at >= 0 {
+		if err == nil && (l.Complete || at >= 0 && l.Revision > at) {
 			d.tell(l)
 			at = l.Revision
-		} else if at < 0 {
-			d.log.Warn("discovery: the whole list was asked for and a part came")
+			continue
+		}
+		if err == nil && at < 0 {
+			err = errors.New("the whole list was asked for and a part came")
+		}
+		if err != nil || time.Since(asked) < watchPause { // no agent answers a watch at once with nothing
+			if err != nil && ctx.Err() == nil {
+				d.log.Warn("discovery: no list", "err", err)
+			}
 			select {
 			case <-time.After(watchPause):
 			case <-ctx.Done():
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -77,9 +77,8 @@
 		http.Error(w, "the body could not be read", http.StatusBadRequest)
 		return
 	}
-	if r.Context().Err() != nil {
-		return // the client has gone and hands it in elsewhere
-	}
+	// A context that has ended may mean a client that has only closed its sending
+	// side and waits for the answer, so it is not asked here.
 	again, ok := in.reserve(m.id)
 	if again { // sent once more by a client that did not hear the answer
 		w.WriteHeader(http.StatusAccepted)
@@ -133,7 +132,7 @@
 	if m.dest, err = destination(r.Header.Get("X-Route-To")); err != nil {
 		return nil, bad("X-Route-To: %v", err)
 	}
-	if r.ContentLength < 0 {
+	if r.ContentLength < 0 || r.Header.Get("Content-Length") == "" {
 		return nil, bad("Content-Length is missing")
 	}
 	if r.ContentLength > maxBody {
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -43,7 +43,9 @@
 var (
 	// errNoRoom refuses a message for which the journal has no room.
 	errNoRoom = errors.New("the journal is full")
-	crcTable  = crc32.MakeTable(crc32.Castagnoli)
+	// errLate says that a message which may have run can't be sent any more.
+	errLate  = errors.New("the destination has forgotten the key")
+	crcTable = crc32.MakeTable(crc32.Castagnoli)
 )
 
 // message is one message that the node has taken on.
@@ -55,6 +57,7 @@
 	dest     int
 	deadline time.Time
 	body     []byte
+	window   time.Duration // how long its key is remembered, 0 where it has none
 
 	// The rest is owned by the journal.
 	past   past
@@ -277,9 +280,9 @@
 func (j *journal) take(m *message) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	// A quarter of the limit is left to records that no longer count and to the
-	// copies made while old and new lie there together.
-	if j.liveSize+cost(m) > j.limit-max(j.limit/4, 3*j.segSize) {
+	// Three segments are left: for records that no longer count, for the next one,
+	// and for a copy made while old and new lie there together.
+	if j.liveSize+cost(m) > j.limit-3*j.segSize {
 		return errNoRoom
 	}
 	m.seq = j.next
@@ -292,13 +295,17 @@
 	return nil
 }
 
-// attempt journals that a message is about to be sent.
+// attempt journals that a message is about to be sent. The module counts the key's
+// window when it decides; making the connection may have taken until after it.
 func (j *journal) attempt(m *message, endpoint string, zone int, at time.Time) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.live[m.seq] == nil {
 		return nil
 	}
+	if m.window > 0 && m.past.mayRun && at.Sub(m.past.ranAt) >= m.window {
+		return errLate
+	}
 	b := record(recAttempt, m.seq)
 	b = appendBytes(b, []byte(endpoint))
 	b = binary.AppendUvarint(b, uint64(zone))
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -118,7 +118,7 @@
 }
 
 func (l *loop) arrived(m *message) policy.Arrived {
-	now := l.now()
+	now, class := l.now(), l.settings.Classes[m.class]
 	a := policy.Arrived{Message: m.seq, Destination: m.dest, Class: m.class, GiveUpAt: now + time.Until(m.deadline)}
 	if p := m.past; p.attempts > 0 {
 		a.Past = policy.Past{Attempts: p.attempts, MayRun: p.mayRun, RanZone: p.ranZone}
@@ -126,7 +126,10 @@
 			a.Past.RanAt = l.past(p.ranAt)
 		}
 	}
-	if l.settings.Classes[m.class].Ordered && m.key != "" {
+	if class.Repeat == policy.Deduplicated {
+		m.window = class.Window
+	}
+	if class.Ordered && m.key != "" {
 		a.Key = hash(m.key) | 1
 	}
 	return a
