--- a/cmd/benchlink/main.go
+++ b/cmd/adapter/main.go
@@ -1,4 +1,4 @@
-// Command benchlink lets the simulator drive the decision module: it hosts one
+// Command adapter lets the simulator drive the decision module: it hosts one
 // sender for each instance and translates between the wire and the module.
 package main
 
@@ -11,14 +11,14 @@
 	"runtime/debug"
 	"time"
 
-	"robinbank/internal/wire"
-	"robinbank/policy"
+	"wingmount/internal/wire"
+	"wingmount/policy"
 )
 
 func main() {
 	debug.SetGCPercent(400)
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintf(os.Stderr, "benchlink: %v\n", err)
+		fmt.Fprintf(os.Stderr, "adapter: %v\n", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/benchlink/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
-	"robinbank/internal/wire"
-	"robinbank/policy"
+	"wingmount/internal/wire"
+	"wingmount/policy"
 )
 
 const settings = `{"NInstances": 1, "Classes": [{"AimUs": 1000000, "DeadlineUs": 5000000,
--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -9,7 +9,7 @@
 	"os/signal"
 	"syscall"
 
-	"robinbank/internal/node"
+	"wingmount/internal/node"
 )
 
 func main() {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"robinbank/policy"
+	"wingmount/policy"
 )
 
 const (
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"robinbank/policy"
+	"wingmount/policy"
 )
 
 const patience = 10 * time.Second
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"time"
 
-	"robinbank/internal/wire"
-	"robinbank/policy"
+	"wingmount/internal/wire"
+	"wingmount/policy"
 )
 
 // Config is what a delivery node is told when it starts.
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"robinbank/policy"
+	"wingmount/policy"
 )
 
 const (
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"robinbank/policy"
+	"wingmount/policy"
 )
 
 func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"robinbank/policy"
+	"wingmount/policy"
 )
 
 // clockStart keeps the module's clock away from zero, which means 'never' to it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,7 +15,7 @@
 
 	"golang.org/x/net/netutil"
 
-	"robinbank/policy"
+	"wingmount/policy"
 )
 
 const (
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,8 +7,8 @@
 	"net"
 	"net/netip"
 
-	"robinbank/internal/wire"
-	"robinbank/policy"
+	"wingmount/internal/wire"
+	"wingmount/policy"
 )
 
 // maxNote is the longest datagram that delivery nodes may send each other.
--- a/internal/wire/note.go
+++ b/internal/wire/note.go
@@ -1,6 +1,6 @@
 package wire
 
-import "robinbank/policy"
+import "wingmount/policy"
 
 // noteSize is the length of a note: two bits of news, then a tag.
 const noteSize = 3
--- a/internal/wire/note_test.go
+++ b/internal/wire/note_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"robinbank/policy"
+	"wingmount/policy"
 )
 
 func TestNotesKeepTheirContent(t *testing.T) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"robinbank/policy"
+	"wingmount/policy"
 )
 
 // config is the part of the settings that the module acts on. Other keys are
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"robinbank/policy"
+	"wingmount/policy"
 )
 
 // A node hands in what it has seen and carries out what comes back.
