--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -216,3 +216,40 @@
 		t.Errorf("owed %v, want b", owed)
 	}
 }
+
+// A journal that refuses new messages still has room for all that the held ones
+// need until nothing is owed for them.
+func TestFullJournalCarriesItsMessagesToTheirEnd(t *testing.T) {
+	for _, size := range []int{0, 900, maxBody} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			dir := t.TempDir()
+			j, _ := mustOpen(t, dir, minDisk)
+			var open []*message
+			for {
+				m := newMessage(fmt.Sprint("m", len(open)), size)
+				err := j.take(m)
+				if errors.Is(err, errNoRoom) {
+					break
+				}
+				must(t, err)
+				open = append(open, m)
+			}
+			for range 6 {
+				for _, m := range open {
+					must(t, j.attempt(m, "an-endpoint-with-a-long-name", 1, time.Now()))
+					must(t, j.outcome(m, policy.TimedOut, "an-endpoint-with-a-long-name", time.Now()))
+				}
+			}
+			for _, m := range open {
+				must(t, j.ended(m, newNotice(m.id, false, 0)))
+			}
+			if n := dirSize(t, dir); n > minDisk {
+				t.Errorf("%d bytes in the folder, over %d", n, minDisk)
+			}
+			for _, m := range open {
+				must(t, j.closed(m, "", time.Now()))
+			}
+			must(t, j.take(newMessage("next", size)))
+		})
+	}
+}
