--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -69,7 +69,7 @@
 	strange := entry("s3", "active")
 	strange.Flavor = "unheard of"
 	got := l.listed(list{Complete: true, Members: []member{entry("s1", "active"), entry("s2", "active"), strange,
-		entry("s4", "left"), entry("s5", "sleeping")}})
+		entry("s4", "left"), entry("s5", "sleeping"), entry("s6", "leaving")}})
 	if len(got.Entries) != 2 || !got.Whole {
 		t.Fatalf("entries %+v, want s1 and s2", got.Entries)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -171,7 +171,9 @@
 			continue
 		}
 		if e == nil {
-			if state == policy.Gone {
+			if state != policy.Ready {
+				// An earlier life may have been told that it drains, and the grace
+				// may be over: one that is first heard of as leaving gets nothing.
 				continue
 			}
 			kind, okKind := l.names.kinds[m.Flavor]
@@ -237,13 +239,13 @@
 // past turns a time of the wall clock into one of the module's.
 func (l *loop) past(t time.Time) policy.Time { return min(l.now(), l.now()-time.Since(t)) }
 
-// setLeaving closes an endpoint's gate half the grace after it was first told to
-// drain or to be gone.
+// setLeaving closes an endpoint's gate within the grace after it was first told to
+// drain or to be gone, and after the module has ceased to send to it.
 func (l *loop) setLeaving(e *endpoint, leaves bool) {
 	if !leaves {
 		e.leaves.closedFrom.Store(0)
 	} else {
-		e.leaves.closedFrom.CompareAndSwap(0, time.Now().Add(l.settings.DrainGrace/2).UnixNano())
+		e.leaves.closedFrom.CompareAndSwap(0, time.Now().Add(l.settings.DrainGrace*3/4).UnixNano())
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,11 @@
 	if err != nil {
 		return err
 	}
+	for _, m := range owed {
+		if m.class >= len(c.Settings.Classes) {
+			return errors.Join(fmt.Errorf("the journal holds a message of class %d, which the settings lack", m.class), j.close())
+		}
+	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listening for clients: %w", err), j.close())
@@ -106,6 +111,7 @@
 	}
 	end()
 	running.Wait()
+	l.caller.running.Wait() // their outcomes go on record before the journal closes
 	log.Info("stopped", "owed", len(l.held))
 	return errors.Join(err, j.close())
 }
