--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -448,6 +448,8 @@
 	if full == 0 {
 		t.Error("40 messages went into a hold of 4")
 	}
+	// What the module gives up on is told at once, long before its time is up.
+	p.eventually("an early notice", func() bool { return len(p.finals) > 0 })
 	if resp := p.send("m0", 20*time.Second); resp.StatusCode != http.StatusAccepted {
 		t.Errorf("a message that is held was answered %s", resp.Status)
 	}
--- /dev/null
+++ b/internal/node/loop_test.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"wingmount/policy"
+)
+
+// Sends of one step to one endpoint travel as one call, up to what its kind takes.
+func TestSendsOfOneStepTravelTogether(t *testing.T) {
+	type seen struct {
+		path string
+		size int
+	}
+	calls := make(chan seen, 8)
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body) // a torn one shows in its size
+		calls <- seen{req.URL.Path, len(body)}
+		fmt.Fprint(conn, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+	})
+	j, _ := mustOpen(t, t.TempDir(), minDisk)
+	settings := policy.Settings{Senders: 1, Slots: 8, MaxHeld: 100, MaxAttempts: 6, Tick: 5 * time.Millisecond,
+		Kinds: []policy.Kind{{RoutesApart: true, BundleMax: 5}}, ConnectTimeout: time.Second,
+		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 12 * time.Second,
+			Aim: 3 * time.Second, Deadline: 28 * time.Second, Worth: 1}}}
+	l := &loop{sender: policy.New(settings, 1), settings: settings, log: quietLog(), journal: j, origin: time.Now(),
+		names: names{kinds: map[string]int{"major": 0}, zones: map[string]int{"a": 0}}, finals: newFinals("127.0.0.1:1", j, quietLog()),
+		intake: &intake{held: map[string]bool{}}, held: map[policy.MessageID]*message{},
+		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
+	outcomes := make(chan policy.Event, 8)
+	l.caller = newCaller(Config{Settings: settings, IdleClose: time.Minute}, j, quietLog(), func(e policy.Event) { outcomes <- e })
+	l.take(list{Complete: true, Members: []member{{ID: "s1", HostPort: addr, Locality: "a", Flavor: "major", Cell: 7, Phase: "active"}}})
+	for i := range 5 {
+		m := newMessage(fmt.Sprint("m", i), 10)
+		must(t, j.take(m))
+		l.take(m)
+	}
+	l.step(context.Background())
+	select {
+	case c := <-calls:
+		if want := 5 * (len("m0 k-m0 10\r\n") + 10 + 2); c.path != "/events/bundle" || c.size != want {
+			t.Errorf("one call to %s of %d bytes, want a bundle of %d", c.path, c.size, want)
+		}
+	case <-time.After(patience):
+		t.Fatal("no call came")
+	}
+	for range 5 {
+		select {
+		case e := <-outcomes:
+			if e.(policy.Ended).Outcome != policy.Full {
+				t.Errorf("outcome %+v, want full", e)
+			}
+		case <-time.After(patience):
+			t.Fatal("an outcome is missing")
+		}
+	}
+	if len(calls) != 0 {
+		t.Errorf("another call: %+v", <-calls)
+	}
+}
--- /dev/null
+++ b/internal/node/peers_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"wingmount/policy"
+)
+
+// Notes reach the others in the adapter's format; what a stranger sends, or what
+// has no meaning, is passed over and the next note still comes.
+func TestNotesBetweenNodes(t *testing.T) {
+	other, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	must(t, err)
+	defer other.Close()
+	stranger, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	must(t, err)
+	defer stranger.Close()
+	addr := other.LocalAddr().(*net.UDPAddr).AddrPort()
+	told := make(chan policy.Event, 8)
+	p, err := openPeers(Config{PeerBind: "127.0.0.1:0", PeersAll: addr.String(), Me: 1,
+		Peers: []netip.AddrPort{addr, netip.MustParseAddrPort("127.0.0.1:9")}}, quietLog(),
+		func(e policy.Event) { told <- e })
+	must(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { p.run(ctx); close(done) }()
+
+	p.send(policy.Tell{Tag: 77, News: policy.BackCold})
+	note := make([]byte, 300)
+	must(t, other.SetReadDeadline(time.Now().Add(patience)))
+	n, _, err := other.ReadFromUDPAddrPort(note)
+	must(t, err)
+
+	to := p.conn.LocalAddr().(*net.UDPAddr)
+	for _, c := range []struct {
+		from *net.UDPConn
+		data []byte
+	}{{stranger, note[:n]}, {other, make([]byte, 290)}, {other, nil}, {other, note[:n]}} {
+		_, err := c.from.WriteToUDP(c.data, to)
+		must(t, err)
+	}
+	select {
+	case e := <-told:
+		if e != (policy.Told{Tag: 77, News: policy.BackCold}) {
+			t.Errorf("told %+v", e)
+		}
+	case <-time.After(patience):
+		t.Fatal("the note never came")
+	}
+	cancel()
+	<-done
+	if len(told) != 0 {
+		t.Errorf("told of %+v too", <-told)
+	}
+}
