Clients: one budget of connections, short deadlines, a close after each bad request

Cause: node.go gave clients netutil.LimitListener, which makes newcomers wait for those who stay (idle for 2 min, silent for 5 s); intake.go answered a request with Content-Length and Transfer-Encoding (net/http drops the length) and kept the connection, so that the rest of its body was read as the next request. Now clientListener closes the silent first, then the longest idle; deadlines are 2 to 2.5 s; anything malformed or with a repeated header is answered and closed; a body that is too long is read on so that its answer is not lost to a reset. Bad requests are logged at debug level only.

--- /dev/null
+++ b/internal/node/clients.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	clist "container/list"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// A client that does not say its request within these times is owed an end of
+	// the connection within 3 s of connecting.
+	headerTimeout  = 2 * time.Second
+	requestTimeout = 2500 * time.Millisecond
+	// keepAlive is how long a connection may be idle between requests. Clients keep
+	// theirs for good, and each costs memory and a descriptor.
+	keepAlive = 2500 * time.Millisecond
+	maxHeader = 16 << 10
+	// freshClient is how long a connection counts as new though nothing came on it.
+	freshClient = 250 * time.Millisecond
+)
+
+// newServer answers clients by a handler on connections of a clientListener.
+func newServer(h http.Handler, log *slog.Logger) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
+		WriteTimeout: requestTimeout, IdleTimeout: keepAlive, MaxHeaderBytes: maxHeader,
+		// Clients that send what can't be read must not cost a line each.
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if c, ok := c.(*clientConn); ok && s == http.StateIdle {
+				c.idle()
+			}
+		}}
+}
+
+// clientListener keeps the connections of clients to a number. When one more comes
+// it closes the one that is missed least: one on which nothing ever came, then one
+// that is idle. So those who connect and say nothing can't shut the others out.
+type clientListener struct {
+	net.Listener
+	limit int
+
+	mu     sync.Mutex
+	count  int
+	silent *clist.List // of *clientConn on which nothing came yet, the oldest first
+	idle   *clist.List // between requests, the longest idle first
+}
+
+func newClientListener(l net.Listener, limit int) *clientListener {
+	return &clientListener{Listener: l, limit: max(1, limit), silent: clist.New(), idle: clist.New()}
+}
+
+// Accept waits for the next connection that there is room for.
+func (l *clientListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &clientConn{Conn: conn, owner: l, since: time.Now()}
+		l.mu.Lock()
+		full := l.count >= l.limit
+		var victim *clientConn
+		if full {
+			victim = l.victim()
+		}
+		if !full || victim != nil {
+			l.count++
+			c.in, c.place = l.silent, l.silent.PushBack(c)
+		}
+		l.mu.Unlock()
+		if !full {
+			return c, nil
+		}
+		if victim != nil {
+			_ = victim.Close()
+			return c, nil
+		}
+		_ = conn.Close() // all others have a request open
+	}
+}
+
+// victim takes the connection that is missed least out of its list.
+func (l *clientListener) victim() *clientConn {
+	e := l.silent.Front()
+	if e == nil || time.Since(e.Value.(*clientConn).since) < freshClient && l.idle.Len() > 0 {
+		e = l.idle.Front()
+	}
+	if e == nil {
+		return nil
+	}
+	c := e.Value.(*clientConn)
+	c.move(nil)
+	return c
+}
+
+// clientConn is one connection of a client. The owner's lock guards its fields.
+type clientConn struct {
+	net.Conn
+	owner  *clientListener
+	since  time.Time
+	in     *clist.List // nil while a request is open
+	place  *clist.Element
+	closed bool
+}
+
+func (c *clientConn) move(to *clist.List) {
+	if c.in != nil {
+		c.in.Remove(c.place)
+	}
+	c.in, c.place = to, nil
+	if to != nil {
+		c.place = to.PushBack(c)
+	}
+}
+
+// Read takes the first byte for the start of a request.
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.owner.mu.Lock()
+		c.move(nil)
+		c.owner.mu.Unlock()
+	}
+	return n, err
+}
+
+func (c *clientConn) idle() {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if !c.closed {
+		c.move(c.owner.idle)
+	}
+}
+
+// CloseWrite lets the server end its sending before it closes.
+func (c *clientConn) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
+// Close gives the connection's place back, once.
+func (c *clientConn) Close() error {
+	c.owner.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		c.owner.count--
+		c.move(nil)
+	}
+	c.owner.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/node/clients_test.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// clientRig serves an intake over loopback, to so many clients at once.
+func clientRig(t *testing.T, in *intake, limit int) *clientListener {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	l := newClientListener(raw, limit)
+	in.accept = func(*message) {}
+	server := newServer(in, quietLog())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(l) // ends with the test
+	}()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-done
+	})
+	return l
+}
+
+func dialClient(t *testing.T, l net.Listener) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	must(t, err)
+	must(t, c.SetDeadline(time.Now().Add(patience)))
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// rawNote is a request as it goes over the wire, with further lines in its head.
+func rawNote(id, more string) string {
+	return "POST /note HTTP/1.1\r\nHost: x\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: note\r\n" +
+		"X-Timeout-Ms: 5000\r\nX-Route-To: dest=7\r\nIdempotency-Key: k\r\n" + more + "\r\n"
+}
+
+const noteLength = "Content-Length: 4\r\n"
+
+func askNote(t *testing.T, c net.Conn, id string) int {
+	t.Helper()
+	_, err := io.WriteString(c, rawNote(id, noteLength)+"body")
+	must(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%s: no answer: %v", id, err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Clients that connect by hundreds and say nothing, and clients that keep their
+// connections for good, must not shut the others out, and must not pile up.
+func TestSilentAndIdleClientsGiveWay(t *testing.T) {
+	var accepted []*message
+	in := newIntake(t, &accepted)
+	in.maxHeld = 100
+	l := clientRig(t, in, 8)
+	for i := range 24 {
+		dialClient(t, l)
+		if i%2 == 0 {
+			if got := askNote(t, dialClient(t, l), fmt.Sprint("m", i)); got != http.StatusAccepted {
+				t.Fatalf("client %d was answered %d", i, got)
+			}
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.count > 8 || l.silent.Len()+l.idle.Len() > l.count {
+		t.Errorf("%d connections are held (%d silent, %d idle), want 8 at most", l.count, l.silent.Len(), l.idle.Len())
+	}
+}
+
+// A connection that says nothing, half a head or half a body is ended within 3 s,
+// and leaves nothing behind.
+func TestUnfinishedRequestsEndInTime(t *testing.T) {
+	var accepted []*message
+	l := clientRig(t, newIntake(t, &accepted), 8)
+	start := time.Now()
+	var conns []net.Conn
+	for _, text := range []string{"", "POST /note HTT", rawNote("a", noteLength) + "b", "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"} {
+		c := dialClient(t, l)
+		_, err := io.WriteString(c, text)
+		must(t, err)
+		conns = append(conns, c)
+	}
+	for i, c := range conns {
+		if _, err := io.Copy(io.Discard, c); err != nil && time.Since(start) >= patience {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+	}
+	if took := time.Since(start); took > 3*time.Second {
+		t.Errorf("the last was ended after %v, want 3 s at most", took)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.count > 0 && time.Since(start) > patience {
+		t.Errorf("%d connections are counted still", l.count)
+	}
+}
+
+// After a request that makes no sense the connection ends: what lies behind it, or
+// inside its body, is not a request.
+func TestNothingIsReadBehindABadRequest(t *testing.T) {
+	hidden := rawNote("hidden", noteLength) + "body"
+	for name, text := range map[string]string{
+		"both lengths":     rawNote("a", "Transfer-Encoding: chunked\r\n"+noteLength) + "0\r\n\r\n",
+		"chunked":          rawNote("a", "Transfer-Encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.0 chunked": strings.Replace(rawNote("a", "Transfer-Encoding: chunked\r\n"+noteLength)+"body", "1.1", "1.0", 1),
+		"lengths apart":    rawNote("a", noteLength+"Content-Length: 5\r\n") + "body",
+		"negative length":  rawNote("a", "Content-Length: -4\r\n"),
+		"huge length":      rawNote("a", "Content-Length: 99999999999999999999\r\n"),
+		"long body":        rawNote("a", "Content-Length: 60000000\r\n"),
+		"no length":        rawNote("a", ""),
+		"two ids":          rawNote("a", "X-Request-ID: b\r\n"+noteLength) + "body",
+		"no such class":    strings.Replace(rawNote("a", noteLength)+"body", "/note", "/other", 1),
+		"no number":        strings.Replace(rawNote("a", noteLength)+"body", "5000", "soon", 1),
+		"no head":          "\x00\x01\x02\r\n\r\n",
+		"endless head":     "POST /note HTTP/1.1\r\nX: " + strings.Repeat("x", 64<<10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var accepted []*message
+			in := newIntake(t, &accepted)
+			l := clientRig(t, in, 8)
+			c := dialClient(t, l)
+			go func() { _, _ = io.WriteString(c, text+hidden) }() // may be cut off
+			all, err := io.ReadAll(c)
+			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+				t.Fatal("neither an error nor a close came")
+			}
+			if n := bytes.Count(all, []byte("HTTP/1.1 ")); n > 1 || bytes.Contains(all, []byte("HTTP/1.1 2")) {
+				t.Errorf("answered %q, want one error or a close", all)
+			}
+			if n := in.count(); n != 0 {
+				t.Errorf("%d messages were taken", n)
+			}
+		})
+	}
+}
+
+// The answer to a body that is too long reaches a client that reads only when it
+// has sent all of it.
+func TestLongBodyHearsItsAnswer(t *testing.T) {
+	var accepted []*message
+	c := dialClient(t, clientRig(t, newIntake(t, &accepted), 8))
+	const size = 16 << 20
+	_, err := io.WriteString(c, rawNote("a", fmt.Sprintf("Content-Length: %d\r\n", size)))
+	must(t, err)
+	if _, err := c.Write(make([]byte, size)); err != nil {
+		t.Fatalf("sending was cut off: %v", err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must(t, err)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("answered %s", resp.Status)
+	}
+}
+
+// A plain refusal leaves a good connection open for the next try.
+func TestRefusalKeepsTheConnection(t *testing.T) {
+	var accepted []*message
+	in := newIntake(t, &accepted)
+	in.maxHeld = 1
+	in.taken("another")
+	c := dialClient(t, clientRig(t, in, 8))
+	if got := askNote(t, c, "a"); got != http.StatusServiceUnavailable {
+		t.Fatalf("answered %d by a full hold", got)
+	}
+	in.ended("another")
+	if got := askNote(t, c, "b"); got != http.StatusAccepted {
+		t.Errorf("answered %d on the same connection", got)
+	}
+}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -18,6 +18,9 @@
 	fullRetry = time.Second
 	// maxTimeout bounds what a client may ask for.
 	maxTimeout = 24 * time.Hour
+	// A refused body is read for so long, and so far, after the answer.
+	lingerTime  = time.Second
+	lingerBytes = 64 << 20
 )
 
 // intake takes messages from clients. A message is journaled before it is
@@ -63,18 +66,8 @@
 		return
 	}
 	m, err := in.read(r)
-	var bad badRequest
-	switch {
-	case errors.As(err, &bad):
-		if bad.status == http.StatusMethodNotAllowed {
-			w.Header().Set("Allow", http.MethodPost)
-		}
-		in.log.Warn("intake: bad request", "status", bad.status, "why", bad.text)
-		http.Error(w, bad.text, bad.status)
-		return
-	case err != nil:
-		in.log.Warn("intake: half a request", "err", err)
-		http.Error(w, "the body could not be read", http.StatusBadRequest)
+	if err != nil {
+		in.reject(w, r, err)
 		return
 	}
 	// A context that has ended may mean a client that has only closed its sending
@@ -101,6 +94,38 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// reject answers a request that can't be taken and ends its connection: what may
+// lie behind it there, or inside its body, must never be read as a request.
+func (in *intake) reject(w http.ResponseWriter, r *http.Request, err error) {
+	bad := badRequest{http.StatusBadRequest, "the body could not be read"}
+	errors.As(err, &bad)
+	in.log.Debug("intake: bad request", "status", bad.status, "err", err)
+	if bad.status == http.StatusMethodNotAllowed {
+		w.Header().Set("Allow", http.MethodPost)
+	}
+	w.Header().Set("Connection", "close")
+	http.Error(w, bad.text, bad.status)
+	if bad.status != http.StatusRequestEntityTooLarge {
+		return
+	}
+	// Closing with bytes unread resets the connection, and the answer with it: what
+	// comes is read for a while first.
+	rc := http.NewResponseController(w)
+	if rc.Flush() == nil && rc.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.CopyN(io.Discard, r.Body, lingerBytes) // the answer is out; the rest is courtesy
+	}
+}
+
+// single are the headers that a request may carry once.
+func single(h http.Header, names ...string) bool {
+	for _, n := range names {
+		if len(h.Values(n)) > 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // read checks a request and reads its message.
 func (in *intake) read(r *http.Request) (*message, error) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
@@ -114,6 +139,16 @@
 	bad := func(format string, args ...any) error {
 		return badRequest{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 	}
+	if !r.ProtoAtLeast(1, 1) {
+		return nil, badRequest{http.StatusHTTPVersionNotSupported, "HTTP/1.1 only"}
+	}
+	// Its length would be told twice, and another request may hide in its body.
+	if len(r.TransferEncoding) > 0 {
+		return nil, bad("Transfer-Encoding is not taken")
+	}
+	if !single(r.Header, "X-Priority-Class", "X-Request-ID", "X-Timeout-Ms", "X-Route-To", "Idempotency-Key") {
+		return nil, bad("a header is repeated")
+	}
 	if r.Header.Get("X-Priority-Class") != name {
 		return nil, bad("X-Priority-Class must name the class of the path")
 	}
@@ -138,8 +173,8 @@
 	if r.ContentLength > maxBody {
 		return nil, badRequest{http.StatusRequestEntityTooLarge, "over 64 KiB"}
 	}
-	m.body = make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, m.body); err != nil {
+	// Room is made for what comes, not for what was announced.
+	if m.body, err = io.ReadAll(r.Body); err != nil {
 		return nil, fmt.Errorf("reading the body: %w", err)
 	}
 	return m, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,8 +13,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"wingmount/policy"
 )
 
@@ -24,16 +22,23 @@
 	// sent until stopTaking, and what is out then has until stopWaiting.
 	stopTaking  = 2200 * time.Millisecond
 	stopWaiting = 3300 * time.Millisecond
-	// A request must come in whole within these times.
-	headerTimeout  = 5 * time.Second
-	requestTimeout = 10 * time.Second
-	keepAlive      = 2 * time.Minute
-	maxHeader      = 16 << 10
-	// clientShare of the sockets may be held by clients' connections.
-	clientShare = 0.6
 	eventRoom   = 4096
+	// ownSockets are kept for the journal, discovery, notices and the like, and
+	// endpointShare of all for calls. Clients have the rest.
+	ownSockets    = 32
+	endpointShare = 0.25
+	// anySockets is what counts where the configuration tells no limit.
+	anySockets = 1024
 )
 
+// clientSockets is how many connections clients may hold of so many descriptors.
+func clientSockets(all int) int {
+	if all <= 0 {
+		all = anySockets
+	}
+	return max(1, all-ownSockets-int(endpointShare*float64(all)))
+}
+
 // Run serves until the context ends and then stops in good order.
 func Run(ctx context.Context, c Config, log *slog.Logger) error {
 	if c.MemoryMB > 0 {
@@ -52,9 +57,7 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("listening for clients: %w", err), j.close())
 	}
-	if c.Sockets > 0 {
-		listener = netutil.LimitListener(listener, max(1, int(clientShare*float64(c.Sockets))))
-	}
+	listener = newClientListener(listener, clientSockets(c.Sockets))
 	in := &intake{names: c.Names, journal: j, log: log, maxHeld: c.Settings.MaxHeld, held: map[string]bool{}}
 	for _, k := range c.Settings.Classes {
 		in.keyed = append(in.keyed, k.Repeat == policy.Deduplicated)
@@ -95,9 +98,7 @@
 		in.taken(m.id)
 		l.post(m)
 	}
-	server := &http.Server{Handler: in, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
-		WriteTimeout: requestTimeout, IdleTimeout: keepAlive, MaxHeaderBytes: maxHeader,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	server := newServer(in, log)
 	served := make(chan error, 1)
 	running.Go(func() { served <- server.Serve(listener) })
 	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(owed))
