Reload: SIGHUP rereads the file and moves watch and notices to its discovery

Cause: main.go took SIGTERM and SIGINT only; discovery.go and finals.go held their addresses for good; config.go let PROXY_DISCOVERY, which stays as it was, win over the file that is replaced. Now SIGHUP is taken from the first moment to the last; the outstanding watch ends at once and the new agent is asked for the whole list; a file that can't be read changes nothing. TestReload (a real process, both addresses, SIGHUP while stopping, a start after it) fails on the old code.

--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -20,16 +20,19 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx, log); err != nil {
+	// Taken from the first moment to the last: untaken, SIGHUP ends a process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := run(ctx, reload, log); err != nil {
 		fmt.Fprintf(os.Stderr, "wingmount: %v\n", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, log *slog.Logger) error {
+func run(ctx context.Context, reload <-chan os.Signal, log *slog.Logger) error {
 	c, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
-	return node.Run(ctx, c, log)
+	return node.Run(ctx, c, node.Reload{Signals: reload, Load: func() (node.Config, error) { return node.LoadConfig(os.Getenv) }}, log)
 }
--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -46,12 +46,15 @@
 	deaf     int // so many notices go unanswered
 	watches  []time.Time
 	answered []time.Time
-	silent   int // so many watches get no answer
+	silent   int               // so many watches get no answer
+	lists    map[string]int    // whole lists asked for, by the address asked
+	told     map[string]string // where a notice came
+	config   string            // the file
 }
 
 func newPlatform(t *testing.T) *platform {
 	p := &platform{t: t, dir: t.TempDir(), calls: map[string]int{}, finals: map[string]string{},
-		answer: func(string) int { return http.StatusOK }}
+		lists: map[string]int{}, told: map[string]string{}, answer: func(string) int { return http.StatusOK }}
 	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
 	p.endpoint = httptest.NewServer(http.HandlerFunc(p.serveEndpoint))
 	t.Cleanup(p.discovery.Close)
@@ -87,11 +90,13 @@
 				break
 			}
 			p.finals[n.Message] = n.Outcome
+			p.told[n.Message] = r.Host
 		}
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
 	if r.URL.Query().Get("index") == "" {
+		p.set(func() { p.lists[r.Host]++ })
 		fmt.Fprintf(w, `{"revision":1,"complete":true,"members":[{"id":"s1","host_port":%q,"locality":"a",`+
 			`"flavor":"general","cell":7,"phase":"active","size":100},{"id":"odd","phase":"whatever"}]}`,
 			p.endpoint.Listener.Addr())
@@ -168,16 +173,25 @@
 	end chan error
 }
 
-// start starts a process and waits until it is ready.
-func (p *platform) start() *process {
+// configure writes the configuration with an address of discovery.
+func (p *platform) configure(discovery string) {
 	p.t.Helper()
-	config := filepath.Join(p.t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":256,"disk_mb":3},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
-		p.listen, p.discovery.Listener.Addr(), settings)
-	must(p.t, os.WriteFile(config, []byte(text), 0o600))
+		p.listen, discovery, settings)
+	must(p.t, os.WriteFile(p.config, []byte(text), 0o600))
+}
+
+// start starts a process and waits until it is ready.
+func (p *platform) start() *process {
+	p.t.Helper()
+	if p.config == "" {
+		p.config = filepath.Join(p.t.TempDir(), "config.json")
+		p.configure(p.discovery.Listener.Addr().String())
+	}
 	n := &process{cmd: exec.Command(os.Args[0]), end: make(chan error, 1)}
-	n.cmd.Env = append(os.Environ(), "WINGMOUNT_TEST_NODE=1", "PROXY_CONFIG="+config, "PROXY_STATE="+p.dir,
+	n.cmd.Env = append(os.Environ(), "WINGMOUNT_TEST_NODE=1", "PROXY_CONFIG="+p.config, "PROXY_STATE="+p.dir,
+		"PROXY_DISCOVERY="+p.discovery.Listener.Addr().String(),
 		"GORACE=atexit_sleep_ms=0") // the race detector would add a second to each end
 	n.cmd.Stderr = &n.log
 	must(p.t, n.cmd.Start())
@@ -338,6 +352,50 @@
 	p.eventually("an answer after the silence", func() bool { return p.silent == 0 && len(p.answered) > before+1 })
 }
 
+// SIGHUP: discovery and notices move to the address in the file, with what is held;
+// the variable of the start keeps the old one. A file that can't be read changes
+// nothing, and SIGHUP while stopping ends nothing.
+func TestReload(t *testing.T) {
+	p := newPlatform(t)
+	p.answer = func(string) int { return 0 }
+	n := p.start()
+	second := httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
+	t.Cleanup(second.Close)
+	t.Cleanup(second.CloseClientConnections)
+	addr := second.Listener.Addr().String()
+	p.send("a", 20*time.Second)
+	p.eventually("the call", func() bool { return p.calls["a"] == 1 })
+
+	p.configure(addr)
+	must(t, n.cmd.Process.Signal(syscall.SIGHUP))
+	p.eventually("the whole list, asked for at the new address", func() bool { return p.lists[addr] == 1 })
+	p.discovery.CloseClientConnections()
+	p.discovery.Close()
+
+	must(t, os.WriteFile(p.config, []byte("{"), 0o600))
+	must(t, n.cmd.Process.Signal(syscall.SIGHUP))
+	p.send("b", 300*time.Millisecond)
+	p.eventually("a notice", func() bool { return p.finals["b"] != "" && p.told["b"] == addr })
+	p.mu.Lock()
+	if p.lists[addr] != 1 || p.calls["a"] != 1 {
+		t.Errorf("lists %v, calls %v: want one list and one call", p.lists, p.calls)
+	}
+	p.mu.Unlock()
+
+	must(t, n.cmd.Process.Signal(syscall.SIGTERM))
+	must(t, n.cmd.Process.Signal(syscall.SIGHUP))
+	if err := n.wait(t); err != nil {
+		t.Fatalf("ended with %v: %s", err, n.log.String())
+	}
+	if got := strings.Count(n.log.String(), "stays as it was"); got < 1 || got > 2 {
+		t.Errorf("%d lines on a file that can't be read: %s", got, n.log.String())
+	}
+	p.configure(addr)
+	p.set(func() { p.answer = func(string) int { return http.StatusOK } })
+	p.start() // the variable names the first address still
+	p.eventually("the message that was held, once more", func() bool { return p.calls["a"] == 2 && p.lists[addr] == 2 })
+}
+
 // Bad requests get the answer that the protocol names, and nothing is sent.
 func TestBadRequests(t *testing.T) {
 	p := newPlatform(t)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -75,8 +75,9 @@
 	PolicyLimits   struct{ IdleCloseUs int64 }
 }
 
-// LoadConfig reads the file that PROXY_CONFIG names; the other variables of the
-// platform come first where both tell something.
+// LoadConfig reads the file that PROXY_CONFIG names. The other variables of the
+// platform come first where both tell something, but for the address of discovery:
+// the file is replaced while the node runs, and the variable stays as it was.
 func LoadConfig(env func(string) string) (Config, error) {
 	path := env("PROXY_CONFIG")
 	if path == "" {
@@ -96,11 +97,14 @@
 		DiskBytes: int64(f.Limits.DiskMB * 1e6), PeerBind: f.PeerListen, PeersAll: f.PeersAll, Known: f.Known,
 	}
 	for name, field := range map[string]*string{
-		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen, "PROXY_DISCOVERY": &c.Discovery} {
+		"PROXY_NAME": &c.Name, "PROXY_LISTEN": &c.Listen} {
 		if v := env(name); v != "" {
 			*field = v
 		}
 	}
+	if c.Discovery == "" {
+		c.Discovery = env("PROXY_DISCOVERY")
+	}
 	for name, value := range map[string]string{"PROXY_LISTEN": c.Listen, "PROXY_DISCOVERY": c.Discovery} {
 		if _, err := netip.ParseAddrPort(value); err != nil {
 			return Config{}, fmt.Errorf("%s: %w", name, err)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -41,29 +42,63 @@
 
 // discovery follows the list of endpoints.
 type discovery struct {
-	url    string
 	client *http.Client
 	log    *slog.Logger
 	tell   func(list)
+
+	mu    sync.Mutex
+	url   string
+	leave context.CancelFunc // ends the watch at the present address
 }
 
 func newDiscovery(addr string, log *slog.Logger, tell func(list)) *discovery {
-	return &discovery{url: "http://" + addr + "/v1/servers", log: log, tell: tell,
+	return &discovery{url: listURL(addr), log: log, tell: tell,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 }
 
-// run fetches the whole list and then watches it until the context ends.
+func listURL(addr string) string { return "http://" + addr + "/v1/servers" }
+
+// move goes on at another address, at once.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if url := listURL(addr); url != d.url {
+		d.url = url
+		if d.leave != nil {
+			d.leave()
+		}
+	}
+}
+
+// run follows the list until the context ends.
 func (d *discovery) run(ctx context.Context) {
-	defer d.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		d.mu.Lock()
+		url := d.url
+		d.leave = leave
+		d.mu.Unlock()
+		d.follow(here, url)
+		leave()
+		d.client.CloseIdleConnections()
+	}
+}
+
+// follow fetches the whole list and then watches it until the context ends. It
+// starts anew at each address: versions told by another may mean something else.
+func (d *discovery) follow(ctx context.Context, base string) {
 	at := int64(-1)
 	for ctx.Err() == nil {
-		url, limit := d.url, watchMargin
+		url, limit := base, watchMargin
 		if at >= 0 {
-			url = fmt.Sprintf("%s?index=%d&wait=%d", d.url, at, watchWait.Milliseconds())
+			url = fmt.Sprintf("%s?index=%d&wait=%d", base, at, watchWait.Milliseconds())
 			limit += watchWait
 		}
 		asked := time.Now()
 		l, err := d.get(ctx, url, limit)
+		if ctx.Err() != nil {
+			return
+		}
 		if err == nil && (l.Complete || at >= 0 && l.Revision > at) {
 			d.tell(l)
 			at = l.Revision
--- a/internal/node/finals.go
+++ b/internal/node/finals.go
@@ -45,22 +45,38 @@
 // finals tells the platform of messages that ended undelivered, again and again
 // until it has answered: only then is nothing owed any more.
 type finals struct {
-	url     string
 	client  *http.Client
 	journal *journal
 	log     *slog.Logger
 
 	mu    sync.Mutex
+	url   string
 	queue []*message
 	more  chan struct{} // holds a token while the queue may hold messages
 }
 
 func newFinals(discovery string, j *journal, log *slog.Logger) *finals {
-	return &finals{url: "http://" + discovery + "/v2/finals", journal: j, log: log,
+	return &finals{url: finalsURL(discovery), journal: j, log: log,
 		more:   make(chan struct{}, 1),
 		client: &http.Client{Timeout: noticeTimeout, Transport: &http.Transport{DisableCompression: true}}}
 }
 
+func finalsURL(addr string) string { return "http://" + addr + "/v2/finals" }
+
+// move sends the notices to another address from now on, those that no address has
+// answered yet among them.
+func (f *finals) move(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.url = finalsURL(addr)
+}
+
+func (f *finals) address() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.url
+}
+
 // add queues the notice of a message. It never waits.
 func (f *finals) add(m *message) {
 	f.mu.Lock()
@@ -131,7 +147,7 @@
 			return 0, fmt.Errorf("writing a notice: %w", err)
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url, &body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.address(), &body)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -39,8 +40,33 @@
 	return max(1, all-ownSockets-int(endpointShare*float64(all)))
 }
 
+// Reload tells when the configuration has been replaced, and how to read it.
+type Reload struct {
+	Signals <-chan os.Signal
+	Load    func() (Config, error)
+}
+
+// run passes on the address of discovery each time that the configuration has been
+// replaced, until the context ends. One that can't be read changes nothing.
+func (r Reload) run(ctx context.Context, log *slog.Logger, move func(discovery string)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.Signals:
+		}
+		c, err := r.Load()
+		if err != nil {
+			log.Error("reload: the configuration stays as it was", "err", err)
+			continue
+		}
+		log.Info("reload", "discovery", c.Discovery)
+		move(c.Discovery)
+	}
+}
+
 // Run serves until the context ends and then stops in good order.
-func Run(ctx context.Context, c Config, log *slog.Logger) error {
+func Run(ctx context.Context, c Config, reload Reload, log *slog.Logger) error {
 	if c.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
 	}
@@ -83,7 +109,8 @@
 	quiet := make(chan struct{})
 	running.Go(func() { l.run(life, quiet) })
 	running.Go(func() { l.finals.run(life) })
-	running.Go(func() { newDiscovery(c.Discovery, log, func(in list) { l.post(in) }).run(life) })
+	directory := newDiscovery(c.Discovery, log, func(in list) { l.post(in) })
+	running.Go(func() { directory.run(life) })
 	if l.peers != nil {
 		running.Go(func() { l.peers.run(life) })
 	}
@@ -103,6 +130,13 @@
 	running.Go(func() { served <- server.Serve(listener) })
 	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(owed))
 
+	running.Go(func() {
+		reload.run(life, log, func(addr string) {
+			directory.move(addr)
+			l.finals.move(addr)
+		})
+	})
+
 	select {
 	case <-ctx.Done():
 		l.stop(server, quiet)
