Resets: one is no outage, a stale one tells nothing, an unsent call goes on

Cause: policy.go judged each reset as a whole outage (outScore), so that its endpoint took one trial at a time; calls.go gave up an attempt, and the endpoint, when a connection broke before the call was written. Now a stale reset (a kept connection, no byte of an answer) is not judged, another counts like an error (two in a row are an outage; a crash also refuses the next connection), and what was not written whole goes on over a new connection as the same attempt, three connections at most.

Conclusion: not all of it; messages still wait for seconds from 5 s on.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -19,6 +19,9 @@
 
 const (
 	waitHeader = "X-Backoff-Ms"
+	// maxUnsent is over how many connections one attempt is tried, while each breaks
+	// before the call is written whole.
+	maxUnsent = 3
 	// maxWait is the longest told wait that is believed: no destination stays shut
 	// for so long, and one bad figure must not close it for days.
 	maxWait = 5 * time.Minute
@@ -115,50 +118,49 @@
 func (c *caller) run(ctx context.Context, k *call) {
 	ctx, cancel := context.WithDeadline(ctx, k.started.Add(k.limit))
 	defer cancel()
-	conn, err := c.connection(ctx, k)
-	if err != nil {
-		c.log.Debug("call: no connection", "endpoint", k.endpoint.name, "err", err)
-		c.endAll(k, policy.Unreachable, 0, false)
-		return
-	}
-	now := time.Now()
-	// Between the module's decision and now the connection was made. What was told
-	// in the meantime binds this call too, and it has not been sent.
-	if !k.endpoint.leaves.open(now) || !k.endpoint.waits.open(now) {
-		c.pool.put(conn)
-		c.endAll(k, policy.Moot, 0, false)
-		return
-	}
-	for _, p := range k.parts {
-		if err := c.journal.attempt(p.message, k.endpoint.name, k.endpoint.zone, now); err != nil {
-			c.log.Warn("call: not sent", "id", p.message.id, "err", err)
+	var (
+		conn *connection
+		a    answer
+		ends map[string]itemEnd
+		err  error
+	)
+	for try := range maxUnsent {
+		if conn, err = c.connection(ctx, k, try > 0); err != nil {
+			c.log.Debug("call: no connection", "endpoint", k.endpoint.name, "err", err)
+			c.endAll(k, policy.Unreachable, 0, false)
+			return
+		}
+		// What was told since the module's decision binds this call too: nothing of
+		// it has been sent.
+		if !c.ready(k, try == 0) {
 			c.pool.put(conn)
 			c.endAll(k, policy.Moot, 0, false)
 			return
 		}
-	}
-	for _, p := range k.parts {
-		if p.timeout < k.limit {
-			t := time.AfterFunc(p.timeout-time.Since(k.started), func() { c.end(k, p, policy.TimedOut, 0, false) })
-			defer t.Stop()
+		if try == 0 {
+			defer c.endEarly(k)()
+		}
+		req, e := k.request()
+		if e != nil {
+			c.pool.put(conn)
+			c.log.Error("call: no request", "err", e)
+			c.endAll(k, policy.Moot, 0, false)
+			return
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		a, ends, err = c.exchange(k, conn, req)
+		// Given up or closed before the outcome is told: the slot and the endpoint
+		// must be free of this call when the next one goes out.
+		if open := stop(); open && err == nil && a.keep {
+			c.pool.put(conn)
+		} else {
+			_ = conn.Close()
+		}
+		// A connection that broke before the last byte went out has carried no call:
+		// the same attempt goes on over another.
+		if !errors.Is(err, errUnsent) || ctx.Err() != nil {
+			break
 		}
-	}
-	req, err := k.request()
-	if err != nil {
-		c.pool.put(conn)
-		c.log.Error("call: no request", "err", err)
-		c.endAll(k, policy.Moot, 0, false)
-		return
-	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	a, ends, err := c.exchange(k, conn, req)
-	// Given up or closed before the outcome is told: the slot and the endpoint must
-	// be free of this call when the next one goes out.
-	switch open := stop(); {
-	case open && err == nil && a.keep:
-		c.pool.put(conn)
-	default:
-		_ = conn.Close()
 	}
 	wait := toldWait(a)
 	if wait > 0 {
@@ -179,7 +181,7 @@
 		}
 		return
 	}
-	outcome := policy.Reset
+	outcome, stale := policy.Reset, false
 	switch {
 	case errors.Is(err, errUnsent):
 		outcome = policy.Unreachable
@@ -188,9 +190,49 @@
 		c.spoilt.Add(1)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		outcome = policy.TimedOut
+	default:
+		stale = conn.kept && a.status == 0
 	}
 	c.log.Debug("call: no answer", "endpoint", k.endpoint.name, "err", err)
-	c.endAll(k, outcome, wait, false)
+	for _, p := range k.parts {
+		c.finish(k, p, policy.Ended{Outcome: outcome, Wait: wait, Stale: stale})
+	}
+}
+
+// ready tells whether a call may be sent now, and journals its attempts if it is the
+// first try.
+func (c *caller) ready(k *call, first bool) bool {
+	now := time.Now()
+	if !k.endpoint.leaves.open(now) || !k.endpoint.waits.open(now) {
+		return false
+	}
+	if !first {
+		return true
+	}
+	for _, p := range k.parts {
+		if err := c.journal.attempt(p.message, k.endpoint.name, k.endpoint.zone, now); err != nil {
+			c.log.Warn("call: not sent", "id", p.message.id, "err", err)
+			return false
+		}
+	}
+	return true
+}
+
+// endEarly times out the messages of a bundle whose time is shorter than the call's.
+// It returns how to stop that.
+func (c *caller) endEarly(k *call) (stop func()) {
+	var timers []*time.Timer
+	for _, p := range k.parts {
+		if p.timeout < k.limit {
+			timers = append(timers, time.AfterFunc(p.timeout-time.Since(k.started),
+				func() { c.end(k, p, policy.TimedOut, 0, false) }))
+		}
+	}
+	return func() {
+		for _, t := range timers {
+			t.Stop()
+		}
+	}
 }
 
 // exchange sends a call and reads its answer, and the ends of its messages where it
@@ -213,10 +255,12 @@
 	return a, ends, err
 }
 
-// connection takes an idle connection or makes one.
-func (c *caller) connection(ctx context.Context, k *call) (*connection, error) {
-	if conn := c.pool.get(k.endpoint, k.addr, time.Now().Add(-c.idle)); conn != nil {
-		return conn, nil
+// connection takes an idle connection, unless a fresh one is asked for, or makes one.
+func (c *caller) connection(ctx context.Context, k *call, fresh bool) (*connection, error) {
+	if !fresh {
+		if conn := c.pool.get(k.endpoint, k.addr, time.Now().Add(-c.idle)); conn != nil {
+			return conn, nil
+		}
 	}
 	conn, err := c.dialer.DialContext(ctx, "tcp", k.addr)
 	if err != nil {
@@ -337,8 +381,12 @@
 	}
 }
 
-// end journals and tells the outcome of one message, once.
 func (c *caller) end(k *call, p *part, outcome policy.Outcome, wait time.Duration, over bool) {
+	c.finish(k, p, policy.Ended{Outcome: outcome, Wait: wait, Final: over || outcome == policy.Delivered})
+}
+
+// finish journals and tells the outcome of one message, once.
+func (c *caller) finish(k *call, p *part, e policy.Ended) {
 	k.mu.Lock()
 	first := !p.over
 	p.over = true
@@ -348,19 +396,19 @@
 	}
 	var err error
 	switch {
-	case outcome == policy.Delivered:
+	case e.Outcome == policy.Delivered:
 		err = c.journal.closed(p.message, k.endpoint.name, time.Now())
-	case over:
+	case e.Final:
 		err = c.journal.closed(p.message, "", time.Now())
 	default:
-		err = c.journal.outcome(p.message, outcome, k.endpoint.name, time.Now())
+		err = c.journal.outcome(p.message, e.Outcome, k.endpoint.name, time.Now())
 	}
 	if err != nil {
 		// The attempt alone is on record then: after a restart it may have run.
 		c.log.Error("journal: outcome", "id", p.message.id, "err", err)
 	}
-	c.tell(policy.Ended{Message: p.message.seq, Attempt: p.attempt, Endpoint: k.endpoint.id, Outcome: outcome,
-		Wait: wait, Final: over || outcome == policy.Delivered, Took: time.Since(k.started)})
+	e.Message, e.Attempt, e.Endpoint, e.Took = p.message.seq, p.attempt, k.endpoint.id, time.Since(k.started)
+	c.tell(e)
 }
 
 // neverRan tells which outcomes prove that an attempt has not run.
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -118,8 +118,8 @@
 	}
 	r.caller.running.Wait()
 	r.start(5*time.Second, 1)
-	if e := r.next(); e.Outcome != policy.Reset {
-		t.Errorf("a call that was cut off ended as %v, want a reset", e.Outcome)
+	if e := r.next(); e.Outcome != policy.Reset || !e.Stale {
+		t.Errorf("a call that was cut off on a kept connection ended as %+v, want a stale reset", e)
 	}
 	r.caller.running.Wait()
 	if n := copies.Load(); n != 2 {
@@ -127,6 +127,36 @@
 	}
 }
 
+// A connection that breaks before the last byte of a call is written has carried no
+// call: the attempt goes on over a new one, and is one attempt still. A new connection
+// that breaks behind the call may have run it, and tells of the endpoint.
+func TestUnsentCallGoesOnOverAnotherConnection(t *testing.T) {
+	var whole atomic.Int64
+	addr := rawServer(t, func(n int64, conn net.Conn) {
+		defer conn.Close()
+		if n == 1 {
+			must(t, conn.(*net.TCPConn).SetLinger(0)) // a reset, with most of the call unread
+			_, _ = conn.Read(make([]byte, 100))
+			return
+		}
+		if readRequest(bufio.NewReader(conn)) == nil && whole.Add(1) == 1 {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	r := newCallRig(t, addr)
+	m := newMessage("large", 32<<20) // more than the buffers between the two hold
+	k := &call{endpoint: r.endpoint, addr: addr, started: time.Now(), limit: patience, parts: []*part{{message: m, timeout: patience}}}
+	r.caller.start(context.Background(), k)
+	if e := r.next(); e.Outcome != policy.Delivered || whole.Load() != 1 {
+		t.Errorf("outcome %+v with %d whole requests, want it delivered by one", e, whole.Load())
+	}
+	r.caller.running.Wait()
+	r.start(patience, 1)
+	if e := r.next(); e.Outcome != policy.Reset || e.Stale {
+		t.Errorf("outcome %+v of a new connection that broke behind the call, want a reset that is not stale", e)
+	}
+}
+
 // A kept connection carries the next call, and a closed one is not tried.
 func TestCallsReuseGoodConnectionsOnly(t *testing.T) {
 	var conns atomic.Int64
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -40,9 +40,9 @@
 	net.Conn
 	endpoint *endpoint
 	addr     string
-	since    time.Time     // when it became idle
-	idled    time.Duration // how long it was idle before this call; 0 on a new one
-	left     int64         // bytes that may be read still
+	since    time.Time // when it became idle
+	kept     bool      // it has carried a call before
+	left     int64     // bytes that may be read still
 	r        *bufio.Reader
 }
 
@@ -227,7 +227,7 @@
 		if c := p.idle[i]; c.endpoint == e {
 			p.remove(i)
 			if c.addr == addr && c.since.After(oldest) && c.quiet() {
-				c.idled = time.Since(c.since)
+				c.kept = true
 				return c
 			}
 			_ = c.Close()
--- a/policy/api.go
+++ b/policy/api.go
@@ -166,7 +166,10 @@
 	Outcome  Outcome
 	Wait     time.Duration // the wait that was told, or 0
 	Final    bool          // the message has concluded
-	Took     time.Duration
+	// Stale says of a Reset that a kept connection broke before any answer: it tells
+	// of the connection, and nothing of the endpoint.
+	Stale bool
+	Took  time.Duration
 }
 
 // Withdrawn says that nobody wants a message any more.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -696,9 +696,9 @@
 				s.resize(p, p.beforeRun) // shut: its refusals told nothing of the limit
 			}
 		}
-	case Failed:
+	case Failed, Reset: // a crash resets many calls, and refuses the next
 		weight = errorWeight
-	case Unreachable, Reset:
+	case Unreachable:
 		weight = outScore
 	case TimedOut:
 		weight = timeoutWeight
@@ -799,7 +799,7 @@
 		c.endpoint.calls = remove(c.endpoint.calls, c)
 		s.inFlight--
 	}
-	if !c.judged && o.Outcome != Moot && o.Outcome != Cancelled {
+	if !c.judged && o.Outcome != Moot && o.Outcome != Cancelled && !o.Stale {
 		c.judged = true
 		s.judge(c.endpoint, o.Outcome, o.Wait, c, o.Took)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -524,6 +524,34 @@
 	}
 }
 
+// A kept connection that breaks tells nothing of its endpoint, however many do. One
+// reset of another kind is no outage, two in a row are.
+func TestResetsAreNoOutageUntilTheyComeInARow(t *testing.T) {
+	b := with(t, testSettings(), 0, 1, 0)
+	e := b.path().endpoints[0]
+	for range 4 {
+		b.arrive(0)
+		s := b.sent[0]
+		b.sent = b.sent[1:]
+		b.step(Ended{Message: s.Message, Endpoint: s.Endpoint, Outcome: Reset, Stale: true})
+		if e.suspect || e.out || e.score > 0 {
+			t.Fatalf("a stale reset was held against the endpoint: %+v", e)
+		}
+		b.wait(backoffMax)
+		b.finish(Delivered, 0)
+	}
+	b.arrive(0)
+	b.finish(Reset, 0)
+	if !e.suspect || e.out {
+		t.Errorf("suspect %v, out %v after one reset, want a suspicion", e.suspect, e.out)
+	}
+	b.wait(backoffMax)
+	b.finish(Reset, 0)
+	if !e.out {
+		t.Error("not out after two resets in a row")
+	}
+}
+
 func TestUnsafeMessagesKeepOffSuspectEndpoints(t *testing.T) {
 	b := with(t, testSettings(), 0, 1, 0)
 	b.path().endpoints[0].suspect = true
