Module: a step looks at each held message once, not at all that are out for each

Seen: 0.96 s of CPU a second in Sender.Step with 700 messages open, limit 0.25 cores. Cause: policy.go dispatch called choose for every message of a destination that can take none, and each choose of a doubtful endpoint counted all open messages again (roomForDoubt, doubtful). Now room and doubts are counted once a look, and a younger message like one that found no way is not weighed again.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -308,16 +308,19 @@
 // that would lose most worth for the slot time it takes, if it had to wait.
 func (s *Sender) dispatch() {
 	for s.inFlight < s.set.Slots {
+		s.look++
 		var best *message
 		var at *endpoint
 		var bestScore float64
 		for _, m := range s.open {
-			if !s.ready(m) || !slices.ContainsFunc(m.dest.paths, s.hasRoom) || s.gathers(m) {
+			if !s.ready(m) || s.barred(m) || !s.hasWay(m.dest) || s.gathers(m) {
 				continue
 			}
 			if score := s.score(m); best == nil || score > bestScore {
 				if e := s.choose(m); e != nil {
 					best, at, bestScore = m, e, score
+				} else {
+					s.bar(m)
 				}
 			}
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,8 +35,11 @@
 	heardAt  Time          // when the last note came
 	toldAt   Time          // when the last note was told
 	longest  time.Duration // the longest time that a message may wait
-	inFlight int           // calls out
-	pace     float64       // how much slower than their own estimates all destinations answer of late
+	look     int           // numbers the looks at all messages, each before one send
+	doubtAt  int           // the look in which doubts were counted
+	doubts   int
+	inFlight int     // calls out
+	pace     float64 // how much slower than their own estimates all destinations answer of late
 }
 
 // New returns a sender that knows nothing but its settings. All its randomness
@@ -145,6 +148,11 @@
 type destination struct {
 	paths []*path
 	queue []*message // held, in order of arrival
+
+	// What was found in a look at all messages; see hasWay and barred.
+	roomAt, barredAt int
+	room             bool
+	barred           *message
 }
 
 // message is one message from its arrival until it has ended and no attempt
@@ -390,18 +398,48 @@
 }
 
 // doubtful counts the messages that are out to endpoints that are out, suspect or
-// stalled.
+// stalled. Within one look at all messages that does not change, so it is counted once.
 func (s *Sender) doubtful() int {
-	n := 0
-	for _, m := range s.open {
-		if m.call == nil {
-			continue
-		}
-		if e := m.call.endpoint; e.out || e.suspect || s.stalled(e) {
-			n++
+	if s.doubtAt == s.look {
+		return s.doubts
+	}
+	s.doubtAt, s.doubts = s.look, 0
+	for _, d := range s.ordered {
+		for _, p := range d.paths {
+			for _, e := range p.endpoints {
+				if len(e.calls) == 0 || !e.out && !e.suspect && !s.stalled(e) {
+					continue
+				}
+				for _, c := range e.calls {
+					s.doubts += c.left
+				}
+			}
 		}
 	}
-	return n
+	return s.doubts
+}
+
+// hasWay tells whether a destination has room for one more call, counted once a look.
+func (s *Sender) hasWay(d *destination) bool {
+	if d.roomAt != s.look {
+		d.roomAt, d.room = s.look, slices.ContainsFunc(d.paths, s.hasRoom)
+	}
+	return d.room
+}
+
+// barred tells that an older message like this one found no endpoint in this look: a
+// younger one has less to lose by waiting, so it finds none either. Hundreds wait in an
+// outage, and each would be weighed against all endpoints again and again.
+func (s *Sender) barred(m *message) bool {
+	d := m.dest
+	return !m.ran && d.barredAt == s.look && d.barred.class == m.class && d.barred.born <= m.born
+}
+
+// bar notes a message that found no endpoint.
+func (s *Sender) bar(m *message) {
+	if !m.ran {
+		m.dest.barredAt, m.dest.barred = s.look, m
+	}
 }
 
 // tag spreads the ids of endpoints over the tags.
