Growth: endpoints that are gone are let go of, in the node and in the module

Now each goes once no call, wait or window needs it. TestSenderLetsGoOfWhatIsGone fails without letGo (2400 endpoints kept). The random streams of rules_test.go caught one that came back as leaving with a new grace: an endpoint first heard of as leaving gets nothing in the module either.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -53,7 +53,9 @@
 type endpoint struct {
 	id     policy.EndpointID
 	name   string
-	addr   string // owned by the loop
+	addr   string // owned by the loop, like out and gone
+	out    int    // sends without an outcome
+	gone   bool   // discovery has it no more
 	dest   int
 	kind   int
 	zone   int
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -12,6 +12,10 @@
 // clockStart keeps the module's clock away from zero, which means 'never' to it.
 const clockStart = time.Hour
 
+// memoryTime is how long an endpoint of an earlier life may take to be listed again.
+// What was known of it is too old to count then.
+const memoryTime = time.Minute
+
 // loop owns the module: it hands in what has come, once a tick, and carries out
 // what the module wants, in order. It waits for nothing else.
 type loop struct {
@@ -68,6 +72,7 @@
 			if n := l.caller.spoilt.Swap(0); n > 0 {
 				l.log.Info("calls: answers that could not be read", "count", n)
 			}
+			l.letGo(now)
 			continue
 		case e := <-l.events:
 			l.take(e)
@@ -107,6 +112,9 @@
 		l.batch = append(l.batch, l.listed(e))
 		l.remind()
 	case policy.Ended:
+		if o := l.endpoints[e.Endpoint]; o != nil {
+			o.out--
+		}
 		if e.Final {
 			if m := l.held[e.Message]; m != nil {
 				l.forget(m)
@@ -197,12 +205,14 @@
 		}
 		named[id] = true
 		l.setLeaving(e, state != policy.Ready)
+		e.gone = state == policy.Gone
 		out.Entries = append(out.Entries, l.entry(e, m, state))
 	}
 	if in.Complete {
 		for id, e := range l.endpoints {
 			if !named[id] {
 				l.setLeaving(e, true)
+				e.gone = true
 			}
 		}
 	}
@@ -240,6 +250,29 @@
 // past turns a time of the wall clock into one of the module's.
 func (l *loop) past(t time.Time) policy.Time { return min(l.now(), l.now()-time.Since(t)) }
 
+// letGo forgets the endpoints that are gone, with their connections, once no call is
+// out to them; the gates of destinations without an endpoint, once their wait is over;
+// and what an earlier life knew of endpoints that did not come back.
+func (l *loop) letGo(now time.Time) {
+	listed := map[int]bool{}
+	for id, e := range l.endpoints {
+		if e.gone && e.out == 0 {
+			l.caller.pool.closeIdle(time.Time{}, e)
+			delete(l.endpoints, id)
+			continue
+		}
+		listed[e.dest] = true
+	}
+	for dest, g := range l.waits {
+		if !listed[dest] && g.open(now) {
+			delete(l.waits, dest)
+		}
+	}
+	if now.Sub(l.origin) > memoryTime {
+		clear(l.journal.memories)
+	}
+}
+
 // setLeaving closes an endpoint's gate within the grace after it was first told to
 // drain or to be gone, and after the module has ceased to send to it.
 func (l *loop) setLeaving(e *endpoint, leaves bool) {
@@ -269,6 +302,7 @@
 				open[a.Endpoint] = k
 				calls = append(calls, k)
 			}
+			e.out++
 			k.parts = append(k.parts, &part{message: m, timeout: a.Timeout})
 			k.limit = max(k.limit, a.Timeout)
 		case policy.Refuse:
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -70,3 +70,64 @@
 		t.Errorf("another call: %+v", <-calls)
 	}
 }
+
+// What is gone is forgotten, with its connections, but not while a call is out; one
+// that comes back as leaving brings no new grace; and a new endpoint at the old
+// address gets none of the old one's connections or waits.
+func TestEndpointsThatAreGoneAreForgotten(t *testing.T) {
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		_, _ = io.Copy(io.Discard, conn) // until the other side closes
+	})
+	j, _ := mustOpen(t, t.TempDir(), minDisk)
+	settings := policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: time.Second}
+	l := &loop{settings: settings, log: quietLog(), journal: j, origin: time.Now(),
+		names:     names{kinds: map[string]int{"general": 0}, zones: map[string]int{"a": 0}},
+		intake:    &intake{held: map[string]bool{}},
+		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
+	l.caller = newCaller(Config{Settings: settings, IdleClose: time.Minute}, j, quietLog(), func(policy.Event) {})
+	entry := func(id string, cell int, phase string) list {
+		return list{Members: []member{{ID: id, HostPort: addr, Locality: "a", Flavor: "general", Cell: cell, Phase: phase}}}
+	}
+	keep := func(e *endpoint) {
+		conn, err := l.caller.dialer.Dial("tcp", addr)
+		must(t, err)
+		l.caller.pool.put(newConnection(conn, e, addr))
+	}
+	j.remember("of an earlier life")
+	now := time.Now()
+	for i := range 500 {
+		name := fmt.Sprint("s", i)
+		l.take(entry(name, i%5, "active"))
+		e := l.endpoints[policy.EndpointID(hash(name))]
+		if l.caller.pool.get(e, addr, now.Add(-time.Minute)) != nil {
+			t.Fatal("a new endpoint got the connection of an old one")
+		}
+		keep(e)
+		e.out++
+		l.take(entry(name, i%5, "left"))
+		l.letGo(now)
+		if l.endpoints[e.id] == nil {
+			t.Fatal("forgotten with a call out")
+		}
+		l.take(policy.Ended{Endpoint: e.id})
+		l.letGo(now)
+		before := len(l.batch)
+		l.take(entry(name, i%5, "leaving"))
+		if l.endpoints[e.id] != nil || len(l.batch[before].(policy.Listed).Entries) != 0 {
+			t.Fatal("an endpoint that was gone got a new grace")
+		}
+		l.batch = l.batch[:0]
+	}
+	l.waits[9] = &gate{}
+	l.waits[9].wait(now.Add(time.Minute))
+	l.letGo(now.Add(30 * time.Second))
+	if len(l.endpoints) != 0 || len(l.waits) != 1 || len(l.caller.pool.idle) != 0 || len(j.memories) != 1 {
+		t.Errorf("kept: %d endpoints, %d waits, %d connections, %d memories; want 0, 1, 0, 1",
+			len(l.endpoints), len(l.waits), len(l.caller.pool.idle), len(j.memories))
+	}
+	l.letGo(now.Add(2 * time.Minute))
+	if len(l.waits) != 0 || len(j.memories) != 0 {
+		t.Errorf("%d waits and %d memories are left when both are over", len(l.waits), len(j.memories))
+	}
+}
--- /dev/null
+++ b/policy/growth_test.go
@@ -0,0 +1,70 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// A day on which every endpoint is replaced again and again, and destinations come
+// and go: what a sender keeps must follow what there is, not what there was.
+func TestSenderLetsGoOfWhatIsGone(t *testing.T) {
+	set := Settings{Senders: 2, Slots: 8, MaxHeld: 100, MaxAttempts: 6, Tick: 5 * time.Millisecond,
+		DrainGrace: time.Second, ColdShare: 0.2, WarmUp: 14 * time.Second, FallMultiple: 2, FallWindow: 1500 * time.Millisecond,
+		Kinds: []Kind{{RoutesApart: true, BundleMax: 5}, {BundleMax: 1}},
+		Classes: []Class{{Repeat: Deduplicated, GroupZone: true, Window: 5 * time.Second, Aim: 3 * time.Second,
+			Deadline: 12 * time.Second, Worth: 1, LateWorth: 0.5}}}
+	s := New(set, 1)
+	now, last := Time(time.Hour), 0
+	var id EndpointID
+	var seq MessageID
+	var actions []Action
+	var events []Event
+	for generation := range 300 {
+		var entries []Entry
+		for dest := range 8 {
+			id++
+			// Every destination changes its number over time, too.
+			entries = append(entries, Entry{Endpoint: id, Destination: dest + 8*(generation/50), Kind: dest % 2, State: Ready, Rate: 5})
+		}
+		events = append(events, Listed{Whole: true, Entries: entries})
+		for range 100 {
+			seq++
+			if seq%20 == 0 {
+				events = append(events, Arrived{Message: seq, Destination: 8*(generation/50) + int(seq/20%8), GiveUpAt: now + 12*time.Second})
+			}
+			actions = s.Step(now, events, actions[:0])
+			events = events[:0]
+			now += 10 * time.Millisecond
+			for _, a := range actions {
+				if send, ok := a.(Send); ok {
+					events = append(events, Ended{Message: send.Message, Endpoint: send.Endpoint, Outcome: Delivered, Final: true, Took: 10 * time.Millisecond})
+				}
+			}
+		}
+		if generation == 100 {
+			last = len(s.endpoints)
+		}
+	}
+	paths := 0
+	for _, d := range s.ordered {
+		paths += len(d.paths)
+		for _, p := range d.paths {
+			for _, e := range p.endpoints {
+				if len(e.cold.times) > 1 {
+					t.Fatalf("the cold log of an endpoint holds %d entries", len(e.cold.times))
+				}
+			}
+		}
+	}
+	// 8 each second, kept for as long as a message may wait.
+	const most = 8 * 16
+	if n := len(s.endpoints); n > most || n > last+8 || len(s.tags) > n || paths > most {
+		t.Errorf("%d endpoints (%d after a third), %d tags and %d paths are kept of 2400, want %d at most", n, last, len(s.tags), paths, most)
+	}
+	if n := len(s.ordered); n > 24 || len(s.dests) != n {
+		t.Errorf("%d destinations in order and %d by number are kept of 48, want 24 at most", n, len(s.dests))
+	}
+	if len(s.messages) > set.MaxHeld || last == 0 {
+		t.Errorf("%d messages are kept", len(s.messages))
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -135,6 +135,7 @@
 			}
 		}
 	}
+	s.letGo()
 	if hearsay {
 		actions, s.out = s.out, nil
 		return actions
@@ -524,7 +525,7 @@
 		s.take(best, c)
 	}
 	e.phase = s.drawPhase() * bundleWork(c.size)
-	e.cold.record(s.now)
+	e.cold.only(s.now)
 	var timeout time.Duration // one fate, so one time-out
 	for _, n := range bundle {
 		timeout = max(timeout, s.timeout(e, n, c.size))
--- a/policy/state.go
+++ b/policy/state.go
@@ -10,6 +10,9 @@
 // This file holds what a sender remembers and the plain handling of it. It
 // decides nothing: see policy.go.
 
+// sweepGap is how often a sender looks for what it can let go of.
+const sweepGap = time.Second
+
 // Sender decides for one node. It is not safe for concurrent use.
 type Sender struct {
 	set   Settings
@@ -35,6 +38,7 @@
 	heardAt  Time          // when the last note came
 	toldAt   Time          // when the last note was told
 	longest  time.Duration // the longest time that a message may wait
+	sweepAt  Time          // when to look again for what can be let go of
 	look     int           // numbers the looks at all messages, each before one send
 	doubtAt  int           // the look in which doubts were counted
 	doubts   int
@@ -65,6 +69,9 @@
 	times  []Time
 }
 
+// only keeps one entry, for a log that is asked for its last one alone.
+func (l *sendLog) only(now Time) { l.times = append(l.times[:0], now) }
+
 // count drops the entries that are a window old and tells how many are left.
 // The last one is kept beside the count, for a window that stretches later.
 func (l *sendLog) count(now Time) int {
@@ -146,8 +153,11 @@
 
 // destination has the held messages of its paths.
 type destination struct {
-	paths []*path
-	queue []*message // held, in order of arrival
+	number int
+	paths  []*path
+	queue  []*message // held, in order of arrival
+	owed   int        // messages that are not forgotten
+	goneAt Time       // when its last endpoint was let go of
 
 	// What was found in a look at all messages; see hasWay and barred.
 	roomAt, barredAt int
@@ -227,7 +237,7 @@
 // counted takes a note that all hear at once as a call, for a time that differs.
 func (s *Sender) counted(e *endpoint) {
 	e.phase = s.rng.Float64()
-	e.cold.record(s.now)
+	e.cold.only(s.now)
 }
 
 func (p *path) readyEndpoints() int {
@@ -243,7 +253,7 @@
 func (s *Sender) destination(n int) *destination {
 	d := s.dests[n]
 	if d == nil {
-		d = &destination{}
+		d = &destination{number: n, goneAt: s.now}
 		s.dests[n] = d
 		s.ordered = append(s.ordered, d)
 	}
@@ -263,6 +273,7 @@
 
 func (s *Sender) forget(m *message) {
 	delete(s.messages, m.id)
+	m.dest.owed--
 	if m.turn != nil {
 		m.turn.line = remove(m.turn.line, m)
 	}
@@ -292,7 +303,8 @@
 		named[entry.Endpoint] = true
 		e := s.endpoints[entry.Endpoint]
 		if e == nil {
-			if entry.State == Gone {
+			if entry.State != Ready {
+				// Its grace may have run before it was let go of, or in an earlier life.
 				continue
 			}
 			e = s.addEndpoint(entry)
@@ -313,6 +325,43 @@
 	}
 }
 
+// letGo forgets endpoints that are gone. Each is kept while a call is out to it, and
+// for the longest time that a message may wait: until then a new endpoint beside it
+// may be the cold replacement of one that was out. With the last endpoint of a route
+// apart goes its path; a shared path stays with its destination, which goes when it
+// has had no endpoint and no message for as long again as its logs may look back.
+func (s *Sender) letGo() {
+	if s.now < s.sweepAt {
+		return
+	}
+	s.sweepAt = s.now + sweepGap
+	left := func(e *endpoint) bool {
+		gone := e.state == Gone && len(e.calls) == 0 && s.now-e.told >= s.longest
+		if gone {
+			delete(s.endpoints, e.id)
+			if t := e.id.tag(); s.tags[t] == e {
+				delete(s.tags, t)
+			}
+			e.path.dest.goneAt = s.now
+		}
+		return gone
+	}
+	for _, d := range s.ordered {
+		for _, p := range d.paths {
+			p.endpoints = slices.DeleteFunc(p.endpoints, left)
+		}
+		d.paths = slices.DeleteFunc(d.paths, func(p *path) bool { return p.kind.RoutesApart && len(p.endpoints) == 0 })
+	}
+	s.ordered = slices.DeleteFunc(s.ordered, func(d *destination) bool {
+		listed := slices.ContainsFunc(d.paths, func(p *path) bool { return len(p.endpoints) > 0 })
+		gone := !listed && d.owed == 0 && s.now-d.goneAt >= time.Duration(s.set.Senders)*2*wideWindow
+		if gone {
+			delete(s.dests, d.number)
+		}
+		return gone
+	})
+}
+
 func (s *Sender) setState(e *endpoint, state EndpointState) {
 	if state == Ready || e.state == Ready {
 		e.told = s.now
@@ -328,6 +377,7 @@
 		attempts: a.Past.Attempts, ran: a.Past.MayRun, settled: a.Past.MayRun,
 		ranAt: a.Past.RanAt, ranZone: a.Past.RanZone}
 	s.messages[m.id] = m
+	m.dest.owed++
 	s.open = append(s.open, m)
 	m.dest.queue = append(m.dest.queue, m)
 	if class.Ordered && a.Key != 0 {
