Intake: destinations and times that nobody knows are not taken on

Cause, from reading: intake.go took any 16-bit number for a destination and time-outs of up to 24 h; such a message is held until its time is up, and counts as a bad client left with neither error nor close. Now a destination must be one that discovery names, or named in the last 10 minutes (one may have no endpoint for a while); before discovery has told anything in this life the client is asked to come again, and a node that knows of no endpoint at all is not ready. Time-outs go to the class's deadline and 1 s.

--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -184,3 +184,62 @@
 		t.Errorf("answered %d on the same connection", got)
 	}
 }
+
+// Destinations and times that the settings and discovery don't know are not taken on;
+// before discovery has told anything, the client is asked to come again.
+func TestUnknownDestinations(t *testing.T) {
+	var accepted []*message
+	in := newIntake(t, &accepted)
+	in.maxHeld = 10
+	l := clientRig(t, in, 8)
+	ask := func(id, from, to string) int {
+		t.Helper()
+		c := dialClient(t, l)
+		_, err := io.WriteString(c, strings.Replace(rawNote(id, noteLength)+"body", from, to, 1))
+		must(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		must(t, err)
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	for name, c := range map[string]struct {
+		from, to string
+		told     bool
+		want     int
+	}{
+		"known":           {"", "", true, http.StatusAccepted},
+		"unknown":         {"dest=7", "dest=8", true, http.StatusNotFound},
+		"not told":        {"dest=7", "dest=8", false, http.StatusServiceUnavailable},
+		"known of old":    {"", "", false, http.StatusAccepted},
+		"a day":           {"5000", "86400000", true, http.StatusBadRequest},
+		"negative number": {"dest=7", "dest=-7", true, http.StatusBadRequest},
+	} {
+		in.setDestinations(map[int]bool{7: true}, c.told)
+		if got := ask(strings.ReplaceAll(name, " ", "-"), c.from, c.to); got != c.want {
+			t.Errorf("%s: answered %d, want %d", name, got, c.want)
+		}
+	}
+	if n := in.count(); n != 2 {
+		t.Errorf("%d messages are held, want the two good ones", n)
+	}
+}
+
+// A node that knows of no endpoint is not ready; one that knows an old list is.
+func TestReadyWhenEndpointsAreKnown(t *testing.T) {
+	var accepted []*message
+	in := newIntake(t, &accepted)
+	l := clientRig(t, in, 8)
+	for _, c := range []struct {
+		dests map[int]bool
+		told  bool
+		want  int
+	}{{nil, false, 503}, {map[int]bool{7: true}, false, 200}, {nil, true, 200}} {
+		in.setDestinations(c.dests, c.told)
+		resp, err := http.Get("http://" + l.Addr().String() + "/healthz")
+		must(t, err)
+		_ = resp.Body.Close()
+		if resp.StatusCode != c.want {
+			t.Errorf("destinations %v, told %v: answered %s, want %d", c.dests, c.told, resp.Status, c.want)
+		}
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -27,6 +27,7 @@
 	Revision int64    `json:"revision"`
 	Complete bool     `json:"complete"`
 	Members  []member `json:"members"`
+	fresh    bool     // told by discovery, in this life of the node
 }
 
 // member is one endpoint in a list.
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -10,14 +10,16 @@
 	"strings"
 	"sync"
 	"time"
+
+	"wingmount/policy"
 )
 
 const (
 	maxID = 256
 	// fullRetry is what a client is told that finds the hold full.
 	fullRetry = time.Second
-	// maxTimeout bounds what a client may ask for.
-	maxTimeout = 24 * time.Hour
+	// timeoutSlack is what a client may ask for beyond its class's deadline.
+	timeoutSlack = time.Second
 	// A refused body is read for so long, and so far, after the answer.
 	lingerTime  = time.Second
 	lingerBytes = 64 << 20
@@ -27,7 +29,7 @@
 // answered, and from then on the node owes its end.
 type intake struct {
 	names   names
-	keyed   []bool // per class: a message needs a key
+	classes []policy.Class
 	journal *journal
 	log     *slog.Logger
 	maxHeld int
@@ -37,6 +39,8 @@
 	held    map[string]bool // ids of messages that have not ended; true once taken
 	closing bool            // answers close their connections
 	refuse  bool            // nothing is taken any more
+	dests   map[int]bool    // the destinations that there are
+	told    bool            // discovery has told of them in this life
 }
 
 // badRequest is a fault of the client.
@@ -62,6 +66,10 @@
 			in.turnAway(w, "stopping")
 			return
 		}
+		if !in.informed() {
+			in.turnAway(w, "no endpoints are known yet")
+			return
+		}
 		_, _ = io.WriteString(w, "ok\n") // a client that has gone needs no answer
 		return
 	}
@@ -70,6 +78,14 @@
 		in.reject(w, r, err)
 		return
 	}
+	if there, sure := in.knows(m.dest); !there {
+		if sure {
+			in.reject(w, r, badRequest{http.StatusNotFound, "no such destination"})
+		} else {
+			in.turnAway(w, "the destination is not known yet")
+		}
+		return
+	}
 	// A context that has ended may mean a client that has only closed its sending
 	// side and waits for the answer, so it is not asked here.
 	again, ok := in.reserve(m.id)
@@ -152,15 +168,16 @@
 	if r.Header.Get("X-Priority-Class") != name {
 		return nil, bad("X-Priority-Class must name the class of the path")
 	}
+	k := in.classes[class]
 	m := &message{id: r.Header.Get("X-Request-ID"), key: r.Header.Get("Idempotency-Key"), class: class}
 	if !validWord(m.id) {
 		return nil, bad("X-Request-ID is missing or malformed")
 	}
-	if in.keyed[class] && m.key == "" || m.key != "" && !validWord(m.key) {
+	if k.Repeat == policy.Deduplicated && m.key == "" || m.key != "" && !validWord(m.key) {
 		return nil, bad("Idempotency-Key is missing or malformed")
 	}
 	ms, err := strconv.ParseInt(r.Header.Get("X-Timeout-Ms"), 10, 64)
-	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+	if err != nil || ms <= 0 || ms > (k.Deadline+timeoutSlack).Milliseconds() {
 		return nil, bad("X-Timeout-Ms is missing or malformed")
 	}
 	m.deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
@@ -213,6 +230,27 @@
 	return false, true
 }
 
+// setDestinations tells which destinations there are, and whether discovery has told
+// of them in this life of the node.
+func (in *intake) setDestinations(dests map[int]bool, told bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.dests, in.told = dests, told
+}
+
+func (in *intake) knows(dest int) (there, sure bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.dests[dest], in.told
+}
+
+// informed tells that messages can be told from those for nowhere.
+func (in *intake) informed() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.told || len(in.dests) > 0
+}
+
 // taken tells that the journal has a message; one of an earlier life may come so.
 func (in *intake) taken(id string) {
 	in.mu.Lock()
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"wingmount/policy"
 )
@@ -13,7 +14,8 @@
 // newIntake has one keyed class and remembers what it accepts.
 func newIntake(t *testing.T, accepted *[]*message) *intake {
 	j, _ := mustOpen(t, t.TempDir(), minDisk)
-	return &intake{names: names{classes: map[string]int{"note": 0}}, keyed: []bool{true}, journal: j,
+	return &intake{names: names{classes: map[string]int{"note": 0}}, journal: j,
+		classes: []policy.Class{{Repeat: policy.Deduplicated, Deadline: 28 * time.Second}}, dests: map[int]bool{7: true}, told: true,
 		log: quietLog(), maxHeld: 2, held: map[string]bool{}, accept: func(m *message) { *accepted = append(*accepted, m) }}
 }
 
@@ -62,7 +64,7 @@
 func TestListsThatMakeNoSense(t *testing.T) {
 	l := &loop{names: names{kinds: map[string]int{"general": 0}, zones: map[string]int{"a": 0}}, log: quietLog(),
 		settings: policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: 1},
-		journal:  &journal{}, endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
+		journal:  &journal{}, endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}, dests: map[int]time.Time{}}
 	entry := func(id, phase string) member {
 		return member{ID: id, HostPort: "127.0.0.1:1", Locality: "a", Flavor: "general", Cell: 3, Phase: phase, Size: 1}
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -12,6 +12,10 @@
 // clockStart keeps the module's clock away from zero, which means 'never' to it.
 const clockStart = time.Hour
 
+// destinationTime is how long a destination without any endpoint stays one: its
+// messages are held, and given up in their own time.
+const destinationTime = 10 * time.Minute
+
 // memoryTime is how long an endpoint of an earlier life may take to be listed again.
 // What was known of it is too old to count then.
 const memoryTime = time.Minute
@@ -34,7 +38,9 @@
 	quieted   chan struct{} // closed when no call is started any more
 	held      map[policy.MessageID]*message
 	endpoints map[policy.EndpointID]*endpoint
-	waits     map[int]*gate // by destination, where routes share a limit
+	waits     map[int]*gate     // by destination, where routes share a limit
+	dests     map[int]time.Time // when each destination was last seen to have an endpoint
+	told      bool              // discovery has told the whole list
 	batch     []policy.Event
 	actions   []policy.Action
 	quiet     bool // no call is started any more
@@ -110,6 +116,8 @@
 		l.batch = append(l.batch, l.arrived(e))
 	case list:
 		l.batch = append(l.batch, l.listed(e))
+		l.told = l.told || e.fresh
+		l.publish(time.Now())
 		l.remind()
 	case policy.Ended:
 		if o := l.endpoints[e.Endpoint]; o != nil {
@@ -250,6 +258,25 @@
 // past turns a time of the wall clock into one of the module's.
 func (l *loop) past(t time.Time) policy.Time { return min(l.now(), l.now()-time.Since(t)) }
 
+// publish tells the intake which destinations there are: those that have an endpoint,
+// or had one of late, since one may have none for a while.
+func (l *loop) publish(now time.Time) {
+	for _, e := range l.endpoints {
+		if !e.gone {
+			l.dests[e.dest] = now
+		}
+	}
+	known := make(map[int]bool, len(l.dests))
+	for d, seen := range l.dests {
+		if now.Sub(seen) > destinationTime {
+			delete(l.dests, d)
+			continue
+		}
+		known[d] = true
+	}
+	l.intake.setDestinations(known, l.told)
+}
+
 // letGo forgets the endpoints that are gone, with their connections, once no call is
 // out to them; the gates of destinations without an endpoint, once their wait is over;
 // and what an earlier life knew of endpoints that did not come back.
@@ -268,6 +295,7 @@
 			delete(l.waits, dest)
 		}
 	}
+	l.publish(now)
 	if now.Sub(l.origin) > memoryTime {
 		clear(l.journal.memories)
 	}
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -38,7 +38,7 @@
 	l := &loop{sender: policy.New(settings, 1), settings: settings, log: quietLog(), journal: j, origin: time.Now(),
 		names: names{kinds: map[string]int{"major": 0}, zones: map[string]int{"a": 0}}, finals: newFinals("127.0.0.1:1", j, quietLog()),
 		intake: &intake{held: map[string]bool{}}, held: map[policy.MessageID]*message{},
-		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
+		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}, dests: map[int]time.Time{}}
 	outcomes := make(chan policy.Event, 8)
 	l.caller = newCaller(Config{Settings: settings, IdleClose: time.Minute}, j, quietLog(), func(e policy.Event) { outcomes <- e })
 	l.take(list{Complete: true, Members: []member{{ID: "s1", HostPort: addr, Locality: "a", Flavor: "major", Cell: 7, Phase: "active"}}})
@@ -84,7 +84,7 @@
 	l := &loop{settings: settings, log: quietLog(), journal: j, origin: time.Now(),
 		names:     names{kinds: map[string]int{"general": 0}, zones: map[string]int{"a": 0}},
 		intake:    &intake{held: map[string]bool{}},
-		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}}
+		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{}, dests: map[int]time.Time{}}
 	l.caller = newCaller(Config{Settings: settings, IdleClose: time.Minute}, j, quietLog(), func(policy.Event) {})
 	entry := func(id string, cell int, phase string) list {
 		return list{Members: []member{{ID: id, HostPort: addr, Locality: "a", Flavor: "general", Cell: cell, Phase: phase}}}
@@ -126,7 +126,13 @@
 		t.Errorf("kept: %d endpoints, %d waits, %d connections, %d memories; want 0, 1, 0, 1",
 			len(l.endpoints), len(l.waits), len(l.caller.pool.idle), len(j.memories))
 	}
-	l.letGo(now.Add(2 * time.Minute))
+	if there, _ := l.intake.knows(3); !there {
+		t.Error("a destination without endpoints just now is not known any more")
+	}
+	l.letGo(now.Add(destinationTime + time.Minute))
+	if there, _ := l.intake.knows(3); there || len(l.dests) != 0 {
+		t.Error("a destination without endpoints for long is known still")
+	}
 	if len(l.waits) != 0 || len(j.memories) != 0 {
 		t.Errorf("%d waits and %d memories are left when both are over", len(l.waits), len(j.memories))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,16 +93,15 @@
 		return errors.Join(fmt.Errorf("listening for clients: %w", err), j.close())
 	}
 	listener = newClientListener(listener, clientSockets(c.Sockets))
-	in := &intake{names: c.Names, journal: j, log: log, maxHeld: c.Settings.MaxHeld, held: map[string]bool{}}
-	for _, k := range c.Settings.Classes {
-		in.keyed = append(in.keyed, k.Repeat == policy.Deduplicated)
-	}
+	in := &intake{names: c.Names, journal: j, log: log, maxHeld: c.Settings.MaxHeld, held: map[string]bool{},
+		classes: c.Settings.Classes}
 	l := &loop{
 		sender: policy.New(c.Settings, c.Seed), settings: c.Settings, names: c.Names, log: log,
 		journal: j, finals: newFinals(c.Discovery, j, log), intake: in, origin: time.Now(),
 		events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
 		held:      map[policy.MessageID]*message{},
 		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
+		dests: map[int]time.Time{},
 	}
 	l.caller = newCaller(c, j, log, func(e policy.Event) { l.post(e) })
 	in.accept = func(m *message) { l.post(m) }
@@ -118,7 +117,10 @@
 	quiet := make(chan struct{})
 	running.Go(func() { l.run(life, quiet) })
 	running.Go(func() { l.finals.run(life) })
-	directory := newDiscovery(c.Discovery, log, func(in list) { l.post(in) })
+	directory := newDiscovery(c.Discovery, log, func(in list) {
+		in.fresh = true
+		l.post(in)
+	})
 	running.Go(func() { directory.run(life) })
 	if l.peers != nil {
 		running.Go(func() { l.peers.run(life) })
