Clients: a connection that gives way gives its place back at once

Seen: TestSilentAndIdleClientsGiveWay found 9 of 8 connections counted: the newcomer was counted before the one that gave way was closed. Now both happen under the lock.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// victim takes the connection that is missed least out of its list.
+// victim gives the place of the connection that is missed least away.
 func (l *clientListener) victim() *clientConn {
 	e := l.silent.Front()
 	if e == nil || time.Since(e.Value.(*clientConn).since) < freshClient && l.idle.Len() > 0 {
@@ -92,7 +92,7 @@
 		return nil
 	}
 	c := e.Value.(*clientConn)
-	c.move(nil)
+	c.release()
 	return c
 }
 
@@ -121,7 +121,7 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.owner.mu.Lock()
-		c.move(nil)
+		c.move(nil) // a request is open
 		c.owner.mu.Unlock()
 	}
 	return n, err
@@ -146,11 +146,15 @@
 // Close gives the connection's place back, once.
 func (c *clientConn) Close() error {
 	c.owner.mu.Lock()
+	c.release()
+	c.owner.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (c *clientConn) release() {
 	if !c.closed {
 		c.closed = true
 		c.owner.count--
 		c.move(nil)
 	}
-	c.owner.mu.Unlock()
-	return c.Conn.Close()
 }
