--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"wingmount/internal/node"
+	"wingmount/internal/platform"
 )
 
 func main() {
@@ -30,9 +31,9 @@
 }
 
 func run(ctx context.Context, reload <-chan os.Signal, log *slog.Logger) error {
-	c, err := node.LoadConfig(os.Getenv)
+	c, err := platform.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
-	return node.Run(ctx, c, node.Reload{Signals: reload, Load: func() (node.Config, error) { return node.LoadConfig(os.Getenv) }}, log)
+	return node.Run(ctx, c, node.Reload{Signals: reload, Load: func() (platform.Config, error) { return platform.LoadConfig(os.Getenv) }}, log)
 }
--- /dev/null
+++ b/internal/carrier/carrier.go
@@ -0,0 +1,156 @@
+// Package carrier has what all ways out share: what a call is, the gates that bind it
+// until its first byte, and the recording and telling of its outcomes.
+//
+// A carrier makes one call in one attempt. It asks [Recorder.Begin] right before the
+// first byte and ends each message of the call exactly once by [Recorder.Finish], also
+// when several of its goroutines try.
+package carrier
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/policy"
+)
+
+// MaxWait is the longest told wait that is believed: no destination stays shut for so
+// long, and one bad figure must not close it for days.
+const MaxWait = 5 * time.Minute
+
+// ErrClosed says that an endpoint drains, is gone or has told a wait.
+var ErrClosed = errors.New("the endpoint is closed to calls")
+
+// Gate says from when, or until when, nothing may be sent. The module keeps both
+// rules; the gate is for a call that it sent before it was told and that is
+// dialling still: what counts is when its bytes go out. The zero Gate is open. It is
+// safe for concurrent use.
+type Gate struct {
+	closedFrom  atomic.Int64 // Unix nanoseconds, 0 for never
+	closedUntil atomic.Int64
+}
+
+// Open tells whether something may be sent at a time.
+func (g *Gate) Open(now time.Time) bool {
+	from := g.closedFrom.Load()
+	return (from == 0 || now.UnixNano() < from) && now.UnixNano() >= g.closedUntil.Load()
+}
+
+// Wait closes the gate until a time, or longer if it is closed for longer.
+func (g *Gate) Wait(until time.Time) {
+	for {
+		old := g.closedUntil.Load()
+		if old >= until.UnixNano() || g.closedUntil.CompareAndSwap(old, until.UnixNano()) {
+			return
+		}
+	}
+}
+
+// CloseFrom closes the gate for good from a time on, unless it was told an earlier one.
+func (g *Gate) CloseFrom(at time.Time) { g.closedFrom.CompareAndSwap(0, at.UnixNano()) }
+
+// Closing tells that a time to close from was told.
+func (g *Gate) Closing() bool { return g.closedFrom.Load() != 0 }
+
+// Reopen takes back what CloseFrom told.
+func (g *Gate) Reopen() { g.closedFrom.Store(0) }
+
+// Endpoint is one address of a destination. Its fields never change.
+type Endpoint struct {
+	ID     policy.EndpointID
+	Name   string // the directory's name for it
+	Dest   int    // number of its destination
+	Kind   int    // index into the settings' kinds
+	Zone   int    // index into the settings' zones
+	Leaves *Gate  // that it drains or is gone
+	Waits  *Gate  // of its route, or of its destination where routes share a limit
+}
+
+// Part is one message of a call.
+type Part struct {
+	Message *message.Message
+	Attempt int           // its number, from 0
+	Timeout time.Duration // from the start of the call
+
+	over bool // its outcome has been told; guarded by the call
+}
+
+// Call is one call to an endpoint: one message, or several in a bundle.
+type Call struct {
+	Endpoint *Endpoint
+	Addr     string // HOST:PORT
+	Started  time.Time
+	Limit    time.Duration // from Started, the longest time-out of its parts
+	Parts    []*Part
+
+	mu sync.Mutex
+}
+
+// Recorder puts on record what becomes of calls and tells it. It is safe for
+// concurrent use.
+type Recorder struct {
+	Store store.Store
+	Log   *slog.Logger
+	Tell  func(policy.Event) // never called twice for one part
+}
+
+// Open tells whether a call may be sent now: what was told since the module's decision
+// binds it too.
+func (k *Call) Open(now time.Time) bool {
+	return k.Endpoint.Leaves.Open(now) && k.Endpoint.Waits.Open(now)
+}
+
+// Begin puts the attempts of a call on record. Only when it returns nil may the first
+// byte go out, and at once. It fails with [ErrClosed] when the call may not be sent any
+// more, also when that was told while the store was at it.
+func (r *Recorder) Begin(ctx context.Context, k *Call) error {
+	now := time.Now()
+	if !k.Open(now) {
+		return ErrClosed
+	}
+	ms := make([]*message.Message, len(k.Parts))
+	for i, p := range k.Parts {
+		ms[i] = p.Message
+	}
+	a := store.Attempt{Endpoint: k.Endpoint.Name, Zone: k.Endpoint.Zone, At: now, Messages: ms}
+	if err := r.Store.Attempt(ctx, a); err != nil {
+		return err
+	}
+	now = time.Now()
+	if !k.Open(now) {
+		return ErrClosed
+	}
+	// A store may have taken its time: the key's window ends for the first byte.
+	for _, m := range ms {
+		if m.Window > 0 && m.Past.MayRun && !now.Before(m.Past.RanAt.Add(m.Window)) {
+			return store.ErrForgotten
+		}
+	}
+	return nil
+}
+
+// Finish puts the outcome of one message on record and tells it, once. Message, Attempt,
+// Endpoint and Took of the event are filled in.
+func (r *Recorder) Finish(k *Call, p *Part, e policy.Ended) {
+	k.mu.Lock()
+	first := !p.over
+	p.over = true
+	k.mu.Unlock()
+	if !first {
+		return
+	}
+	o := store.Outcome{Message: p.Message, Outcome: e.Outcome, Endpoint: k.Endpoint.Name, At: time.Now(), Over: e.Final}
+	// Not the call's context: the outcome is known, and goes on record after the call's
+	// time is up as well.
+	if err := r.Store.Outcome(context.Background(), o); err != nil {
+		// The attempt alone is on record then: after a restart it may have run.
+		r.Log.Error("store: outcome", "id", p.Message.ID, "err", err)
+	}
+	e.Message, e.Attempt, e.Endpoint, e.Took = p.Message.Seq, p.Attempt, k.Endpoint.ID, time.Since(k.Started)
+	r.Tell(e)
+}
--- /dev/null
+++ b/internal/carrier/http1/calls.go
@@ -0,0 +1,354 @@
+// Package http1 carries messages to partners over HTTP/1.1, one call at a time on a
+// connection. A call is never sent again unseen: a connection belongs to its call while
+// it lasts, and only a call of which not every byte was written goes on over another.
+package http1
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wingmount/internal/carrier"
+	"wingmount/policy"
+)
+
+const (
+	waitHeader = "X-Backoff-Ms"
+	// maxUnsent is over how many connections one attempt is tried, while each breaks
+	// before the call is written whole.
+	maxUnsent = 3
+)
+
+// Config is what a carrier is told.
+type Config struct {
+	// ConnectTimeout is when an attempt without a connection is unreachable; 1 s if 0.
+	ConnectTimeout time.Duration
+	// IdleClose is when endpoints close idle connections at the latest.
+	IdleClose time.Duration
+	// MaxIdle is how many idle connections are kept to all endpoints together; as many
+	// as to one of them at least.
+	MaxIdle int
+}
+
+// Carrier makes calls, each in a goroutine of its own. It is safe for concurrent use.
+type Carrier struct {
+	dialer  net.Dialer
+	pool    pool
+	record  *carrier.Recorder
+	log     *slog.Logger
+	idle    time.Duration
+	running sync.WaitGroup
+	spoilt  atomic.Int64 // answers since this was last told
+}
+
+// New returns a carrier that records and tells the outcomes of its calls by a recorder.
+func New(c Config, record *carrier.Recorder, log *slog.Logger) *Carrier {
+	connect := c.ConnectTimeout
+	if connect <= 0 {
+		connect = time.Second
+	}
+	return &Carrier{record: record, log: log,
+		dialer: net.Dialer{Timeout: connect, KeepAlive: -1},
+		pool:   pool{limit: max(maxIdle, c.MaxIdle)},
+		// An endpoint closes an idle connection some time before the settings' limit
+		// at the latest; a request on its way then would end as a reset.
+		idle: c.IdleClose * 4 / 5}
+}
+
+// Start makes a call in the background. Every part of it gets one outcome.
+func (c *Carrier) Start(ctx context.Context, k *carrier.Call) {
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		c.run(ctx, k)
+	}()
+}
+
+// Wait waits for the calls that are out. None may be started any more.
+func (c *Carrier) Wait() { c.running.Wait() }
+
+// CloseIdle closes the idle connections to an endpoint.
+func (c *Carrier) CloseIdle(e *carrier.Endpoint) { c.pool.closeIdle(time.Time{}, e) }
+
+// Tidy closes what has been idle for too long. It is called about once a second.
+func (c *Carrier) Tidy(now time.Time) {
+	c.pool.closeIdle(now.Add(-c.idle), nil)
+	if n := c.spoilt.Swap(0); n > 0 {
+		c.log.Info("calls: answers that could not be read", "count", n)
+	}
+}
+
+func (c *Carrier) run(ctx context.Context, k *carrier.Call) {
+	ctx, cancel := context.WithDeadline(ctx, k.Started.Add(k.Limit))
+	defer cancel()
+	var (
+		conn *connection
+		a    answer
+		ends map[string]itemEnd
+		err  error
+	)
+	for try := range maxUnsent {
+		if conn, err = c.connection(ctx, k, try > 0); err != nil {
+			c.log.Debug("call: no connection", "endpoint", k.Endpoint.Name, "err", err)
+			c.endAll(k, policy.Unreachable, 0, false)
+			return
+		}
+		// What was told since the module's decision binds this call too: nothing of
+		// it has been sent.
+		if !c.ready(ctx, k, try == 0) {
+			c.pool.put(conn)
+			c.endAll(k, policy.Moot, 0, false)
+			return
+		}
+		if try == 0 {
+			defer c.endEarly(k)()
+		}
+		req, e := request(k)
+		if e != nil {
+			c.pool.put(conn)
+			c.log.Error("call: no request", "err", e)
+			c.endAll(k, policy.Moot, 0, false)
+			return
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		a, ends, err = c.exchange(k, conn, req)
+		// Given up or closed before the outcome is told: the slot and the endpoint
+		// must be free of this call when the next one goes out.
+		if open := stop(); open && err == nil && a.keep {
+			c.pool.put(conn)
+		} else {
+			_ = conn.Close()
+		}
+		// A connection that broke before the last byte went out has carried no call:
+		// the same attempt goes on over another.
+		if !errors.Is(err, errUnsent) || ctx.Err() != nil {
+			break
+		}
+	}
+	wait := toldWait(a)
+	if wait > 0 {
+		// Not a moment longer than the module counts: a send that it decides on
+		// when the wait is over would be stopped here, and use up an attempt.
+		k.Endpoint.Waits.Wait(time.Now().Add(wait))
+	}
+	switch {
+	case err != nil:
+	case ends == nil:
+		outcome, over := c.single(k, a)
+		c.endAll(k, outcome, wait, over)
+		return
+	default:
+		for _, p := range k.Parts {
+			e := ends[p.Message.ID]
+			c.end(k, p, e.outcome, wait, e.over)
+		}
+		return
+	}
+	outcome, stale := policy.Reset, false
+	switch {
+	case errors.Is(err, errUnsent):
+		outcome = policy.Unreachable
+	case errors.Is(err, errSpoilt):
+		outcome = policy.Failed
+		c.spoilt.Add(1)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		outcome = policy.TimedOut
+	default:
+		stale = conn.kept && a.status == 0
+	}
+	c.log.Debug("call: no answer", "endpoint", k.Endpoint.Name, "err", err)
+	for _, p := range k.Parts {
+		c.record.Finish(k, p, policy.Ended{Outcome: outcome, Wait: wait, Stale: stale})
+	}
+}
+
+// ready tells whether a call may be sent now, and records its attempts if it is the
+// first try.
+func (c *Carrier) ready(ctx context.Context, k *carrier.Call, first bool) bool {
+	if !first {
+		return k.Open(time.Now())
+	}
+	if err := c.record.Begin(ctx, k); err != nil {
+		if !errors.Is(err, carrier.ErrClosed) {
+			c.log.Warn("call: not sent", "endpoint", k.Endpoint.Name, "err", err)
+		}
+		return false
+	}
+	return true
+}
+
+// endEarly times out the messages of a bundle whose time is shorter than the call's.
+// It returns how to stop that.
+func (c *Carrier) endEarly(k *carrier.Call) (stop func()) {
+	var timers []*time.Timer
+	for _, p := range k.Parts {
+		if p.Timeout < k.Limit {
+			timers = append(timers, time.AfterFunc(p.Timeout-time.Since(k.Started),
+				func() { c.end(k, p, policy.TimedOut, 0, false) }))
+		}
+	}
+	return func() {
+		for _, t := range timers {
+			t.Stop()
+		}
+	}
+}
+
+// exchange sends a call and reads its answer, and the ends of its messages where it
+// tells each one's. One message is delivered with the first line of the answer,
+// whatever comes behind it.
+func (c *Carrier) exchange(k *carrier.Call, conn *connection, req *http.Request) (a answer, ends map[string]itemEnd, err error) {
+	if err = conn.send(req); err != nil {
+		return a, nil, err
+	}
+	a, err = conn.receive(req, func(status int) bool {
+		if len(k.Parts) > 1 || status != http.StatusOK {
+			return false
+		}
+		c.end(k, k.Parts[0], policy.Delivered, 0, false)
+		return true
+	})
+	if err == nil && len(k.Parts) > 1 && a.status == http.StatusOK {
+		ends, err = readEnds(a.body, k.Parts)
+	}
+	return a, ends, err
+}
+
+// connection takes an idle connection, unless a fresh one is asked for, or makes one.
+func (c *Carrier) connection(ctx context.Context, k *carrier.Call, fresh bool) (*connection, error) {
+	if !fresh {
+		if conn := c.pool.get(k.Endpoint, k.Addr, time.Now().Add(-c.idle)); conn != nil {
+			return conn, nil
+		}
+	}
+	conn, err := c.dialer.DialContext(ctx, "tcp", k.Addr)
+	if err != nil {
+		return nil, fmt.Errorf("connecting: %w", err)
+	}
+	return newConnection(conn, k.Endpoint, k.Addr), nil
+}
+
+// request writes the call.
+func request(k *carrier.Call) (*http.Request, error) {
+	path, body := "/events", k.Parts[0].Message.Body
+	if len(k.Parts) > 1 {
+		path = "/events/bundle"
+		var b bytes.Buffer
+		for _, p := range k.Parts {
+			key := p.Message.Key
+			if key == "" {
+				key = "-"
+			}
+			fmt.Fprintf(&b, "%s %s %d\r\n", p.Message.ID, key, len(p.Message.Body))
+			b.Write(p.Message.Body)
+			b.WriteString("\r\n")
+		}
+		body = b.Bytes()
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+k.Addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("User-Agent", "") // leaves it out
+	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, (k.Limit-time.Since(k.Started)).Milliseconds()), 10))
+	if len(k.Parts) == 1 {
+		req.Header.Set("X-Request-ID", k.Parts[0].Message.ID)
+		if key := k.Parts[0].Message.Key; key != "" {
+			req.Header.Set("Idempotency-Key", key)
+		}
+	}
+	return req, nil
+}
+
+// single tells what a status means, and whether the message is over.
+func (c *Carrier) single(k *carrier.Call, a answer) (outcome policy.Outcome, over bool) {
+	switch a.status {
+	case http.StatusOK:
+		return policy.Delivered, false
+	case http.StatusTooManyRequests:
+		return policy.Full, false
+	case http.StatusServiceUnavailable:
+		if a.header.Get("X-Egress-Full") == "1" {
+			return policy.Moot, false
+		}
+		return policy.Full, false
+	case http.StatusGone:
+		return policy.Moot, true
+	case http.StatusGatewayTimeout:
+		return policy.Moot, false
+	case http.StatusInternalServerError:
+		return policy.Failed, false
+	}
+	c.log.Debug("call: unknown answer", "endpoint", k.Endpoint.Name, "status", a.status)
+	return policy.Failed, false
+}
+
+// toldWait reads the wait that an answer tells, 0 where it tells none or nonsense.
+func toldWait(a answer) time.Duration {
+	ms, err := strconv.ParseInt(a.header.Get(waitHeader), 10, 64)
+	if err != nil || ms < 0 || ms > carrier.MaxWait.Milliseconds() {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// itemEnd is how one message of a bundle ended.
+type itemEnd struct {
+	outcome policy.Outcome
+	over    bool
+}
+
+func readEnd(word string) (itemEnd, bool) {
+	switch word {
+	case "done":
+		return itemEnd{policy.Delivered, false}, true
+	case "failed":
+		return itemEnd{policy.Failed, false}, true
+	case "busy":
+		return itemEnd{policy.Full, false}, true
+	case "void":
+		return itemEnd{policy.Moot, true}, true
+	case "used_up":
+		return itemEnd{policy.Moot, false}, true
+	}
+	return itemEnd{}, false
+}
+
+// readEnds reads the ends of a bundle's messages. It is all or nothing: a list that
+// is cut off, or says more than it should, tells nothing of any of them.
+func readEnds(body []byte, parts []*carrier.Part) (map[string]itemEnd, error) {
+	ends := map[string]itemEnd{}
+	for line := range strings.Lines(string(body)) {
+		id, word, _ := strings.Cut(strings.TrimSpace(line), " ")
+		end, ok := readEnd(word)
+		if _, twice := ends[id]; !ok || twice {
+			return nil, fmt.Errorf("%w: line %.80q", errSpoilt, line)
+		}
+		ends[id] = end
+	}
+	for _, p := range parts {
+		if _, ok := ends[p.Message.ID]; !ok || len(ends) != len(parts) {
+			return nil, fmt.Errorf("%w: %d lines for %d messages", errSpoilt, len(ends), len(parts))
+		}
+	}
+	return ends, nil
+}
+
+func (c *Carrier) endAll(k *carrier.Call, outcome policy.Outcome, wait time.Duration, over bool) {
+	for _, p := range k.Parts {
+		c.end(k, p, outcome, wait, over)
+	}
+}
+
+func (c *Carrier) end(k *carrier.Call, p *carrier.Part, outcome policy.Outcome, wait time.Duration, over bool) {
+	c.record.Finish(k, p, policy.Ended{Outcome: outcome, Wait: wait, Final: over || outcome == policy.Delivered})
+}
--- a/internal/node/calls_test.go
+++ b/internal/carrier/http1/calls_test.go
@@ -1,10 +1,11 @@
-package node
+package http1
 
 import (
 	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -12,44 +13,70 @@
 	"testing"
 	"time"
 
+	"wingmount/internal/carrier"
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/internal/store/journal"
 	"wingmount/policy"
 )
 
 const patience = 10 * time.Second
 
+func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func newMessage(id string, size int) *message.Message {
+	return &message.Message{ID: id, Key: "k-" + id, Dest: 7, Deadline: time.Now().Add(20 * time.Second), Body: make([]byte, size)}
+}
+
 // callRig makes calls to one address and collects their outcomes.
 type callRig struct {
 	t        *testing.T
-	caller   *caller
-	endpoint *endpoint
+	caller   *Carrier
+	endpoint *carrier.Endpoint
+	addr     string
 	outcomes chan policy.Ended
-	journal  *journal
+	store    store.Store
 	seq      int
 }
 
 func newCallRig(t *testing.T, addr string) *callRig {
-	r := &callRig{t: t, outcomes: make(chan policy.Ended, 16)}
-	r.journal, _ = mustOpen(t, t.TempDir(), minDisk)
-	c := Config{IdleClose: 15 * time.Second}
-	c.Settings.ConnectTimeout = time.Second
-	r.caller = newCaller(c, r.journal, quietLog(), func(e policy.Event) { r.outcomes <- e.(policy.Ended) })
-	r.endpoint = &endpoint{id: 1, name: "e1", addr: addr, leaves: &gate{}, waits: &gate{}}
+	r := &callRig{t: t, addr: addr, outcomes: make(chan policy.Ended, 16)}
+	j, _, err := journal.Open(t.TempDir(), journal.MinDisk, quietLog())
+	must(t, err)
+	t.Cleanup(func() { _ = j.Close() })
+	r.store = j
+	record := &carrier.Recorder{Store: j, Log: quietLog(), Tell: func(e policy.Event) { r.outcomes <- e.(policy.Ended) }}
+	r.caller = New(Config{ConnectTimeout: time.Second, IdleClose: 15 * time.Second}, record, quietLog())
+	r.endpoint = &carrier.Endpoint{ID: 1, Name: "e1", Leaves: &carrier.Gate{}, Waits: &carrier.Gate{}}
 	t.Cleanup(func() { r.caller.running.Wait() })
 	return r
 }
 
-func (r *callRig) start(limit time.Duration, n int) []*message {
+func (r *callRig) call(limit time.Duration, ms ...*message.Message) {
+	k := &carrier.Call{Endpoint: r.endpoint, Addr: r.addr, Started: time.Now(), Limit: limit}
+	for _, m := range ms {
+		k.Parts = append(k.Parts, &carrier.Part{Message: m, Timeout: limit})
+	}
+	r.caller.Start(context.Background(), k)
+}
+
+func (r *callRig) start(limit time.Duration, n int) []*message.Message {
 	r.t.Helper()
-	k := &call{endpoint: r.endpoint, addr: r.endpoint.addr, started: time.Now(), limit: limit}
-	var messages []*message
+	var messages []*message.Message
 	for range n {
 		r.seq++
 		m := newMessage(fmt.Sprint("id", r.seq), 20)
-		must(r.t, r.journal.take(m))
-		k.parts = append(k.parts, &part{message: m, timeout: limit})
+		must(r.t, r.store.Take(context.Background(), m))
 		messages = append(messages, m)
 	}
-	r.caller.start(context.Background(), k)
+	r.call(limit, messages...)
 	return messages
 }
 
@@ -145,8 +172,7 @@
 	})
 	r := newCallRig(t, addr)
 	m := newMessage("large", 32<<20) // more than the buffers between the two hold
-	k := &call{endpoint: r.endpoint, addr: addr, started: time.Now(), limit: patience, parts: []*part{{message: m, timeout: patience}}}
-	r.caller.start(context.Background(), k)
+	r.call(patience, m)
 	if e := r.next(); e.Outcome != policy.Delivered || whole.Load() != 1 {
 		t.Errorf("outcome %+v with %d whole requests, want it delivered by one", e, whole.Load())
 	}
@@ -206,8 +232,8 @@
 	if e := r.next(); e.Outcome != policy.Unreachable {
 		t.Errorf("outcome %v, want unreachable", e.Outcome)
 	}
-	if m.past.mayRun || m.past.attempts != 0 {
-		t.Errorf("the journal has %+v of a call that was never sent", m.past)
+	if m.Past.MayRun || m.Past.Attempts != 0 {
+		t.Errorf("the journal has %+v of a call that was never sent", m.Past)
 	}
 }
 
@@ -228,7 +254,7 @@
 	if err := <-gone; err != nil {
 		t.Errorf("the connection was left open: %v", err)
 	}
-	if !m.past.mayRun {
+	if !m.Past.MayRun {
 		t.Error("a call that timed out may have run")
 	}
 }
@@ -241,9 +267,9 @@
 		n, _ := io.Copy(io.Discard, conn)
 		bytes.Add(n)
 	})
-	for name, tell := range map[string]func(*endpoint){
-		"drain": func(e *endpoint) { e.leaves.closedFrom.Store(time.Now().UnixNano()) },
-		"wait":  func(e *endpoint) { e.waits.wait(time.Now().Add(time.Minute)) },
+	for name, tell := range map[string]func(*carrier.Endpoint){
+		"drain": func(e *carrier.Endpoint) { e.Leaves.CloseFrom(time.Now()) },
+		"wait":  func(e *carrier.Endpoint) { e.Waits.Wait(time.Now().Add(time.Minute)) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newCallRig(t, addr)
@@ -252,7 +278,7 @@
 			if e := r.next(); e.Outcome != policy.Moot || e.Final {
 				t.Errorf("outcome %+v, want moot", e)
 			}
-			if m.past.mayRun {
+			if m.Past.MayRun {
 				t.Error("it may have run, says the journal")
 			}
 			r.caller.running.Wait()
@@ -303,7 +329,7 @@
 			for i, m := range messages {
 				got := r.next()
 				want := c.want[i]
-				want.Message, want.Endpoint, want.Took = m.seq, 1, got.Took
+				want.Message, want.Endpoint, want.Took = m.Seq, 1, got.Took
 				if got != want {
 					t.Errorf("message %d: %+v, want %+v", i, got, want)
 				}
@@ -358,7 +384,7 @@
 			for _, m := range r.start(patience, c.n) {
 				if got := r.next(); got.Outcome != c.want {
 					t.Errorf("outcome %v, want %v", got.Outcome, c.want)
-				} else if got.Outcome == policy.Failed && !m.past.mayRun {
+				} else if got.Outcome == policy.Failed && !m.Past.MayRun {
 					t.Error("the journal says that it never ran")
 				}
 			}
@@ -430,8 +456,8 @@
 	r.start(5*time.Second, 1)
 	e := r.next()
 	over := time.Now().Add(e.Wait)
-	if e.Wait != time.Minute || !r.endpoint.waits.open(over) || r.endpoint.waits.open(before.Add(e.Wait)) {
-		t.Errorf("told %v, gate open at its end: %v", e.Wait, r.endpoint.waits.open(over))
+	if e.Wait != time.Minute || !r.endpoint.Waits.Open(over) || r.endpoint.Waits.Open(before.Add(e.Wait)) {
+		t.Errorf("told %v, gate open at its end: %v", e.Wait, r.endpoint.Waits.Open(over))
 	}
 }
 
@@ -449,19 +475,20 @@
 		want policy.Outcome
 	}{"within": {5 * time.Second, policy.Delivered}, "after": {13 * time.Second, policy.Moot}} {
 		m := newMessage(name, 5)
-		m.window = 12 * time.Second
-		must(t, r.journal.take(m))
-		must(t, r.journal.attempt(m, "e1", 0, time.Now().Add(-c.ago)))
-		must(t, r.journal.outcome(m, policy.TimedOut, "e1", time.Now()))
-		r.caller.start(context.Background(), &call{endpoint: r.endpoint, addr: addr, started: time.Now(),
-			limit: 5 * time.Second, parts: []*part{{message: m, timeout: 5 * time.Second}}})
+		m.Window = 12 * time.Second
+		ctx, at := context.Background(), time.Now().Add(-c.ago)
+		must(t, r.store.Take(ctx, m))
+		must(t, r.store.Attempt(ctx, store.Attempt{Endpoint: "e1", At: at, Messages: []*message.Message{m}}))
+		must(t, r.store.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.TimedOut, Endpoint: "e1", At: time.Now()}))
+		r.call(5*time.Second, m)
 		if e := r.next(); e.Outcome != c.want {
 			t.Errorf("%s the window: %v, want %v", name, e.Outcome, c.want)
 		}
 	}
 }
 
-// Kept connections to one endpoint are few, however many calls it had at once.
+// Kept connections to one endpoint are few, however many calls it had at once, and a new
+// endpoint at the address of an old one gets none of the old one's.
 func TestPoolIsBounded(t *testing.T) {
 	addr := rawServer(t, func(_ int64, conn net.Conn) {
 		defer conn.Close()
@@ -469,7 +496,7 @@
 	})
 	r := newCallRig(t, addr)
 	p := &r.caller.pool
-	fill := func(e *endpoint) {
+	fill := func(e *carrier.Endpoint) {
 		for range 3 * maxIdle {
 			conn, err := r.caller.dialer.Dial("tcp", addr)
 			must(t, err)
@@ -477,11 +504,14 @@
 		}
 	}
 	fill(r.endpoint)
+	if p.get(&carrier.Endpoint{ID: 2}, addr, time.Now().Add(-time.Minute)) != nil {
+		t.Error("a new endpoint got the connection of another")
+	}
 	if n := len(p.idle); n != maxIdle {
 		t.Errorf("%d kept connections to one endpoint, want %d", n, maxIdle)
 	}
 	p.limit = maxIdle + 2
-	fill(&endpoint{})
+	fill(&carrier.Endpoint{})
 	if n := len(p.idle); n != p.limit {
 		t.Errorf("%d kept connections to all, want %d", n, p.limit)
 	}
@@ -498,9 +528,9 @@
 // The bundle's form is fixed by the protocol.
 func TestBundleForm(t *testing.T) {
 	a, b := newMessage("a", 0), newMessage("b", 0)
-	a.body, a.key, b.body = []byte("hello"), "", []byte("x\r\ny")
-	k := &call{addr: "127.0.0.1:1", limit: time.Second, started: time.Now(), parts: []*part{{message: a}, {message: b}}}
-	req, err := k.request()
+	a.Body, a.Key, b.Body = []byte("hello"), "", []byte("x\r\ny")
+	k := &carrier.Call{Addr: "127.0.0.1:1", Limit: time.Second, Started: time.Now(), Parts: []*carrier.Part{{Message: a}, {Message: b}}}
+	req, err := request(k)
 	must(t, err)
 	body, err := io.ReadAll(req.Body)
 	must(t, err)
--- a/internal/node/connection.go
+++ b/internal/carrier/http1/connection.go
@@ -1,4 +1,4 @@
-package node
+package http1
 
 import (
 	"bufio"
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"wingmount/internal/carrier"
 )
 
 const (
@@ -38,7 +40,7 @@
 // that nothing but the answer to this call can be taken for it.
 type connection struct {
 	net.Conn
-	endpoint *endpoint
+	endpoint *carrier.Endpoint
 	addr     string
 	since    time.Time // when it became idle
 	kept     bool      // it has carried a call before
@@ -46,7 +48,7 @@
 	r        *bufio.Reader
 }
 
-func newConnection(conn net.Conn, e *endpoint, addr string) *connection {
+func newConnection(conn net.Conn, e *carrier.Endpoint, addr string) *connection {
 	c := &connection{Conn: conn, endpoint: e, addr: addr}
 	c.r = bufio.NewReader(bounded{c})
 	return c
@@ -220,7 +222,7 @@
 
 // get returns the connection to an endpoint that was used last and is still good,
 // or nil.
-func (p *pool) get(e *endpoint, addr string, oldest time.Time) *connection {
+func (p *pool) get(e *carrier.Endpoint, addr string, oldest time.Time) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := len(p.idle) - 1; i >= 0; i-- {
@@ -272,7 +274,7 @@
 
 // closeIdle closes the connections that are idle since before a time, those that
 // the other side has closed or spoken on, and all to an endpoint, if one is named.
-func (p *pool) closeIdle(before time.Time, of *endpoint) {
+func (p *pool) closeIdle(before time.Time, of *carrier.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := len(p.idle) - 1; i >= 0; i-- {
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,456 @@
+// Package engine owns the decision module: it hands in what has come, in the order in
+// which it came, and carries out what the module wants. Nothing in it waits for a network
+// or a disk: calls run in a carrier's goroutines, and final answers go on record and are
+// told by a goroutine of its own.
+package engine
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"time"
+
+	"wingmount/internal/carrier"
+	"wingmount/internal/directory"
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/policy"
+)
+
+// clockStart keeps the module's clock away from zero, which means 'never' to it.
+const clockStart = time.Hour
+
+// destinationTime is how long a destination without any endpoint stays one: its
+// messages are held, and given up in their own time.
+const destinationTime = 10 * time.Minute
+
+// memoryTime is how long an endpoint of an earlier life may take to be listed again.
+// What was known of it is too old to count then.
+const memoryTime = time.Minute
+
+// eventRoom is how many events may wait for the engine; who has one more waits.
+const eventRoom = 4096
+
+// Carrier makes calls. Each part of a call that is started gets one policy.Ended by
+// [Engine.Post], whenever that is.
+type Carrier interface {
+	// Start makes a call, and does not wait.
+	Start(ctx context.Context, k *carrier.Call)
+	// CloseIdle closes the idle connections to an endpoint.
+	CloseIdle(e *carrier.Endpoint)
+	// Tidy is called about once a second.
+	Tidy(now time.Time)
+}
+
+// Admission hears which messages have ended, and which destinations there are.
+type Admission interface {
+	Ended(id string)
+	// SetDestinations tells the destinations that there are, and whether the directory has
+	// told of them in this life of the node.
+	SetDestinations(dests map[int]bool, told bool)
+}
+
+// Teller tells final answers that are on record. Add does not wait.
+type Teller interface{ Add(m *message.Message) }
+
+// Notes sends notes to the other nodes. Send does not wait.
+type Notes interface{ Send(policy.Tell) }
+
+// Config is what an engine is told.
+type Config struct {
+	Settings     policy.Settings
+	Seed         uint64
+	Kinds, Zones map[string]int // the directory's words, as the module's numbers
+}
+
+// Parts is what an engine works with. Notes may be nil.
+type Parts struct {
+	Store     store.Store
+	Carrier   Carrier
+	Admission Admission
+	Teller    Teller
+	Notes     Notes
+	Memories  map[string]*store.Memory // of earlier lives, by the names of endpoints
+	Log       *slog.Logger
+}
+
+// endpoint is one address of a destination, and what the engine knows of it.
+type endpoint struct {
+	carrier.Endpoint
+	addr string
+	out  int  // sends without an outcome
+	gone bool // the directory has it no more
+}
+
+// Engine owns the module: it hands in what has come, once a tick, and carries out what
+// the module wants, in order. It waits for nothing else.
+type Engine struct {
+	Parts
+	sender    *policy.Sender
+	settings  policy.Settings
+	kinds     map[string]int
+	zones     map[string]int
+	origin    time.Time
+	events    chan any      // policy.Event, directory.List or *message.Message
+	done      chan struct{} // closed when the engine has ended
+	quieted   chan struct{} // closed when no call is started any more
+	held      map[policy.MessageID]*message.Message
+	endpoints map[policy.EndpointID]*endpoint
+	waits     map[int]*carrier.Gate // by destination, where routes share a limit
+	dests     map[int]time.Time     // when each destination was last seen to have an endpoint
+	told      bool                  // the directory has told the whole list
+	batch     []policy.Event
+	actions   []policy.Action
+	quiet     bool // no call is started any more
+	scribe    *scribe
+}
+
+// New returns an engine. Its parts are to be set by Use before Run.
+func New(c Config) *Engine {
+	return &Engine{sender: policy.New(c.Settings, c.Seed), settings: c.Settings, kinds: c.Kinds, zones: c.Zones,
+		origin: time.Now(), events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
+		held: map[policy.MessageID]*message.Message{}, endpoints: map[policy.EndpointID]*endpoint{},
+		waits: map[int]*carrier.Gate{}, dests: map[int]time.Time{}}
+}
+
+// Use sets the parts of an engine, which know its Post.
+func (l *Engine) Use(p Parts) {
+	l.Parts = p
+	l.scribe = newScribe(p.Store, p.Teller, p.Log)
+}
+
+func (l *Engine) now() policy.Time { return clockStart + time.Since(l.origin) }
+
+// Post hands in an event: a policy.Event, a directory.List or a *message.Message that the
+// store has. It waits while too many are there, and does nothing once the engine has ended.
+func (l *Engine) Post(e any) {
+	select {
+	case l.events <- e:
+	case <-l.done:
+	}
+}
+
+// Quieted is closed when no call is started any more.
+func (l *Engine) Quieted() <-chan struct{} { return l.quieted }
+
+// Run steps the module until the context ends. Once quiet ends no new call is
+// started; outcomes are still taken in. When Run returns, the answers that the module
+// gave are on record.
+func (l *Engine) Run(ctx context.Context, quiet <-chan struct{}) {
+	defer l.scribe.start()()
+	defer close(l.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	reaper := time.NewTicker(time.Second)
+	defer reaper.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-quiet:
+			l.quiet, quiet = true, nil
+			close(l.quieted)
+			continue
+		case now := <-reaper.C:
+			l.Carrier.Tidy(now)
+			l.letGo(now)
+			continue
+		case e := <-l.events:
+			l.take(e)
+		case <-timer.C:
+			l.batch = append(l.batch, policy.Woken{})
+		}
+		// What comes within a tick is taken together.
+		if rest := l.settings.Tick - time.Since(last); rest > 0 {
+			time.Sleep(rest)
+		}
+		for more := true; more; {
+			select {
+			case e := <-l.events:
+				l.take(e)
+			default:
+				more = false
+			}
+		}
+		last = time.Now()
+		if l.quiet {
+			l.batch = l.batch[:0]
+			continue
+		}
+		if wake := l.step(ctx); wake > 0 {
+			timer.Reset(wake - l.now())
+		}
+	}
+}
+
+// take turns what has come into an event of the module.
+func (l *Engine) take(e any) {
+	switch e := e.(type) {
+	case *message.Message:
+		l.held[e.Seq] = e
+		l.batch = append(l.batch, l.arrived(e))
+	case directory.List:
+		l.batch = append(l.batch, l.listed(e))
+		l.told = l.told || e.Fresh
+		l.publish(time.Now())
+		l.remind()
+	case policy.Ended:
+		if o := l.endpoints[e.Endpoint]; o != nil {
+			o.out--
+		}
+		if e.Final {
+			if m := l.held[e.Message]; m != nil {
+				l.forget(m)
+			}
+		}
+		l.batch = append(l.batch, e)
+	case policy.Event:
+		l.batch = append(l.batch, e)
+	}
+}
+
+func (l *Engine) arrived(m *message.Message) policy.Arrived {
+	now, class := l.now(), l.settings.Classes[m.Class]
+	a := policy.Arrived{Message: m.Seq, Destination: m.Dest, Class: m.Class, GiveUpAt: now + time.Until(m.Deadline)}
+	if p := m.Past; p.Attempts > 0 {
+		a.Past = policy.Past{Attempts: p.Attempts, MayRun: p.MayRun, RanZone: p.RanZone}
+		if p.MayRun {
+			a.Past.RanAt = l.past(p.RanAt)
+		}
+	}
+	if class.Repeat == policy.Deduplicated {
+		m.Window = class.Window
+	}
+	if class.Ordered && m.Key != "" {
+		a.Key = hash(m.Key) | 1
+	}
+	return a
+}
+
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s)) // never fails
+	return h.Sum64()
+}
+
+// listed keeps the node's own table of endpoints and tells the module of it.
+func (l *Engine) listed(in directory.List) policy.Listed {
+	out := policy.Listed{Whole: in.Complete}
+	named := map[policy.EndpointID]bool{}
+	for _, m := range in.Members {
+		// The same at all nodes, so that they can tell each other of it.
+		id := policy.EndpointID(hash(m.ID))
+		e := l.endpoints[id]
+		var state policy.EndpointState
+		switch m.Phase {
+		case directory.Active:
+			state = policy.Ready
+		case directory.Leaving:
+			state = policy.Draining
+		case directory.Left:
+			state = policy.Gone
+		default:
+			l.Log.Warn("discovery: unknown phase, nothing changes", "id", m.ID, "phase", m.Phase)
+			if e != nil {
+				// The module takes what a whole list leaves out for gone.
+				state = policy.Ready
+				if e.Leaves.Closing() {
+					state = policy.Draining
+				}
+				named[id] = true
+				out.Entries = append(out.Entries, l.entry(e, m, state))
+			}
+			continue
+		}
+		if e == nil {
+			if state != policy.Ready {
+				// An earlier life may have been told that it drains, and the grace
+				// may be over: one that is first heard of as leaving gets nothing.
+				continue
+			}
+			kind, okKind := l.kinds[m.Flavor]
+			zone, okZone := l.zones[m.Locality]
+			if !okKind || !okZone || m.ID == "" || m.Cell < 0 {
+				l.Log.Warn("discovery: an endpoint that makes no sense", "id", m.ID, "flavor", m.Flavor, "locality", m.Locality)
+				continue
+			}
+			e = &endpoint{Endpoint: carrier.Endpoint{ID: id, Name: m.ID, Dest: m.Cell, Kind: kind, Zone: zone,
+				Leaves: &carrier.Gate{}, Waits: &carrier.Gate{}}}
+			if kind >= len(l.settings.Kinds) || !l.settings.Kinds[kind].RoutesApart {
+				if l.waits[m.Cell] == nil {
+					l.waits[m.Cell] = e.Waits
+				}
+				e.Waits = l.waits[m.Cell]
+			}
+			l.endpoints[id] = e
+		}
+		if state != policy.Gone {
+			e.addr = m.HostPort
+		}
+		named[id] = true
+		l.setLeaving(e, state != policy.Ready)
+		e.gone = state == policy.Gone
+		out.Entries = append(out.Entries, l.entry(e, m, state))
+	}
+	if in.Complete {
+		for id, e := range l.endpoints {
+			if !named[id] {
+				l.setLeaving(e, true)
+				e.gone = true
+			}
+		}
+	}
+	return out
+}
+
+func (l *Engine) entry(e *endpoint, m directory.Member, state policy.EndpointState) policy.Entry {
+	return policy.Entry{Endpoint: e.ID, Destination: e.Dest, Kind: e.Kind, Zone: e.Zone, State: state, Rate: m.Size}
+}
+
+// remind tells the module what an earlier life saw of the endpoints that it has
+// just been given: its backlog must not go to one that is out or cold, and the
+// calls of late count for the limits still.
+func (l *Engine) remind() {
+	for name, m := range l.Memories {
+		id := policy.EndpointID(hash(name))
+		if l.endpoints[id] == nil {
+			continue
+		}
+		r := policy.Remembered{Endpoint: id}
+		for _, at := range m.Sent {
+			r.Sent = append(r.Sent, l.past(at))
+		}
+		if !m.FailedAt.IsZero() {
+			r.Failed, r.FailedAt = true, l.past(m.FailedAt)
+			if !m.BackAt.IsZero() {
+				r.Back, r.BackAt = true, l.past(m.BackAt)
+			}
+		}
+		l.batch = append(l.batch, r)
+		delete(l.Memories, name)
+	}
+}
+
+// past turns a time of the wall clock into one of the module's.
+func (l *Engine) past(t time.Time) policy.Time { return min(l.now(), l.now()-time.Since(t)) }
+
+// publish tells the intake which destinations there are: those that have an endpoint,
+// or had one of late, since one may have none for a while.
+func (l *Engine) publish(now time.Time) {
+	for _, e := range l.endpoints {
+		if !e.gone {
+			l.dests[e.Dest] = now
+		}
+	}
+	known := make(map[int]bool, len(l.dests))
+	for d, seen := range l.dests {
+		if now.Sub(seen) > destinationTime {
+			delete(l.dests, d)
+			continue
+		}
+		known[d] = true
+	}
+	l.Admission.SetDestinations(known, l.told)
+}
+
+// letGo forgets the endpoints that are gone, with their connections, once no call is
+// out to them; the gates of destinations without an endpoint, once their wait is over;
+// and what an earlier life knew of endpoints that did not come back.
+func (l *Engine) letGo(now time.Time) {
+	listed := map[int]bool{}
+	for id, e := range l.endpoints {
+		if e.gone && e.out == 0 {
+			l.Carrier.CloseIdle(&e.Endpoint)
+			delete(l.endpoints, id)
+			continue
+		}
+		listed[e.Dest] = true
+	}
+	for dest, g := range l.waits {
+		if !listed[dest] && g.Open(now) {
+			delete(l.waits, dest)
+		}
+	}
+	l.publish(now)
+	if now.Sub(l.origin) > memoryTime {
+		clear(l.Memories)
+	}
+}
+
+// setLeaving closes an endpoint's gate within the grace after it was first told to
+// drain or to be gone, and after the module has ceased to send to it.
+func (l *Engine) setLeaving(e *endpoint, leaves bool) {
+	if !leaves {
+		e.Leaves.Reopen()
+	} else {
+		e.Leaves.CloseFrom(time.Now().Add(l.settings.DrainGrace * 3 / 4))
+	}
+}
+
+// step hands the batch to the module and carries out what it wants. It returns
+// when the module wants to be woken, or 0.
+func (l *Engine) step(ctx context.Context) (wake policy.Time) {
+	l.actions = l.sender.Step(l.now(), l.batch, l.actions[:0])
+	clear(l.batch)
+	l.batch = l.batch[:0]
+	var calls []*carrier.Call
+	open := map[policy.EndpointID]*carrier.Call{}
+	for _, a := range l.actions {
+		switch a := a.(type) {
+		case policy.Send:
+			// Sends of one step to one endpoint travel as one call.
+			m, e := l.held[a.Message], l.endpoints[a.Endpoint]
+			k := open[a.Endpoint]
+			if k == nil || len(k.Parts) >= l.bundleMax(e) {
+				k = &carrier.Call{Endpoint: &e.Endpoint, Addr: e.addr, Started: time.Now()}
+				open[a.Endpoint] = k
+				calls = append(calls, k)
+			}
+			e.out++
+			k.Parts = append(k.Parts, &carrier.Part{Message: m, Timeout: a.Timeout})
+			k.Limit = max(k.Limit, a.Timeout)
+		case policy.Refuse:
+			l.end(a.Message, message.Refused, a.Wait)
+		case policy.Fail:
+			l.end(a.Message, message.Failed, 0)
+		case policy.CloseIdle:
+			if e := l.endpoints[a.Endpoint]; e != nil {
+				l.Carrier.CloseIdle(&e.Endpoint)
+			}
+		case policy.Tell:
+			if l.Notes != nil {
+				l.Notes.Send(a)
+			}
+		case policy.Wake:
+			wake = a.At
+		}
+	}
+	for _, k := range calls {
+		l.Carrier.Start(ctx, k)
+	}
+	return wake
+}
+
+func (l *Engine) bundleMax(e *endpoint) int {
+	if e.Kind < len(l.settings.Kinds) {
+		return l.settings.Kinds[e.Kind].BundleMax
+	}
+	return 1
+}
+
+// end gives a message its final answer: first on record, then to who tells it.
+func (l *Engine) end(id policy.MessageID, kind message.Kind, wait time.Duration) {
+	m := l.held[id]
+	if m == nil {
+		return
+	}
+	l.Log.Debug("ended", "id", m.ID, "dest", m.Dest, "outcome", kind, "left", time.Until(m.Deadline))
+	l.forget(m)
+	l.scribe.add(store.Ending{Message: m, End: message.End{Kind: kind, RetryAfter: wait}})
+}
+
+func (l *Engine) forget(m *message.Message) {
+	delete(l.held, m.Seq)
+	l.Admission.Ended(m.ID)
+}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,220 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wingmount/internal/carrier"
+	"wingmount/internal/directory"
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// fakes are parts that note what they are told.
+type fakes struct {
+	calls []*carrier.Call
+	idle  []*carrier.Endpoint // whose idle connections were to be closed
+	ended []string
+	dests map[int]bool
+	told  chan *message.Message
+	ends  func(...store.Ending) error
+}
+
+func (f *fakes) Start(_ context.Context, k *carrier.Call)   { f.calls = append(f.calls, k) }
+func (f *fakes) CloseIdle(e *carrier.Endpoint)              { f.idle = append(f.idle, e) }
+func (f *fakes) Tidy(time.Time)                             {}
+func (f *fakes) Ended(id string)                            { f.ended = append(f.ended, id) }
+func (f *fakes) SetDestinations(dests map[int]bool, _ bool) { f.dests = dests }
+func (f *fakes) Add(m *message.Message)                     { f.told <- m }
+
+// fakeStore only knows ends.
+type fakeStore struct {
+	store.Store
+	f *fakes
+}
+
+func (s fakeStore) End(_ context.Context, ends ...store.Ending) error { return s.f.ends(ends...) }
+
+func newEngine(settings policy.Settings) (*Engine, *fakes) {
+	l := New(Config{Settings: settings, Seed: 1, Kinds: map[string]int{"general": 0}, Zones: map[string]int{"a": 0}})
+	f := &fakes{told: make(chan *message.Message, 16)}
+	f.ends = func(ends ...store.Ending) error {
+		for _, e := range ends {
+			e.Message.End = &e.End
+		}
+		return nil
+	}
+	l.Use(Parts{Store: fakeStore{f: f}, Carrier: f, Admission: f, Teller: f, Memories: map[string]*store.Memory{}, Log: quietLog()})
+	return l, f
+}
+
+func member(id string, cell int, phase string) directory.Member {
+	return directory.Member{ID: id, HostPort: "127.0.0.1:1", Locality: "a", Flavor: "general", Cell: cell, Phase: phase, Size: 1}
+}
+
+var keyed = policy.Settings{Senders: 1, Slots: 8, MaxHeld: 100, MaxAttempts: 6, Tick: 5 * time.Millisecond,
+	Kinds: []policy.Kind{{RoutesApart: true, BundleMax: 5}}, ConnectTimeout: time.Second, DrainGrace: time.Second,
+	Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 12 * time.Second,
+		Aim: 3 * time.Second, Deadline: 28 * time.Second, Worth: 1}}}
+
+// Sends of one step to one endpoint travel as one call, up to what its kind takes.
+func TestSendsOfOneStepTravelTogether(t *testing.T) {
+	l, f := newEngine(keyed)
+	l.take(directory.List{Complete: true, Members: []directory.Member{member("s1", 7, directory.Active)}})
+	for i := range 5 {
+		l.take(&message.Message{Seq: policy.MessageID(i + 1), ID: fmt.Sprint("m", i), Dest: 7, Deadline: time.Now().Add(20 * time.Second)})
+	}
+	l.step(context.Background())
+	if len(f.calls) != 1 || len(f.calls[0].Parts) != 5 || f.calls[0].Endpoint.Name != "s1" || f.calls[0].Addr != "127.0.0.1:1" {
+		t.Fatalf("calls %+v, want one of five messages", f.calls)
+	}
+	for _, p := range f.calls[0].Parts {
+		if p.Timeout <= 0 || p.Timeout > f.calls[0].Limit {
+			t.Errorf("time-out %v in a call of %v", p.Timeout, f.calls[0].Limit)
+		}
+	}
+	if n := l.endpoints[f.calls[0].Endpoint.ID].out; n != 5 {
+		t.Errorf("%d sends count as out, want 5", n)
+	}
+}
+
+// An answer is told once it is on record, in the order of the module; also one whose
+// record failed; never one whose message was delivered meanwhile. What was given before
+// the engine ends is on record when it has ended.
+func TestAnswersAreToldOnceOnRecord(t *testing.T) {
+	l, f := newEngine(keyed)
+	entered, release := make(chan int, 16), make(chan error)
+	f.ends = func(ends ...store.Ending) error {
+		entered <- len(ends)
+		err := <-release
+		for _, e := range ends {
+			if e.Message.ID != "delivered" {
+				e.Message.End = &e.End
+			}
+		}
+		return err
+	}
+	stop := l.scribe.start()
+	give := func(id string) {
+		m := &message.Message{Seq: policy.MessageID(len(f.ended) + 1), ID: id}
+		l.held[m.Seq] = m
+		l.end(m.Seq, message.Refused, time.Second)
+	}
+	give("a")
+	if n := <-entered; n != 1 {
+		t.Fatalf("%d answers were written, want a's", n)
+	}
+	give("delivered")
+	give("b") // while the store is busy: the engine does not wait
+	select {
+	case m := <-f.told:
+		t.Fatalf("%s was told before it was on record", m.ID)
+	default:
+	}
+	release <- nil
+	if n := <-entered; n != 2 {
+		t.Errorf("%d answers were written together, want 2", n)
+	}
+	stopped := make(chan struct{})
+	go func() { stop(); close(stopped) }()
+	release <- errors.New("no disk")
+	<-stopped
+	close(f.told)
+	var told []string
+	for m := range f.told {
+		told = append(told, m.ID)
+		if m.End.Kind != message.Refused || m.End.RetryAfter != time.Second {
+			t.Errorf("%s: told %+v", m.ID, m.End)
+		}
+	}
+	if fmt.Sprint(told) != "[a b]" || fmt.Sprint(f.ended) != "[a delivered b]" {
+		t.Errorf("told %v, want [a b]; freed %v", told, f.ended)
+	}
+}
+
+// What is gone is forgotten, with its connections, but not while a call is out; one
+// that comes back as leaving brings no new grace; and a new endpoint gets none of the
+// old one's waits.
+func TestEndpointsThatAreGoneAreForgotten(t *testing.T) {
+	l, f := newEngine(policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: time.Second})
+	entry := func(id string, cell int, phase string) directory.List {
+		return directory.List{Members: []directory.Member{member(id, cell, phase)}}
+	}
+	l.Memories["of an earlier life"] = &store.Memory{}
+	now := time.Now()
+	for i := range 500 {
+		name := fmt.Sprint("s", i)
+		l.take(entry(name, i%5, directory.Active))
+		e := l.endpoints[policy.EndpointID(hash(name))]
+		e.out++
+		l.take(entry(name, i%5, directory.Left))
+		l.letGo(now)
+		if l.endpoints[e.ID] == nil {
+			t.Fatal("forgotten with a call out")
+		}
+		l.take(policy.Ended{Endpoint: e.ID})
+		l.letGo(now)
+		if len(f.idle) != i+1 || f.idle[i] != &e.Endpoint {
+			t.Fatal("the connections of an endpoint that is gone were kept")
+		}
+		before := len(l.batch)
+		l.take(entry(name, i%5, directory.Leaving))
+		if l.endpoints[e.ID] != nil || len(l.batch[before].(policy.Listed).Entries) != 0 {
+			t.Fatal("an endpoint that was gone got a new grace")
+		}
+		l.batch = l.batch[:0]
+	}
+	l.waits[9] = &carrier.Gate{}
+	l.waits[9].Wait(now.Add(time.Minute))
+	l.letGo(now.Add(30 * time.Second))
+	if len(l.endpoints) != 0 || len(l.waits) != 1 || len(l.Memories) != 1 {
+		t.Errorf("kept: %d endpoints, %d waits, %d memories; want 0, 1, 1", len(l.endpoints), len(l.waits), len(l.Memories))
+	}
+	if !f.dests[3] {
+		t.Error("a destination without endpoints just now is not known any more")
+	}
+	l.letGo(now.Add(destinationTime + time.Minute))
+	if f.dests[3] || len(l.dests) != 0 {
+		t.Error("a destination without endpoints for long is known still")
+	}
+	if len(l.waits) != 0 || len(l.Memories) != 0 {
+		t.Errorf("%d waits and %d memories are left when both are over", len(l.waits), len(l.Memories))
+	}
+}
+
+// What the directory says that makes no sense changes nothing, and an endpoint that is
+// told to drain closes to calls that still dial.
+func TestListsThatMakeNoSense(t *testing.T) {
+	l, _ := newEngine(policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: 1})
+	strange := member("s3", 3, directory.Active)
+	strange.Flavor = "unheard of"
+	got := l.listed(directory.List{Complete: true, Members: []directory.Member{member("s1", 3, directory.Active),
+		member("s2", 3, directory.Active), strange, member("s4", 3, directory.Left), member("s5", 3, "sleeping"),
+		member("s6", 3, directory.Leaving)}})
+	if len(got.Entries) != 2 || !got.Whole {
+		t.Fatalf("entries %+v, want s1 and s2", got.Entries)
+	}
+	got = l.listed(directory.List{Complete: true, Members: []directory.Member{member("s1", 3, "sleeping"), member("s2", 3, directory.Leaving)}})
+	if len(got.Entries) != 2 || got.Entries[0].State != policy.Ready || got.Entries[1].State != policy.Draining {
+		t.Errorf("entries %+v, want s1 ready still and s2 draining", got.Entries)
+	}
+	s1, s2 := l.endpoints[policy.EndpointID(hash("s1"))], l.endpoints[policy.EndpointID(hash("s2"))]
+	if s1.Leaves.Closing() || !s2.Leaves.Closing() {
+		t.Error("the gate of s1 must be open and that of s2 must close")
+	}
+	if s1.Waits != s2.Waits {
+		t.Error("endpoints of one destination that share a limit share its waits")
+	}
+}
--- /dev/null
+++ b/internal/engine/scribe.go
@@ -0,0 +1,89 @@
+package engine
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"wingmount/internal/store"
+)
+
+// scribeBatch is how many answers go on record together at most.
+const scribeBatch = 256
+
+// scribe puts final answers on record and hands them on to be told, in the order in which
+// the module gave them. Its queue is bounded by what the node holds: a message has one
+// answer.
+type scribe struct {
+	store  store.Store
+	teller Teller
+	log    *slog.Logger
+
+	mu     sync.Mutex
+	queue  []store.Ending
+	closed bool
+	more   sync.Cond
+}
+
+func newScribe(s store.Store, t Teller, log *slog.Logger) *scribe {
+	w := &scribe{store: s, teller: t, log: log}
+	w.more.L = &w.mu
+	return w
+}
+
+// add queues an answer. It never waits.
+func (w *scribe) add(e store.Ending) {
+	w.mu.Lock()
+	w.queue = append(w.queue, e)
+	w.mu.Unlock()
+	w.more.Signal()
+}
+
+// start writes in the background. The function it returns waits until all is written.
+func (w *scribe) start() (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for w.write() {
+		}
+	}()
+	return func() {
+		w.mu.Lock()
+		w.closed = true
+		w.mu.Unlock()
+		w.more.Signal()
+		<-done
+	}
+}
+
+// write waits for answers and writes them. It tells whether more may come.
+func (w *scribe) write() bool {
+	w.mu.Lock()
+	for len(w.queue) == 0 {
+		if w.closed {
+			w.mu.Unlock()
+			return false
+		}
+		w.more.Wait()
+	}
+	n := min(len(w.queue), scribeBatch)
+	batch := append([]store.Ending(nil), w.queue[:n]...)
+	rest := copy(w.queue, w.queue[n:])
+	clear(w.queue[rest:])
+	w.queue = w.queue[:rest]
+	w.mu.Unlock()
+	// No context: an answer that the module gave is written, and the store has bounds of
+	// its own.
+	if err := w.store.End(context.Background(), batch...); err != nil {
+		// Told all the same: their clients wait. After a restart they are answered again.
+		w.log.Error("store: end", "err", err)
+	}
+	for _, e := range batch {
+		// One that is over has its answer already: its delivery went on record between the
+		// module's last look and this.
+		if e.Message.End != nil {
+			w.teller.Add(e.Message)
+		}
+	}
+	return true
+}
--- a/internal/node/clients.go
+++ b/internal/front/http/clients.go
@@ -1,4 +1,4 @@
-package node
+package httpfront
 
 import (
 	clist "container/list"
@@ -22,8 +22,8 @@
 	freshClient = 250 * time.Millisecond
 )
 
-// newServer answers clients by a handler on connections of a clientListener.
-func newServer(h http.Handler, log *slog.Logger) *http.Server {
+// NewServer answers clients by a handler on connections of a [Listener].
+func NewServer(h http.Handler, log *slog.Logger) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
 		WriteTimeout: requestTimeout, IdleTimeout: keepAlive, MaxHeaderBytes: maxHeader,
 		// Clients that send what can't be read must not cost a line each.
@@ -35,10 +35,10 @@
 		}}
 }
 
-// clientListener keeps the connections of clients to a number. When one more comes
+// Listener keeps the connections of clients to a number. When one more comes
 // it closes the one that is missed least: one on which nothing ever came, then one
 // that is idle. So those who connect and say nothing can't shut the others out.
-type clientListener struct {
+type Listener struct {
 	net.Listener
 	limit int
 
@@ -48,12 +48,12 @@
 	idle   *clist.List // between requests, the longest idle first
 }
 
-func newClientListener(l net.Listener, limit int) *clientListener {
-	return &clientListener{Listener: l, limit: max(1, limit), silent: clist.New(), idle: clist.New()}
+func NewListener(l net.Listener, limit int) *Listener {
+	return &Listener{Listener: l, limit: max(1, limit), silent: clist.New(), idle: clist.New()}
 }
 
 // Accept waits for the next connection that there is room for.
-func (l *clientListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
 		if err != nil {
@@ -83,7 +83,7 @@
 }
 
 // victim gives the place of the connection that is missed least away.
-func (l *clientListener) victim() *clientConn {
+func (l *Listener) victim() *clientConn {
 	e := l.silent.Front()
 	if e == nil || time.Since(e.Value.(*clientConn).since) < freshClient && l.idle.Len() > 0 {
 		e = l.idle.Front()
@@ -99,7 +99,7 @@
 // clientConn is one connection of a client. The owner's lock guards its fields.
 type clientConn struct {
 	net.Conn
-	owner  *clientListener
+	owner  *Listener
 	since  time.Time
 	in     *clist.List // nil while a request is open
 	place  *clist.Element
--- a/internal/node/clients_test.go
+++ b/internal/front/http/clients_test.go
@@ -1,4 +1,4 @@
-package node
+package httpfront
 
 import (
 	"bufio"
@@ -10,16 +10,18 @@
 	"strings"
 	"testing"
 	"time"
+
+	"wingmount/internal/message"
 )
 
 // clientRig serves an intake over loopback, to so many clients at once.
-func clientRig(t *testing.T, in *intake, limit int) *clientListener {
+func clientRig(t *testing.T, in *Intake, limit int) *Listener {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
-	l := newClientListener(raw, limit)
-	in.accept = func(*message) {}
-	server := newServer(in, quietLog())
+	l := NewListener(raw, limit)
+	in.accept = func(*message.Message) {}
+	server := NewServer(in, quietLog())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -64,7 +66,7 @@
 // Clients that connect by hundreds and say nothing, and clients that keep their
 // connections for good, must not shut the others out, and must not pile up.
 func TestSilentAndIdleClientsGiveWay(t *testing.T) {
-	var accepted []*message
+	var accepted []*message.Message
 	in := newIntake(t, &accepted)
 	in.maxHeld = 100
 	l := clientRig(t, in, 8)
@@ -86,7 +88,7 @@
 // A connection that says nothing, half a head or half a body is ended within 3 s,
 // and leaves nothing behind.
 func TestUnfinishedRequestsEndInTime(t *testing.T) {
-	var accepted []*message
+	var accepted []*message.Message
 	l := clientRig(t, newIntake(t, &accepted), 8)
 	start := time.Now()
 	var conns []net.Conn
@@ -137,7 +139,7 @@
 		"endless head":     "POST /note HTTP/1.1\r\nX: " + strings.Repeat("x", 64<<10),
 	} {
 		t.Run(name, func(t *testing.T) {
-			var accepted []*message
+			var accepted []*message.Message
 			in := newIntake(t, &accepted)
 			l := clientRig(t, in, 8)
 			c := dialClient(t, l)
@@ -149,7 +151,7 @@
 			if n := bytes.Count(all, []byte("HTTP/1.1 ")); n > 1 || bytes.Contains(all, []byte("HTTP/1.1 2")) {
 				t.Errorf("answered %q, want one error or a close", all)
 			}
-			if n := in.count(); n != 0 {
+			if n := in.Count(); n != 0 {
 				t.Errorf("%d messages were taken", n)
 			}
 		})
@@ -159,7 +161,7 @@
 // The answer to a body that is too long reaches a client that reads only when it
 // has sent all of it.
 func TestLongBodyHearsItsAnswer(t *testing.T) {
-	var accepted []*message
+	var accepted []*message.Message
 	c := dialClient(t, clientRig(t, newIntake(t, &accepted), 8))
 	const size = 16 << 20
 	_, err := io.WriteString(c, rawNote("a", fmt.Sprintf("Content-Length: %d\r\n", size)))
@@ -177,15 +179,15 @@
 
 // A plain refusal leaves a good connection open for the next try.
 func TestRefusalKeepsTheConnection(t *testing.T) {
-	var accepted []*message
+	var accepted []*message.Message
 	in := newIntake(t, &accepted)
 	in.maxHeld = 1
-	in.taken("another")
+	in.Taken("another")
 	c := dialClient(t, clientRig(t, in, 8))
 	if got := askNote(t, c, "a"); got != http.StatusServiceUnavailable {
 		t.Fatalf("answered %d by a full hold", got)
 	}
-	in.ended("another")
+	in.Ended("another")
 	if got := askNote(t, c, "b"); got != http.StatusAccepted {
 		t.Errorf("answered %d on the same connection", got)
 	}
@@ -194,7 +196,7 @@
 // Destinations and times that the settings and discovery don't know are not taken on;
 // before discovery has told anything, the client is asked to come again.
 func TestUnknownDestinations(t *testing.T) {
-	var accepted []*message
+	var accepted []*message.Message
 	in := newIntake(t, &accepted)
 	in.maxHeld = 10
 	l := clientRig(t, in, 8)
@@ -220,19 +222,19 @@
 		"a day":           {"5000", "86400000", true, http.StatusBadRequest},
 		"negative number": {"dest=7", "dest=-7", true, http.StatusBadRequest},
 	} {
-		in.setDestinations(map[int]bool{7: true}, c.told)
+		in.SetDestinations(map[int]bool{7: true}, c.told)
 		if got := ask(strings.ReplaceAll(name, " ", "-"), c.from, c.to); got != c.want {
 			t.Errorf("%s: answered %d, want %d", name, got, c.want)
 		}
 	}
-	if n := in.count(); n != 2 {
+	if n := in.Count(); n != 2 {
 		t.Errorf("%d messages are held, want the two good ones", n)
 	}
 }
 
 // A node that knows of no endpoint is not ready; one that knows an old list is.
 func TestReadyWhenEndpointsAreKnown(t *testing.T) {
-	var accepted []*message
+	var accepted []*message.Message
 	in := newIntake(t, &accepted)
 	l := clientRig(t, in, 8)
 	for _, c := range []struct {
@@ -240,7 +242,7 @@
 		told  bool
 		want  int
 	}{{nil, false, 503}, {map[int]bool{7: true}, false, 200}, {nil, true, 200}} {
-		in.setDestinations(c.dests, c.told)
+		in.SetDestinations(c.dests, c.told)
 		resp, err := http.Get("http://" + l.Addr().String() + "/healthz")
 		must(t, err)
 		_ = resp.Body.Close()
--- a/internal/node/intake.go
+++ b/internal/front/http/intake.go
@@ -1,6 +1,10 @@
-package node
+// Package httpfront takes messages from clients over HTTP/1.1. It validates a message,
+// admits it, puts it on record and only then acknowledges it; a refusal says when to
+// come again. The final answer of what was acknowledged is told by others.
+package httpfront
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,11 +15,12 @@
 	"sync"
 	"time"
 
+	"wingmount/internal/message"
+	"wingmount/internal/store"
 	"wingmount/policy"
 )
 
 const (
-	maxID = 256
 	// fullRetry is what a client is told that finds the hold full.
 	fullRetry = time.Second
 	// timeoutSlack is what a client may ask for beyond its class's deadline.
@@ -25,15 +30,15 @@
 	lingerBytes = 64 << 20
 )
 
-// intake takes messages from clients. A message is journaled before it is
+// Intake takes messages from clients. A message is on record before it is
 // answered, and from then on the node owes its end.
-type intake struct {
-	names   names
-	classes []policy.Class
-	journal *journal
+type Intake struct {
+	classes map[string]int
+	rules   []policy.Class
+	store   store.Store
 	log     *slog.Logger
 	maxHeld int
-	accept  func(*message)
+	accept  func(*message.Message)
 
 	mu      sync.Mutex
 	held    map[string]bool // ids of messages that have not ended; true once taken
@@ -43,6 +48,20 @@
 	told    bool            // discovery has told of them in this life
 }
 
+// Config is what an intake is told.
+type Config struct {
+	Classes map[string]int // names of the classes, as indices into Rules
+	Rules   []policy.Class
+	MaxHeld int // messages that have not ended, at most; 0 for any number
+}
+
+// New returns an intake. It hands each message that the store has taken to accept, which
+// may wait until the engine has room.
+func New(c Config, s store.Store, accept func(*message.Message), log *slog.Logger) *Intake {
+	return &Intake{classes: c.Classes, rules: c.Rules, maxHeld: c.MaxHeld, store: s, accept: accept, log: log,
+		held: map[string]bool{}}
+}
+
 // badRequest is a fault of the client.
 type badRequest struct {
 	status int
@@ -52,7 +71,7 @@
 func (b badRequest) Error() string { return b.text }
 
 // ServeHTTP answers a client.
-func (in *intake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (in *Intake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if in.isClosing() {
 		w.Header().Set("Connection", "close")
 	}
@@ -78,7 +97,7 @@
 		in.reject(w, r, err)
 		return
 	}
-	if there, sure := in.knows(m.dest); !there {
+	if there, sure := in.knows(m.Dest); !there {
 		if sure {
 			in.reject(w, r, badRequest{http.StatusNotFound, "no such destination"})
 		} else {
@@ -88,7 +107,7 @@
 	}
 	// A context that has ended may mean a client that has only closed its sending
 	// side and waits for the answer, so it is not asked here.
-	again, ok := in.reserve(m.id)
+	again, ok := in.reserve(m.ID)
 	if again { // sent once more by a client that did not hear the answer
 		w.WriteHeader(http.StatusAccepted)
 		return
@@ -97,22 +116,22 @@
 		in.turnAway(w, "the hold is full")
 		return
 	}
-	if err := in.journal.take(m); err != nil {
-		in.ended(m.id)
-		if !errors.Is(err, errNoRoom) {
-			in.log.Error("intake: not journaled", "id", m.id, "err", err)
+	if err := in.store.Take(context.WithoutCancel(r.Context()), m); err != nil {
+		in.Ended(m.ID)
+		if !errors.Is(err, store.ErrFull) {
+			in.log.Error("intake: not on record", "id", m.ID, "err", err)
 		}
-		in.turnAway(w, "the journal takes no more")
+		in.turnAway(w, "the store takes no more")
 		return
 	}
-	in.taken(m.id)
+	in.Taken(m.ID)
 	in.accept(m)
 	w.WriteHeader(http.StatusAccepted)
 }
 
 // reject answers a request that can't be taken and ends its connection: what may
 // lie behind it there, or inside its body, must never be read as a request.
-func (in *intake) reject(w http.ResponseWriter, r *http.Request, err error) {
+func (in *Intake) reject(w http.ResponseWriter, r *http.Request, err error) {
 	bad := badRequest{http.StatusBadRequest, "the body could not be read"}
 	errors.As(err, &bad)
 	in.log.Debug("intake: bad request", "status", bad.status, "err", err)
@@ -143,9 +162,9 @@
 }
 
 // read checks a request and reads its message.
-func (in *intake) read(r *http.Request) (*message, error) {
+func (in *Intake) read(r *http.Request) (*message.Message, error) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	class, ok := in.names.classes[name]
+	class, ok := in.classes[name]
 	if !ok {
 		return nil, badRequest{http.StatusNotFound, "no such path"}
 	}
@@ -168,30 +187,30 @@
 	if r.Header.Get("X-Priority-Class") != name {
 		return nil, bad("X-Priority-Class must name the class of the path")
 	}
-	k := in.classes[class]
-	m := &message{id: r.Header.Get("X-Request-ID"), key: r.Header.Get("Idempotency-Key"), class: class}
-	if !validWord(m.id) {
+	k := in.rules[class]
+	m := &message.Message{ID: r.Header.Get("X-Request-ID"), Key: r.Header.Get("Idempotency-Key"), Class: class}
+	if !validWord(m.ID) {
 		return nil, bad("X-Request-ID is missing or malformed")
 	}
-	if k.Repeat == policy.Deduplicated && m.key == "" || m.key != "" && !validWord(m.key) {
+	if k.Repeat == policy.Deduplicated && m.Key == "" || m.Key != "" && !validWord(m.Key) {
 		return nil, bad("Idempotency-Key is missing or malformed")
 	}
 	ms, err := strconv.ParseInt(r.Header.Get("X-Timeout-Ms"), 10, 64)
 	if err != nil || ms <= 0 || ms > (k.Deadline+timeoutSlack).Milliseconds() {
 		return nil, bad("X-Timeout-Ms is missing or malformed")
 	}
-	m.deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
-	if m.dest, err = destination(r.Header.Get("X-Route-To")); err != nil {
+	m.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	if m.Dest, err = destination(r.Header.Get("X-Route-To")); err != nil {
 		return nil, bad("X-Route-To: %v", err)
 	}
 	if r.ContentLength < 0 || r.Header.Get("Content-Length") == "" {
 		return nil, bad("Content-Length is missing")
 	}
-	if r.ContentLength > maxBody {
+	if r.ContentLength > message.MaxBody {
 		return nil, badRequest{http.StatusRequestEntityTooLarge, "over 64 KiB"}
 	}
 	// Room is made for what comes, not for what was announced.
-	if m.body, err = io.ReadAll(r.Body); err != nil {
+	if m.Body, err = io.ReadAll(r.Body); err != nil {
 		return nil, fmt.Errorf("reading the body: %w", err)
 	}
 	return m, nil
@@ -199,7 +218,7 @@
 
 // validWord keeps ids and keys to what fits a header and a line of a bundle.
 func validWord(s string) bool {
-	return s != "" && len(s) <= maxID && strings.IndexFunc(s, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
+	return s != "" && len(s) <= message.MaxWord && strings.IndexFunc(s, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
 }
 
 // destination reads 'dest=7', among other fields or alone.
@@ -217,7 +236,7 @@
 }
 
 // reserve keeps a place in the hold. Again tells that the message is held already.
-func (in *intake) reserve(id string) (again, ok bool) {
+func (in *Intake) reserve(id string) (again, ok bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if taken, known := in.held[id]; known {
@@ -230,69 +249,70 @@
 	return false, true
 }
 
-// setDestinations tells which destinations there are, and whether discovery has told
+// SetDestinations tells which destinations there are, and whether discovery has told
 // of them in this life of the node.
-func (in *intake) setDestinations(dests map[int]bool, told bool) {
+func (in *Intake) SetDestinations(dests map[int]bool, told bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.dests, in.told = dests, told
 }
 
-func (in *intake) knows(dest int) (there, sure bool) {
+func (in *Intake) knows(dest int) (there, sure bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.dests[dest], in.told
 }
 
 // informed tells that messages can be told from those for nowhere.
-func (in *intake) informed() bool {
+func (in *Intake) informed() bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.told || len(in.dests) > 0
 }
 
-// taken tells that the journal has a message; one of an earlier life may come so.
-func (in *intake) taken(id string) {
+// Taken tells that the journal has a message; one of an earlier life may come so.
+func (in *Intake) Taken(id string) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.held[id] = true
 }
 
-func (in *intake) count() int {
+// Count is the number of messages that have not ended.
+func (in *Intake) Count() int {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return len(in.held)
 }
 
-// ended frees the place of a message.
-func (in *intake) ended(id string) {
+// Ended frees the place of a message.
+func (in *Intake) Ended(id string) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	delete(in.held, id)
 }
 
-// close makes every answer the last of its connection, so that clients go
+// Close makes every answer the last of its connection, so that clients go
 // elsewhere by themselves and no request is cut off.
-func (in *intake) close(refuse bool) {
+func (in *Intake) Close(refuse bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.closing, in.refuse = true, refuse
 }
 
-func (in *intake) isClosing() bool {
+func (in *Intake) isClosing() bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.closing
 }
 
-func (in *intake) isRefusing() bool {
+func (in *Intake) isRefusing() bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.refuse
 }
 
 // turnAway refuses: handing the message in again is harmless.
-func (in *intake) turnAway(w http.ResponseWriter, why string) {
+func (in *Intake) turnAway(w http.ResponseWriter, why string) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(fullRetry.Seconds(), 'f', -1, 64))
 	http.Error(w, why, http.StatusServiceUnavailable)
 }
--- /dev/null
+++ b/internal/front/http/intake_test.go
@@ -0,0 +1,79 @@
+package httpfront
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"wingmount/internal/message"
+	"wingmount/internal/store/journal"
+	"wingmount/policy"
+)
+
+const patience = 10 * time.Second
+
+func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// newIntake has one keyed class and remembers what it accepts.
+func newIntake(t *testing.T, accepted *[]*message.Message) *Intake {
+	j, _, err := journal.Open(t.TempDir(), journal.MinDisk, quietLog())
+	must(t, err)
+	t.Cleanup(func() { _ = j.Close() })
+	in := New(Config{Classes: map[string]int{"note": 0}, MaxHeld: 2,
+		Rules: []policy.Class{{Repeat: policy.Deduplicated, Deadline: 28 * time.Second}}}, j,
+		func(m *message.Message) { *accepted = append(*accepted, m) }, quietLog())
+	in.SetDestinations(map[int]bool{7: true}, true)
+	return in
+}
+
+func noteRequest(ctx context.Context, id string) *http.Request {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/note", strings.NewReader("body"))
+	for k, v := range map[string]string{"X-Request-ID": id, "X-Priority-Class": "note", "X-Timeout-Ms": "5000",
+		"X-Route-To": "dest=7", "Idempotency-Key": "k", "Content-Length": "4"} {
+		r.Header.Set(k, v)
+	}
+	return r
+}
+
+// net/http ends a request's context also when the client has only closed its
+// sending side: it waits for the answer, and one without a message taken loses it.
+func TestEndedContextIsNoReasonToDrop(t *testing.T) {
+	var accepted []*message.Message
+	in := newIntake(t, &accepted)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	w := httptest.NewRecorder()
+	in.ServeHTTP(w, noteRequest(ctx, "a"))
+	if w.Code != http.StatusAccepted || len(accepted) != 1 || string(accepted[0].Body) != "body" {
+		t.Errorf("answered %d with %d messages taken, want 202 and one", w.Code, len(accepted))
+	}
+}
+
+// A journal that can't be written refuses, frees the place and never crashes.
+func TestFailedJournalRefuses(t *testing.T) {
+	var accepted []*message.Message
+	in := newIntake(t, &accepted)
+	must(t, in.store.Close())
+	for _, id := range []string{"a", "b", "c", "a"} {
+		w := httptest.NewRecorder()
+		in.ServeHTTP(w, noteRequest(context.Background(), id))
+		if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+			t.Errorf("%s: answered %d, want 503 with Retry-After", id, w.Code)
+		}
+	}
+	if len(accepted) != 0 || in.Count() != 0 {
+		t.Errorf("%d messages accepted and %d places held, want none", len(accepted), in.Count())
+	}
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,112 @@
+// Package message says what a message is, what lies behind it, and how it ends. It
+// holds no state and does no I/O: the store that has a message owns its Past and End.
+package message
+
+import (
+	"time"
+
+	"wingmount/policy"
+)
+
+const (
+	// MaxBody is the longest body of a message, in bytes.
+	MaxBody = 64 << 10
+	// MaxWord is the longest id or key of a message, in bytes.
+	MaxWord = 256
+)
+
+// Message is one message that a node has taken on.
+type Message struct {
+	Seq      policy.MessageID // given by the store that took it, never twice
+	ID       string           // the client's name for it: 1 to MaxWord bytes
+	Key      string           // empty where it has none: MaxWord bytes at most
+	Class    int              // index into the settings' classes
+	Dest     int              // number of its destination
+	Deadline time.Time        // when its time is up
+	Body     []byte           // MaxBody bytes at most
+	Window   time.Duration    // how long its key is remembered, 0 where it has none
+
+	// The rest is owned by the store.
+	Past Past
+	End  *End // the answer that is owed, nil while it runs
+}
+
+// Past is what a message has behind it, as the decision module counts it.
+type Past struct {
+	Attempts int
+	Settled  bool // a finished attempt may have run
+	Out      bool // the last attempt has no outcome yet
+	MayRun   bool
+	RanAt    time.Time // when the first attempt that may have run was sent
+	RanZone  int       // where it was sent
+}
+
+// Attempt counts an attempt that is about to be sent to a zone.
+func (p *Past) Attempt(zone int, at time.Time) {
+	p.Attempts++
+	p.Out = true
+	if !p.MayRun {
+		p.MayRun, p.RanAt, p.RanZone = true, at, zone
+	}
+}
+
+// Outcome counts the end of the attempt that is out.
+func (p *Past) Outcome(o policy.Outcome) {
+	p.Out = false
+	if !NeverRan(o) {
+		p.Settled = true
+	} else if !p.Settled {
+		p.MayRun = false
+	}
+}
+
+// Interrupt ends the attempt that was out when the process ended, if one was: it may
+// have run, or may yet.
+func (p *Past) Interrupt() {
+	if p.Out {
+		p.Out, p.Settled = false, true
+	}
+}
+
+// Forgotten tells that a message which may have run must not be sent at a time any
+// more, because its key, remembered for a window, is forgotten by then.
+func (p *Past) Forgotten(window time.Duration, at time.Time) bool {
+	return window > 0 && p.MayRun && at.Sub(p.RanAt) >= window
+}
+
+// NeverRan tells which outcomes prove that an attempt has not run.
+func NeverRan(o policy.Outcome) bool {
+	return o == policy.Full || o == policy.Unreachable || o == policy.Moot
+}
+
+// Kind is what the final answer of a message says.
+type Kind int
+
+// The final answers.
+const (
+	// Failed promises nothing about the message's effect.
+	Failed Kind = iota
+	// Refused tells the client that handing the message in again is harmless.
+	Refused
+	// Delivered tells that its destination took it.
+	Delivered
+)
+
+// String is the kind in lower case.
+func (k Kind) String() string {
+	switch k {
+	case Failed:
+		return "failed"
+	case Refused:
+		return "refused"
+	case Delivered:
+		return "delivered"
+	}
+	return "unknown"
+}
+
+// End is the final answer of a message.
+type End struct {
+	Kind       Kind
+	RetryAfter time.Duration // Refused: how long the client should stay away, or 0
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,5 +1,5 @@
-// Package node is a delivery node: it takes messages from clients, lets the
-// decision module say what to do with them, and carries that out over sockets.
+// Package node puts a delivery node together: it builds its parts, starts them, and
+// stops them in order. What a node does is in the parts.
 package node
 
 import (
@@ -14,6 +14,14 @@
 	"sync"
 	"time"
 
+	"wingmount/internal/carrier"
+	"wingmount/internal/carrier/http1"
+	"wingmount/internal/directory"
+	"wingmount/internal/engine"
+	httpfront "wingmount/internal/front/http"
+	"wingmount/internal/message"
+	"wingmount/internal/platform"
+	"wingmount/internal/store/journal"
 	"wingmount/policy"
 )
 
@@ -23,7 +31,6 @@
 	// sent until stopTaking, and what is out then has until stopWaiting.
 	stopTaking  = 2200 * time.Millisecond
 	stopWaiting = 3300 * time.Millisecond
-	eventRoom   = 4096
 	// ownSockets are kept for the journal, discovery, notices and the like, and
 	// endpointShare of all for calls. Clients have the rest.
 	ownSockets    = 32
@@ -46,13 +53,13 @@
 	if all <= 0 {
 		all = anySockets
 	}
-	return max(maxIdle, int(endpointShare*float64(all))-slots)
+	return max(0, int(endpointShare*float64(all))-slots)
 }
 
 // Reload tells when the configuration has been replaced, and how to read it.
 type Reload struct {
 	Signals <-chan os.Signal
-	Load    func() (Config, error)
+	Load    func() (platform.Config, error)
 }
 
 // run passes on the address of discovery each time that the configuration has been
@@ -74,117 +81,113 @@
 	}
 }
 
-// Run serves until the context ends and then stops in good order.
-func Run(ctx context.Context, c Config, reload Reload, log *slog.Logger) error {
+// Run serves on the platform until the context ends and then stops in good order.
+func Run(ctx context.Context, c platform.Config, reload Reload, log *slog.Logger) error {
 	if c.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
 	}
-	j, owed, err := openJournal(c.State, c.DiskBytes, log)
+	records, recovered, err := journal.Open(c.State, c.DiskBytes, log)
 	if err != nil {
 		return err
 	}
-	for _, m := range owed {
-		if m.class >= len(c.Settings.Classes) {
-			return errors.Join(fmt.Errorf("the journal holds a message of class %d, which the settings lack", m.class), j.close())
+	for _, m := range recovered.Owed {
+		if m.Class >= len(c.Settings.Classes) {
+			return errors.Join(fmt.Errorf("the journal holds a message of class %d, which the settings lack", m.Class), records.Close())
 		}
 	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
-		return errors.Join(fmt.Errorf("listening for clients: %w", err), j.close())
+		return errors.Join(fmt.Errorf("listening for clients: %w", err), records.Close())
 	}
-	listener = newClientListener(listener, clientSockets(c.Sockets))
-	in := &intake{names: c.Names, journal: j, log: log, maxHeld: c.Settings.MaxHeld, held: map[string]bool{},
-		classes: c.Settings.Classes}
-	l := &loop{
-		sender: policy.New(c.Settings, c.Seed), settings: c.Settings, names: c.Names, log: log,
-		journal: j, finals: newFinals(c.Discovery, j, log), intake: in, origin: time.Now(),
-		events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
-		held:      map[policy.MessageID]*message{},
-		endpoints: map[policy.EndpointID]*endpoint{}, waits: map[int]*gate{},
-		dests: map[int]time.Time{},
-	}
-	l.caller = newCaller(c, j, log, func(e policy.Event) { l.post(e) })
-	in.accept = func(m *message) { l.post(m) }
+	listener = httpfront.NewListener(listener, clientSockets(c.Sockets))
+	eng := engine.New(engine.Config{Settings: c.Settings, Seed: c.Seed, Kinds: c.Kinds, Zones: c.Zones})
+	event := func(e policy.Event) { eng.Post(e) }
+	in := httpfront.New(httpfront.Config{Classes: c.Classes, Rules: c.Settings.Classes, MaxHeld: c.Settings.MaxHeld},
+		records, func(m *message.Message) { eng.Post(m) }, log)
+	calls := http1.New(http1.Config{ConnectTimeout: c.Settings.ConnectTimeout, IdleClose: c.IdleClose,
+		MaxIdle: idleSockets(c.Sockets, c.Settings.Slots)}, &carrier.Recorder{Store: records, Log: log, Tell: event}, log)
+	finals := platform.NewFinals(c.Discovery, records, log)
+	parts := engine.Parts{Store: records, Carrier: calls, Admission: in, Teller: finals, Memories: recovered.Memories, Log: log}
+	var peers *platform.Peers
 	if c.Settings.MayTell && c.PeerBind != "" && c.PeersAll != "" {
-		if l.peers, err = openPeers(c, log, func(e policy.Event) { l.post(e) }); err != nil {
-			return errors.Join(err, listener.Close(), j.close())
+		if peers, err = platform.OpenPeers(c, log, event); err != nil {
+			return errors.Join(err, listener.Close(), records.Close())
 		}
+		parts.Notes = peers
 	}
+	eng.Use(parts)
 
 	// Everything below runs until the node has stopped, not until it is told to.
 	life, end := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	quiet := make(chan struct{})
-	running.Go(func() { l.run(life, quiet) })
-	running.Go(func() { l.finals.run(life) })
-	directory := newDiscovery(c.Discovery, log, func(in list) {
-		in.fresh = true
-		l.post(in)
-	})
-	running.Go(func() { directory.run(life) })
-	if l.peers != nil {
-		running.Go(func() { l.peers.run(life) })
+	running.Go(func() { eng.Run(life, quiet) })
+	running.Go(func() { finals.Run(life) })
+	follower := platform.NewDiscovery(c.Discovery, log, func(l directory.List) { eng.Post(l) })
+	running.Go(func() { follower.Run(life) })
+	if peers != nil {
+		running.Go(func() { peers.Run(life) })
 	}
 	if len(c.Known.Members) > 0 {
-		l.post(c.Known)
+		eng.Post(c.Known)
 	}
-	for _, m := range owed {
-		if m.notice != nil {
-			l.finals.add(m)
+	for _, m := range recovered.Owed {
+		if m.End != nil {
+			finals.Add(m)
 			continue
 		}
-		in.taken(m.id)
-		l.post(m)
+		in.Taken(m.ID)
+		eng.Post(m)
 	}
-	server := newServer(in, log)
+	server := httpfront.NewServer(in, log)
 	served := make(chan error, 1)
 	running.Go(func() { served <- server.Serve(listener) })
-	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(owed))
+	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(recovered.Owed))
 
 	running.Go(func() {
 		reload.run(life, log, func(addr string) {
-			directory.move(addr)
-			l.finals.move(addr)
+			follower.Move(addr)
+			finals.Move(addr)
 		})
 	})
 
 	select {
 	case <-ctx.Done():
-		l.stop(server, quiet)
+		stop(in, server, eng, calls, quiet, log)
 		err = nil
 	case err = <-served:
 		err = fmt.Errorf("serving clients: %w", err)
 	}
 	end()
 	running.Wait()
-	l.caller.running.Wait() // their outcomes go on record before the journal closes
-	log.Info("stopped", "owed", len(l.held))
-	return errors.Join(err, j.close())
+	calls.Wait() // their outcomes go on record before the journal closes
+	log.Info("stopped", "owed", in.Count())
+	return errors.Join(err, records.Close())
 }
 
 // stop lets go of the clients first, then of the endpoints. What is still owed
-// after that waits in the journal for the next start.
-func (l *loop) stop(server *http.Server, quiet chan<- struct{}) {
+// after that waits in the store for the next start.
+func stop(in *httpfront.Intake, server *http.Server, eng *engine.Engine, carrier *http1.Carrier, quiet chan<- struct{}, log *slog.Logger) {
 	start := time.Now()
-	l.log.Info("stopping", "owed", l.intake.count())
-	l.intake.close(false)
+	log.Info("stopping", "owed", in.Count())
+	in.Close(false)
 	time.Sleep(stopTaking)
-	l.intake.close(true)
+	in.Close(true)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(stopWaiting))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
-		l.log.Warn("stopping: clients are left", "err", err)
+		log.Warn("stopping: clients are left", "err", err)
 	}
 	close(quiet)
-	<-l.quieted
+	<-eng.Quieted()
 	calls := make(chan struct{})
 	go func() {
-		l.caller.running.Wait()
+		carrier.Wait()
 		close(calls)
 	}()
 	select {
 	case <-calls:
 	case <-ctx.Done():
-		l.log.Warn("stopping: calls are out")
+		log.Warn("stopping: calls are out")
 	}
 }
--- a/internal/node/config.go
+++ b/internal/platform/config.go
@@ -1,4 +1,7 @@
-package node
+// Package platform is the node's side of the platform that starts it: its configuration,
+// the directory's list, notices of messages that ended undelivered, and notes between
+// nodes. It follows what the platform says and decides nothing.
+package platform
 
 import (
 	"encoding/json"
@@ -9,6 +12,8 @@
 	"strconv"
 	"time"
 
+	"wingmount/internal/directory"
+	"wingmount/internal/store/journal"
 	"wingmount/internal/wire"
 	"wingmount/policy"
 )
@@ -28,15 +33,12 @@
 	Peers     []netip.AddrPort
 	PeersAll  string
 	Me        int
-	Known     list // the endpoints as this node last had them
+	Known     directory.List // the endpoints as this node last had them
 	Settings  policy.Settings
-	Names     names
-	IdleClose time.Duration
-}
-
-// names translates between the words of the settings and the module's numbers.
-type names struct {
-	classes, kinds, zones map[string]int
+	// Classes, Kinds and Zones translate the words of the settings into the module's
+	// numbers.
+	Classes, Kinds, Zones map[string]int
+	IdleClose             time.Duration
 }
 
 func index(list []string) map[string]int {
@@ -62,7 +64,7 @@
 	PeerListen string   `json:"peer_listen"`
 	Peers      []string `json:"peers"`
 	PeersAll   string   `json:"peers_all"`
-	Known      list
+	Known      directory.List
 	Settings   json.RawMessage
 }
 
@@ -113,7 +115,7 @@
 	if c.State == "" {
 		return Config{}, errors.New("PROXY_STATE is not set")
 	}
-	if c.DiskBytes < minDisk {
+	if c.DiskBytes < journal.MinDisk {
 		return Config{}, fmt.Errorf("limits.disk_mb is %v, less than a journal needs", f.Limits.DiskMB)
 	}
 	if f.Seed != "" {
@@ -143,7 +145,7 @@
 		classes[i] = k.Name
 	}
 	c.Me = n.Me
-	c.Names = names{classes: index(classes), kinds: index(n.MachineTypes), zones: index(n.FailureDomains)}
+	c.Classes, c.Kinds, c.Zones = index(classes), index(n.MachineTypes), index(n.FailureDomains)
 	c.IdleClose = time.Duration(n.PolicyLimits.IdleCloseUs) * time.Microsecond
 	if c.IdleClose <= 0 {
 		c.IdleClose = 15 * time.Second
--- a/internal/node/discovery.go
+++ b/internal/platform/discovery.go
@@ -1,4 +1,4 @@
-package node
+package platform
 
 import (
 	"context"
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"wingmount/internal/directory"
 )
 
 const (
@@ -22,45 +24,28 @@
 	maxList    = 4 << 20
 )
 
-// list is the endpoints, or what has changed of them, in discovery's form.
-type list struct {
-	Revision int64    `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []member `json:"members"`
-	fresh    bool     // told by discovery, in this life of the node
-}
-
-// member is one endpoint in a list.
-type member struct {
-	ID       string  `json:"id"`
-	HostPort string  `json:"host_port"`
-	Locality string  `json:"locality"`
-	Flavor   string  `json:"flavor"`
-	Cell     int     `json:"cell"`
-	Phase    string  `json:"phase"`
-	Size     float64 `json:"size"`
-}
-
-// discovery follows the list of endpoints.
-type discovery struct {
+// Discovery follows the list of endpoints.
+type Discovery struct {
 	client *http.Client
 	log    *slog.Logger
-	tell   func(list)
+	tell   func(directory.List)
 
 	mu    sync.Mutex
 	url   string
 	leave context.CancelFunc // ends the watch at the present address
 }
 
-func newDiscovery(addr string, log *slog.Logger, tell func(list)) *discovery {
-	return &discovery{url: listURL(addr), log: log, tell: tell,
+// NewDiscovery returns a follower of the directory at an address, which tells each list
+// in turn, and marks it as fresh.
+func NewDiscovery(addr string, log *slog.Logger, tell func(directory.List)) *Discovery {
+	return &Discovery{url: listURL(addr), log: log, tell: tell,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 }
 
 func listURL(addr string) string { return "http://" + addr + "/v1/servers" }
 
-// move goes on at another address, at once.
-func (d *discovery) move(addr string) {
+// Move goes on at another address, at once.
+func (d *Discovery) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if url := listURL(addr); url != d.url {
@@ -71,8 +56,8 @@
 	}
 }
 
-// run follows the list until the context ends.
-func (d *discovery) run(ctx context.Context) {
+// Run follows the list until the context ends.
+func (d *Discovery) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		here, leave := context.WithCancel(ctx)
 		d.mu.Lock()
@@ -87,7 +72,7 @@
 
 // follow fetches the whole list and then watches it until the context ends. It
 // starts anew at each address: versions told by another may mean something else.
-func (d *discovery) follow(ctx context.Context, base string) {
+func (d *Discovery) follow(ctx context.Context, base string) {
 	at := int64(-1)
 	for ctx.Err() == nil {
 		url, limit := base, watchMargin
@@ -101,6 +86,7 @@
 			return
 		}
 		if err == nil && (l.Complete || at >= 0 && l.Revision > at) {
+			l.Fresh = true
 			d.tell(l)
 			at = l.Revision
 			continue
@@ -120,28 +106,28 @@
 	}
 }
 
-func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (list, error) {
+func (d *Discovery) get(ctx context.Context, url string, limit time.Duration) (directory.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return list{}, err
+		return directory.List{}, err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return list{}, err
+		return directory.List{}, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return list{}, fmt.Errorf("answered %s", resp.Status)
+		return directory.List{}, fmt.Errorf("answered %s", resp.Status)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
 	if err != nil {
-		return list{}, err
+		return directory.List{}, err
 	}
-	var l list
+	var l directory.List
 	if err := json.Unmarshal(data, &l); err != nil {
-		return list{}, fmt.Errorf("unreadable list: %w", err)
+		return directory.List{}, fmt.Errorf("unreadable list: %w", err)
 	}
 	return l, nil
 }
--- a/internal/node/finals.go
+++ b/internal/platform/finals.go
@@ -1,4 +1,4 @@
-package node
+package platform
 
 import (
 	"bytes"
@@ -10,6 +10,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"wingmount/internal/message"
+	"wingmount/internal/store"
 )
 
 const (
@@ -18,6 +21,8 @@
 	noticeTimeout = 150 * time.Millisecond
 	noticePause   = 20 * time.Millisecond
 	noticeBatch   = 64
+	// maxNoticeAnswer is how much of an answer is read for reuse of its connection.
+	maxNoticeAnswer = 64 << 10
 )
 
 // notice is the end of a message that was not delivered, in the platform's form.
@@ -32,53 +37,53 @@
 	handedBack = "handed_back"
 )
 
-func newNotice(id string, back bool, wait time.Duration) *notice {
-	if back {
-		return &notice{Message: id, Outcome: handedBack, RetryInMs: wait.Milliseconds()}
+func newNotice(m *message.Message) notice {
+	if m.End.Kind == message.Refused {
+		return notice{Message: m.ID, Outcome: handedBack, RetryInMs: m.End.RetryAfter.Milliseconds()}
 	}
-	return &notice{Message: id, Outcome: givenUp}
+	return notice{Message: m.ID, Outcome: givenUp}
 }
 
-// HandedBack tells whether the client may come again.
-func (n *notice) HandedBack() bool { return n.Outcome == handedBack }
-
-// finals tells the platform of messages that ended undelivered, again and again
+// Finals tells the platform of messages that ended undelivered, again and again
 // until it has answered: only then is nothing owed any more.
-type finals struct {
-	client  *http.Client
-	journal *journal
-	log     *slog.Logger
+type Finals struct {
+	client *http.Client
+	store  store.Store
+	log    *slog.Logger
 
 	mu    sync.Mutex
 	url   string
-	queue []*message
+	queue []*message.Message
 	more  chan struct{} // holds a token while the queue may hold messages
 }
 
-func newFinals(discovery string, j *journal, log *slog.Logger) *finals {
-	return &finals{url: finalsURL(discovery), journal: j, log: log,
+// NewFinals returns a teller that posts to discovery's address, and puts on record what
+// has been answered.
+func NewFinals(discovery string, s store.Store, log *slog.Logger) *Finals {
+	return &Finals{url: finalsURL(discovery), store: s, log: log,
 		more:   make(chan struct{}, 1),
 		client: &http.Client{Timeout: noticeTimeout, Transport: &http.Transport{DisableCompression: true}}}
 }
 
 func finalsURL(addr string) string { return "http://" + addr + "/v2/finals" }
 
-// move sends the notices to another address from now on, those that no address has
+// Move sends the notices to another address from now on, those that no address has
 // answered yet among them.
-func (f *finals) move(addr string) {
+func (f *Finals) Move(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.url = finalsURL(addr)
 }
 
-func (f *finals) address() string {
+func (f *Finals) address() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.url
 }
 
-// add queues the notice of a message. It never waits.
-func (f *finals) add(m *message) {
+// Add queues the notice of a message that has an End. It never waits. The queue is bounded
+// by what the store holds: a message is added once in a life of the node.
+func (f *Finals) Add(m *message.Message) {
 	f.mu.Lock()
 	f.queue = append(f.queue, m)
 	f.mu.Unlock()
@@ -88,7 +93,7 @@
 	}
 }
 
-func (f *finals) take() []*message {
+func (f *Finals) take() []*message.Message {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	q := f.queue
@@ -96,11 +101,11 @@
 	return q
 }
 
-// run sends what is queued until the context ends. What is left then is owed
+// Run sends what is queued until the context ends. What is left then is owed
 // still, and the journal has it.
-func (f *finals) run(ctx context.Context) {
+func (f *Finals) Run(ctx context.Context) {
 	defer f.client.CloseIdleConnections()
-	var pending []*message
+	var pending []*message.Message
 	for {
 		pending = append(pending, f.take()...)
 		if len(pending) == 0 {
@@ -119,10 +124,9 @@
 			status, err = f.post(ctx, batch)
 		}
 		if err == nil && status == http.StatusNoContent {
-			for _, m := range batch {
-				if err := f.journal.closed(m, "", time.Now()); err != nil {
-					f.log.Error("journal: notice answered", "id", m.id, "err", err)
-				}
+			// Answered is answered, also when the node is stopping.
+			if err := f.store.Told(context.WithoutCancel(ctx), batch...); err != nil {
+				f.log.Error("store: notices answered", "err", err)
 			}
 			pending = append(pending[:0], pending[len(batch):]...)
 			continue
@@ -139,11 +143,11 @@
 	}
 }
 
-func (f *finals) post(ctx context.Context, batch []*message) (int, error) {
+func (f *Finals) post(ctx context.Context, batch []*message.Message) (int, error) {
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body)
 	for _, m := range batch {
-		if err := enc.Encode(m.notice); err != nil {
+		if err := enc.Encode(newNotice(m)); err != nil {
 			return 0, fmt.Errorf("writing a notice: %w", err)
 		}
 	}
@@ -157,6 +161,6 @@
 		return 0, err
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody)) // for reuse of the connection only
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxNoticeAnswer)) // for reuse of the connection only
 	return resp.StatusCode, nil
 }
--- a/internal/node/peers.go
+++ b/internal/platform/peers.go
@@ -1,4 +1,4 @@
-package node
+package platform
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 // maxNote is the longest datagram that delivery nodes may send each other.
 const maxNote = 256
 
-// peers carries the notes between delivery nodes.
-type peers struct {
+// Peers carries the notes between delivery nodes.
+type Peers struct {
 	conn  *net.UDPConn
 	all   netip.AddrPort
 	known map[netip.AddrPort]bool // the others
@@ -23,7 +23,8 @@
 	tell  func(policy.Event)
 }
 
-func openPeers(c Config, log *slog.Logger, tell func(policy.Event)) (*peers, error) {
+// OpenPeers listens for the notes of others, until Run ends.
+func OpenPeers(c Config, log *slog.Logger, tell func(policy.Event)) (*Peers, error) {
 	bind, err := netip.ParseAddrPort(c.PeerBind)
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
@@ -36,7 +37,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for notes: %w", err)
 	}
-	p := &peers{conn: conn, all: all, known: map[netip.AddrPort]bool{}, log: log, tell: tell}
+	p := &Peers{conn: conn, all: all, known: map[netip.AddrPort]bool{}, log: log, tell: tell}
 	for i, a := range c.Peers {
 		if i != c.Me {
 			p.known[a] = true
@@ -45,8 +46,8 @@
 	return p, nil
 }
 
-// run takes in notes until the context ends.
-func (p *peers) run(ctx context.Context) {
+// Run takes in notes until the context ends.
+func (p *Peers) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
 	defer stop()
 	buf := make([]byte, maxNote+1)
@@ -69,8 +70,8 @@
 	}
 }
 
-// send tells all others; a note may be lost.
-func (p *peers) send(t policy.Tell) {
+// Send tells all others; a note may be lost.
+func (p *Peers) Send(t policy.Tell) {
 	if _, err := p.conn.WriteToUDPAddrPort(wire.EncodeNote(t), p.all); err != nil {
 		p.log.Debug("peers: sending", "err", err)
 	}
--- a/internal/node/peers_test.go
+++ b/internal/platform/peers_test.go
@@ -1,7 +1,9 @@
-package node
+package platform
 
 import (
 	"context"
+	"io"
+	"log/slog"
 	"net"
 	"net/netip"
 	"testing"
@@ -10,6 +12,17 @@
 	"wingmount/policy"
 )
 
+const patience = 10 * time.Second
+
+func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Notes reach the others in the adapter's format; what a stranger sends, or what
 // has no meaning, is passed over and the next note still comes.
 func TestNotesBetweenNodes(t *testing.T) {
@@ -21,15 +34,15 @@
 	defer stranger.Close()
 	addr := other.LocalAddr().(*net.UDPAddr).AddrPort()
 	told := make(chan policy.Event, 8)
-	p, err := openPeers(Config{PeerBind: "127.0.0.1:0", PeersAll: addr.String(), Me: 1,
+	p, err := OpenPeers(Config{PeerBind: "127.0.0.1:0", PeersAll: addr.String(), Me: 1,
 		Peers: []netip.AddrPort{addr, netip.MustParseAddrPort("127.0.0.1:9")}}, quietLog(),
 		func(e policy.Event) { told <- e })
 	must(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { p.run(ctx); close(done) }()
+	go func() { p.Run(ctx); close(done) }()
 
-	p.send(policy.Tell{Tag: 77, News: policy.BackCold})
+	p.Send(policy.Tell{Tag: 77, News: policy.BackCold})
 	note := make([]byte, 300)
 	must(t, other.SetReadDeadline(time.Now().Add(patience)))
 	n, _, err := other.ReadFromUDPAddrPort(note)
--- a/internal/node/journal.go
+++ b/internal/store/journal/journal.go
@@ -1,6 +1,12 @@
-package node
+// Package journal is the store of record of a platform that gives each node one small
+// folder: checksummed records in segments, bounded in bytes on disk at every moment.
+//
+// What a call has written when it returns outlasts the process, also one that is killed,
+// but not the machine: nothing is synced. Answers that have been told are not kept.
+package journal
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -14,14 +20,14 @@
 	"sync"
 	"time"
 
+	"wingmount/internal/message"
+	"wingmount/internal/store"
 	"wingmount/policy"
 )
 
 const (
-	// minDisk is the least room in which a journal of full bodies can be cleaned.
-	minDisk = 512 << 10
-	// maxBody is the longest body of a message.
-	maxBody = 64 << 10
+	// MinDisk is the least room in which a journal of full bodies can be cleaned.
+	MinDisk = 512 << 10
 	// recordHead is the length and the checksum before each record.
 	recordHead = 8
 	// ownShare is room counted for each message beyond what is written of it: its
@@ -40,67 +46,11 @@
 	recClosed  = 5 // nothing is owed any more; delivered where it names an endpoint
 )
 
-var (
-	// errNoRoom refuses a message for which the journal has no room.
-	errNoRoom = errors.New("the journal is full")
-	// errLate says that a message which may have run can't be sent any more.
-	errLate  = errors.New("the destination has forgotten the key")
-	crcTable = crc32.MakeTable(crc32.Castagnoli)
-)
-
-// message is one message that the node has taken on.
-type message struct {
-	seq      policy.MessageID
-	id       string
-	key      string
-	class    int
-	dest     int
-	deadline time.Time
-	body     []byte
-	window   time.Duration // how long its key is remembered, 0 where it has none
-
-	// The rest is owned by the journal.
-	past   past
-	notice *notice // the end that is owed, nil while it runs
-}
-
-// past is what a message has behind it, as the module counts it.
-type past struct {
-	attempts int
-	settled  bool // a finished attempt may have run
-	out      bool // the last attempt has no outcome yet
-	mayRun   bool
-	ranAt    time.Time
-	ranZone  int
-}
-
-func (p *past) attempt(zone int, at time.Time) {
-	p.attempts++
-	p.out = true
-	if !p.mayRun {
-		p.mayRun, p.ranAt, p.ranZone = true, at, zone
-	}
-}
-
-func (p *past) outcome(neverRan bool) {
-	p.out = false
-	if !neverRan {
-		p.settled = true
-	} else if !p.settled {
-		p.mayRun = false
-	}
-}
+var crcTable = crc32.MakeTable(crc32.Castagnoli)
 
-// memory is what the records tell of an endpoint, for the next life of the node.
-type memory struct {
-	sent     []time.Time // calls, one for a bundle
-	failedAt time.Time   // the last failure
-	backAt   time.Time   // the first success since, zero while there is none
-}
-
-func (j *journal) remember(endpoint string) *memory {
+func (j *Journal) remember(endpoint string) *store.Memory {
 	if j.memories[endpoint] == nil {
-		j.memories[endpoint] = &memory{}
+		j.memories[endpoint] = &store.Memory{}
 	}
 	return j.memories[endpoint]
 }
@@ -111,11 +61,11 @@
 	size   int64
 }
 
-// journal keeps what outlasts the process: records in segments of one folder.
+// Journal keeps what outlasts the process: records in segments of one folder.
 // The oldest segment is cleaned first, by writing what still counts of it to the
 // newest: so an end never goes before the message that it ends. It is safe for
 // concurrent use.
-type journal struct {
+type Journal struct {
 	dir     string
 	limit   int64 // bytes in the folder at most
 	segSize int64
@@ -124,11 +74,11 @@
 	mu       sync.Mutex
 	file     *os.File // the newest segment
 	segments []segment
-	live     map[policy.MessageID]*message
+	live     map[policy.MessageID]*message.Message
 	home     map[policy.MessageID]uint64 // the segment with the last recTaken of each
 	liveSize int64
 	next     policy.MessageID
-	memories map[string]*memory // of the lives before this one
+	memories map[string]*store.Memory // of the lives before this one, until Open returns
 	buf      []byte
 }
 
@@ -138,14 +88,13 @@
 
 func onDisk(n int64) int64 { return (n + block - 1) / block * block }
 
-// openJournal replays the journal in a folder. The messages that are owed
-// something come back in the order in which they were taken.
-func openJournal(dir string, limit int64, log *slog.Logger) (*journal, []*message, error) {
-	j := &journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, maxBody+4<<10),
-		live: map[policy.MessageID]*message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*memory{}}
+// Open replays the journal in a folder, which it keeps to limit bytes: MinDisk at least.
+func Open(dir string, limit int64, log *slog.Logger) (*Journal, store.Recovered, error) {
+	j := &Journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, message.MaxBody+4<<10),
+		live: map[policy.MessageID]*message.Message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*store.Memory{}}
 	files, err := os.ReadDir(dir)
 	if err != nil {
-		return nil, nil, fmt.Errorf("opening the journal: %w", err)
+		return nil, store.Recovered{}, fmt.Errorf("opening the journal: %w", err)
 	}
 	for _, f := range files {
 		var n uint64
@@ -153,27 +102,27 @@
 			continue
 		}
 		if err := j.replay(n); err != nil {
-			return nil, nil, err
+			return nil, store.Recovered{}, err
 		}
 	}
 	// Always a new segment: nothing is ever written behind a torn tail.
 	if err := j.roll(); err != nil {
-		return nil, nil, err
+		return nil, store.Recovered{}, err
 	}
-	owed := make([]*message, 0, len(j.live))
+	owed := make([]*message.Message, 0, len(j.live))
 	for _, m := range j.live {
-		if m.past.out { // when the process ended; it may have run, or may yet
-			m.past.out, m.past.settled = false, true
-		}
+		m.Past.Interrupt()
 		owed = append(owed, m)
 		j.liveSize += cost(m)
 	}
-	sort.Slice(owed, func(a, b int) bool { return owed[a].seq < owed[b].seq })
-	return j, owed, nil
+	sort.Slice(owed, func(a, b int) bool { return owed[a].Seq < owed[b].Seq })
+	r := store.Recovered{Owed: owed, Memories: j.memories}
+	j.memories = nil // the node's from here on
+	return j, r, nil
 }
 
 // replay reads one segment up to its end or its torn tail.
-func (j *journal) replay(n uint64) error {
+func (j *Journal) replay(n uint64) error {
 	data, err := os.ReadFile(segmentPath(j.dir, n))
 	if err != nil {
 		return fmt.Errorf("replaying the journal: %w", err)
@@ -204,27 +153,27 @@
 }
 
 // apply takes one record into the state.
-func (j *journal) apply(segment uint64, payload []byte) error {
+func (j *Journal) apply(segment uint64, payload []byte) error {
 	r := reader{b: payload}
 	kind, seq := r.u8(), policy.MessageID(r.uvarint())
 	j.next = max(j.next, seq+1)
 	m := j.live[seq]
 	switch kind {
 	case recTaken:
-		m = &message{seq: seq}
-		m.id, m.key = string(r.bytes()), string(r.bytes())
-		m.class, m.dest = int(r.uvarint()), int(r.uvarint())
-		m.deadline = time.UnixMicro(int64(r.uvarint()))
-		m.past.attempts, m.past.ranZone = int(r.uvarint()), int(r.uvarint())
+		m = &message.Message{Seq: seq}
+		m.ID, m.Key = string(r.bytes()), string(r.bytes())
+		m.Class, m.Dest = int(r.uvarint()), int(r.uvarint())
+		m.Deadline = time.UnixMicro(int64(r.uvarint()))
+		m.Past.Attempts, m.Past.RanZone = int(r.uvarint()), int(r.uvarint())
 		flags := r.u8()
-		m.past.settled, m.past.out, m.past.mayRun = flags&1 != 0, flags&2 != 0, flags&4 != 0
-		if at := r.uvarint(); m.past.mayRun {
-			m.past.ranAt = time.UnixMicro(int64(at))
+		m.Past.Settled, m.Past.Out, m.Past.MayRun = flags&1 != 0, flags&2 != 0, flags&4 != 0
+		if at := r.uvarint(); m.Past.MayRun {
+			m.Past.RanAt = time.UnixMicro(int64(at))
 		}
 		if flags&8 != 0 {
-			m.notice = r.notice(m.id)
+			m.End = r.end()
 		}
-		m.body = append([]byte(nil), r.bytes()...)
+		m.Body = append([]byte(nil), r.bytes()...)
 		if r.bad {
 			return io.ErrUnexpectedEOF
 		}
@@ -234,11 +183,11 @@
 		if r.bad {
 			break
 		}
-		if e := j.remember(name); len(e.sent) == 0 || !e.sent[len(e.sent)-1].Equal(at) {
-			e.sent = append(e.sent, at)
+		if e := j.remember(name); len(e.Sent) == 0 || !e.Sent[len(e.Sent)-1].Equal(at) {
+			e.Sent = append(e.Sent, at)
 		}
 		if m != nil {
-			m.past.attempt(zone, at)
+			m.Past.Attempt(zone, at)
 		}
 	case recOutcome:
 		outcome, name, at := policy.Outcome(r.u8()), string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
@@ -246,21 +195,21 @@
 			break
 		}
 		if m != nil {
-			m.past.outcome(neverRan(outcome))
+			m.Past.Outcome(outcome)
 		}
 		switch outcome {
 		case policy.Failed, policy.TimedOut, policy.Unreachable, policy.Reset:
 			e := j.remember(name)
-			e.failedAt, e.backAt = at, time.Time{}
+			e.FailedAt, e.BackAt = at, time.Time{}
 		}
 	case recEnded:
 		if m != nil {
-			m.notice = r.notice(m.id)
+			m.End = r.end()
 		}
 	case recClosed:
 		name, at := string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
-		if e := j.remember(name); name != "" && !r.bad && e.backAt.IsZero() {
-			e.backAt = at
+		if e := j.remember(name); name != "" && !r.bad && e.BackAt.IsZero() {
+			e.BackAt = at
 		}
 		delete(j.live, seq)
 		delete(j.home, seq)
@@ -274,88 +223,116 @@
 }
 
 // cost is the room that a message may take up until nothing is owed for it.
-func cost(m *message) int64 { return int64(len(m.body)+len(m.id)+len(m.key)) + ownShare }
+func cost(m *message.Message) int64 { return int64(len(m.Body)+len(m.ID)+len(m.Key)) + ownShare }
 
-// take journals a new message and numbers it.
-func (j *journal) take(m *message) error {
+// Take implements [store.Store].
+func (j *Journal) Take(_ context.Context, m *message.Message) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	// Three segments are left: for records that no longer count, for the next one,
 	// and for a copy made while old and new lie there together.
 	if j.liveSize+cost(m) > j.limit-3*j.segSize {
-		return errNoRoom
+		return store.ErrFull
 	}
-	m.seq = j.next
+	m.Seq = j.next
 	if err := j.append(takenRecord(m), m); err != nil {
 		return err
 	}
 	j.next++
-	j.live[m.seq] = m
+	j.live[m.Seq] = m
 	j.liveSize += cost(m)
 	return nil
 }
 
-// attempt journals that a message is about to be sent. The module counts the key's
-// window when it decides; making the connection may have taken until after it.
-func (j *journal) attempt(m *message, endpoint string, zone int, at time.Time) error {
+// Attempt implements [store.Store]. The module counts the key's window when it decides;
+// making the connection may have taken until after it.
+func (j *Journal) Attempt(_ context.Context, a store.Attempt) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.live[m.seq] == nil {
-		return nil
-	}
-	if m.window > 0 && m.past.mayRun && at.Sub(m.past.ranAt) >= m.window {
-		return errLate
-	}
-	b := record(recAttempt, m.seq)
-	b = appendBytes(b, []byte(endpoint))
-	b = binary.AppendUvarint(b, uint64(zone))
-	b = binary.AppendUvarint(b, uint64(at.UnixMicro()))
-	if err := j.append(b, nil); err != nil {
-		return err
+	for _, m := range a.Messages {
+		if j.live[m.Seq] == nil {
+			continue
+		}
+		if m.Past.Forgotten(m.Window, a.At) {
+			return fmt.Errorf("message %s: %w", m.ID, store.ErrForgotten)
+		}
+		b := record(recAttempt, m.Seq)
+		b = appendBytes(b, []byte(a.Endpoint))
+		b = binary.AppendUvarint(b, uint64(a.Zone))
+		b = binary.AppendUvarint(b, uint64(a.At.UnixMicro()))
+		if err := j.append(b, nil); err != nil {
+			return fmt.Errorf("message %s: %w", m.ID, err)
+		}
+		m.Past.Attempt(a.Zone, a.At)
 	}
-	m.past.attempt(zone, at)
 	return nil
 }
 
-// outcome journals how the last attempt at a message ended.
-func (j *journal) outcome(m *message, o policy.Outcome, endpoint string, at time.Time) error {
+// Outcome implements [store.Store].
+func (j *Journal) Outcome(_ context.Context, o store.Outcome) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.live[m.seq] == nil {
+	m := o.Message
+	if j.live[m.Seq] == nil {
 		return nil
 	}
-	m.past.outcome(neverRan(o))
-	b := appendBytes(append(record(recOutcome, m.seq), byte(o)), []byte(endpoint))
-	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
+	switch {
+	case o.Outcome == policy.Delivered:
+		return j.closed(m, o.Endpoint, o.At)
+	case o.Over:
+		return j.closed(m, "", o.At)
+	}
+	m.Past.Outcome(o.Outcome)
+	b := appendBytes(append(record(recOutcome, m.Seq), byte(o.Outcome)), []byte(o.Endpoint))
+	return j.append(binary.AppendUvarint(b, uint64(o.At.UnixMicro())), nil)
 }
 
-// ended journals that a message is over and that its notice is owed.
-func (j *journal) ended(m *message, n *notice) error {
+// End implements [store.Store].
+func (j *Journal) End(_ context.Context, ends ...store.Ending) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.live[m.seq] == nil {
-		return nil
+	var all error
+	for _, e := range ends {
+		m := e.Message
+		if j.live[m.Seq] == nil || m.End != nil {
+			continue
+		}
+		m.End = &e.End
+		if err := j.append(appendEnd(record(recEnded, m.Seq), m.End), nil); err != nil {
+			all = errors.Join(all, fmt.Errorf("message %s: %w", m.ID, err))
+		}
 	}
-	m.notice = n
-	return j.append(appendNotice(record(recEnded, m.seq), n), nil)
+	return all
 }
 
-// closed journals that nothing is owed for a message any more. It names the
-// endpoint that took it, if one did.
-func (j *journal) closed(m *message, endpoint string, at time.Time) error {
+// Told implements [store.Store].
+func (j *Journal) Told(_ context.Context, ms ...*message.Message) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.live[m.seq] == nil {
-		return nil
+	var all error
+	for _, m := range ms {
+		if j.live[m.Seq] == nil {
+			continue
+		}
+		if err := j.closed(m, "", time.Now()); err != nil {
+			all = errors.Join(all, fmt.Errorf("message %s: %w", m.ID, err))
+		}
 	}
+	return all
+}
+
+// closed writes that nothing is owed for a message any more. It names the endpoint that
+// took it, if one did.
+func (j *Journal) closed(m *message.Message, endpoint string, at time.Time) error {
 	j.liveSize -= cost(m)
-	delete(j.live, m.seq)
-	delete(j.home, m.seq)
-	b := appendBytes(record(recClosed, m.seq), []byte(endpoint))
+	delete(j.live, m.Seq)
+	delete(j.home, m.Seq)
+	b := appendBytes(record(recClosed, m.Seq), []byte(endpoint))
 	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
 }
 
-func (j *journal) close() error {
+// Close implements [store.Store].
+func (j *Journal) Close() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.file.Close()
@@ -363,7 +340,7 @@
 
 // append writes one record, after making room for it. Taken is the message that
 // the record holds whole, if it does.
-func (j *journal) append(payload []byte, taken *message) error {
+func (j *Journal) append(payload []byte, taken *message.Message) error {
 	size := int64(len(payload) + recordHead)
 	if err := j.makeRoom(size); err != nil {
 		return err
@@ -371,7 +348,7 @@
 	return j.write(payload, taken)
 }
 
-func (j *journal) write(payload []byte, taken *message) error {
+func (j *Journal) write(payload []byte, taken *message.Message) error {
 	size := int64(len(payload) + recordHead)
 	if last := &j.segments[len(j.segments)-1]; last.size > 0 && last.size+size > j.segSize {
 		if err := j.roll(); err != nil {
@@ -396,13 +373,13 @@
 	}
 	last.size += size
 	if taken != nil {
-		j.home[taken.seq] = last.number
+		j.home[taken.Seq] = last.number
 	}
 	return nil
 }
 
 // roll starts a new segment.
-func (j *journal) roll() error {
+func (j *Journal) roll() error {
 	n := uint64(1)
 	if len(j.segments) > 0 {
 		n = j.segments[len(j.segments)-1].number + 1
@@ -421,7 +398,7 @@
 	return nil
 }
 
-func (j *journal) diskSize() int64 {
+func (j *Journal) diskSize() int64 {
 	sum := int64(0)
 	for _, s := range j.segments {
 		sum += onDisk(s.size)
@@ -431,10 +408,10 @@
 
 // makeRoom cleans the oldest segments until a record fits, with a segment's room
 // to spare: a cleaned segment and its copy lie there together for a moment.
-func (j *journal) makeRoom(size int64) error {
+func (j *Journal) makeRoom(size int64) error {
 	for tries := 2 * len(j.segments); j.diskSize()+size+j.segSize+2*block > j.limit; tries-- {
 		if tries <= 0 || len(j.segments) < 2 {
-			return errNoRoom
+			return store.ErrFull
 		}
 		if err := j.clean(); err != nil {
 			return err
@@ -444,15 +421,15 @@
 }
 
 // clean moves what still counts of the oldest segment on, and removes it.
-func (j *journal) clean() error {
+func (j *Journal) clean() error {
 	oldest := j.segments[0]
-	var move []*message
+	var move []*message.Message
 	for seq, n := range j.home {
 		if n == oldest.number {
 			move = append(move, j.live[seq])
 		}
 	}
-	sort.Slice(move, func(a, b int) bool { return move[a].seq < move[b].seq })
+	sort.Slice(move, func(a, b int) bool { return move[a].Seq < move[b].Seq })
 	for _, m := range move {
 		if err := j.write(takenRecord(m), m); err != nil {
 			return err
@@ -474,35 +451,35 @@
 }
 
 // takenRecord holds a message with all that lies behind it.
-func takenRecord(m *message) []byte {
-	b := record(recTaken, m.seq)
-	b = appendBytes(appendBytes(b, []byte(m.id)), []byte(m.key))
-	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.class)), uint64(m.dest))
-	b = binary.AppendUvarint(b, uint64(m.deadline.UnixMicro()))
-	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.past.attempts)), uint64(m.past.ranZone))
+func takenRecord(m *message.Message) []byte {
+	b := record(recTaken, m.Seq)
+	b = appendBytes(appendBytes(b, []byte(m.ID)), []byte(m.Key))
+	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.Class)), uint64(m.Dest))
+	b = binary.AppendUvarint(b, uint64(m.Deadline.UnixMicro()))
+	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.Past.Attempts)), uint64(m.Past.RanZone))
 	flags := byte(0)
-	for i, set := range []bool{m.past.settled, m.past.out, m.past.mayRun, m.notice != nil} {
+	for i, set := range []bool{m.Past.Settled, m.Past.Out, m.Past.MayRun, m.End != nil} {
 		if set {
 			flags |= 1 << i
 		}
 	}
 	ranAt := uint64(0)
-	if m.past.mayRun {
-		ranAt = uint64(m.past.ranAt.UnixMicro())
+	if m.Past.MayRun {
+		ranAt = uint64(m.Past.RanAt.UnixMicro())
 	}
 	b = binary.AppendUvarint(append(b, flags), ranAt)
-	if m.notice != nil {
-		b = appendNotice(b, m.notice)
+	if m.End != nil {
+		b = appendEnd(b, m.End)
 	}
-	return appendBytes(b, m.body)
+	return appendBytes(b, m.Body)
 }
 
-func appendNotice(b []byte, n *notice) []byte {
+func appendEnd(b []byte, e *message.End) []byte {
 	kind := byte(0)
-	if n.HandedBack() {
+	if e.Kind == message.Refused {
 		kind = 1
 	}
-	return binary.AppendUvarint(append(b, kind), uint64(n.RetryInMs))
+	return binary.AppendUvarint(append(b, kind), uint64(e.RetryAfter.Milliseconds()))
 }
 
 // reader reads the fields of a record in turn.
@@ -542,7 +519,11 @@
 	return v
 }
 
-func (r *reader) notice(id string) *notice {
-	handedBack, retry := r.u8() == 1, r.uvarint()
-	return newNotice(id, handedBack, time.Duration(retry)*time.Millisecond)
+func (r *reader) end() *message.End {
+	e := &message.End{}
+	if r.u8() == 1 {
+		e.Kind = message.Refused
+	}
+	e.RetryAfter = time.Duration(r.uvarint()) * time.Millisecond
+	return e
 }
--- /dev/null
+++ b/internal/store/journal/journal_test.go
@@ -0,0 +1,263 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/policy"
+)
+
+var ctx = context.Background()
+
+func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func mustOpen(t *testing.T, dir string, limit int64) (*Journal, []*message.Message) {
+	t.Helper()
+	j, r, err := Open(dir, limit, quietLog())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = j.Close() })
+	return j, r.Owed
+}
+
+func newMessage(id string, size int) *message.Message {
+	return &message.Message{ID: id, Key: "k-" + id, Dest: 7, Deadline: time.Now().Add(20 * time.Second), Body: make([]byte, size)}
+}
+
+// dirSize counts a folder as the platform does.
+func dirSize(t *testing.T, dir string) int64 {
+	t.Helper()
+	files, err := os.ReadDir(dir)
+	must(t, err)
+	sum := int64(0)
+	for _, f := range files {
+		info, err := f.Info()
+		must(t, err)
+		sum += onDisk(info.Size())
+	}
+	return sum
+}
+
+// A new life finds what was taken, what lies behind it, and what is owed.
+func TestJournalRestoresWhatIsOwed(t *testing.T) {
+	dir := t.TempDir()
+	j, _ := mustOpen(t, dir, MinDisk)
+	at := time.Now().Add(-3 * time.Second).Truncate(time.Microsecond)
+	fresh, tried, out, turned, over, done := newMessage("fresh", 10), newMessage("tried", 0), newMessage("out", 3),
+		newMessage("turned", 3), newMessage("over", 5), newMessage("done", 5)
+	fresh.Body = []byte("0123456\r\n9")
+	for _, m := range []*message.Message{fresh, tried, out, turned, over, done} {
+		must(t, j.Take(ctx, m))
+	}
+	must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: []*message.Message{tried}}))
+	must(t, j.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.TimedOut, Endpoint: "e1", At: at}))
+	must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at.Add(time.Second), Messages: []*message.Message{tried}}))
+	must(t, j.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.Full, Endpoint: "e1", At: at.Add(time.Second)}))
+	must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e2", Zone: 1, At: at, Messages: []*message.Message{out}}))
+	must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e2", Zone: 1, At: at, Messages: []*message.Message{turned}}))
+	must(t, j.Outcome(ctx, store.Outcome{Message: turned, Outcome: policy.Full, Endpoint: "e2", At: at}))
+	must(t, j.End(ctx, store.Ending{Message: over, End: message.End{Kind: message.Refused, RetryAfter: 500 * time.Millisecond}}))
+	must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e3", Zone: 0, At: at, Messages: []*message.Message{done}}))
+	must(t, j.Outcome(ctx, store.Outcome{Message: done, Outcome: policy.Delivered, Endpoint: "e3", At: at}))
+	must(t, j.Close())
+
+	again, recovered, err := Open(dir, MinDisk, quietLog())
+	must(t, err)
+	t.Cleanup(func() { _ = again.Close() })
+	owed := recovered.Owed
+	got := map[string]*message.Message{}
+	for _, m := range owed {
+		got[m.ID] = m
+	}
+	if len(got) != 5 || got["done"] != nil {
+		t.Fatalf("owed %v, want all but done", got)
+	}
+	m := got["fresh"]
+	if string(m.Body) != string(fresh.Body) || m.Key != "k-fresh" || m.Dest != 7 || m.Past != (message.Past{}) ||
+		m.Deadline.UnixMicro() != fresh.Deadline.UnixMicro() {
+		t.Errorf("fresh came back as %+v", m)
+	}
+	if p := got["tried"].Past; p.Attempts != 2 || !p.MayRun || !p.Settled || p.RanZone != 1 || !p.RanAt.Equal(at) {
+		t.Errorf("tried came back with %+v", p)
+	}
+	if p := got["out"].Past; p.Attempts != 1 || !p.MayRun || !p.Settled || p.Out {
+		t.Errorf("out came back with %+v: an attempt without an outcome may have run", p)
+	}
+	if p := got["turned"].Past; p.Attempts != 1 || p.MayRun {
+		t.Errorf("turned came back with %+v: it never ran", p)
+	}
+	if n := got["over"].End; n == nil || n.Kind != message.Refused || n.RetryAfter != 500*time.Millisecond {
+		t.Errorf("over came back with notice %+v", n)
+	}
+	if e := recovered.Memories["e1"]; e == nil || len(e.Sent) != 2 || !e.FailedAt.Equal(at) || !e.BackAt.IsZero() {
+		t.Errorf("e1 is remembered as %+v", e)
+	}
+	next := newMessage("next", 1)
+	must(t, again.Take(ctx, next))
+	if next.Seq <= done.Seq {
+		t.Errorf("number %d was given before", next.Seq)
+	}
+}
+
+// A process that is killed may leave half a record, or a disk a broken one.
+func TestJournalSurvivesATornTail(t *testing.T) {
+	for name, spoil := range map[string]func([]byte) []byte{
+		"torn":    func(b []byte) []byte { return b[:len(b)-5] },
+		"head":    func(b []byte) []byte { return append(b, 9, 9, 9) },
+		"length":  func(b []byte) []byte { return append(b, 255, 255, 255, 255, 0, 0, 0, 0) },
+		"changed": func(b []byte) []byte { b[len(b)-3] ^= 1; return b },
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			j, _ := mustOpen(t, dir, MinDisk)
+			must(t, j.Take(ctx, newMessage("a", 100)))
+			must(t, j.Take(ctx, newMessage("b", 100)))
+			must(t, j.Close())
+			path := segmentPath(dir, 1)
+			data, err := os.ReadFile(path)
+			must(t, err)
+			must(t, os.WriteFile(path, spoil(data), 0o600))
+			j, owed := mustOpen(t, dir, MinDisk)
+			if len(owed) == 0 || owed[0].ID != "a" {
+				t.Fatalf("owed %v, want a at least", owed)
+			}
+			must(t, j.Take(ctx, newMessage("c", 100)))
+			must(t, j.Close())
+			_, owed = mustOpen(t, dir, MinDisk)
+			if last := owed[len(owed)-1]; last.ID != "c" {
+				t.Errorf("what was written behind the torn tail is lost: last is %q", last.ID)
+			}
+		})
+	}
+}
+
+// The folder stays within its limit at every moment, full bodies are refused before
+// it overflows, and nothing that is owed is lost by cleaning.
+func TestJournalKeepsItsLimit(t *testing.T) {
+	dir := t.TempDir()
+	const limit = 1 << 20
+	j, _ := mustOpen(t, dir, limit)
+	var open []*message.Message
+	refused := 0
+	for i := range 600 {
+		m := newMessage(fmt.Sprint("m", i), message.MaxBody-i%3*30000)
+		switch err := j.Take(ctx, m); {
+		case errors.Is(err, store.ErrFull):
+			refused++
+			if len(open) == 0 {
+				t.Fatal("refused with nothing held")
+			}
+			for range 3 { // the newest go, so that old ones must be moved on
+				last := open[len(open)-1]
+				open = open[:len(open)-1]
+				must(t, j.End(ctx, store.Ending{Message: last}))
+				must(t, j.Told(ctx, last))
+			}
+		case err != nil:
+			t.Fatal(err)
+		default:
+			open = append(open, m)
+			for range 6 {
+				must(t, j.Attempt(ctx, store.Attempt{Endpoint: "endpoint", Zone: 1, At: time.Now(), Messages: []*message.Message{m}}))
+				must(t, j.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Full, Endpoint: "endpoint", At: time.Now()}))
+			}
+		}
+		if size := dirSize(t, dir); size > limit {
+			t.Fatalf("%d bytes in the folder after message %d, over %d", size, i, limit)
+		}
+	}
+	if refused == 0 {
+		t.Fatal("nothing was refused")
+	}
+	must(t, j.Close())
+	_, owed := mustOpen(t, dir, limit)
+	if size := dirSize(t, dir); size > limit {
+		t.Errorf("%d bytes in the folder after the next start", size)
+	}
+	if len(owed) != len(open) {
+		t.Fatalf("%d messages came back, want %d", len(owed), len(open))
+	}
+	for i, m := range owed {
+		if m.ID != open[i].ID || len(m.Body) != len(open[i].Body) || m.Past.Attempts != 6 {
+			t.Errorf("message %d came back as %s with %d bytes and %d attempts", i, m.ID, len(m.Body), m.Past.Attempts)
+		}
+	}
+}
+
+// A failed write refuses the message; the journal goes on when the disk does.
+func TestJournalRefusesOnAFailedWrite(t *testing.T) {
+	dir := t.TempDir()
+	j, _ := mustOpen(t, dir, MinDisk)
+	full, err := os.OpenFile("/dev/full", os.O_WRONLY, 0)
+	if err != nil {
+		t.Skip("no /dev/full here")
+	}
+	good := j.file
+	j.file = full
+	if err := j.Take(ctx, newMessage("a", 10)); err == nil || errors.Is(err, store.ErrFull) {
+		t.Fatalf("take on a full disk: %v", err)
+	}
+	j.file = good
+	must(t, full.Close())
+	must(t, j.Take(ctx, newMessage("b", 10)))
+	must(t, j.Close())
+	must(t, os.WriteFile(filepath.Join(dir, "stranger"), []byte("x"), 0o600))
+	_, owed := mustOpen(t, dir, MinDisk)
+	if len(owed) != 1 || owed[0].ID != "b" {
+		t.Errorf("owed %v, want b", owed)
+	}
+}
+
+// A journal that refuses new messages still has room for all that the held ones
+// need until nothing is owed for them.
+func TestFullJournalCarriesItsMessagesToTheirEnd(t *testing.T) {
+	for _, size := range []int{0, 900, message.MaxBody} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			dir := t.TempDir()
+			j, _ := mustOpen(t, dir, MinDisk)
+			var open []*message.Message
+			for {
+				m := newMessage(fmt.Sprint("m", len(open)), size)
+				err := j.Take(ctx, m)
+				if errors.Is(err, store.ErrFull) {
+					break
+				}
+				must(t, err)
+				open = append(open, m)
+			}
+			for range 6 {
+				for _, m := range open {
+					must(t, j.Attempt(ctx, store.Attempt{Endpoint: "an-endpoint-with-a-long-name", Zone: 1, At: time.Now(), Messages: []*message.Message{m}}))
+					must(t, j.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.TimedOut, Endpoint: "an-endpoint-with-a-long-name", At: time.Now()}))
+				}
+			}
+			for _, m := range open {
+				must(t, j.End(ctx, store.Ending{Message: m}))
+			}
+			if n := dirSize(t, dir); n > MinDisk {
+				t.Errorf("%d bytes in the folder, over %d", n, MinDisk)
+			}
+			for _, m := range open {
+				must(t, j.Told(ctx, m))
+			}
+			must(t, j.Take(ctx, newMessage("next", size)))
+		})
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,100 @@
+// Package store is the contract of a store of record: what a node has taken on, what
+// was done for it, and its one final answer.
+//
+// A store promises that a node which starts again finds every message whose [Store.Take]
+// returned nil and whose answer is not told, with an attempt on record for every call of which
+// a byte may have gone out, and that a message on record as ended is never open again.
+// Records of one message are applied in the order in which their calls were made; a crash
+// loses at most a tail of those that have not returned, or that are said below to be
+// ordered and not yet durable.
+//
+// Every method may wait for a disk or a network, and none may be called by the engine's
+// goroutine. All are safe for concurrent use.
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wingmount/internal/message"
+	"wingmount/policy"
+)
+
+var (
+	// ErrFull refuses a message for which the store has no room.
+	ErrFull = errors.New("the store is full")
+	// ErrForgotten says that a message which may have run can't be sent any more: its
+	// destination has forgotten the key.
+	ErrForgotten = errors.New("the destination has forgotten the key")
+	// ErrOver says that a message is on record as ended.
+	ErrOver = errors.New("the message is over")
+)
+
+// Attempt is one call that is about to be made, for one message or a bundle.
+type Attempt struct {
+	Endpoint string
+	Zone     int
+	At       time.Time // of the first byte
+	Messages []*message.Message
+}
+
+// Outcome is how the attempt at one message ended.
+type Outcome struct {
+	Message  *message.Message
+	Outcome  policy.Outcome
+	Endpoint string
+	At       time.Time
+	// Over says that nothing is owed for the message any more, though it was not
+	// delivered: its client has withdrawn it.
+	Over bool
+}
+
+// Ending is the final answer of one message that was not delivered.
+type Ending struct {
+	Message *message.Message
+	End     message.End
+}
+
+// Memory is what the record tells of an endpoint, for the next life of the node.
+type Memory struct {
+	Sent     []time.Time // calls, one for a bundle, oldest first
+	FailedAt time.Time   // the last failure
+	BackAt   time.Time   // the first success since, zero while there is none
+}
+
+// Recovered is what a store has when it is opened.
+type Recovered struct {
+	// Owed are the messages whose answers are not told, in the order in which they were taken:
+	// those with an End are owed its telling, the others all the rest. An attempt that
+	// was out counts as one that may have run.
+	Owed []*message.Message
+	// Memories are by the names of endpoints.
+	Memories map[string]*Memory
+}
+
+// Store is a store of record. What a call changes of its messages (Seq, Past, End) is
+// changed before it returns, and nobody else changes it.
+type Store interface {
+	// Take puts a new message on record and numbers it. It is durable when Take returns
+	// nil; otherwise it is not taken, and no later life finds it. ErrFull where there is
+	// no room for all that it may need until its answer is told.
+	Take(ctx context.Context, m *message.Message) error
+	// Attempt puts on record that messages are about to be sent in one call. It is durable
+	// when Attempt returns nil; otherwise the call must not be made, though the attempt may
+	// count all the same. Messages that are over are passed over. ErrForgotten where
+	// one may not be sent at that time any more.
+	Attempt(ctx context.Context, a Attempt) error
+	// Outcome puts on record how an attempt ended. It is ordered before all later calls
+	// when it returns, and durable at the latest with the next of them that is. Delivered
+	// is a message's final answer, and durable when Outcome returns nil.
+	Outcome(ctx context.Context, o Outcome) error
+	// End puts final answers on record. They are durable when End returns nil, and only
+	// then may they be told. A message that is over keeps its first answer.
+	End(ctx context.Context, ends ...Ending) error
+	// Told puts on record that final answers have been told, and that nothing is owed for
+	// their messages any more. It is ordered when it returns.
+	Told(ctx context.Context, ms ...*message.Message) error
+	// Close makes everything durable and lets go of the store. No call may follow it.
+	Close() error
+}
