--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -202,6 +202,9 @@
 		if e.Final {
 			if m := l.held[e.Message]; m != nil {
 				l.forget(m)
+				if m.End != nil { // set by the store, where deliveries are told
+					l.Teller.Add(m)
+				}
 			}
 		}
 		l.batch = append(l.batch, e)
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -28,6 +28,11 @@
 	// A refused body is read for so long, and so far, after the answer.
 	lingerTime  = time.Second
 	lingerBytes = 64 << 20
+	// takeTime is how long a message may take to go on record: a client waits 400 ms for
+	// its answer.
+	takeTime = 250 * time.Millisecond
+	// finalHeader tells a client the answer on record of a message that has ended.
+	finalHeader = "X-Final"
 )
 
 // Intake takes messages from clients. A message is on record before it is
@@ -116,12 +121,9 @@
 		in.turnAway(w, "the hold is full")
 		return
 	}
-	if err := in.store.Take(context.WithoutCancel(r.Context()), m); err != nil {
+	if err := in.take(r.Context(), m); err != nil {
 		in.Ended(m.ID)
-		if !errors.Is(err, store.ErrFull) {
-			in.log.Error("intake: not on record", "id", m.ID, "err", err)
-		}
-		in.turnAway(w, "the store takes no more")
+		in.notTaken(w, m, err)
 		return
 	}
 	in.Taken(m.ID)
@@ -129,6 +131,43 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// take puts a message on record, or gives up in time to say so.
+func (in *Intake) take(ctx context.Context, m *message.Message) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), takeTime)
+	defer cancel()
+	return in.store.Take(ctx, m)
+}
+
+// notTaken answers the client of a message that the store did not take. One whose id is on
+// record hears what the record says: a refusal as such, a delivery as 200, a failure as 410.
+func (in *Intake) notTaken(w http.ResponseWriter, m *message.Message, err error) {
+	var known *store.KnownError
+	switch {
+	case errors.As(err, &known):
+		if known.End == nil {
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
+		w.Header().Set(finalHeader, known.End.Kind.String())
+		switch known.End.Kind {
+		case message.Delivered:
+			w.WriteHeader(http.StatusOK)
+		case message.Refused:
+			in.turnAway(w, "the message was refused: hand it in under a new id")
+		default:
+			http.Error(w, "the message has failed", http.StatusGone)
+		}
+	case errors.Is(err, store.ErrFull):
+		in.turnAway(w, "the store takes no more")
+	case errors.Is(err, store.ErrUnavailable):
+		in.log.Warn("intake: not on record", "id", m.ID, "err", err)
+		in.turnAway(w, "the store is not available")
+	default:
+		in.log.Error("intake: not on record", "id", m.ID, "err", err)
+		in.turnAway(w, "the store takes no more")
+	}
+}
+
 // reject answers a request that can't be taken and ends its connection: what may
 // lie behind it there, or inside its body, must never be read as a request.
 func (in *Intake) reject(w http.ResponseWriter, r *http.Request, err error) {
--- a/internal/front/http/intake_test.go
+++ b/internal/front/http/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"wingmount/internal/message"
+	"wingmount/internal/store"
 	"wingmount/internal/store/journal"
 	"wingmount/policy"
 )
@@ -77,3 +79,42 @@
 		t.Errorf("%d messages accepted and %d places held, want none", len(accepted), in.Count())
 	}
 }
+
+// knowing is a store that knows every message.
+type knowing struct {
+	store.Store
+	err error
+}
+
+func (k knowing) Take(context.Context, *message.Message) error { return k.err }
+
+// A message whose id is on record is not taken on again: its client hears what the record
+// says. A store that is not available refuses, with a time to come again.
+func TestAnswersOfTheRecord(t *testing.T) {
+	for name, c := range map[string]struct {
+		err   error
+		want  int
+		final string
+	}{
+		"runs":        {&store.KnownError{}, http.StatusAccepted, ""},
+		"delivered":   {&store.KnownError{End: &message.End{Kind: message.Delivered}}, http.StatusOK, "delivered"},
+		"refused":     {&store.KnownError{End: &message.End{Kind: message.Refused}}, http.StatusServiceUnavailable, "refused"},
+		"failed":      {&store.KnownError{End: &message.End{}}, http.StatusGone, "failed"},
+		"unavailable": {fmt.Errorf("%w: locked", store.ErrUnavailable), http.StatusServiceUnavailable, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var accepted []*message.Message
+			in := newIntake(t, &accepted)
+			in.store = knowing{in.store, c.err}
+			w := httptest.NewRecorder()
+			in.ServeHTTP(w, noteRequest(context.Background(), "a"))
+			if w.Code != c.want || w.Header().Get("X-Final") != c.final || len(accepted) != 0 || in.Count() != 0 {
+				t.Errorf("answered %d, final %q, with %d taken and %d held; want %d, %q", w.Code, w.Header().Get("X-Final"),
+					len(accepted), in.Count(), c.want, c.final)
+			}
+			if again := w.Header().Get("Retry-After"); (again != "") != (c.want == http.StatusServiceUnavailable) {
+				t.Errorf("Retry-After %q", again)
+			}
+		})
+	}
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -41,8 +41,10 @@
 	RanZone  int       // where it was sent
 }
 
-// Attempt counts an attempt that is about to be sent to a zone.
+// Attempt counts an attempt that is about to be sent to a zone. There is never more than
+// one: an earlier one that has no outcome was cut off by the end of a process.
 func (p *Past) Attempt(zone int, at time.Time) {
+	p.Interrupt()
 	p.Attempts++
 	p.Out = true
 	if !p.MayRun {
--- a/internal/store/journal/journal.go
+++ b/internal/store/journal/journal.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"wingmount/internal/fail"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/policy"
@@ -48,6 +49,14 @@
 
 var crcTable = crc32.MakeTable(crc32.Castagnoli)
 
+// Where a crash matters: between all changes to the folder.
+var (
+	atWrite = fail.New("store/journal/before-write")
+	atDone  = fail.New("store/journal/after-write")
+	atRoll  = fail.New("store/journal/after-roll")
+	atClean = fail.New("store/journal/before-remove")
+)
+
 func (j *Journal) remember(endpoint string) *store.Memory {
 	if j.memories[endpoint] == nil {
 		j.memories[endpoint] = &store.Memory{}
@@ -75,6 +84,8 @@
 	file     *os.File // the newest segment
 	segments []segment
 	live     map[policy.MessageID]*message.Message
+	ids      map[string]*message.Message // live, by id
+	latest   time.Time                   // the latest time on record, until Open returns
 	home     map[policy.MessageID]uint64 // the segment with the last recTaken of each
 	liveSize int64
 	next     policy.MessageID
@@ -91,7 +102,7 @@
 // Open replays the journal in a folder, which it keeps to limit bytes: MinDisk at least.
 func Open(dir string, limit int64, log *slog.Logger) (*Journal, store.Recovered, error) {
 	j := &Journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, message.MaxBody+4<<10),
-		live: map[policy.MessageID]*message.Message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*store.Memory{}}
+		live: map[policy.MessageID]*message.Message{}, ids: map[string]*message.Message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*store.Memory{}}
 	files, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, store.Recovered{}, fmt.Errorf("opening the journal: %w", err)
@@ -113,10 +124,12 @@
 	for _, m := range j.live {
 		m.Past.Interrupt()
 		owed = append(owed, m)
+		j.ids[m.ID] = m
 		j.liveSize += cost(m)
 	}
 	sort.Slice(owed, func(a, b int) bool { return owed[a].Seq < owed[b].Seq })
 	r := store.Recovered{Owed: owed, Memories: j.memories}
+	r.Rebase(j.latest, time.Now())
 	j.memories = nil // the node's from here on
 	return j, r, nil
 }
@@ -183,6 +196,7 @@
 		if r.bad {
 			break
 		}
+		j.seen(at)
 		if e := j.remember(name); len(e.Sent) == 0 || !e.Sent[len(e.Sent)-1].Equal(at) {
 			e.Sent = append(e.Sent, at)
 		}
@@ -194,6 +208,7 @@
 		if r.bad {
 			break
 		}
+		j.seen(at)
 		if m != nil {
 			m.Past.Outcome(outcome)
 		}
@@ -208,8 +223,11 @@
 		}
 	case recClosed:
 		name, at := string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
-		if e := j.remember(name); name != "" && !r.bad && e.BackAt.IsZero() {
-			e.BackAt = at
+		if !r.bad {
+			j.seen(at)
+			if e := j.remember(name); name != "" && e.BackAt.IsZero() {
+				e.BackAt = at
+			}
 		}
 		delete(j.live, seq)
 		delete(j.home, seq)
@@ -222,6 +240,13 @@
 	return nil
 }
 
+// seen keeps the latest time on record.
+func (j *Journal) seen(at time.Time) {
+	if at.After(j.latest) {
+		j.latest = at
+	}
+}
+
 // cost is the room that a message may take up until nothing is owed for it.
 func cost(m *message.Message) int64 { return int64(len(m.Body)+len(m.ID)+len(m.Key)) + ownShare }
 
@@ -229,6 +254,9 @@
 func (j *Journal) Take(_ context.Context, m *message.Message) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if known := j.ids[m.ID]; known != nil {
+		return &store.KnownError{End: known.End}
+	}
 	// Three segments are left: for records that no longer count, for the next one,
 	// and for a copy made while old and new lie there together.
 	if j.liveSize+cost(m) > j.limit-3*j.segSize {
@@ -239,7 +267,7 @@
 		return err
 	}
 	j.next++
-	j.live[m.Seq] = m
+	j.live[m.Seq], j.ids[m.ID] = m, m
 	j.liveSize += cost(m)
 	return nil
 }
@@ -326,6 +354,7 @@
 func (j *Journal) closed(m *message.Message, endpoint string, at time.Time) error {
 	j.liveSize -= cost(m)
 	delete(j.live, m.Seq)
+	delete(j.ids, m.ID)
 	delete(j.home, m.Seq)
 	b := appendBytes(record(recClosed, m.Seq), []byte(endpoint))
 	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
@@ -359,6 +388,9 @@
 	j.buf = binary.LittleEndian.AppendUint32(j.buf[:0], uint32(len(payload)))
 	j.buf = binary.LittleEndian.AppendUint32(j.buf, crc32.Checksum(payload, crcTable))
 	j.buf = append(j.buf, payload...)
+	if err := atWrite.At(); err != nil {
+		return fmt.Errorf("writing the journal: %w", err)
+	}
 	if n, err := j.file.Write(j.buf); err != nil {
 		// Part of a record may lie there now. It must not hide what comes after.
 		last.size += int64(n)
@@ -375,6 +407,7 @@
 	if taken != nil {
 		j.home[taken.Seq] = last.number
 	}
+	_ = atDone.At() // it is written, whatever an error says
 	return nil
 }
 
@@ -395,6 +428,7 @@
 	}
 	j.file = f
 	j.segments = append(j.segments, segment{number: n})
+	_ = atRoll.At() // it has begun
 	return nil
 }
 
@@ -435,6 +469,9 @@
 			return err
 		}
 	}
+	if err := atClean.At(); err != nil {
+		return fmt.Errorf("cleaning the journal: %w", err)
+	}
 	if err := os.Remove(segmentPath(j.dir, oldest.number)); err != nil {
 		return fmt.Errorf("cleaning the journal: %w", err)
 	}
--- /dev/null
+++ b/internal/store/sqlite/bench_test.go
@@ -0,0 +1,211 @@
+package sqlite
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/ncruces/go-sqlite3"
+
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/internal/store/storetest"
+	"wingmount/policy"
+)
+
+// TestRates measures what docs/operate/store.md says. It is long and needs the machine to
+// itself:
+//
+//	WINGMOUNT_MEASURE=1 go test -run TestRates -v ./internal/store/sqlite
+//
+// WINGMOUNT_MEASURE_ROWS=10000000 sets the most ended rows in the file. Figures are
+// messages taken and ended a second: a take, an attempt, a delivery and its telling each.
+func TestRates(t *testing.T) {
+	if os.Getenv("WINGMOUNT_MEASURE") == "" {
+		t.Skip("a measurement: set WINGMOUNT_MEASURE")
+	}
+	most := 1_000_000
+	if v := os.Getenv("WINGMOUNT_MEASURE_ROWS"); v != "" {
+		var err error
+		most, err = strconv.Atoi(v)
+		must(t, err)
+	}
+	const takers, rounds = 64, 5
+	for _, d := range []Durability{Power, Process} {
+		dir := t.TempDir()
+		c := Config{Path: filepath.Join(dir, "a.db"), Durability: d, Keep: time.Hour, TellDelivered: true}
+		var ours, raw, single []float64
+		for r := range rounds { // in turn, so that what the machine does meets all
+			s, _ := mustOpen(t, c)
+			ours = append(ours, storeRate(t, s, takers, 20_000, fmt.Sprint("a", r)))
+			must(t, s.Close())
+			raw = append(raw, rawRate(t, filepath.Join(dir, "raw.db"), d, takers, 20_000, r))
+			single = append(single, rawRate(t, filepath.Join(dir, "single.db"), d, 1, 3_000, r))
+		}
+		a, b, one := median(ours), median(raw), median(single)
+		t.Logf("durability %d, %d takers: store %.0f/s, same rows raw in groups %.0f/s (ratio %.2f), one transaction a message %.0f/s (ratio %.1f)",
+			d, takers, a, b, a/b, one, a/one)
+	}
+	// Ended rows in the file. Fresh files are measured in turn with the full one.
+	dir := t.TempDir()
+	full := Config{Path: filepath.Join(dir, "full.db"), Durability: Power, Keep: 100 * time.Hour, TellDelivered: true, NoCheck: true}
+	have := 0
+	for _, rows := range []int{most / 10, most} {
+		fill(t, full, have, rows)
+		have = rows
+		var with, without []float64
+		for r := range rounds {
+			empty := Config{Path: filepath.Join(dir, fmt.Sprint("empty", rows, r)), Durability: Power, Keep: 100 * time.Hour, TellDelivered: true}
+			s, _ := mustOpen(t, empty)
+			without = append(without, storeRate(t, s, takers, 20_000, fmt.Sprint("b", rows, r)))
+			must(t, s.Close())
+			s, _ = mustOpen(t, full)
+			with = append(with, storeRate(t, s, takers, 20_000, fmt.Sprint("c", rows, r)))
+			must(t, s.Close())
+		}
+		info, err := os.Stat(full.Path)
+		must(t, err)
+		t.Logf("%d ended rows (%d MB): %.0f/s against %.0f/s in an empty file (ratio %.2f)",
+			rows, info.Size()>>20, median(with), median(without), median(with)/median(without))
+	}
+	// Recovery.
+	c := Config{Path: filepath.Join(dir, "owed.db"), Durability: Process}
+	s, _ := mustOpen(t, c)
+	parallel(takers, 100_000, func(i int) {
+		must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("owed", i), 500)))
+	})
+	must(t, s.Close())
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	start := time.Now()
+	s, r := mustOpen(t, c)
+	took := time.Since(start)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	t.Logf("recovery of %d owed messages of 500 bytes: %v, %d MB of heap", len(r.Owed), took.Round(time.Millisecond), (after.HeapAlloc-before.HeapAlloc)>>20)
+	runtime.KeepAlive(r)
+	must(t, s.Close())
+}
+
+func median(v []float64) float64 {
+	v = append([]float64(nil), v...)
+	for i := range v {
+		for j := range v[:i] {
+			if v[i] < v[j] {
+				v[i], v[j] = v[j], v[i]
+			}
+		}
+	}
+	return v[len(v)/2]
+}
+
+func parallel(workers, n int, f func(i int)) {
+	var wg sync.WaitGroup
+	var next atomic.Int64
+	for range workers {
+		wg.Go(func() {
+			for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
+				f(i)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// spread makes an id that lands anywhere in an index, as clients' do.
+func spread(prefix string, i int) string {
+	return fmt.Sprintf("%016x-%s-%d", uint64(i+1)*0x9e3779b97f4a7c15, prefix, i)
+}
+
+func storeRate(t *testing.T, s store.Store, takers, n int, prefix string) float64 {
+	t.Helper()
+	start := time.Now()
+	parallel(takers, n, func(i int) {
+		m := storetest.NewMessage(spread(prefix, i), 500)
+		must(t, s.Take(ctx, m))
+		must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: []*message.Message{m}}))
+		must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Delivered, Endpoint: "e1", At: time.Now()}))
+		must(t, s.Told(ctx, m))
+	})
+	return float64(n) / time.Since(start).Seconds()
+}
+
+// rawRate writes the same rows by the same statements in transactions of so many messages,
+// with nothing around them.
+func rawRate(t *testing.T, path string, d Durability, group, n, round int) float64 {
+	t.Helper()
+	s, _ := mustOpen(t, Config{Path: path, Durability: d, Keep: time.Hour, TellDelivered: true})
+	must(t, s.Close())
+	db, err := sqlite3.Open("file:" + path)
+	must(t, err)
+	sync := map[Durability]string{Power: "FULL", Process: "NORMAL"}[d]
+	must(t, db.Exec("PRAGMA synchronous="+sync+"; PRAGMA wal_autocheckpoint=1000; PRAGMA cache_size=-16384"))
+	var st statements
+	must(t, st.prepare(db))
+	body := storetest.NewMessage("x", 500).Body
+	now := time.Now().UnixMicro()
+	base := round * n
+	start := time.Now()
+	tx := func(f func(seq int)) {
+		must(t, db.Exec("BEGIN IMMEDIATE"))
+		for i := range group {
+			f(base + i + 1)
+		}
+		must(t, exec(st.meta, int64(base), now))
+		must(t, db.Exec("COMMIT"))
+	}
+	for done := 0; done < n; done += group {
+		tx(func(seq int) {
+			must(t, exec(st.take, seq, spread("r", seq), "key", 1, 7, now, now, body))
+		})
+		tx(func(seq int) {
+			must(t, exec(st.call, "e1", now))
+			must(t, exec(st.past, seq, 1, 6, now, 0))
+		})
+		tx(func(seq int) {
+			must(t, exec(st.past, seq, 1, 5, now, 0))
+			must(t, exec(st.answer, seq, 2, 0, now, nil))
+			must(t, exec(st.drop, seq))
+			must(t, exec(st.dropPast, seq))
+		})
+		tx(func(seq int) { must(t, exec(st.told, seq, now)) })
+		base += group
+	}
+	took := time.Since(start)
+	st.close()
+	must(t, db.Close())
+	return float64(n) / took.Seconds()
+}
+
+// fill adds ended rows to a file.
+func fill(t *testing.T, c Config, from, to int) {
+	t.Helper()
+	s, _ := mustOpen(t, c)
+	must(t, s.Close())
+	db, err := sqlite3.Open("file:" + c.Path)
+	must(t, err)
+	must(t, db.Exec("PRAGMA synchronous=OFF; PRAGMA cache_size=-262144"))
+	st, _, err := db.Prepare("INSERT INTO answer VALUES (?1, ?2, 2, 0, 7, 1, ?3, ?3, ?3)")
+	must(t, err)
+	now := time.Now().UnixMicro()
+	last, err := number(db, "SELECT coalesce(max(seq), 0) FROM answer")
+	must(t, err)
+	const slice = 100_000
+	for i := from; i < to; {
+		must(t, db.Exec("BEGIN IMMEDIATE"))
+		for range slice {
+			i++
+			must(t, exec(st, last+int64(i-from), spread("f", i), now))
+		}
+		must(t, db.Exec("COMMIT"))
+	}
+	must(t, st.Close())
+	must(t, db.Close())
+}
--- /dev/null
+++ b/internal/store/sqlite/schema.go
@@ -0,0 +1,163 @@
+package sqlite
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/ncruces/go-sqlite3"
+
+	"wingmount/internal/fail"
+)
+
+// applicationID marks a file as ours (PRAGMA application_id): 'wngm'.
+const applicationID = 0x776e676d
+
+// migrations are the steps of the schema, in order. One that has been released is never
+// changed; PRAGMA user_version holds how many of them a file has had.
+var migrations = []string{
+	// Times are Unix microseconds, durations milliseconds.
+	`CREATE TABLE meta (
+		one     INTEGER PRIMARY KEY CHECK (one = 1),
+		commits INTEGER NOT NULL, -- so far
+		latest  INTEGER NOT NULL  -- time of the last
+	) STRICT;
+	INSERT INTO meta VALUES (1, 0, 0);
+	CREATE TABLE message ( -- runs; never changed
+		seq      INTEGER PRIMARY KEY AUTOINCREMENT,
+		id       TEXT NOT NULL UNIQUE,
+		key      TEXT NOT NULL,
+		class    INTEGER NOT NULL,
+		dest     INTEGER NOT NULL,
+		deadline INTEGER NOT NULL,
+		taken    INTEGER NOT NULL,
+		body     BLOB NOT NULL
+	) STRICT;
+	CREATE TABLE past ( -- of messages with an attempt
+		seq      INTEGER PRIMARY KEY,
+		attempts INTEGER NOT NULL,
+		flags    INTEGER NOT NULL, -- 1 settled, 2 out, 4 may run
+		ran      INTEGER NOT NULL,
+		zone     INTEGER NOT NULL
+	) STRICT;
+	CREATE TABLE answer ( -- of messages that have ended
+		seq      INTEGER PRIMARY KEY,
+		id       TEXT NOT NULL UNIQUE,
+		kind     INTEGER NOT NULL, -- 0 failed, 1 refused, 2 delivered
+		retry    INTEGER NOT NULL,
+		dest     INTEGER NOT NULL,
+		attempts INTEGER NOT NULL,
+		taken    INTEGER NOT NULL,
+		ended    INTEGER NOT NULL,
+		told     INTEGER -- null while it is owed
+	) STRICT;
+	CREATE INDEX answer_owed ON answer (seq) WHERE told IS NULL;
+	CREATE TABLE endpoint (
+		name   TEXT PRIMARY KEY,
+		failed INTEGER NOT NULL,
+		back   INTEGER NOT NULL -- 0 while no success came after it
+	) STRICT, WITHOUT ROWID;`,
+
+	// Calls of late: a node that starts again counts them for its windows.
+	`CREATE TABLE call (
+		n        INTEGER PRIMARY KEY AUTOINCREMENT,
+		endpoint TEXT NOT NULL,
+		at       INTEGER NOT NULL
+	) STRICT;`,
+}
+
+var (
+	atMigrate  = fail.New("store/sqlite/during-migration")
+	atMigrated = fail.New("store/sqlite/after-migration")
+)
+
+// number reads one number.
+func number(c *sqlite3.Conn, query string) (int64, error) {
+	st, _, err := c.Prepare(query)
+	if err != nil {
+		return 0, fmt.Errorf("%s: %w", query, err)
+	}
+	defer st.Close()
+	if !st.Step() {
+		if err := st.Err(); err != nil {
+			return 0, fmt.Errorf("%s: %w", query, err)
+		}
+		return 0, fmt.Errorf("%s: nothing came", query)
+	}
+	return st.ColumnInt64(0), nil
+}
+
+func pragma(c *sqlite3.Conn, name string) (int64, error) { return number(c, "PRAGMA "+name) }
+
+// plain is an error on one line.
+type plain struct{ error }
+
+func (p plain) Error() string { return strings.Join(strings.Fields(p.error.Error()), " ") }
+func (p plain) Unwrap() error { return p.error }
+
+// version checks whose file it is, and tells how many migrations it has had. It changes
+// nothing.
+func version(c *sqlite3.Conn, path string) (int, error) {
+	app, err := pragma(c, "application_id")
+	if err != nil {
+		return 0, err
+	}
+	v, err := pragma(c, "user_version")
+	if err != nil {
+		return 0, err
+	}
+	things, err := number(c, "SELECT count(*) FROM sqlite_schema")
+	if err != nil {
+		return 0, err
+	}
+	switch {
+	case app != applicationID && things > 0:
+		return 0, fmt.Errorf("%s is a database of something else: it is left as it is", path)
+	case v > int64(len(migrations)):
+		return 0, fmt.Errorf("%s has schema %d, and this program knows %d: it was written by a newer one, and is left as it is", path, v, len(migrations))
+	}
+	return int(v), nil
+}
+
+// migrate brings a file to the present schema, one step and its version in a transaction.
+func migrate(c *sqlite3.Conn, from int) error {
+	for i := from; i < len(migrations); i++ {
+		if err := step(c, i); err != nil {
+			return fmt.Errorf("migrating to schema %d: %w", i+1, err)
+		}
+		_ = atMigrated.At() // it is done, whatever an error says
+	}
+	return nil
+}
+
+func step(c *sqlite3.Conn, i int) (err error) {
+	tx, err := c.BeginImmediate()
+	if err != nil {
+		return err
+	}
+	defer tx.End(&err)
+	if err := c.Exec(migrations[i]); err != nil {
+		return err
+	}
+	if err := atMigrate.At(); err != nil {
+		return err
+	}
+	return c.Exec(fmt.Sprintf("PRAGMA application_id = %d; PRAGMA user_version = %d", applicationID, i+1))
+}
+
+// check reads all pages and says what is wrong with them.
+func check(c *sqlite3.Conn, path string) error {
+	st, _, err := c.Prepare("PRAGMA quick_check(3)")
+	if err != nil {
+		return fmt.Errorf("%s is damaged, and is left as it is: %w", path, err)
+	}
+	defer st.Close()
+	for st.Step() {
+		if text := st.ColumnText(0); text != "ok" {
+			return fmt.Errorf("%s is damaged, and is left as it is: %s", path, text)
+		}
+	}
+	if err := st.Err(); err != nil {
+		return fmt.Errorf("%s is damaged, and is left as it is: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/store/sqlite/trouble_test.go
@@ -0,0 +1,350 @@
+package sqlite
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/ncruces/go-sqlite3"
+
+	"wingmount/internal/fail"
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/internal/store/storetest"
+	"wingmount/policy"
+)
+
+var ctx = context.Background()
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func mustOpen(t *testing.T, c Config) (*Store, store.Recovered) {
+	t.Helper()
+	s, r, err := Open(c, quietLog())
+	must(t, err)
+	return s, r
+}
+
+// eventually waits for something that a goroutine of the store's brings about.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never seen: %s", what)
+}
+
+// A file that can't be trusted is refused with a plain message, and neither it nor its WAL
+// is touched.
+func TestRefusedFiles(t *testing.T) {
+	// image is a store with some messages as a killed process leaves it, WAL and all.
+	image := func(t *testing.T) Config {
+		dir := t.TempDir()
+		s, _ := mustOpen(t, config(dir))
+		for i := range 40 {
+			must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("m", i), 3000)))
+		}
+		must(t, s.conn.Exec("PRAGMA wal_checkpoint(TRUNCATE)"))
+		for i := range 10 {
+			must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("late", i), 3000)))
+		}
+		to := t.TempDir()
+		must(t, storetest.Image(dir, to))
+		must(t, s.Close())
+		return config(to)
+	}
+	edit := func(t *testing.T, path string, f func([]byte) []byte) {
+		data, err := os.ReadFile(path)
+		must(t, err)
+		must(t, os.WriteFile(path, f(data), 0o600))
+	}
+	sql := func(t *testing.T, c Config, text string) {
+		db, err := sqlite3.Open("file:" + c.Path)
+		must(t, err)
+		must(t, db.Exec(text))
+		must(t, db.Close())
+	}
+	for name, c := range map[string]struct {
+		spoil func(*testing.T, Config)
+		want  string
+	}{
+		"corrupt page": {func(t *testing.T, c Config) {
+			edit(t, c.Path, func(b []byte) []byte { copy(b[30*pageSize:], bytes.Repeat([]byte{0xa5}, 2*pageSize)); return b })
+		}, "is damaged"},
+		"one bit of a body": {func(t *testing.T, c Config) {
+			edit(t, c.Path, func(b []byte) []byte { b[30*pageSize+pageSize/2] ^= 1; return b })
+		}, "is damaged"},
+		"no database": {func(t *testing.T, c Config) {
+			must(t, os.Remove(c.Path+"-wal"))
+			must(t, os.WriteFile(c.Path, bytes.Repeat([]byte("what? "), 2000), 0o600))
+		}, "is damaged, or no database"},
+		"cut in the middle of the file": {func(t *testing.T, c Config) {
+			edit(t, c.Path, func(b []byte) []byte { return b[:len(b)/2/pageSize*pageSize] })
+		}, "is damaged"},
+		"truncated WAL": {func(t *testing.T, c Config) {
+			edit(t, c.Path+"-wal", func(b []byte) []byte { return b[:len(b)/2] })
+		}, "has lost commits"},
+		"no WAL": {func(t *testing.T, c Config) { must(t, os.Remove(c.Path+"-wal")) }, "has lost commits"},
+		"newer schema": {func(t *testing.T, c Config) {
+			sql(t, c, fmt.Sprintf("PRAGMA user_version = %d", len(migrations)+1))
+		}, "written by a newer one"},
+		"of something else": {func(t *testing.T, c Config) {
+			for _, end := range []string{"", "-wal", "-witness"} {
+				must(t, os.Remove(c.Path+end))
+			}
+			sql(t, c, "CREATE TABLE cats (name TEXT)")
+		}, "a database of something else"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conf := image(t)
+			c.spoil(t, conf)
+			before, err := os.ReadFile(conf.Path)
+			must(t, err)
+			wal, _ := os.ReadFile(conf.Path + "-wal") // may not be there
+			_, _, err = Open(conf, quietLog())
+			if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("opened with %v, want one line with %q", err, c.want)
+			}
+			after, err := os.ReadFile(conf.Path)
+			must(t, err)
+			walAfter, _ := os.ReadFile(conf.Path + "-wal")
+			if !bytes.Equal(before, after) || !bytes.Equal(wal, walAfter) {
+				t.Error("the files were touched")
+			}
+		})
+	}
+	t.Run("as it was", func(t *testing.T) {
+		s, r := mustOpen(t, image(t))
+		if len(r.Owed) != 50 {
+			t.Errorf("%d messages are owed, want 50", len(r.Owed))
+		}
+		must(t, s.Close())
+	})
+}
+
+// Two nodes never work on one file.
+func TestOneNodeAFile(t *testing.T) {
+	c := config(t.TempDir())
+	s, _ := mustOpen(t, c)
+	if _, _, err := Open(c, quietLog()); err == nil || !strings.Contains(err.Error(), "in use by another node") {
+		t.Errorf("opened a second time: %v", err)
+	}
+	must(t, s.Take(ctx, storetest.NewMessage("a", 1)))
+	must(t, s.Close())
+	s, r := mustOpen(t, c)
+	if len(r.Owed) != 1 {
+		t.Errorf("owed %v", r.Owed)
+	}
+	must(t, s.Close())
+}
+
+// locker holds the write lock of a file.
+func locker(t *testing.T, c Config) (unlock func()) {
+	t.Helper()
+	db, err := sqlite3.Open("file:" + c.Path)
+	must(t, err)
+	must(t, db.BusyTimeout(10*time.Second))
+	must(t, db.Exec("BEGIN IMMEDIATE"))
+	return func() {
+		must(t, db.Exec("ROLLBACK"))
+		must(t, db.Close())
+	}
+}
+
+// While another writer holds the file, takes are refused, the first within its time and
+// the others at once, and are never found later; all else lands, once, when it is back.
+func TestLockedByAnotherWriter(t *testing.T) {
+	c := config(t.TempDir())
+	s, _ := mustOpen(t, c)
+	var ms []*message.Message
+	for i := range 20 {
+		m := storetest.NewMessage(fmt.Sprint("m", i), 100)
+		must(t, s.Take(ctx, m))
+		ms = append(ms, m)
+	}
+	unlock := locker(t, c)
+	short, cancel := context.WithTimeout(ctx, 250*time.Millisecond)
+	defer cancel()
+	if err := s.Take(short, storetest.NewMessage("first", 1)); !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("a take on a locked file: %v", err)
+	}
+	eventually(t, "that the file is known to be locked", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.stuck != nil })
+	for i := range 100 {
+		start := time.Now()
+		err := s.Take(ctx, storetest.NewMessage(fmt.Sprint("more", i), 1))
+		if took := time.Since(start); !errors.Is(err, store.ErrUnavailable) || took > 100*time.Millisecond {
+			t.Fatalf("take %d: %v after %v, want a refusal at once", i, err, took)
+		}
+	}
+	// Durable calls wait, as long as their callers do; their records stay.
+	gone, cancel2 := context.WithCancel(ctx)
+	cancel2()
+	if err := s.Attempt(gone, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: ms[:1]}); !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("an attempt: %v", err)
+	}
+	must(t, s.Outcome(ctx, store.Outcome{Message: ms[0], Outcome: policy.Moot, Endpoint: "e1", At: time.Now()}))
+	ended := make(chan error, len(ms))
+	for _, m := range ms[1:] {
+		go func() { ended <- s.End(ctx, store.Ending{Message: m, End: message.End{Kind: message.Refused}}) }()
+	}
+	eventually(t, "the ends in the queue", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.queue) == len(ms)+1 })
+	if len(ended) != 0 {
+		t.Error("an end returned though it can't be on record")
+	}
+	unlock()
+	for range ms[1:] {
+		must(t, <-ended)
+	}
+	must(t, s.Take(ctx, storetest.NewMessage("after", 1)))
+	must(t, s.Close())
+	s, r := mustOpen(t, c)
+	var running, ends []string
+	for _, m := range r.Owed {
+		if m.End == nil {
+			running = append(running, fmt.Sprint(m.ID, " ", m.Past.Attempts, " ", m.Past.MayRun))
+		} else {
+			ends = append(ends, m.ID)
+		}
+	}
+	if fmt.Sprint(running) != "[m0 1 false after 0 false]" || len(ends) != len(ms)-1 {
+		t.Errorf("running %v and %d ends, want m0, after and %d", running, len(ends), len(ms)-1)
+	}
+	must(t, s.Close())
+}
+
+// A transaction that fails, at whatever point, refuses its takes and loses nothing else; and
+// takes are taken again by themselves when it is over.
+func TestFailedTransactions(t *testing.T) {
+	for _, point := range []string{"store/sqlite/after-begin", "store/sqlite/before-commit"} {
+		t.Run(filepath.Base(point), func(t *testing.T) {
+			c := config(t.TempDir())
+			s, _ := mustOpen(t, c)
+			m := storetest.NewMessage("m", 10)
+			must(t, s.Take(ctx, m))
+			clear, err := fail.Set(point, func() error { return fail.Injected{Point: point} })
+			must(t, err)
+			defer clear()
+			if err := s.Take(ctx, storetest.NewMessage("x", 10)); !errors.Is(err, store.ErrUnavailable) {
+				t.Errorf("take: %v", err)
+			}
+			ended := make(chan error)
+			go func() { ended <- s.End(ctx, store.Ending{Message: m}) }()
+			eventually(t, "the end in the queue", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.queue) == 1 })
+			clear()
+			must(t, <-ended)
+			eventually(t, "takes again", func() bool { return s.Take(ctx, storetest.NewMessage("y", 10)) == nil })
+			must(t, s.Close())
+			s, r := mustOpen(t, c)
+			if len(r.Owed) != 2 || r.Owed[0].End == nil || r.Owed[1].ID != "y" {
+				t.Errorf("%d owed, want the end of m, and y", len(r.Owed))
+			}
+			must(t, s.Close())
+		})
+	}
+}
+
+// A take that is refused while nothing else is to be written does not shut the store for good.
+func TestTakesComeBackByThemselves(t *testing.T) {
+	c := config(t.TempDir())
+	s, _ := mustOpen(t, c)
+	unlock := locker(t, c)
+	if err := s.Take(ctx, storetest.NewMessage("x", 10)); !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("take: %v", err)
+	}
+	unlock()
+	eventually(t, "takes again", func() bool { return s.Take(ctx, storetest.NewMessage("x", 10)) == nil })
+	must(t, s.Close())
+}
+
+// A store that closes while its file is locked says what it could not write.
+func TestCloseOfALockedFile(t *testing.T) {
+	c := config(t.TempDir())
+	s, _ := mustOpen(t, c)
+	m := storetest.NewMessage("m", 10)
+	must(t, s.Take(ctx, m))
+	unlock := locker(t, c)
+	must(t, s.Told(ctx, m))
+	if err := s.Close(); err == nil || !strings.Contains(err.Error(), "1 records could not be written") {
+		t.Errorf("closed with %v", err)
+	}
+	unlock()
+}
+
+// Answers are kept for their time and no longer, in slices; what is owed is never let go
+// of; and a crash in between loses nothing. An id whose answer is gone is new.
+func TestRetention(t *testing.T) {
+	c := config(t.TempDir())
+	c.Keep = 0
+	s, _ := mustOpen(t, c)
+	images := []string{}
+	var told atomic.Bool
+	clear, err := fail.Set("store/sqlite/during-retention", func() error {
+		if told.Load() && len(images) < 4 {
+			to := t.TempDir()
+			if err := storetest.Image(filepath.Dir(c.Path), to); err != nil {
+				return err
+			}
+			images = append(images, to)
+		}
+		return nil
+	})
+	must(t, err)
+	defer clear()
+	const n = 2*sweepMax + 10
+	var ms []*message.Message
+	var ends []store.Ending
+	for i := range n {
+		m := storetest.NewMessage(fmt.Sprint("m", i), 0)
+		ms = append(ms, m)
+		ends = append(ends, store.Ending{Message: m})
+		o := &op{kind: opTake, m: m, at: time.Now()} // without waiting for each
+		s.mu.Lock()
+		s.next++
+		m.Seq = s.next
+		s.add(o)
+		s.mu.Unlock()
+		if i == n-1 {
+			must(t, <-o.done)
+		}
+	}
+	must(t, s.End(ctx, ends...))
+	owed := ms[7]
+	must(t, s.Told(ctx, append(append([]*message.Message(nil), ms[:7]...), ms[8:]...)...))
+	must(t, s.End(ctx)) // behind it, and durable
+	told.Store(true)
+	eventually(t, "that told answers go", func() bool {
+		m := storetest.NewMessage(ms[n-1].ID, 0)
+		err := s.Take(ctx, m)
+		return err == nil
+	})
+	var known *store.KnownError
+	if err := s.Take(ctx, storetest.NewMessage(owed.ID, 0)); !errors.As(err, &known) || known.End == nil {
+		t.Errorf("an answer that is owed still was let go of: %v", err)
+	}
+	must(t, s.Close())
+	clear()
+	if len(images) < 2 {
+		t.Fatalf("%d slices were seen, want one for each %d rows", len(images), sweepMax)
+	}
+	for _, dir := range images {
+		again, r := mustOpen(t, config(dir))
+		if len(r.Owed) != 1 || r.Owed[0].ID != owed.ID {
+			t.Errorf("a crash during retention leaves %d owed, want %s alone", len(r.Owed), owed.ID)
+		}
+		must(t, again.Close())
+	}
+}
--- /dev/null
+++ b/internal/store/sqlite/witness.go
@@ -0,0 +1,68 @@
+package sqlite
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"hash/fnv"
+	"os"
+)
+
+// witness is a small file beside the database that knows how many commits it had. SQLite
+// takes a WAL that was cut off for the tail of a crash, and a database that was put back
+// for a good one; the messages in what is missing would be forgotten without a word.
+//
+// It is written after each commit, with no sync: it outlasts the process, and lags behind
+// when the machine dies. Its form is magic, commits, machine start and CRC-32.
+type witness struct{ f *os.File }
+
+const (
+	witnessMagic = 0x7773656e // 'wsen'
+	witnessSize  = 24
+)
+
+// bootID tells one start of the machine from another; 0 where nothing tells.
+func bootID() uint64 {
+	text, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = h.Write(text) // never fails
+	return h.Sum64()
+}
+
+// openWitness opens the file and reads what it knows; nothing where it is new or torn.
+func openWitness(path string) (w *witness, commits int64, boot uint64, err error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, 0, 0, fmt.Errorf("opening the witness: %w", err)
+	}
+	w = &witness{f: f}
+	var b [witnessSize]byte
+	if n, _ := f.ReadAt(b[:], 0); n < witnessSize { // new, or torn
+		return w, 0, 0, nil
+	}
+	if binary.LittleEndian.Uint32(b[:]) != witnessMagic || crc32.ChecksumIEEE(b[:20]) != binary.LittleEndian.Uint32(b[20:]) {
+		return w, 0, 0, nil
+	}
+	return w, int64(binary.LittleEndian.Uint64(b[4:])), binary.LittleEndian.Uint64(b[12:]), nil
+}
+
+func (w *witness) write(commits int64, boot uint64) error {
+	var b [witnessSize]byte
+	binary.LittleEndian.PutUint32(b[:], witnessMagic)
+	binary.LittleEndian.PutUint64(b[4:], uint64(commits))
+	binary.LittleEndian.PutUint64(b[12:], boot)
+	binary.LittleEndian.PutUint32(b[20:], crc32.ChecksumIEEE(b[:20]))
+	if _, err := w.f.WriteAt(b[:], 0); err != nil {
+		return fmt.Errorf("writing the witness: %w", err)
+	}
+	return nil
+}
+
+func (w *witness) close() error { return w.f.Close() }
+
+// errBehind is a database that has lost commits.
+var errBehind = errors.New("the database has lost commits")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,10 +27,22 @@
 	// ErrForgotten says that a message which may have run can't be sent any more: its
 	// destination has forgotten the key.
 	ErrForgotten = errors.New("the destination has forgotten the key")
-	// ErrOver says that a message is on record as ended.
-	ErrOver = errors.New("the message is over")
+	// ErrUnavailable says that the store can't be reached, is locked or does not answer.
+	ErrUnavailable = errors.New("the store is not available")
 )
 
+// KnownError refuses a message whose id is on record: a second copy is never taken on.
+type KnownError struct {
+	End *message.End // its final answer, nil while it has none
+}
+
+func (e *KnownError) Error() string {
+	if e.End == nil {
+		return "the message is on record and runs"
+	}
+	return "the message is on record as " + e.End.Kind.String()
+}
+
 // Attempt is one call that is about to be made, for one message or a bundle.
 type Attempt struct {
 	Endpoint string
@@ -66,7 +78,8 @@
 // Recovered is what a store has when it is opened.
 type Recovered struct {
 	// Owed are the messages whose answers are not told, in the order in which they were taken:
-	// those with an End are owed its telling, the others all the rest. An attempt that
+	// those with an End are owed its telling, and of them only ID, Seq, Dest and End are
+	// sure to be there; the others are owed all the rest. An attempt that
 	// was out counts as one that may have run.
 	Owed []*message.Message
 	// Memories are by the names of endpoints.
@@ -77,8 +90,10 @@
 // changed before it returns, and nobody else changes it.
 type Store interface {
 	// Take puts a new message on record and numbers it. It is durable when Take returns
-	// nil; otherwise it is not taken, and no later life finds it. ErrFull where there is
-	// no room for all that it may need until its answer is told.
+	// nil; otherwise it is not taken, and no later life finds it. A [KnownError] where its
+	// id is on record, of a message whose answer is not told, or is kept still. ErrFull
+	// where there is no room for all that it may need until its answer is told.
+	// ErrUnavailable where it could not be put on record before the context ended.
 	Take(ctx context.Context, m *message.Message) error
 	// Attempt puts on record that messages are about to be sent in one call. It is durable
 	// when Attempt returns nil; otherwise the call must not be made, though the attempt may
@@ -87,7 +102,8 @@
 	Attempt(ctx context.Context, a Attempt) error
 	// Outcome puts on record how an attempt ended. It is ordered before all later calls
 	// when it returns, and durable at the latest with the next of them that is. Delivered
-	// is a message's final answer, and durable when Outcome returns nil.
+	// is a message's final answer, and durable when Outcome returns nil; a store that is
+	// told to have deliveries told sets End, and the message is owed until Told.
 	Outcome(ctx context.Context, o Outcome) error
 	// End puts final answers on record. They are durable when End returns nil, and only
 	// then may they be told. A message that is over keeps its first answer.
@@ -98,3 +114,31 @@
 	// Close makes everything durable and lets go of the store. No call may follow it.
 	Close() error
 }
+
+// Rebase corrects what was recovered when the clock has been set back since: latest is the
+// latest time on record, now is after it otherwise. How long the node was away is not known
+// then. No message gets more time than it had left, and a key that may have been used counts
+// as forgotten.
+func (r *Recovered) Rebase(latest, now time.Time) {
+	back := latest.Sub(now)
+	if back <= 0 {
+		return
+	}
+	long := now.Add(-1000 * time.Hour)
+	for _, m := range r.Owed {
+		m.Deadline = m.Deadline.Add(-back)
+		if m.Past.MayRun {
+			m.Past.RanAt = long
+		}
+	}
+	for _, e := range r.Memories {
+		for i := range e.Sent {
+			e.Sent[i] = e.Sent[i].Add(-back)
+		}
+		for _, t := range []*time.Time{&e.FailedAt, &e.BackAt} {
+			if !t.IsZero() {
+				*t = t.Add(-back)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/storetest/storetest.go
@@ -0,0 +1,733 @@
+// Package storetest is the conformance suite that every store runs: the contract of
+// internal/store against a slow and obvious model, through crashes between any two steps
+// and at every failure point.
+package storetest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wingmount/internal/fail"
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/policy"
+)
+
+// Maker is a store under test.
+type Maker struct {
+	// Open opens the store that lies in a folder, or a new one.
+	Open func(dir string) (store.Store, store.Recovered, error)
+	// Points is the prefix of the store's failure points; all are walked.
+	Points string
+	// Elsewhere are points that a test of the store's own walks, since they are not passed
+	// by calls.
+	Elsewhere []string
+	// KeepsAnswers says that ids of messages whose answers were told are known still.
+	KeepsAnswers bool
+	// TellsDelivered says that a delivered message is owed until its answer is told.
+	TellsDelivered bool
+	// Messages and Size are how many messages of how many bytes the history has that is
+	// crashed at each failure point: enough to pass them all. 12 and 500 where they are 0.
+	Messages, Size int
+	// Fills says that the store as opened takes a few thousand messages of 64 KiB at most.
+	Fills bool
+}
+
+var ctx = context.Background()
+
+// Run runs the suite.
+func Run(t *testing.T, m Maker) {
+	t.Run("contract", m.contract)
+	t.Run("histories", func(t *testing.T) { rapid.Check(t, m.history) })
+	t.Run("points", m.points)
+	t.Run("concurrent", m.concurrent)
+	t.Run("clock", m.clock)
+	if m.Fills {
+		t.Run("full", m.full)
+	}
+}
+
+func must(t interface {
+	Helper()
+	Fatalf(string, ...any)
+}, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+}
+
+func (m Maker) open(t *testing.T, dir string) (store.Store, store.Recovered) {
+	t.Helper()
+	s, r, err := m.Open(dir)
+	must(t, err)
+	return s, r
+}
+
+// NewMessage is a message as a front hands it in.
+func NewMessage(id string, size int) *message.Message {
+	body := make([]byte, size)
+	for i := range body {
+		body[i] = byte(i * 7)
+	}
+	return &message.Message{ID: id, Key: "k-" + id, Class: 1, Dest: 7, Body: body,
+		Deadline: time.Now().Add(20 * time.Second).Truncate(time.Microsecond)}
+}
+
+func attempt(at time.Time, zone int, ms ...*message.Message) store.Attempt {
+	return store.Attempt{Endpoint: "e1", Zone: zone, At: at, Messages: ms}
+}
+
+// contract walks what each call promises, one by one.
+func (m Maker) contract(t *testing.T) {
+	dir := t.TempDir()
+	s, r := m.open(t, dir)
+	if len(r.Owed) != 0 || len(r.Memories) != 0 {
+		t.Fatalf("a new store owes %v", r.Owed)
+	}
+	at := time.Now().Add(-3 * time.Second).Truncate(time.Microsecond)
+	fresh, tried, out, refused, done, over, told := NewMessage("fresh", 10), NewMessage("tried", 0), NewMessage("out", 3),
+		NewMessage("refused", 3), NewMessage("done", 5), NewMessage("over", 5), NewMessage("told", 5)
+	all := []*message.Message{fresh, tried, out, refused, done, over, told}
+	seen := map[policy.MessageID]bool{0: true}
+	for _, x := range all {
+		must(t, s.Take(ctx, x))
+		if seen[x.Seq] {
+			t.Errorf("%s got number %d, which is taken or 0", x.ID, x.Seq)
+		}
+		seen[x.Seq] = true
+	}
+	var known *store.KnownError
+	if err := s.Take(ctx, NewMessage("fresh", 10)); !errors.As(err, &known) || known.End != nil {
+		t.Errorf("a second copy: %v, want that it runs", err)
+	}
+	must(t, s.Attempt(ctx, attempt(at, 1, tried, out)))
+	must(t, s.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.TimedOut, Endpoint: "e1", At: at.Add(time.Second)}))
+	must(t, s.Attempt(ctx, attempt(at.Add(time.Second), 0, tried)))
+	must(t, s.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.Full, Endpoint: "e1", At: at.Add(time.Second)}))
+	must(t, s.Attempt(ctx, attempt(at, 1, refused)))
+	must(t, s.Outcome(ctx, store.Outcome{Message: refused, Outcome: policy.Unreachable, Endpoint: "e2", At: at}))
+	must(t, s.End(ctx, store.Ending{Message: refused, End: message.End{Kind: message.Refused, RetryAfter: 500 * time.Millisecond}},
+		store.Ending{Message: told, End: message.End{Kind: message.Failed}}))
+	if refused.End == nil || refused.End.Kind != message.Refused {
+		t.Error("End left the message as it was")
+	}
+	must(t, s.End(ctx, store.Ending{Message: refused, End: message.End{Kind: message.Failed}}))
+	if refused.End.Kind != message.Refused {
+		t.Error("a second answer replaced the first")
+	}
+	must(t, s.Told(ctx, told))
+	must(t, s.Attempt(ctx, attempt(at, 0, done)))
+	must(t, s.Outcome(ctx, store.Outcome{Message: done, Outcome: policy.Delivered, Endpoint: "e1", At: at.Add(2 * time.Second)}))
+	if m.TellsDelivered != (done.End != nil) {
+		t.Errorf("a delivered message has end %+v", done.End)
+	}
+	must(t, s.End(ctx, store.Ending{Message: done, End: message.End{Kind: message.Failed}}))
+	must(t, s.Attempt(ctx, attempt(at, 0, over)))
+	must(t, s.Outcome(ctx, store.Outcome{Message: over, Outcome: policy.Moot, Endpoint: "e1", At: at, Over: true}))
+	late := NewMessage("late", 1)
+	must(t, s.Take(ctx, late))
+	late.Window = 2 * time.Second
+	must(t, s.Attempt(ctx, attempt(at, 0, late)))
+	must(t, s.Outcome(ctx, store.Outcome{Message: late, Outcome: policy.Reset, Endpoint: "e3", At: at}))
+	if err := s.Attempt(ctx, attempt(at.Add(2*time.Second), 0, late)); !errors.Is(err, store.ErrForgotten) {
+		t.Errorf("an attempt after the key's window: %v", err)
+	}
+	must(t, s.Close())
+
+	s, r = m.open(t, dir)
+	got := map[string]*message.Message{}
+	var ids []string
+	for _, x := range r.Owed {
+		got[x.ID] = x
+		ids = append(ids, x.ID)
+	}
+	want := "[fresh tried out refused late]"
+	if m.TellsDelivered {
+		want = "[fresh tried out refused done late]"
+	}
+	if fmt.Sprint(ids) != want {
+		t.Fatalf("owed %v, want %v", ids, want)
+	}
+	f := got["fresh"]
+	if f.Key != "k-fresh" || f.Class != 1 || f.Dest != 7 || !f.Deadline.Equal(fresh.Deadline) || string(f.Body) != string(fresh.Body) ||
+		f.Past != (message.Past{}) || f.End != nil || f.Seq != fresh.Seq {
+		t.Errorf("fresh came back as %+v", f)
+	}
+	if p := got["tried"].Past; p.Attempts != 2 || !p.MayRun || !p.Settled || p.Out || p.RanZone != 1 || !p.RanAt.Equal(at) {
+		t.Errorf("tried came back with %+v", p)
+	}
+	if p := got["out"].Past; p.Attempts != 1 || !p.MayRun || !p.Settled || p.Out {
+		t.Errorf("out came back with %+v: an attempt without an outcome may have run", p)
+	}
+	if e := got["refused"].End; e == nil || e.Kind != message.Refused || e.RetryAfter != 500*time.Millisecond {
+		t.Errorf("refused came back with %+v", e)
+	}
+	if m.TellsDelivered {
+		if e := got["done"].End; e == nil || e.Kind != message.Delivered {
+			t.Errorf("done came back with %+v", e)
+		}
+	}
+	e1, e3 := r.Memories["e1"], r.Memories["e3"]
+	if e1 == nil || len(e1.Sent) == 0 || !e1.FailedAt.Equal(at.Add(time.Second)) || !e1.BackAt.Equal(at.Add(2*time.Second)) {
+		t.Errorf("e1 is remembered as %+v", e1)
+	}
+	if e3 == nil || !e3.FailedAt.Equal(at) || !e3.BackAt.IsZero() {
+		t.Errorf("e3 is remembered as %+v", e3)
+	}
+	for id, end := range map[string]message.Kind{"refused": message.Refused, "told": message.Failed, "done": message.Delivered} {
+		isTold := id == "told" || id == "done" && !m.TellsDelivered
+		err := s.Take(ctx, NewMessage(id, 1))
+		switch {
+		case isTold && !m.KeepsAnswers:
+			must(t, err)
+		case !errors.As(err, &known) || known.End == nil || known.End.Kind != end:
+			t.Errorf("%s once more: %v, want that it is known as %v", id, err, end)
+		}
+	}
+	next := NewMessage("next", 1)
+	must(t, s.Take(ctx, next))
+	if seen[next.Seq] {
+		t.Errorf("number %d was given before", next.Seq)
+	}
+	must(t, s.Close())
+}
+
+// state is what the model has of one message.
+type state struct {
+	m    message.Message
+	told bool
+}
+
+// world is the model: messages by id, and their order.
+type world struct {
+	order []string
+	byID  map[string]*state
+}
+
+func (w *world) clone() *world {
+	c := &world{order: append([]string(nil), w.order...), byID: map[string]*state{}}
+	for id, s := range w.byID {
+		x := *s
+		c.byID[id] = &x
+	}
+	return c
+}
+
+// diff tells how what was recovered differs from a world, "" where it does not.
+func (w *world) diff(r store.Recovered) string {
+	var want []*state
+	for _, id := range w.order {
+		if s := w.byID[id]; !s.told {
+			want = append(want, s)
+		}
+	}
+	if len(want) != len(r.Owed) {
+		return fmt.Sprintf("%d owed, want %d", len(r.Owed), len(want))
+	}
+	for i, s := range want {
+		x, g := s.m, r.Owed[i]
+		if x.End != nil { // nothing but the telling is owed
+			if g.ID != x.ID || g.Seq != x.Seq || g.End == nil || *g.End != *x.End {
+				return fmt.Sprintf("message %d came back as %s, number %d, with end %+v, want %s, %d, %+v", i, g.ID, g.Seq, g.End, x.ID, x.Seq, x.End)
+			}
+			continue
+		}
+		x.Past.Interrupt()
+		if x.ID != g.ID || x.Key != g.Key || x.Dest != g.Dest || x.Class != g.Class || string(x.Body) != string(g.Body) ||
+			x.Seq != g.Seq || !x.Deadline.Equal(g.Deadline) {
+			return fmt.Sprintf("message %d came back as %s, number %d, with %d bytes, want %s, %d, %d", i, g.ID, g.Seq, len(g.Body), x.ID, x.Seq, len(x.Body))
+		}
+		p := g.Past
+		if !p.RanAt.Equal(x.Past.RanAt) && x.Past.MayRun {
+			return fmt.Sprintf("%s ran at %v, want %v", x.ID, p.RanAt, x.Past.RanAt)
+		}
+		if !x.Past.MayRun {
+			x.Past.RanZone, p.RanZone = 0, 0
+		}
+		x.Past.RanAt, p.RanAt = time.Time{}, time.Time{}
+		if p != x.Past {
+			return fmt.Sprintf("%s came back with %+v, want %+v", x.ID, p, x.Past)
+		}
+		if g.End != nil {
+			return fmt.Sprintf("%s came back with end %+v, and has none", x.ID, g.End)
+		}
+	}
+	return ""
+}
+
+// history runs a random history against the model, with clean ends and crashes.
+func (m Maker) history(t *rapid.T) {
+	dir, err := os.MkdirTemp("", "storetest")
+	must(t, err)
+	defer os.RemoveAll(dir)
+	lives := 0
+	here := func() string { return filepath.Join(dir, fmt.Sprint(lives)) }
+	must(t, os.Mkdir(here(), 0o700))
+	s, _, err := m.Open(here())
+	must(t, err)
+	defer func() {
+		if s != nil {
+			_ = s.Close()
+		}
+	}()
+	w := &world{byID: map[string]*state{}}
+	live := map[string]*message.Message{} // as the store knows them in this life
+	// lazy are the worlds that a crash may leave: all since the last durable call.
+	lazy := []*world{}
+	durable := func() { lazy = lazy[:0] }
+	start := time.Now().Add(-time.Second).Truncate(time.Microsecond)
+	step := 0
+	tick := func() time.Time { step++; return start.Add(time.Duration(step) * time.Microsecond) }
+	pick := func(name string, ok func(*state) bool) *state {
+		var c []string
+		for _, id := range w.order {
+			if x := w.byID[id]; !x.told && ok(x) {
+				c = append(c, id)
+			}
+		}
+		if len(c) == 0 {
+			return nil
+		}
+		return w.byID[rapid.SampledFrom(c).Draw(t, name)]
+	}
+	running := func(x *state) bool { return x.m.End == nil }
+	reopen := func(t *rapid.T, next *world) {
+		again, r, err := m.Open(here())
+		s = nil
+		must(t, err)
+		s = again
+		if next != nil {
+			if d := next.diff(r); d != "" {
+				t.Fatalf("after a clean end: %s", d)
+			}
+		} else {
+			var diffs []string
+			for i := len(lazy); i >= 0 && next == nil; i-- {
+				c := w
+				if i < len(lazy) {
+					c = lazy[i]
+				}
+				if d := c.diff(r); d == "" {
+					next = c
+				} else {
+					diffs = append(diffs, d)
+				}
+			}
+			if next == nil {
+				t.Fatalf("after a crash nothing fits: %q", diffs)
+			}
+		}
+		w = next.clone()
+		for _, x := range w.byID {
+			x.m.Past.Interrupt()
+		}
+		clear(live)
+		for _, x := range r.Owed {
+			live[x.ID] = x
+		}
+		durable()
+	}
+	ends := rapid.Custom(func(t *rapid.T) message.End {
+		if rapid.Bool().Draw(t, "refused") {
+			return message.End{Kind: message.Refused, RetryAfter: time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond}
+		}
+		return message.End{Kind: message.Failed}
+	})
+	t.Repeat(map[string]func(*rapid.T){
+		"take": func(t *rapid.T) {
+			id := fmt.Sprint("m", rapid.IntRange(0, 30).Draw(t, "id"))
+			x := NewMessage(id, rapid.IntRange(0, 3000).Draw(t, "size"))
+			err := s.Take(ctx, x)
+			old := w.byID[id]
+			if old != nil && (!old.told || m.KeepsAnswers) {
+				var known *store.KnownError
+				if !errors.As(err, &known) || (known.End == nil) != (old.m.End == nil) || known.End != nil && *known.End != *old.m.End {
+					t.Fatalf("%s again: %v, want that it is known with %+v", id, err, old.m.End)
+				}
+				return
+			}
+			must(t, err)
+			if old != nil { // told, and not kept
+				for i, o := range w.order {
+					if o == id {
+						w.order = append(w.order[:i:i], w.order[i+1:]...)
+						break
+					}
+				}
+			}
+			w.order = append(w.order, id)
+			w.byID[id] = &state{m: *x}
+			live[id] = x
+			durable()
+		},
+		"attempt": func(t *rapid.T) {
+			x := pick("attempt", func(x *state) bool { return running(x) && !x.m.Past.Out })
+			if x == nil {
+				return
+			}
+			at, zone := tick(), rapid.IntRange(0, 1).Draw(t, "zone")
+			must(t, s.Attempt(ctx, attempt(at, zone, live[x.m.ID])))
+			x.m.Past.Attempt(zone, at)
+			durable()
+		},
+		"outcome": func(t *rapid.T) {
+			x := pick("outcome", func(x *state) bool { return running(x) && x.m.Past.Out })
+			if x == nil {
+				return
+			}
+			o := policy.Outcome(rapid.IntRange(int(policy.Delivered), int(policy.Moot)).Draw(t, "outcome"))
+			over := o == policy.Moot && rapid.Bool().Draw(t, "over")
+			lazy = append(lazy, w.clone())
+			must(t, s.Outcome(ctx, store.Outcome{Message: live[x.m.ID], Outcome: o, Endpoint: "e1", At: tick(), Over: over}))
+			x.m.Past.Outcome(o)
+			switch {
+			case over: // withdrawn: nothing is told, and nothing is known of its end
+				x.told = true
+				x.m.End = &message.End{Kind: message.Failed}
+			case o == policy.Delivered:
+				x.m.End = &message.End{Kind: message.Delivered}
+				x.told = !m.TellsDelivered
+				durable()
+			}
+		},
+		"end": func(t *rapid.T) {
+			x := pick("end", running)
+			if x == nil {
+				return
+			}
+			e := ends.Draw(t, "answer")
+			must(t, s.End(ctx, store.Ending{Message: live[x.m.ID], End: e}))
+			x.m.End = &e
+			durable()
+		},
+		"end again": func(t *rapid.T) {
+			if x := pick("end again", func(x *state) bool { return x.m.End != nil }); x != nil {
+				must(t, s.End(ctx, store.Ending{Message: live[x.m.ID], End: ends.Draw(t, "answer")}))
+			}
+		},
+		"told": func(t *rapid.T) {
+			x := pick("told", func(x *state) bool { return x.m.End != nil })
+			if x == nil {
+				return
+			}
+			lazy = append(lazy, w.clone())
+			must(t, s.Told(ctx, live[x.m.ID]))
+			x.told = true
+		},
+		"close": func(t *rapid.T) {
+			must(t, s.Close())
+			reopen(t, w)
+		},
+		"crash": func(t *rapid.T) {
+			from := here()
+			lives++
+			must(t, Image(from, here()))
+			must(t, s.Close()) // of the life that goes on beside the image, and counts no more
+			reopen(t, nil)
+		},
+		"": func(*rapid.T) {},
+	})
+}
+
+// Image copies the files of a folder as a process that is killed now would leave them. A
+// store may be writing meanwhile: a file that says how far others are is copied first.
+func Image(from, to string) error {
+	if err := os.MkdirAll(to, 0o700); err != nil {
+		return err
+	}
+	files, err := os.ReadDir(from)
+	if err != nil {
+		return err
+	}
+	slices.SortStableFunc(files, func(a, b os.DirEntry) int {
+		witness := func(f os.DirEntry) int { return strings.Count(f.Name(), "-witness") }
+		return witness(b) - witness(a)
+	})
+	for _, f := range files {
+		// Shared memory is gone with the process that had it.
+		if f.IsDir() || filepath.Ext(f.Name()) == ".db-shm" {
+			continue
+		}
+		data, err := os.ReadFile(filepath.Join(from, f.Name()))
+		if errors.Is(err, os.ErrNotExist) {
+			continue // removed meanwhile
+		}
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(to, f.Name()), data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// points crashes at every pass of every failure point during a fixed history. What had
+// returned before is there; what was under way is there whole or not at all.
+func (m Maker) points(t *testing.T) {
+	names := fail.Names(m.Points)
+	if len(names) == 0 {
+		t.Fatalf("no failure points begin with %q", m.Points)
+	}
+	images := 0
+	for _, name := range names {
+		t.Run(filepath.Base(name), func(t *testing.T) {
+			passes := 0
+			for nth := 1; ; nth++ {
+				if !m.crashAt(t, name, nth) {
+					break
+				}
+				passes++
+				images++
+			}
+			if passes == 0 && !slices.Contains(m.Elsewhere, name) {
+				t.Errorf("the point %s was never passed", name)
+			}
+		})
+	}
+	t.Logf("%d points, %d crashes", len(names), images)
+}
+
+// crashAt runs the history and crashes at the n-th pass of a point. It tells whether there
+// was such a pass.
+func (m Maker) crashAt(t *testing.T, point string, nth int) bool {
+	dir := t.TempDir()
+	image := filepath.Join(dir, "image")
+	must(t, os.Mkdir(filepath.Join(dir, "live"), 0o700))
+	var mu sync.Mutex
+	passes := 0
+	w := &world{byID: map[string]*state{}}
+	var before, after *world // around the step during which the crash came
+	crashed := func() bool { mu.Lock(); defer mu.Unlock(); return passes >= nth }
+	clear, err := fail.Set(point, func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		if passes++; passes == nth {
+			must(t, Image(filepath.Join(dir, "live"), image))
+		}
+		return nil
+	})
+	must(t, err)
+	defer clear()
+	s, _, err := m.Open(filepath.Join(dir, "live"))
+	must(t, err)
+	live := map[string]*message.Message{}
+	// lazy are the worlds that a crash may leave, beside the present one.
+	lazy := []*world{w.clone()}
+	if crashed() {
+		before, after = w.clone(), w.clone()
+	}
+	do := func(durable bool, act func() error, change func()) {
+		old := w.clone()
+		must(t, act())
+		change()
+		if after == nil {
+			if crashed() {
+				before, after = old, w.clone()
+				lazy = append(lazy, old)
+				return
+			}
+			lazy = append(lazy, old)
+			if durable {
+				lazy = lazy[:0]
+			}
+		}
+	}
+	at := time.Now().Add(-time.Second).Truncate(time.Microsecond)
+	if m.Messages == 0 {
+		m.Messages, m.Size = 12, 500
+	}
+	for i := range m.Messages {
+		id := fmt.Sprint("m", i)
+		x := NewMessage(id, m.Size+i)
+		live[id] = x
+		do(true, func() error { return s.Take(ctx, x) }, func() {
+			w.order = append(w.order, id)
+			w.byID[id] = &state{m: *x}
+		})
+		st := w.byID[id]
+		if i%4 == 3 {
+			continue
+		}
+		do(true, func() error { return s.Attempt(ctx, attempt(at, 0, x)) }, func() { st.m.Past.Attempt(0, at) })
+		outcome := []policy.Outcome{policy.Delivered, policy.Full, policy.TimedOut}[i%4]
+		do(outcome == policy.Delivered, func() error {
+			return s.Outcome(ctx, store.Outcome{Message: x, Outcome: outcome, Endpoint: "e1", At: at})
+		}, func() {
+			st.m.Past.Outcome(outcome)
+			if outcome == policy.Delivered {
+				st.m.End, st.told = &message.End{Kind: message.Delivered}, !m.TellsDelivered
+			}
+		})
+		if i%4 == 1 {
+			e := message.End{Kind: message.Refused, RetryAfter: time.Second}
+			do(true, func() error { return s.End(ctx, store.Ending{Message: x, End: e}) }, func() { st.m.End = &e })
+		}
+		if st.m.End != nil && !st.told && i > 4 {
+			do(false, func() error { return s.Told(ctx, x) }, func() { st.told = true })
+		}
+	}
+	must(t, s.Close())
+	if after == nil && crashed() {
+		before, after = w.clone(), w.clone()
+	}
+	clear()
+	if after == nil {
+		return false
+	}
+	again, r, err := m.Open(image)
+	must(t, err)
+	defer func() { must(t, again.Close()) }()
+	var diffs []string
+	for _, c := range append(lazy, before, after) {
+		d := c.diff(r)
+		if d == "" {
+			return true
+		}
+		diffs = append(diffs, d)
+	}
+	t.Errorf("crash at pass %d: nothing fits: %q", nth, diffs)
+	return true
+}
+
+// concurrent has many takers, attempts and ends at once, and one id from many sides.
+func (m Maker) concurrent(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := m.open(t, dir)
+	const workers, each = 16, 20
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	won := map[string]int{}
+	for g := range workers {
+		wg.Go(func() {
+			for i := range each {
+				x := NewMessage(fmt.Sprint("m", g, "-", i), 200)
+				if err := s.Take(ctx, x); err != nil {
+					t.Errorf("take: %v", err)
+					return
+				}
+				shared := NewMessage(fmt.Sprint("shared", i), 10)
+				var known *store.KnownError
+				switch err := s.Take(ctx, shared); {
+				case err == nil:
+					mu.Lock()
+					won[shared.ID]++
+					mu.Unlock()
+				case !errors.As(err, &known):
+					t.Errorf("shared take: %v", err)
+				}
+				at := time.Now()
+				errs := []error{s.Attempt(ctx, attempt(at, 0, x))}
+				switch i % 3 {
+				case 0:
+					errs = append(errs, s.Outcome(ctx, store.Outcome{Message: x, Outcome: policy.Delivered, Endpoint: "e1", At: at}))
+				case 1:
+					errs = append(errs, s.Outcome(ctx, store.Outcome{Message: x, Outcome: policy.Failed, Endpoint: "e1", At: at}),
+						s.End(ctx, store.Ending{Message: x}))
+				default:
+					errs = append(errs, s.Outcome(ctx, store.Outcome{Message: x, Outcome: policy.Full, Endpoint: "e1", At: at}))
+				}
+				if i%3 < 2 && x.End != nil {
+					errs = append(errs, s.Told(ctx, x))
+				}
+				if err := errors.Join(errs...); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for i := range each {
+		if id := fmt.Sprint("shared", i); won[id] != 1 {
+			t.Errorf("%s was taken %d times", id, won[id])
+		}
+	}
+	must(t, s.Close())
+	s, r := m.open(t, dir)
+	defer func() { must(t, s.Close()) }()
+	open := 0
+	for _, x := range r.Owed {
+		if x.End == nil {
+			open++
+		}
+	}
+	want := each + workers*(each/3)
+	if open != want || len(r.Owed) != want {
+		t.Errorf("%d owed, %d of them open, want %d of both", len(r.Owed), open, want)
+	}
+}
+
+// clock sets the clock back between two lives: nobody gets more time for it.
+func (m Maker) clock(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := m.open(t, dir)
+	ahead := time.Now().Add(time.Hour) // what the earlier life took for now
+	x := NewMessage("a", 10)
+	x.Deadline = ahead.Add(20 * time.Second)
+	must(t, s.Take(ctx, x))
+	must(t, s.Attempt(ctx, attempt(ahead, 0, x)))
+	must(t, s.Outcome(ctx, store.Outcome{Message: x, Outcome: policy.TimedOut, Endpoint: "e1", At: ahead}))
+	must(t, s.Close())
+	s, r := m.open(t, dir)
+	defer func() { must(t, s.Close()) }()
+	if len(r.Owed) != 1 {
+		t.Fatalf("owed %v", r.Owed)
+	}
+	got := r.Owed[0]
+	if left := time.Until(got.Deadline); left > 20*time.Second || left < 0 {
+		t.Errorf("%v are left to a message that had 20 s", left)
+	}
+	if !got.Past.Forgotten(12*time.Second, time.Now()) {
+		t.Error("a key that was used counts as remembered, though nobody knows for how long the node was away")
+	}
+	if e := r.Memories["e1"]; e == nil || e.FailedAt.After(time.Now()) {
+		t.Errorf("e1 failed at a time to come: %+v", e)
+	}
+}
+
+// full fills the store. What was taken before has room until its answer is told, and then
+// there is room for more.
+func (m Maker) full(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := m.open(t, dir)
+	var open []*message.Message
+	for i := 0; ; i++ {
+		x := NewMessage(fmt.Sprint("m", i), message.MaxBody)
+		err := s.Take(ctx, x)
+		if errors.Is(err, store.ErrFull) {
+			break
+		}
+		must(t, err)
+		if open = append(open, x); i > 5000 {
+			t.Fatal("it is never full")
+		}
+	}
+	for range 6 {
+		for _, x := range open {
+			must(t, s.Attempt(ctx, attempt(time.Now(), 1, x)))
+			must(t, s.Outcome(ctx, store.Outcome{Message: x, Outcome: policy.TimedOut, Endpoint: "an-endpoint-with-a-long-name", At: time.Now()}))
+		}
+	}
+	for _, x := range open {
+		must(t, s.End(ctx, store.Ending{Message: x}))
+	}
+	must(t, s.Told(ctx, open...))
+	must(t, s.Take(ctx, NewMessage("next", message.MaxBody)))
+	must(t, s.Close())
+	s, r := m.open(t, dir)
+	if len(r.Owed) != 1 || r.Owed[0].ID != "next" {
+		t.Errorf("%d are owed, want the one", len(r.Owed))
+	}
+	must(t, s.Close())
+}
