--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -1,18 +1,31 @@
-// Command wingmount is one delivery node.
+// Command wingmount is a delivery node, and the tools of those who run one.
 package main
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"wingmount/internal/config"
+	"wingmount/internal/demo"
+	"wingmount/internal/fail"
 	"wingmount/internal/node"
 	"wingmount/internal/platform"
 )
 
+const usage = `usage:
+  wingmount                       a node of the platform, by PROXY_CONFIG and its like
+  wingmount run --config FILE     a node of another installation
+  wingmount check --config FILE   says what is wrong with a file
+  wingmount demo [SCENARIO]       real traffic against stand-ins on loopback; --list names the scenarios
+`
+
 func main() {
 	level := slog.LevelInfo
 	if os.Getenv("WINGMOUNT_DEBUG") != "" {
@@ -24,16 +37,83 @@
 	// Taken from the first moment to the last: untaken, SIGHUP ends a process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	if err := run(ctx, reload, log); err != nil {
-		fmt.Fprintf(os.Stderr, "wingmount: %v\n", err)
+	if err := command(ctx, os.Args[1:], reload, os.Stdout, log); err != nil {
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintf(os.Stderr, "wingmount: %v\n", err)
+		}
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, reload <-chan os.Signal, log *slog.Logger) error {
+// command runs what the arguments name.
+func command(ctx context.Context, args []string, reload <-chan os.Signal, out io.Writer, log *slog.Logger) error {
+	if len(args) == 0 {
+		return onPlatform(ctx, reload, log)
+	}
+	switch args[0] {
+	case "run":
+		return run(ctx, args[1:], reload, log)
+	case "check":
+		path, err := configFlag("check", args[1:], nil)
+		if err != nil {
+			return err
+		}
+		f, err := config.Load(path)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s is good: %d classes, %d destinations, %d endpoints, store %s\n",
+			path, len(f.Classes), len(f.Destinations), len(f.List().Members), f.Store.Kind)
+		return nil
+	case "demo":
+		return demo.Command(ctx, args[1:], out, os.Stderr)
+	case "help", "-h", "--help":
+		fmt.Fprint(out, usage)
+		return nil
+	}
+	return fmt.Errorf("unknown command %q\n%s", args[0], usage)
+}
+
+func onPlatform(ctx context.Context, reload <-chan os.Signal, log *slog.Logger) error {
 	c, err := platform.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
 	return node.Run(ctx, c, node.Reload{Signals: reload, Load: func() (platform.Config, error) { return platform.LoadConfig(os.Getenv) }}, log)
 }
+
+func configFlag(name string, args []string, more func(*flag.FlagSet)) (string, error) {
+	set := flag.NewFlagSet("wingmount "+name, flag.ContinueOnError)
+	path := set.String("config", "", "the `FILE` of this installation, see deploy/gateway.toml")
+	if more != nil {
+		more(set)
+	}
+	if err := set.Parse(args); err != nil {
+		return "", err
+	}
+	if *path == "" || set.NArg() > 0 {
+		return "", fmt.Errorf("usage: wingmount %s --config FILE", name)
+	}
+	return *path, nil
+}
+
+func run(ctx context.Context, args []string, reload <-chan os.Signal, log *slog.Logger) error {
+	var points string
+	path, err := configFlag("run", args, func(set *flag.FlagSet) {
+		set.StringVar(&points, "fail", "", "for tests: failure `POINTS` to arm, as POINT=ACTION[@N],...")
+	})
+	if err != nil {
+		return err
+	}
+	load := func() (*config.File, error) { return config.Load(path) }
+	f, err := load()
+	if err != nil {
+		return err
+	}
+	if points != "" {
+		if err := fail.Arm(points); err != nil {
+			return err
+		}
+	}
+	return node.RunGateway(ctx, f, reload, load, log)
+}
--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -31,8 +31,8 @@
 	os.Exit(m.Run())
 }
 
-// rig stands for discovery and for one endpoint.
-type rig struct {
+// testbed stands for discovery and for one endpoint.
+type testbed struct {
 	t         *testing.T
 	discovery *httptest.Server
 	endpoint  *httptest.Server
@@ -52,8 +52,8 @@
 	config   string            // the file
 }
 
-func newRig(t *testing.T) *rig {
-	p := &rig{t: t, dir: t.TempDir(), calls: map[string]int{}, finals: map[string]string{},
+func newTestbed(t *testing.T) *testbed {
+	p := &testbed{t: t, dir: t.TempDir(), calls: map[string]int{}, finals: map[string]string{},
 		lists: map[string]int{}, told: map[string]string{}, answer: func(string) int { return http.StatusOK }}
 	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
 	p.endpoint = httptest.NewServer(http.HandlerFunc(p.serveEndpoint))
@@ -75,7 +75,7 @@
 	}
 }
 
-func (p *rig) serveDiscovery(w http.ResponseWriter, r *http.Request) {
+func (p *testbed) serveDiscovery(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/v2/finals" {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -124,7 +124,7 @@
 	p.mu.Unlock()
 }
 
-func (p *rig) serveEndpoint(w http.ResponseWriter, r *http.Request) {
+func (p *testbed) serveEndpoint(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-ID")
 	_, _ = io.Copy(io.Discard, r.Body)
 	p.mu.Lock()
@@ -138,14 +138,14 @@
 	w.WriteHeader(status)
 }
 
-func (p *rig) set(f func()) {
+func (p *testbed) set(f func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f()
 }
 
 // eventually waits for something that the platform sees.
-func (p *rig) eventually(what string, f func() bool) {
+func (p *testbed) eventually(what string, f func() bool) {
 	p.t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		p.mu.Lock()
@@ -174,7 +174,7 @@
 }
 
 // configure writes the configuration with an address of discovery.
-func (p *rig) configure(discovery string) {
+func (p *testbed) configure(discovery string) {
 	p.t.Helper()
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":256,"disk_mb":3},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
@@ -183,7 +183,7 @@
 }
 
 // start starts a process and waits until it is ready.
-func (p *rig) start() *process {
+func (p *testbed) start() *process {
 	p.t.Helper()
 	if p.config == "" {
 		p.config = filepath.Join(p.t.TempDir(), "config.json")
@@ -222,7 +222,7 @@
 }
 
 // send hands in a message and returns the answer.
-func (p *rig) send(id string, timeout time.Duration) *http.Response {
+func (p *testbed) send(id string, timeout time.Duration) *http.Response {
 	p.t.Helper()
 	resp, err := http.DefaultClient.Do(p.request(id, timeout))
 	must(p.t, err)
@@ -231,7 +231,7 @@
 	return resp
 }
 
-func (p *rig) request(id string, timeout time.Duration) *http.Request {
+func (p *testbed) request(id string, timeout time.Duration) *http.Request {
 	p.t.Helper()
 	req, err := http.NewRequest(http.MethodPost, "http://"+p.listen+"/meter-message", strings.NewReader("body"))
 	must(p.t, err)
@@ -245,7 +245,7 @@
 
 // A message is taken, delivered once, and costs no notice.
 func TestDelivers(t *testing.T) {
-	p := newRig(t)
+	p := newTestbed(t)
 	p.start()
 	if resp := p.send("a", 5*time.Second); resp.StatusCode != http.StatusAccepted {
 		t.Fatalf("answered %s", resp.Status)
@@ -260,7 +260,7 @@
 
 // SIGKILL: what was taken, and what was out, is picked up by the next life.
 func TestPicksUpAfterKill(t *testing.T) {
-	p := newRig(t)
+	p := newTestbed(t)
 	p.answer = func(string) int { return 0 }
 	n := p.start()
 	p.send("a", 20*time.Second)
@@ -276,7 +276,7 @@
 // A crash between the end of a message and the answer to its notice must not lose
 // the notice, and a message whose time ran out meanwhile gets one at once.
 func TestNoticesOutlastTheProcess(t *testing.T) {
-	p := newRig(t)
+	p := newTestbed(t)
 	p.answer = func(string) int { return 0 }
 	p.deaf = 1 << 30
 	n := p.start()
@@ -294,7 +294,7 @@
 // SIGTERM: what comes is still taken, calls out finish, no request goes unanswered
 // and the process ends well before it is killed.
 func TestStopsInGoodOrder(t *testing.T) {
-	p := newRig(t)
+	p := newTestbed(t)
 	p.answer = func(string) int { return 0 }
 	n := p.start()
 	p.send("a", 20*time.Second)
@@ -337,7 +337,7 @@
 // The watch comes again within 200 ms of an answer, or changes in between would
 // not count as told; and a silent agent must not stall it.
 func TestWatchGoesOn(t *testing.T) {
-	p := newRig(t)
+	p := newTestbed(t)
 	p.start()
 	p.eventually("watches", func() bool { return len(p.watches) >= 4 && len(p.answered) >= 3 })
 	p.mu.Lock()
@@ -356,7 +356,7 @@
 // the variable of the start keeps the old one. A file that can't be read changes
 // nothing, and SIGHUP while stopping ends nothing.
 func TestReload(t *testing.T) {
-	p := newRig(t)
+	p := newTestbed(t)
 	p.answer = func(string) int { return 0 }
 	n := p.start()
 	second := httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
@@ -398,7 +398,7 @@
 
 // Bad requests get the answer that the protocol names, and nothing is sent.
 func TestBadRequests(t *testing.T) {
-	p := newRig(t)
+	p := newTestbed(t)
 	p.start()
 	for name, c := range map[string]struct {
 		spoil func(*http.Request)
@@ -442,7 +442,7 @@
 }
 
 // raw sends bytes as they are and returns the first line of the answer.
-func (p *rig) raw(text string, closeSending bool) string {
+func (p *testbed) raw(text string, closeSending bool) string {
 	p.t.Helper()
 	conn, err := net.Dial("tcp", p.listen)
 	must(p.t, err)
@@ -461,7 +461,7 @@
 // A request without a length is refused, and one whose client closes its sending
 // side is taken on like any other: a 200 without taking it would lose it.
 func TestOddRequests(t *testing.T) {
-	p := newRig(t)
+	p := newTestbed(t)
 	p.start()
 	head := "POST /meter-message HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Priority-Class: meter-message\r\n" +
 		"X-Timeout-Ms: 5000\r\nIdempotency-Key: k\r\nX-Route-To: dest=7\r\n"
@@ -489,7 +489,7 @@
 // A full hold turns away with a time to come again; a message that comes twice
 // under one id is taken once.
 func TestFullHoldTurnsAway(t *testing.T) {
-	p := newRig(t)
+	p := newTestbed(t)
 	p.answer = func(string) int { return 0 }
 	p.start()
 	p.send("m0", 20*time.Second)
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"wingmount/internal/fail"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/policy"
@@ -60,6 +61,14 @@
 // Reopen takes back what CloseFrom told.
 func (g *Gate) Reopen() { g.closedFrom.Store(0) }
 
+// Where a crash matters: around an attempt's bytes and its outcome's record.
+var (
+	atBegin   = fail.New("carrier/before-attempt")
+	atBegun   = fail.New("carrier/after-attempt")
+	atOutcome = fail.New("carrier/before-outcome")
+	atEnded   = fail.New("carrier/after-outcome")
+)
+
 // Endpoint is one address of a destination. Its fields never change.
 type Endpoint struct {
 	ID     policy.EndpointID
@@ -117,10 +126,16 @@
 	for i, p := range k.Parts {
 		ms[i] = p.Message
 	}
+	if err := atBegin.At(); err != nil {
+		return err
+	}
 	a := store.Attempt{Endpoint: k.Endpoint.Name, Zone: k.Endpoint.Zone, At: now, Messages: ms}
 	if err := r.Store.Attempt(ctx, a); err != nil {
 		return err
 	}
+	if err := atBegun.At(); err != nil {
+		return err
+	}
 	now = time.Now()
 	if !k.Open(now) {
 		return ErrClosed
@@ -144,13 +159,16 @@
 	if !first {
 		return
 	}
-	o := store.Outcome{Message: p.Message, Outcome: e.Outcome, Endpoint: k.Endpoint.Name, At: time.Now(), Over: e.Final}
+	_ = atOutcome.At() // the outcome is known, whatever an error says
+	o := store.Outcome{Message: p.Message, Outcome: e.Outcome, Endpoint: k.Endpoint.Name, At: time.Now(),
+		Over: e.Final && e.Outcome != policy.Delivered}
 	// Not the call's context: the outcome is known, and goes on record after the call's
 	// time is up as well.
 	if err := r.Store.Outcome(context.Background(), o); err != nil {
 		// The attempt alone is on record then: after a restart it may have run.
 		r.Log.Error("store: outcome", "id", p.Message.ID, "err", err)
 	}
+	_ = atEnded.At()
 	e.Message, e.Attempt, e.Endpoint, e.Took = p.Message.Seq, p.Attempt, k.Endpoint.ID, time.Since(k.Started)
 	r.Tell(e)
 }
--- a/internal/carrier/http1/calls_test.go
+++ b/internal/carrier/http1/calls_test.go
@@ -48,7 +48,7 @@
 
 func newCallRig(t *testing.T, addr string) *callRig {
 	r := &callRig{t: t, addr: addr, outcomes: make(chan policy.Ended, 16)}
-	j, _, err := journal.Open(t.TempDir(), journal.MinDisk, quietLog())
+	j, _, err := journal.Open(journal.Config{Dir: t.TempDir(), MaxBytes: journal.MinDisk}, quietLog())
 	must(t, err)
 	t.Cleanup(func() { _ = j.Close() })
 	r.store = j
@@ -154,6 +154,12 @@
 	}
 }
 
+// careless is a store that takes any size, and keeps nothing.
+type careless struct{ store.Store }
+
+func (careless) Attempt(context.Context, store.Attempt) error { return nil }
+func (careless) Outcome(context.Context, store.Outcome) error { return nil }
+
 // A connection that breaks before the last byte of a call is written has carried no
 // call: the attempt goes on over a new one, and is one attempt still. A new connection
 // that breaks behind the call may have run it, and tells of the endpoint.
@@ -171,12 +177,15 @@
 		}
 	})
 	r := newCallRig(t, addr)
+	kept := r.caller.record.Store
+	r.caller.record.Store = careless{}
 	m := newMessage("large", 32<<20) // more than the buffers between the two hold
 	r.call(patience, m)
 	if e := r.next(); e.Outcome != policy.Delivered || whole.Load() != 1 {
 		t.Errorf("outcome %+v with %d whole requests, want it delivered by one", e, whole.Load())
 	}
 	r.caller.running.Wait()
+	r.caller.record.Store = kept
 	r.start(patience, 1)
 	if e := r.next(); e.Outcome != policy.Reset || e.Stale {
 		t.Errorf("outcome %+v of a new connection that broke behind the call, want a reset that is not stale", e)
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,365 @@
+// Package config reads the file of a node outside the platform. It is typed and strict: an
+// unknown key is an error, and the whole file is checked before anything starts. All that is
+// wrong with a file is told at once, each with its place.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"wingmount/internal/directory"
+	"wingmount/policy"
+)
+
+// Duration is a time in Go's form, such as "250ms" or "12s".
+type Duration time.Duration
+
+// UnmarshalText implements [encoding.TextUnmarshaler].
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no duration such as \"250ms\" or \"12s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// File is the form of the file. deploy/gateway.toml has each key with a comment.
+type File struct {
+	Name         string        `toml:"name"`
+	Listen       string        `toml:"listen"`
+	Store        Store         `toml:"store"`
+	Answers      Answers       `toml:"answers"`
+	Limits       Limits        `toml:"limits"`
+	Classes      []Class       `toml:"class"`
+	Destinations []Destination `toml:"destination"`
+}
+
+// Store says where messages go on record.
+type Store struct {
+	Kind       string   `toml:"kind"` // "sqlite" or "journal"
+	Path       string   `toml:"path"`
+	Durability string   `toml:"durability"` // "power" or "process"
+	MaxMB      int64    `toml:"max_mb"`
+	Keep       Duration `toml:"keep"`
+	Check      *bool    `toml:"check"`
+}
+
+// Answers says where final answers are told.
+type Answers struct {
+	URL string `toml:"url"`
+}
+
+// Limits bound a node.
+type Limits struct {
+	Held     int `toml:"held"`
+	Slots    int `toml:"slots"`
+	Attempts int `toml:"attempts"`
+	Nodes    int `toml:"nodes"`
+	Sockets  int `toml:"sockets"`
+	MemoryMB int `toml:"memory_mb"`
+}
+
+// Class is a class of messages.
+type Class struct {
+	Name      string   `toml:"name"`
+	Repeat    string   `toml:"repeat"` // "idempotent", "keyed" or "unsafe"
+	Window    Duration `toml:"window"`
+	Group     string   `toml:"group"` // "building" or "destination"
+	Wanted    Duration `toml:"wanted"`
+	Deadline  Duration `toml:"deadline"`
+	Worth     *float64 `toml:"worth"`
+	LateWorth float64  `toml:"late_worth"`
+	Ordered   bool     `toml:"ordered"`
+	Rest      Duration `toml:"rest"`
+}
+
+// Destination is a partner system.
+type Destination struct {
+	Number      int        `toml:"number"`
+	Name        string     `toml:"name"`
+	Rate        float64    `toml:"rate"`
+	RoutesApart bool       `toml:"routes_apart"`
+	Bundle      int        `toml:"bundle"`
+	Endpoints   []Endpoint `toml:"endpoint"`
+}
+
+// Endpoint is one address of a destination.
+type Endpoint struct {
+	Name     string `toml:"name"`
+	Address  string `toml:"address"`
+	Building string `toml:"building"`
+	Drains   bool   `toml:"drains"`
+}
+
+// Load reads a file and checks it whole. Paths in it are relative to the file.
+func Load(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	f, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if f.Store.Path != "" && !filepath.IsAbs(f.Store.Path) {
+		f.Store.Path = filepath.Join(filepath.Dir(path), f.Store.Path)
+	}
+	return f, nil
+}
+
+// Parse reads the text of a file, fills in what it leaves out, and checks it.
+func Parse(text []byte) (*File, error) {
+	f := &File{}
+	dec := toml.NewDecoder(strings.NewReader(string(text)))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(f); err != nil {
+		return nil, place(err)
+	}
+	f.defaults()
+	if err := f.check(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// place puts lines and columns into the errors of the decoder.
+func place(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var errs []error
+		for _, e := range strict.Errors {
+			row, col := e.Position()
+			errs = append(errs, fmt.Errorf("line %d, column %d: unknown key %s", row, col, strings.Join(e.Key(), ".")))
+		}
+		return errors.Join(errs...)
+	}
+	var e *toml.DecodeError
+	if errors.As(err, &e) {
+		row, col := e.Position()
+		return fmt.Errorf("line %d, column %d: %w", row, col, err)
+	}
+	return err
+}
+
+func (f *File) defaults() {
+	set := func(n *int, v int) {
+		if *n == 0 {
+			*n = v
+		}
+	}
+	set(&f.Limits.Held, 2000)
+	set(&f.Limits.Slots, 64)
+	set(&f.Limits.Attempts, 6)
+	set(&f.Limits.Nodes, 1)
+	set(&f.Limits.Sockets, 1024)
+	if f.Store.Durability == "" {
+		f.Store.Durability = "power"
+	}
+	if f.Store.Keep == 0 {
+		f.Store.Keep = Duration(24 * time.Hour)
+	}
+	if f.Store.MaxMB == 0 {
+		f.Store.MaxMB = 1024
+	}
+	for i := range f.Classes {
+		c := &f.Classes[i]
+		if c.Worth == nil {
+			one := 1.0
+			c.Worth = &one
+		}
+		if c.Group == "" {
+			c.Group = "building"
+		}
+	}
+	for i := range f.Destinations {
+		set(&f.Destinations[i].Bundle, 1)
+	}
+}
+
+// MaxDestination is the highest number of a destination.
+const MaxDestination = 1<<16 - 1
+
+func (f *File) check() error {
+	var errs []error
+	bad := func(where, format string, args ...any) {
+		errs = append(errs, fmt.Errorf("%s: %s", where, fmt.Sprintf(format, args...)))
+	}
+	oneOf := func(where, v string, of ...string) {
+		for _, o := range of {
+			if v == o {
+				return
+			}
+		}
+		bad(where, "%q is none of %q", v, of)
+	}
+	within := func(where string, v, low, high int) {
+		if v < low || v > high {
+			bad(where, "%d is not between %d and %d", v, low, high)
+		}
+	}
+	address := func(where, v string) {
+		if _, port, err := net.SplitHostPort(v); err != nil || port == "" {
+			bad(where, "%q is no HOST:PORT", v)
+		}
+	}
+	if f.Name == "" {
+		bad("name", "is missing")
+	}
+	address("listen", f.Listen)
+	oneOf("store.kind", f.Store.Kind, "sqlite", "journal")
+	if f.Store.Path == "" {
+		bad("store.path", "is missing")
+	}
+	oneOf("store.durability", f.Store.Durability, "power", "process")
+	if f.Store.Kind == "journal" && f.Store.Durability == "power" {
+		bad("store.durability", "the journal outlasts the process alone: say \"process\"")
+	}
+	if f.Store.MaxMB < 4 {
+		bad("store.max_mb", "%d is less than a store needs, 4", f.Store.MaxMB)
+	}
+	if f.Store.Keep < 0 {
+		bad("store.keep", "is negative")
+	}
+	if u, err := url.Parse(f.Answers.URL); f.Answers.URL != "" && (err != nil || u.Scheme != "http" || u.Host == "") {
+		bad("answers.url", "%q is no http URL", f.Answers.URL)
+	}
+	within("limits.held", f.Limits.Held, 1, 1_000_000)
+	within("limits.slots", f.Limits.Slots, 1, 100_000)
+	within("limits.attempts", f.Limits.Attempts, 1, 6)
+	within("limits.nodes", f.Limits.Nodes, 1, 10_000)
+	within("limits.sockets", f.Limits.Sockets, 64, 1<<20)
+	if f.Limits.MemoryMB < 0 {
+		bad("limits.memory_mb", "is negative")
+	}
+	if len(f.Classes) == 0 {
+		bad("class", "there is none")
+	}
+	classes := map[string]bool{}
+	for i, c := range f.Classes {
+		where := fmt.Sprintf("class %d (%q)", i+1, c.Name)
+		if c.Name == "" || strings.ContainsAny(c.Name, "/ ?#%") || c.Name == "healthz" {
+			bad(where, "name: it is the first part of a path")
+		}
+		if classes[c.Name] {
+			bad(where, "name: there are two")
+		}
+		classes[c.Name] = true
+		oneOf(where+".repeat", c.Repeat, "idempotent", "keyed", "unsafe")
+		oneOf(where+".group", c.Group, "building", "destination")
+		if (c.Repeat == "keyed") != (c.Window > 0) {
+			bad(where+".window", "a keyed class has one, others have none")
+		}
+		if c.Deadline <= 0 || c.Wanted <= 0 || c.Wanted > c.Deadline {
+			bad(where, "wanted and deadline are times above 0, and wanted the shorter of them")
+		}
+		if *c.Worth < 0 || c.LateWorth < 0 || c.LateWorth > 1 {
+			bad(where, "worth is 0 or more, and late_worth between 0 and 1")
+		}
+		if c.Rest != 0 && !c.Ordered || c.Rest < 0 {
+			bad(where+".rest", "only an ordered class has one")
+		}
+	}
+	if len(f.Destinations) == 0 {
+		bad("destination", "there is none")
+	}
+	numbers, names := map[int]bool{}, map[string]string{}
+	for i, d := range f.Destinations {
+		where := fmt.Sprintf("destination %d (%q)", i+1, d.Name)
+		within(where+".number", d.Number, 0, MaxDestination)
+		if numbers[d.Number] {
+			bad(where+".number", "there are two with %d", d.Number)
+		}
+		numbers[d.Number] = true
+		within(where+".bundle", d.Bundle, 1, 100)
+		if d.Rate < 0 {
+			bad(where+".rate", "is negative")
+		}
+		if len(d.Endpoints) == 0 {
+			bad(where, "it has no endpoint")
+		}
+		for j, e := range d.Endpoints {
+			at := fmt.Sprintf("%s, endpoint %d (%q)", where, j+1, e.Name)
+			if e.Name == "" {
+				bad(at+".name", "is missing")
+			}
+			if other := names[e.Name]; other != "" {
+				bad(at+".name", "%s has the same", other)
+			}
+			names[e.Name] = at
+			address(at+".address", e.Address)
+			if e.Building == "" {
+				bad(at+".building", "is missing: repeats are dropped only within one building")
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Words translates the words of the list and of clients into the module's numbers.
+type Words struct{ Classes, Kinds, Zones map[string]int }
+
+// Settings are what the file means to the decision module.
+func (f *File) Settings() (policy.Settings, Words) {
+	w := Words{map[string]int{}, map[string]int{}, map[string]int{}}
+	s := policy.Settings{Senders: f.Limits.Nodes, Slots: f.Limits.Slots, MaxHeld: f.Limits.Held, MaxAttempts: f.Limits.Attempts,
+		AdviseWait: true, MaxWait: 30 * time.Second, ConnectTimeout: time.Second, Tick: 5 * time.Millisecond,
+		DrainGrace: time.Second, ColdShare: 0.2, WarmUp: 15 * time.Second, FallMultiple: 2, FallWindow: 1500 * time.Millisecond}
+	for i, c := range f.Classes {
+		w.Classes[c.Name] = i
+		s.Classes = append(s.Classes, policy.Class{
+			Repeat:   map[string]policy.Repeat{"idempotent": policy.Idempotent, "keyed": policy.Deduplicated, "unsafe": policy.AtMostOnce}[c.Repeat],
+			GroupAll: c.Repeat == "keyed" && c.Group == "destination", GroupZone: c.Repeat == "keyed" && c.Group == "building",
+			Window: time.Duration(c.Window), Ordered: c.Ordered, Aim: time.Duration(c.Wanted), Deadline: time.Duration(c.Deadline),
+			Worth: *c.Worth, LateWorth: c.LateWorth})
+		s.TurnGap = max(s.TurnGap, time.Duration(c.Rest))
+	}
+	for _, d := range f.Destinations {
+		if k := d.kind(); !has(w.Kinds, k) {
+			w.Kinds[k] = len(s.Kinds)
+			s.Kinds = append(s.Kinds, policy.Kind{RoutesApart: d.RoutesApart, BundleMax: d.Bundle})
+		}
+		if d.Rate > 0 {
+			s.Listing = policy.RateRough
+		}
+		for _, e := range d.Endpoints {
+			if !has(w.Zones, e.Building) {
+				w.Zones[e.Building] = len(w.Zones)
+			}
+		}
+	}
+	s.ZoneFee = make([]float64, len(w.Zones))
+	return s, w
+}
+
+func has(m map[string]int, k string) bool {
+	_, ok := m[k]
+	return ok
+}
+
+// kind names what the settings say of a destination's kind.
+func (d Destination) kind() string { return fmt.Sprintf("apart=%v bundle=%d", d.RoutesApart, d.Bundle) }
+
+// List is the whole list of endpoints in the file.
+func (f *File) List() directory.List {
+	l := directory.List{Complete: true, Fresh: true}
+	for _, d := range f.Destinations {
+		for _, e := range d.Endpoints {
+			phase := directory.Active
+			if e.Drains {
+				phase = directory.Leaving
+			}
+			l.Members = append(l.Members, directory.Member{ID: e.Name, HostPort: e.Address, Locality: e.Building, Flavor: d.kind(),
+				Cell: d.Number, Phase: phase, Size: d.Rate})
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,75 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"wingmount/internal/directory"
+	"wingmount/policy"
+)
+
+func sample(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/gateway.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestSample(t *testing.T) {
+	f, err := Load("../../deploy/gateway.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, w := f.Settings()
+	c := s.Classes[w.Classes["meter-message"]]
+	if c.Repeat != policy.Deduplicated || !c.GroupZone || c.GroupAll || c.Window != 12*time.Second || c.Deadline != 28*time.Second || c.Worth != 1 {
+		t.Errorf("class %+v", c)
+	}
+	l := f.List()
+	if len(l.Members) != 2 || !l.Complete || !l.Fresh || l.Members[1].Phase != directory.Active {
+		t.Fatalf("list %+v", l)
+	}
+	if _, ok := w.Kinds[l.Members[0].Flavor]; !ok || w.Zones[l.Members[0].Locality] == w.Zones[l.Members[1].Locality] {
+		t.Errorf("words %+v do not fit the list", w)
+	}
+	if !strings.HasSuffix(f.Store.Path, "deploy/wingmount.db") {
+		t.Errorf("the path is from the file's folder, not %s", f.Store.Path)
+	}
+}
+
+func TestRefused(t *testing.T) {
+	for name, c := range map[string]struct{ old, new, want string }{
+		"unknown key":    {"keep =", "keeps =", "line 12, column 1: unknown key store.keeps"},
+		"form":           {"max_mb = 1024", "max_mb = ", "line 11"},
+		"type":           {"max_mb = 1024", `max_mb = "much"`, "line 11"},
+		"duration":       {`"12s"`, `"12"`, "no duration"},
+		"kind":           {`kind = "sqlite"`, `kind = "paper"`, `store.kind: "paper" is none of`},
+		"journal":        {`kind = "sqlite"`, `kind = "journal"`, "store.durability"},
+		"class twice":    {"[[destination]]", "[[class]]\nname=\"meter-message\"\nrepeat=\"unsafe\"\nwanted=\"1s\"\ndeadline=\"2s\"\n[[destination]]", "there are two"},
+		"window":         {`repeat = "keyed"`, `repeat = "unsafe"`, "window"},
+		"wanted":         {`wanted = "3s"`, `wanted = "30s"`, "the shorter"},
+		"attempts":       {"attempts = 6", "attempts = 7", "limits.attempts: 7 is not between 1 and 6"},
+		"same name":      {`"billing-2"`, `"billing-1"`, "has the same"},
+		"address":        {`"127.0.0.1:9102"`, `"nowhere"`, `"billing-2").address`},
+		"no building":    {`building = "annex"`, `building = ""`, "building"},
+		"answers":        {`"http://127.0.0.1:9000/answers"`, `"ftp://x"`, "answers.url"},
+		"number":         {"number = 7", "number = 70000", "number"},
+		"no destination": {"[[destination]]", "[[destinations]]", "unknown key"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(sample(t), c.old, c.new, 1)
+			_, err := Parse([]byte(text))
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("%v, want %q in it", err, c.want)
+			}
+		})
+	}
+	_, err := Parse([]byte(`name = "x"`))
+	if err == nil || strings.Count(err.Error(), "\n") < 4 {
+		t.Errorf("%v, want all that is wrong at once", err)
+	}
+}
--- a/internal/engine/scribe.go
+++ b/internal/engine/scribe.go
@@ -5,12 +5,19 @@
 	"log/slog"
 	"sync"
 
+	"wingmount/internal/fail"
 	"wingmount/internal/store"
 )
 
 // scribeBatch is how many answers go on record together at most.
 const scribeBatch = 256
 
+// Where a crash matters: around the record of an answer.
+var (
+	atEnd   = fail.New("engine/before-end")
+	atEnded = fail.New("engine/after-end")
+)
+
 // scribe puts final answers on record and hands them on to be told, in the order in which
 // the module gave them. Its queue is bounded by what the node holds: a message has one
 // answer.
@@ -72,12 +79,14 @@
 	clear(w.queue[rest:])
 	w.queue = w.queue[:rest]
 	w.mu.Unlock()
+	_ = atEnd.At() // the module has decided, whatever an error says
 	// No context: an answer that the module gave is written, and the store has bounds of
 	// its own.
 	if err := w.store.End(context.Background(), batch...); err != nil {
 		// Told all the same: their clients wait. After a restart they are answered again.
 		w.log.Error("store: end", "err", err)
 	}
+	_ = atEnded.At()
 	for _, e := range batch {
 		// One that is over has its answer already: its delivery went on record between the
 		// module's last look and this.
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"wingmount/internal/fail"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/policy"
@@ -67,6 +68,12 @@
 		held: map[string]bool{}}
 }
 
+// Where a crash matters: between a message's record, its start, and the client's answer.
+var (
+	atTaken    = fail.New("front/http/after-take")
+	atAccepted = fail.New("front/http/before-answer")
+)
+
 // badRequest is a fault of the client.
 type badRequest struct {
 	status int
@@ -126,8 +133,10 @@
 		in.notTaken(w, m, err)
 		return
 	}
+	_ = atTaken.At() // it is on record, whatever an error says
 	in.Taken(m.ID)
 	in.accept(m)
+	_ = atAccepted.At()
 	w.WriteHeader(http.StatusAccepted)
 }
 
--- a/internal/front/http/intake_test.go
+++ b/internal/front/http/intake_test.go
@@ -30,7 +30,7 @@
 
 // newIntake has one keyed class and remembers what it accepts.
 func newIntake(t *testing.T, accepted *[]*message.Message) *Intake {
-	j, _, err := journal.Open(t.TempDir(), journal.MinDisk, quietLog())
+	j, _, err := journal.Open(journal.Config{Dir: t.TempDir(), MaxBytes: journal.MinDisk}, quietLog())
 	must(t, err)
 	t.Cleanup(func() { _ = j.Close() })
 	in := New(Config{Classes: map[string]int{"note": 0}, MaxHeld: 2,
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -84,7 +84,7 @@
 // Kind is what the final answer of a message says.
 type Kind int
 
-// The final answers.
+// The final answers. Their numbers are on disk.
 const (
 	// Failed promises nothing about the message's effect.
 	Failed Kind = iota
--- /dev/null
+++ b/internal/node/assemble.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"wingmount/internal/carrier"
+	"wingmount/internal/carrier/http1"
+	"wingmount/internal/directory"
+	"wingmount/internal/engine"
+	httpfront "wingmount/internal/front/http"
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/policy"
+)
+
+// parts is what a node is built from, whoever starts it.
+type parts struct {
+	name, listen          string
+	sockets               int
+	idleClose             time.Duration
+	settings              policy.Settings
+	seed                  uint64
+	classes, kinds, zones map[string]int
+	store                 store.Store
+	recovered             store.Recovered
+	teller                engine.Teller
+	log                   *slog.Logger
+}
+
+// node is a node that has been built.
+type node struct {
+	parts
+	listener    *httpfront.Listener
+	engine      *engine.Engine
+	intake      *httpfront.Intake
+	calls       *http1.Carrier
+	engineParts engine.Parts
+	others      []func(context.Context) // run beside the engine, until the node has stopped
+}
+
+// build builds a node and listens for clients. Nothing runs yet.
+func build(p parts) (*node, error) {
+	for _, m := range p.recovered.Owed {
+		if m.End == nil && m.Class >= len(p.settings.Classes) {
+			return nil, fmt.Errorf("the store holds a message of class %d, which the settings lack", m.Class)
+		}
+	}
+	listener, err := net.Listen("tcp", p.listen)
+	if err != nil {
+		return nil, fmt.Errorf("listening for clients: %w", err)
+	}
+	n := &node{parts: p, listener: httpfront.NewListener(listener, clientSockets(p.sockets)),
+		engine: engine.New(engine.Config{Settings: p.settings, Seed: p.seed, Kinds: p.kinds, Zones: p.zones})}
+	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, MaxHeld: p.settings.MaxHeld},
+		p.store, func(m *message.Message) { n.engine.Post(m) }, p.log)
+	n.calls = http1.New(http1.Config{ConnectTimeout: p.settings.ConnectTimeout, IdleClose: p.idleClose,
+		MaxIdle: idleSockets(p.sockets, p.settings.Slots)}, &carrier.Recorder{Store: p.store, Log: p.log, Tell: n.event}, p.log)
+	n.engineParts = engine.Parts{Store: p.store, Carrier: n.calls, Admission: n.intake, Teller: p.teller,
+		Memories: p.recovered.Memories, Log: p.log}
+	return n, nil
+}
+
+func (n *node) event(e policy.Event) { n.engine.Post(e) }
+
+// beside adds what runs beside the engine.
+func (n *node) beside(run func(context.Context)) { n.others = append(n.others, run) }
+
+// run serves until the context ends, stops in good order and closes the store.
+func (n *node) run(ctx context.Context, known directory.List) error {
+	n.engine.Use(n.engineParts)
+	// Everything below runs until the node has stopped, not until it is told to.
+	life, end := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	quiet := make(chan struct{})
+	running.Go(func() { n.engine.Run(life, quiet) })
+	for _, run := range n.others {
+		running.Go(func() { run(life) })
+	}
+	if len(known.Members) > 0 {
+		n.engine.Post(known)
+	}
+	for _, m := range n.recovered.Owed {
+		if m.End != nil {
+			n.teller.Add(m)
+			continue
+		}
+		n.intake.Taken(m.ID)
+		n.engine.Post(m)
+	}
+	server := httpfront.NewServer(n.intake, n.log)
+	served := make(chan error, 1)
+	running.Go(func() { served <- server.Serve(n.listener) })
+	n.log.Info("ready", "name", n.name, "listen", n.listener.Addr().String(), "owed", len(n.recovered.Owed))
+
+	var err error
+	select {
+	case <-ctx.Done():
+		n.stop(server, quiet)
+	case err = <-served:
+		err = fmt.Errorf("serving clients: %w", err)
+	}
+	end()
+	running.Wait()
+	n.calls.Wait() // their outcomes go on record before the store closes
+	n.log.Info("stopped", "owed", n.intake.Count())
+	return errors.Join(err, n.store.Close())
+}
+
+// stop lets go of the clients first, then of the endpoints. What is still owed
+// after that waits in the store for the next start.
+func (n *node) stop(server *http.Server, quiet chan<- struct{}) {
+	start := time.Now()
+	n.log.Info("stopping", "owed", n.intake.Count())
+	n.intake.Close(false)
+	time.Sleep(stopTaking)
+	n.intake.Close(true)
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(stopWaiting))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		n.log.Warn("stopping: clients are left", "err", err)
+	}
+	close(quiet)
+	<-n.engine.Quieted()
+	calls := make(chan struct{})
+	go func() {
+		n.calls.Wait()
+		close(calls)
+	}()
+	select {
+	case <-calls:
+	case <-ctx.Done():
+		n.log.Warn("stopping: calls are out")
+	}
+}
--- /dev/null
+++ b/internal/node/gateway.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"wingmount/internal/config"
+	"wingmount/internal/engine"
+	"wingmount/internal/message"
+	"wingmount/internal/platform"
+	"wingmount/internal/store"
+	"wingmount/internal/store/journal"
+	"wingmount/internal/store/sqlite"
+)
+
+// idleClose is when partners are taken to close idle connections at the latest.
+const idleClose = 15 * time.Second
+
+// answer is how a final answer is told outside the platform.
+type answer struct {
+	ID        string `json:"id"`
+	Outcome   string `json:"outcome"` // delivered, refused or failed
+	RetryInMs int64  `json:"retry_in_ms,omitempty"`
+}
+
+func newAnswer(m *message.Message) any {
+	return answer{ID: m.ID, Outcome: m.End.Kind.String(), RetryInMs: m.End.RetryAfter.Milliseconds()}
+}
+
+// nobody is told of answers: they are kept in the store alone.
+type nobody struct {
+	store store.Store
+	log   *slog.Logger
+}
+
+func (n nobody) Add(m *message.Message) {
+	if err := n.store.Told(context.Background(), m); err != nil {
+		n.log.Error("store: an answer that nobody is told", "id", m.ID, "err", err)
+	}
+}
+
+// OpenStore opens the store that a file of our own names.
+func OpenStore(f *config.File, log *slog.Logger) (store.Store, store.Recovered, error) {
+	s := f.Store
+	if s.Kind == "journal" {
+		if err := os.MkdirAll(s.Path, 0o700); err != nil {
+			return nil, store.Recovered{}, fmt.Errorf("opening the journal: %w", err)
+		}
+		return journal.Open(journal.Config{Dir: s.Path, MaxBytes: s.MaxMB << 20, TellDelivered: f.Answers.URL != ""}, log)
+	}
+	d := sqlite.Power
+	if s.Durability == "process" {
+		d = sqlite.Process
+	}
+	return sqlite.Open(sqlite.Config{Path: s.Path, Durability: d, MaxBytes: s.MaxMB << 20, Keep: time.Duration(s.Keep),
+		TellDelivered: f.Answers.URL != "", NoCheck: s.Check != nil && !*s.Check}, log)
+}
+
+// RunGateway serves by a file of our own until the context ends and then stops in good
+// order. On a signal the file is read again, and its endpoints count from then on; what else
+// it says counts at the next start.
+func RunGateway(ctx context.Context, f *config.File, signals <-chan os.Signal, load func() (*config.File, error), log *slog.Logger) error {
+	if f.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(f.Limits.MemoryMB) << 20 * 6 / 10)
+	}
+	records, recovered, err := OpenStore(f, log)
+	if err != nil {
+		return err
+	}
+	settings, words := f.Settings()
+	var teller engine.Teller = nobody{records, log}
+	tell := func(context.Context) {}
+	if f.Answers.URL != "" {
+		answers := platform.NewTeller(f.Answers.URL, newAnswer, records, log)
+		teller, tell = answers, answers.Run
+	}
+	n, err := build(parts{name: f.Name, listen: f.Listen, sockets: f.Limits.Sockets, idleClose: idleClose, settings: settings,
+		seed: rand.Uint64(), classes: words.Classes, kinds: words.Kinds, zones: words.Zones, store: records, recovered: recovered,
+		teller: teller, log: log})
+	if err != nil {
+		return errors.Join(err, records.Close())
+	}
+	n.beside(tell)
+	n.beside(func(life context.Context) {
+		for {
+			select {
+			case <-life.Done():
+				return
+			case <-signals:
+			}
+			again, err := load()
+			if err != nil {
+				log.Error("reload: the configuration stays as it was", "err", err)
+				continue
+			}
+			log.Info("reload", "endpoints", len(again.List().Members))
+			n.engine.Post(again.List())
+		}
+	})
+	return n.run(ctx, f.List())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,24 +5,14 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
-	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
-	"sync"
 	"time"
 
-	"wingmount/internal/carrier"
-	"wingmount/internal/carrier/http1"
 	"wingmount/internal/directory"
-	"wingmount/internal/engine"
-	httpfront "wingmount/internal/front/http"
-	"wingmount/internal/message"
 	"wingmount/internal/platform"
 	"wingmount/internal/store/journal"
-	"wingmount/policy"
 )
 
 const (
@@ -86,108 +76,32 @@
 	if c.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
 	}
-	records, recovered, err := journal.Open(c.State, c.DiskBytes, log)
+	records, recovered, err := journal.Open(journal.Config{Dir: c.State, MaxBytes: c.DiskBytes}, log)
 	if err != nil {
 		return err
 	}
-	for _, m := range recovered.Owed {
-		if m.Class >= len(c.Settings.Classes) {
-			return errors.Join(fmt.Errorf("the journal holds a message of class %d, which the settings lack", m.Class), records.Close())
-		}
-	}
-	listener, err := net.Listen("tcp", c.Listen)
+	finals := platform.NewFinals(c.Discovery, records, log)
+	n, err := build(parts{name: c.Name, listen: c.Listen, sockets: c.Sockets, idleClose: c.IdleClose, settings: c.Settings, seed: c.Seed,
+		classes: c.Classes, kinds: c.Kinds, zones: c.Zones, store: records, recovered: recovered, teller: finals, log: log})
 	if err != nil {
-		return errors.Join(fmt.Errorf("listening for clients: %w", err), records.Close())
+		return errors.Join(err, records.Close())
 	}
-	listener = httpfront.NewListener(listener, clientSockets(c.Sockets))
-	eng := engine.New(engine.Config{Settings: c.Settings, Seed: c.Seed, Kinds: c.Kinds, Zones: c.Zones})
-	event := func(e policy.Event) { eng.Post(e) }
-	in := httpfront.New(httpfront.Config{Classes: c.Classes, Rules: c.Settings.Classes, MaxHeld: c.Settings.MaxHeld},
-		records, func(m *message.Message) { eng.Post(m) }, log)
-	calls := http1.New(http1.Config{ConnectTimeout: c.Settings.ConnectTimeout, IdleClose: c.IdleClose,
-		MaxIdle: idleSockets(c.Sockets, c.Settings.Slots)}, &carrier.Recorder{Store: records, Log: log, Tell: event}, log)
-	finals := platform.NewFinals(c.Discovery, records, log)
-	parts := engine.Parts{Store: records, Carrier: calls, Admission: in, Teller: finals, Memories: recovered.Memories, Log: log}
-	var peers *platform.Peers
+	n.beside(finals.Run)
 	if c.Settings.MayTell && c.PeerBind != "" && c.PeersAll != "" {
-		if peers, err = platform.OpenPeers(c, log, event); err != nil {
-			return errors.Join(err, listener.Close(), records.Close())
-		}
-		parts.Notes = peers
-	}
-	eng.Use(parts)
-
-	// Everything below runs until the node has stopped, not until it is told to.
-	life, end := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	quiet := make(chan struct{})
-	running.Go(func() { eng.Run(life, quiet) })
-	running.Go(func() { finals.Run(life) })
-	follower := platform.NewDiscovery(c.Discovery, log, func(l directory.List) { eng.Post(l) })
-	running.Go(func() { follower.Run(life) })
-	if peers != nil {
-		running.Go(func() { peers.Run(life) })
-	}
-	if len(c.Known.Members) > 0 {
-		eng.Post(c.Known)
-	}
-	for _, m := range recovered.Owed {
-		if m.End != nil {
-			finals.Add(m)
-			continue
+		peers, err := platform.OpenPeers(c, log, n.event)
+		if err != nil {
+			return errors.Join(err, n.listener.Close(), records.Close())
 		}
-		in.Taken(m.ID)
-		eng.Post(m)
+		n.engineParts.Notes = peers
+		n.beside(peers.Run)
 	}
-	server := httpfront.NewServer(in, log)
-	served := make(chan error, 1)
-	running.Go(func() { served <- server.Serve(listener) })
-	log.Info("ready", "name", c.Name, "listen", c.Listen, "owed", len(recovered.Owed))
-
-	running.Go(func() {
+	follower := platform.NewDiscovery(c.Discovery, log, func(l directory.List) { n.engine.Post(l) })
+	n.beside(follower.Run)
+	n.beside(func(life context.Context) {
 		reload.run(life, log, func(addr string) {
 			follower.Move(addr)
 			finals.Move(addr)
 		})
 	})
-
-	select {
-	case <-ctx.Done():
-		stop(in, server, eng, calls, quiet, log)
-		err = nil
-	case err = <-served:
-		err = fmt.Errorf("serving clients: %w", err)
-	}
-	end()
-	running.Wait()
-	calls.Wait() // their outcomes go on record before the journal closes
-	log.Info("stopped", "owed", in.Count())
-	return errors.Join(err, records.Close())
-}
-
-// stop lets go of the clients first, then of the endpoints. What is still owed
-// after that waits in the store for the next start.
-func stop(in *httpfront.Intake, server *http.Server, eng *engine.Engine, carrier *http1.Carrier, quiet chan<- struct{}, log *slog.Logger) {
-	start := time.Now()
-	log.Info("stopping", "owed", in.Count())
-	in.Close(false)
-	time.Sleep(stopTaking)
-	in.Close(true)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(stopWaiting))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		log.Warn("stopping: clients are left", "err", err)
-	}
-	close(quiet)
-	<-eng.Quieted()
-	calls := make(chan struct{})
-	go func() {
-		carrier.Wait()
-		close(calls)
-	}()
-	select {
-	case <-calls:
-	case <-ctx.Done():
-		log.Warn("stopping: calls are out")
-	}
+	return n.run(ctx, c.Known)
 }
--- a/internal/platform/finals.go
+++ b/internal/platform/finals.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"wingmount/internal/fail"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 )
@@ -44,9 +45,19 @@
 	return notice{Message: m.ID, Outcome: givenUp}
 }
 
-// Finals tells the platform of messages that ended undelivered, again and again
-// until it has answered: only then is nothing owed any more.
+// Where a crash matters: around the telling of answers.
+var (
+	atTell = fail.New("platform/before-telling")
+	atTold = fail.New("platform/after-telling")
+)
+
+// Form is what is told of a message that has ended, as it is marshalled to JSON.
+type Form func(m *message.Message) any
+
+// Finals tells of messages that have ended, again and again until it is answered: only then
+// is nothing owed any more. It posts one JSON object a line.
 type Finals struct {
+	form   Form
 	client *http.Client
 	store  store.Store
 	log    *slog.Logger
@@ -60,7 +71,12 @@
 // NewFinals returns a teller that posts to discovery's address, and puts on record what
 // has been answered.
 func NewFinals(discovery string, s store.Store, log *slog.Logger) *Finals {
-	return &Finals{url: finalsURL(discovery), store: s, log: log,
+	return NewTeller(finalsURL(discovery), func(m *message.Message) any { return newNotice(m) }, s, log)
+}
+
+// NewTeller returns a teller that posts what form makes of each message to a URL.
+func NewTeller(url string, form Form, s store.Store, log *slog.Logger) *Finals {
+	return &Finals{url: url, form: form, store: s, log: log,
 		more:   make(chan struct{}, 1),
 		client: &http.Client{Timeout: noticeTimeout, Transport: &http.Transport{DisableCompression: true}}}
 }
@@ -117,13 +133,15 @@
 			}
 		}
 		batch := pending[:min(len(pending), noticeBatch)]
+		_ = atTell.At() // it is owed, whatever an error says
 		status, err := f.post(ctx, batch)
 		if status == http.StatusBadRequest && len(batch) > 1 {
 			// One line that the platform can't read must not hold the others back.
 			batch = batch[:1]
 			status, err = f.post(ctx, batch)
 		}
-		if err == nil && status == http.StatusNoContent {
+		if err == nil && status/100 == 2 {
+			_ = atTold.At()
 			// Answered is answered, also when the node is stopping.
 			if err := f.store.Told(context.WithoutCancel(ctx), batch...); err != nil {
 				f.log.Error("store: notices answered", "err", err)
@@ -147,7 +165,7 @@
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body)
 	for _, m := range batch {
-		if err := enc.Encode(newNotice(m)); err != nil {
+		if err := enc.Encode(f.form(m)); err != nil {
 			return 0, fmt.Errorf("writing a notice: %w", err)
 		}
 	}
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,462 @@
+// Package rig runs real node processes against stand-ins on loopback, hands messages in as
+// clients do, and counts every message at both ends.
+//
+// Nodes are processes of their own, so that they can be killed at a named failure point.
+package rig
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"wingmount/internal/standin/answers"
+	"wingmount/internal/standin/partner"
+)
+
+const (
+	// clientPatience is how long a client waits for the answer to a hand-in.
+	clientPatience = 400 * time.Millisecond
+	// clientPause is between two tries of a client.
+	clientPause = 100 * time.Millisecond
+	// lateSlack is how long after a message's time its answer may come, and restartSlack how
+	// long after a node is ready again.
+	lateSlack    = 350 * time.Millisecond
+	restartSlack = 1500 * time.Millisecond
+	defaultMB    = 64
+)
+
+// Classes of the rig's nodes, by what a repeat does.
+const (
+	Keyed      = "keyed"
+	Idempotent = "idempotent"
+	Unsafe     = "unsafe"
+)
+
+// Destination is one partner system of the rig.
+type Destination struct {
+	Number  int
+	Name    string
+	System  *partner.System
+	Rate    float64
+	entries []string
+}
+
+// Config is what a rig is told.
+type Config struct {
+	Dir          string        // for the store, the file and the logs
+	Command      []string      // starts a node; 'run --config FILE [--fail POINTS]' is appended
+	Env          []string      // beyond this process's
+	Store        string        // "sqlite" or "journal"
+	Deadline     time.Duration // of all classes
+	Destinations int
+	Takes        time.Duration // for a call
+	MaxMB        int           // of the store, 64 where it is 0
+	Body         int           // bytes of a message
+	Slack        time.Duration // how late an answer may come, 350 ms where it is 0
+}
+
+// Rig is one installation: a node, its partners, and who is told answers.
+type Rig struct {
+	Destinations []*Destination
+	Answers      *answers.Sink
+	cfg          Config
+	listen       string
+	file         string
+	client       *http.Client
+
+	mu       sync.Mutex
+	messages map[string]*Message
+	order    []string
+	downs    []down // when there was no node
+	Kills    int
+}
+
+type down struct{ from, to time.Time }
+
+// Message is one message as its client sees it.
+type Message struct {
+	ID, Class string
+	Dest      int
+	Born      time.Time
+	Deadline  time.Time
+	Taken     bool // acknowledged
+	Known     bool // its client heard, resending it, that it is on record
+	Refused   bool // turned away, and not on record as far as its client knows
+}
+
+// New builds a rig; nothing runs yet but the stand-ins.
+func New(c Config) (*Rig, error) {
+	if c.MaxMB == 0 {
+		c.MaxMB = defaultMB
+	}
+	if c.Slack == 0 {
+		c.Slack = lateSlack
+	}
+	sink, err := answers.New()
+	if err != nil {
+		return nil, err
+	}
+	r := &Rig{cfg: c, Answers: sink, messages: map[string]*Message{},
+		client: &http.Client{Timeout: clientPatience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	for i := range c.Destinations {
+		d := &Destination{Number: i + 1, Name: fmt.Sprint("partner-", i+1), System: partner.New(12*time.Second, c.Takes)}
+		for _, building := range []string{"ops-building", "annex"} {
+			addr, err := d.System.Listen(building)
+			if err != nil {
+				return nil, errors.Join(err, r.Close())
+			}
+			d.entries = append(d.entries, fmt.Sprintf("  [[destination.endpoint]]\n  name = %q\n  address = %q\n  building = %q\n",
+				fmt.Sprint(d.Name, "-", building), addr, building))
+		}
+		r.Destinations = append(r.Destinations, d)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Join(err, r.Close())
+	}
+	r.listen = l.Addr().String()
+	if err := l.Close(); err != nil {
+		return nil, errors.Join(err, r.Close())
+	}
+	r.file = filepath.Join(c.Dir, "gateway.toml")
+	if err := os.WriteFile(r.file, []byte(r.text()), 0o600); err != nil {
+		return nil, errors.Join(err, r.Close())
+	}
+	return r, nil
+}
+
+// StorePath is where the node's store lies.
+func (r *Rig) StorePath() string { return filepath.Join(r.cfg.Dir, "store") }
+
+func (r *Rig) text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"rig\"\nlisten = %q\n[store]\nkind = %q\npath = %q\ndurability = \"process\"\nmax_mb = %d\n[answers]\nurl = %q\n[limits]\nheld = 400\nslots = 32\n",
+		r.listen, r.cfg.Store, r.StorePath(), r.cfg.MaxMB, r.Answers.URL())
+	for _, class := range []string{Keyed, Idempotent, Unsafe} {
+		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\nwanted = \"1s\"\ndeadline = %q\nlate_worth = 0.5\n", class, class, r.cfg.Deadline)
+		if class == Keyed {
+			b.WriteString("window = \"12s\"\n")
+		}
+	}
+	for _, d := range r.Destinations {
+		fmt.Fprintf(&b, "[[destination]]\nnumber = %d\nname = %q\nrate = %.1f\n%s", d.Number, d.Name, d.Rate, strings.Join(d.entries, ""))
+	}
+	return b.String()
+}
+
+// Close ends the stand-ins.
+func (r *Rig) Close() error {
+	r.client.CloseIdleConnections()
+	errs := []error{r.Answers.Close()}
+	for _, d := range r.Destinations {
+		errs = append(errs, d.System.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// Process is one life of a node.
+type Process struct {
+	cmd   *exec.Cmd
+	log   bytes.Buffer
+	ended chan struct{}
+	err   error
+}
+
+// Start starts a node with failure points armed, and waits until it is ready. A node that
+// ends before it is ready is returned with an error.
+func (r *Rig) Start(ctx context.Context, points string) (*Process, error) {
+	args := append(append([]string(nil), r.cfg.Command[1:]...), "run", "--config", r.file)
+	if points != "" {
+		args = append(args, "--fail", points)
+	}
+	p := &Process{cmd: exec.Command(r.cfg.Command[0], args...), ended: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), r.cfg.Env...)
+	p.cmd.Stderr = &p.log
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("starting a node: %w", err)
+	}
+	began := time.Now()
+	go func() {
+		p.err = p.cmd.Wait()
+		r.mu.Lock()
+		r.downs = append(r.downs, down{from: time.Now()})
+		r.mu.Unlock()
+		close(p.ended)
+	}()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.listen+"/healthz", nil)
+		if err != nil {
+			return p, err
+		}
+		resp, err := r.client.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return p, fmt.Errorf("the node is not ready after %v: %w: %s", time.Since(began), ctx.Err(), p.Log())
+		case <-p.ended:
+			return p, fmt.Errorf("the node ended before it was ready: %w", p.err)
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.downs {
+		if r.downs[i].to.IsZero() {
+			r.downs[i].to = time.Now()
+		}
+	}
+	return p, nil
+}
+
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Log is what the process wrote, once it has ended.
+func (p *Process) Log() string {
+	select {
+	case <-p.ended:
+		return p.log.String()
+	default:
+		return "(it runs)"
+	}
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Kill ends the process as a crash does, and waits until it is gone.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill() // it may have ended
+	<-p.ended
+}
+
+// Hand hands a message in as a client does: it waits 400 ms for the answer, and resends the
+// same id when none came, until the message's time is up.
+func (r *Rig) Hand(ctx context.Context, id, class string, dest int) error {
+	now := time.Now()
+	m := &Message{ID: id, Class: class, Dest: dest, Born: now, Deadline: now.Add(r.cfg.Deadline)}
+	r.mu.Lock()
+	r.messages[id] = m
+	r.order = append(r.order, id)
+	r.mu.Unlock()
+	for try := 0; ; try++ {
+		left := time.Until(m.Deadline)
+		if left <= 0 || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		status, err := r.post(ctx, m, left)
+		if err == nil {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			switch {
+			case status == http.StatusAccepted:
+				m.Taken = true
+			case status == http.StatusOK || status == http.StatusGone || status == statusRecorded:
+				m.Known = true
+			case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+				m.Refused = true
+			default:
+				return fmt.Errorf("handing in %s: answered %d", id, status)
+			}
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(clientPause):
+		}
+	}
+}
+
+// statusRecorded stands for a refusal that is the message's recorded answer.
+const statusRecorded = -1
+
+func (r *Rig) post(ctx context.Context, m *Message, left time.Duration) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.listen+"/"+m.Class, strings.NewReader("body of "+m.ID+strings.Repeat(".", r.cfg.Body)))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("X-Request-ID", m.ID)
+	req.Header.Set("X-Priority-Class", m.Class)
+	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	req.Header.Set("X-Route-To", "dest="+strconv.Itoa(m.Dest))
+	if m.Class == Keyed {
+		req.Header.Set("Idempotency-Key", "key-"+m.ID)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body) // for reuse only
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Final") != "" {
+		return statusRecorded, nil
+	}
+	return resp.StatusCode, nil
+}
+
+// Settle waits until every message that was taken has its answer, or its time and the slack
+// are over.
+func (r *Rig) Settle(ctx context.Context) {
+	for ctx.Err() == nil {
+		open, last := 0, time.Time{}
+		r.mu.Lock()
+		for _, m := range r.messages {
+			if (m.Taken || m.Known) && len(r.Answers.Of(m.ID)) == 0 {
+				open++
+				if due := r.due(m); due.After(last) {
+					last = due
+				}
+			}
+		}
+		r.mu.Unlock()
+		if open == 0 || time.Now().After(last.Add(time.Second)) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// due is when the answer to a message must be there.
+func (r *Rig) due(m *Message) time.Time {
+	due := m.Deadline.Add(r.cfg.Slack)
+	for _, d := range r.downs {
+		if d.from.After(due) {
+			continue
+		}
+		to := d.to
+		if to.IsZero() {
+			to = time.Now()
+		}
+		if to = to.Add(restartSlack); to.After(due) {
+			due = to
+		}
+	}
+	return due
+}
+
+// Tally is what became of the messages, counted at both ends.
+type Tally struct {
+	Handed        int `json:"handed"`
+	Taken         int `json:"taken"`
+	TurnedAway    int `json:"turned_away"` // by the node, before it took them
+	Delivered     int `json:"delivered"`
+	Refused       int `json:"refused"`
+	Failed        int `json:"failed"`
+	Unanswered    int `json:"unanswered"`
+	AnsweredTwice int `json:"answered_twice"` // told two different answers
+	ToldAgain     int `json:"told_again"`     // told the same answer more than once: harmless
+	RanTwice      int `json:"ran_twice"`      // effects beyond what keys drop, where repeats matter
+	RefusedRan    int `json:"refused_ran"`    // refused, though it had an effect that repeats
+	Lost          int `json:"lost"`           // told as delivered, and without effect
+	TwoOut        int `json:"two_out"`        // calls out at once for one message
+	Late          int `json:"late"`
+	EarlyCalls    int `json:"early_calls"` // calls during a told wait
+	Kills         int `json:"kills"`
+}
+
+// Broken lists the promises that were broken.
+func (t Tally) Broken() []string {
+	var b []string
+	for _, c := range []struct {
+		name string
+		n    int
+	}{{"unanswered", t.Unanswered}, {"answered twice", t.AnsweredTwice}, {"ran twice", t.RanTwice}, {"refused and ran", t.RefusedRan},
+		{"lost", t.Lost}, {"two out", t.TwoOut}, {"late", t.Late}, {"calls during a told wait", t.EarlyCalls}} {
+		if c.n > 0 {
+			b = append(b, fmt.Sprintf("%d %s", c.n, c.name))
+		}
+	}
+	return b
+}
+
+// Tally counts.
+func (r *Rig) Tally() Tally {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := Tally{Kills: r.Kills}
+	ledgers := map[int]partner.Ledger{}
+	for _, d := range r.Destinations {
+		l := d.System.Ledger()
+		ledgers[d.Number] = l
+		t.TwoOut += l.TwoOut
+		t.EarlyCalls += l.Early
+	}
+	for _, id := range r.order {
+		m := r.messages[id]
+		t.Handed++
+		told := r.Answers.Of(id)
+		effects := ledgers[m.Dest].Effects[id]
+		if m.Class != Idempotent && effects > 1 {
+			t.RanTwice++
+		}
+		switch {
+		case m.Taken || m.Known:
+			t.Taken++
+			if len(told) == 0 {
+				t.Unanswered++
+				continue
+			}
+		case m.Refused && len(told) == 0:
+			t.TurnedAway++
+			if effects > 0 && m.Class != Idempotent {
+				t.RefusedRan++
+			}
+			continue
+		case len(told) == 0:
+			continue // its client never heard anything, and it was not taken
+		}
+		if len(told) > 1 {
+			t.ToldAgain++
+		}
+		for _, a := range told[1:] {
+			if a.Outcome != told[0].Outcome {
+				t.AnsweredTwice++
+				break
+			}
+		}
+		if told[0].At.After(r.due(m)) {
+			t.Late++
+		}
+		switch told[0].Outcome {
+		case "delivered":
+			t.Delivered++
+			if effects == 0 {
+				t.Lost++
+			}
+		case "refused":
+			t.Refused++
+			if effects > 0 && m.Class != Idempotent {
+				t.RefusedRan++
+			}
+		default:
+			t.Failed++
+		}
+	}
+	return t
+}
+
+// CountKill counts a crash that the rig has seen.
+func (r *Rig) CountKill() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Kills++
+}
--- /dev/null
+++ b/internal/standin/partner/partner.go
@@ -0,0 +1,196 @@
+// Package partner is a stand-in for partner systems: endpoints on loopback that take calls
+// as docs/operate/run.md describes them, with scripted troubles, and a ledger of every call
+// and every effect.
+package partner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Mode is how an endpoint behaves.
+type Mode int
+
+// The modes.
+const (
+	Sound  Mode = iota
+	Shut        // refuses all calls with 503
+	Waits       // refuses all calls with 429, and tells them to wait
+	Fails       // answers 500 after it has run the call
+	Silent      // runs the call and says nothing
+	Cut         // runs the call and cuts the connection
+	Unread      // cuts the connection before it reads the call
+)
+
+// System is one partner system: endpoints in buildings that drop repeats of a key.
+type System struct {
+	// Window is how long repeats are dropped, by the endpoints of one building.
+	Window time.Duration
+	// Takes is how long a call takes.
+	Takes time.Duration
+	// Wait is what Waits tells.
+	Wait time.Duration
+
+	mu      sync.Mutex
+	mode    Mode
+	until   time.Time                       // Waits: calls before it break the wait
+	keys    map[string]map[string]time.Time // by building and key: when the window began
+	effects map[string]int                  // by id: what had an effect
+	calls   map[string]int                  // by id
+	out     map[string]int                  // by id: calls on open connections
+	twoOut  int
+	early   int // calls during a wait that was told, beyond its grace
+	servers []*http.Server
+	running sync.WaitGroup
+}
+
+// waitGrace is how long calls that were on their way when a wait was told may come in.
+const waitGrace = 100 * time.Millisecond
+
+// New returns a system without endpoints.
+func New(window, takes time.Duration) *System {
+	return &System{Window: window, Takes: takes, Wait: 500 * time.Millisecond, keys: map[string]map[string]time.Time{},
+		effects: map[string]int{}, calls: map[string]int{}, out: map[string]int{}}
+}
+
+// Listen starts an endpoint in a building and returns its address.
+func (s *System) Listen(building string) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("a partner's endpoint: %w", err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, building) }),
+		ReadHeaderTimeout: 5 * time.Second}
+	s.servers = append(s.servers, server)
+	s.running.Go(func() { _ = server.Serve(l) }) // ends with Close
+	return l.Addr().String(), nil
+}
+
+// Close ends all endpoints.
+func (s *System) Close() error {
+	var errs []error
+	for _, server := range s.servers {
+		errs = append(errs, server.Close())
+	}
+	s.running.Wait()
+	return errors.Join(errs...)
+}
+
+// Set changes the mode.
+func (s *System) Set(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+}
+
+// Ledger is what a system saw.
+type Ledger struct {
+	Calls, Effects map[string]int // by id
+	TwoOut         int            // calls that came while another of the same id was out
+	Early          int            // calls that came during a wait
+}
+
+// Ledger returns a copy of what the system saw.
+func (s *System) Ledger() Ledger {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := Ledger{Calls: map[string]int{}, Effects: map[string]int{}, TwoOut: s.twoOut, Early: s.early}
+	for id, n := range s.calls {
+		l.Calls[id] = n
+	}
+	for id, n := range s.effects {
+		l.Effects[id] = n
+	}
+	return l
+}
+
+// serve takes a call. It counts from its last byte.
+func (s *System) serve(w http.ResponseWriter, r *http.Request, building string) {
+	s.mu.Lock()
+	unread := s.mode == Unread
+	s.mu.Unlock()
+	if unread {
+		panic(http.ErrAbortHandler)
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	id, key := r.Header.Get("X-Request-ID"), r.Header.Get("Idempotency-Key")
+	now := time.Now()
+	s.mu.Lock()
+	s.calls[id]++
+	s.out[id]++
+	if s.out[id] > 1 {
+		s.twoOut++
+	}
+	mode := s.mode
+	if now.Before(s.until) && now.After(s.until.Add(-s.Wait+waitGrace)) {
+		s.early++
+	}
+	switch mode {
+	case Waits:
+		if now.After(s.until) {
+			s.until = now.Add(s.Wait)
+		}
+	case Shut, Unread:
+	default:
+		s.effect(building, id, key, now)
+	}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.out[id]--; s.out[id] == 0 {
+			delete(s.out, id)
+		}
+	}()
+	switch mode {
+	case Waits:
+		s.mu.Lock()
+		wait := time.Until(s.until)
+		s.mu.Unlock()
+		w.Header().Set("X-Backoff-Ms", strconv.FormatInt(max(1, wait.Milliseconds()), 10))
+		w.WriteHeader(http.StatusTooManyRequests)
+	case Shut:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case Silent:
+		<-r.Context().Done()
+	case Cut:
+		panic(http.ErrAbortHandler)
+	default:
+		pause(r.Context(), s.Takes)
+		if mode == Fails {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	}
+}
+
+// effect runs a call, unless its key drops it.
+func (s *System) effect(building, id, key string, now time.Time) {
+	if key != "" {
+		if s.keys[building] == nil {
+			s.keys[building] = map[string]time.Time{}
+		}
+		if from, ok := s.keys[building][key]; ok && now.Sub(from) < s.Window {
+			return
+		}
+		s.keys[building][key] = now
+	}
+	s.effects[id]++
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/store/journal/conformance_test.go
+++ b/internal/store/journal/conformance_test.go
@@ -8,9 +8,12 @@
 )
 
 func TestConformance(t *testing.T) {
-	storetest.Run(t, storetest.Maker{Points: "store/journal/", Messages: 24, Size: 20_000, Fills: true,
-		Open: func(dir string) (store.Store, store.Recovered, error) {
-			j, r, err := Open(dir, MinDisk, quietLog())
-			return j, r, err
-		}})
+	for name, tell := range map[string]bool{"platform": false, "deliveries told": true} {
+		t.Run(name, func(t *testing.T) {
+			storetest.Run(t, storetest.Maker{Points: "store/journal/", Messages: 24, Size: 20_000, Fills: true, KeepsAnswers: true, TellsDelivered: tell,
+				Open: func(dir string) (store.Store, store.Recovered, error) {
+					return Open(Config{Dir: dir, MaxBytes: MinDisk, TellDelivered: tell}, quietLog())
+				}})
+		})
+	}
 }
--- a/internal/store/journal/journal.go
+++ b/internal/store/journal/journal.go
@@ -2,7 +2,9 @@
 // folder: checksummed records in segments, bounded in bytes on disk at every moment.
 //
 // What a call has written when it returns outlasts the process, also one that is killed,
-// but not the machine: nothing is synced. Answers that have been told are not kept.
+// but not the machine: nothing is synced. An answer that has been told is known for as long
+// as the message's own record lies in the folder: the oldest segment is cleaned first, when
+// room is needed.
 package journal
 
 import (
@@ -77,6 +79,7 @@
 type Journal struct {
 	dir     string
 	limit   int64 // bytes in the folder at most
+	tell    bool  // deliveries are owed until they are told
 	segSize int64
 	log     *slog.Logger
 
@@ -85,6 +88,7 @@
 	segments []segment
 	live     map[policy.MessageID]*message.Message
 	ids      map[string]*message.Message // live, by id
+	answers  map[string]answer           // told, by id
 	latest   time.Time                   // the latest time on record, until Open returns
 	home     map[policy.MessageID]uint64 // the segment with the last recTaken of each
 	liveSize int64
@@ -99,10 +103,26 @@
 
 func onDisk(n int64) int64 { return (n + block - 1) / block * block }
 
-// Open replays the journal in a folder, which it keeps to limit bytes: MinDisk at least.
-func Open(dir string, limit int64, log *slog.Logger) (*Journal, store.Recovered, error) {
-	j := &Journal{dir: dir, limit: limit, log: log, next: 1, segSize: max(limit/24, message.MaxBody+4<<10),
-		live: map[policy.MessageID]*message.Message{}, ids: map[string]*message.Message{}, home: map[policy.MessageID]uint64{}, memories: map[string]*store.Memory{}}
+// answer is the answer of a message that has been told, and the segment that holds the
+// message's record: without it the next life would not know the id.
+type answer struct {
+	end     message.End
+	segment uint64
+}
+
+// Config is what a journal is told.
+type Config struct {
+	Dir      string // the folder, which is there
+	MaxBytes int64  // in the folder at most: MinDisk at least
+	// TellDelivered says that deliveries are told like other answers.
+	TellDelivered bool
+}
+
+// Open replays the journal in a folder.
+func Open(c Config, log *slog.Logger) (*Journal, store.Recovered, error) {
+	dir, limit := c.Dir, c.MaxBytes
+	j := &Journal{dir: dir, limit: limit, tell: c.TellDelivered, log: log, next: 1, segSize: max(limit/24, message.MaxBody+4<<10),
+		live: map[policy.MessageID]*message.Message{}, ids: map[string]*message.Message{}, answers: map[string]answer{}, home: map[policy.MessageID]uint64{}, memories: map[string]*store.Memory{}}
 	files, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, store.Recovered{}, fmt.Errorf("opening the journal: %w", err)
@@ -211,6 +231,12 @@
 		j.seen(at)
 		if m != nil {
 			m.Past.Outcome(outcome)
+			if outcome == policy.Delivered { // where deliveries are told
+				m.End = &message.End{Kind: message.Delivered}
+			}
+		}
+		if e := j.memories[name]; outcome == policy.Delivered && e != nil && e.BackAt.IsZero() {
+			e.BackAt = at
 		}
 		switch outcome {
 		case policy.Failed, policy.TimedOut, policy.Unreachable, policy.Reset:
@@ -218,8 +244,8 @@
 			e.FailedAt, e.BackAt = at, time.Time{}
 		}
 	case recEnded:
-		if m != nil {
-			m.End = r.end()
+		if e := r.end(); m != nil && !r.bad && m.End == nil {
+			m.End = e
 		}
 	case recClosed:
 		name, at := string(r.bytes()), time.UnixMicro(int64(r.uvarint()))
@@ -229,8 +255,9 @@
 				e.BackAt = at
 			}
 		}
-		delete(j.live, seq)
-		delete(j.home, seq)
+		if m != nil {
+			j.forget(m, name)
+		}
 	default:
 		return fmt.Errorf("unknown kind %d", kind)
 	}
@@ -257,6 +284,9 @@
 	if known := j.ids[m.ID]; known != nil {
 		return &store.KnownError{End: known.End}
 	}
+	if told, ok := j.answers[m.ID]; ok {
+		return &store.KnownError{End: &told.end}
+	}
 	// Three segments are left: for records that no longer count, for the next one,
 	// and for a copy made while old and new lie there together.
 	if j.liveSize+cost(m) > j.limit-3*j.segSize {
@@ -278,12 +308,14 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, m := range a.Messages {
-		if j.live[m.Seq] == nil {
-			continue
+		if j.live[m.Seq] == nil || m.End != nil {
+			return fmt.Errorf("message %s: %w", m.ID, store.ErrOver)
 		}
 		if m.Past.Forgotten(m.Window, a.At) {
 			return fmt.Errorf("message %s: %w", m.ID, store.ErrForgotten)
 		}
+	}
+	for _, m := range a.Messages {
 		b := record(recAttempt, m.Seq)
 		b = appendBytes(b, []byte(a.Endpoint))
 		b = binary.AppendUvarint(b, uint64(a.Zone))
@@ -305,12 +337,18 @@
 		return nil
 	}
 	switch {
-	case o.Outcome == policy.Delivered:
+	case o.Outcome == policy.Delivered && !j.tell:
 		return j.closed(m, o.Endpoint, o.At)
-	case o.Over:
+	case o.Over && o.Outcome != policy.Delivered:
 		return j.closed(m, "", o.At)
 	}
+	if m.End != nil {
+		return nil
+	}
 	m.Past.Outcome(o.Outcome)
+	if o.Outcome == policy.Delivered {
+		m.End = &message.End{Kind: message.Delivered} // one record says both
+	}
 	b := appendBytes(append(record(recOutcome, m.Seq), byte(o.Outcome)), []byte(o.Endpoint))
 	return j.append(binary.AppendUvarint(b, uint64(o.At.UnixMicro())), nil)
 }
@@ -353,13 +391,26 @@
 // took it, if one did.
 func (j *Journal) closed(m *message.Message, endpoint string, at time.Time) error {
 	j.liveSize -= cost(m)
-	delete(j.live, m.Seq)
 	delete(j.ids, m.ID)
-	delete(j.home, m.Seq)
+	j.forget(m, endpoint)
 	b := appendBytes(record(recClosed, m.Seq), []byte(endpoint))
 	return j.append(binary.AppendUvarint(b, uint64(at.UnixMicro())), nil)
 }
 
+// forget lets go of a message whose answer has been told, and keeps the answer.
+func (j *Journal) forget(m *message.Message, endpoint string) {
+	a := answer{segment: j.home[m.Seq]}
+	switch {
+	case m.End != nil:
+		a.end = *m.End
+	case endpoint != "":
+		a.end.Kind = message.Delivered
+	}
+	j.answers[m.ID] = a
+	delete(j.live, m.Seq)
+	delete(j.home, m.Seq)
+}
+
 // Close implements [store.Store].
 func (j *Journal) Close() error {
 	j.mu.Lock()
@@ -476,6 +527,11 @@
 		return fmt.Errorf("cleaning the journal: %w", err)
 	}
 	j.segments = j.segments[1:]
+	for id, a := range j.answers {
+		if a.segment <= oldest.number {
+			delete(j.answers, id)
+		}
+	}
 	return nil
 }
 
@@ -512,11 +568,7 @@
 }
 
 func appendEnd(b []byte, e *message.End) []byte {
-	kind := byte(0)
-	if e.Kind == message.Refused {
-		kind = 1
-	}
-	return binary.AppendUvarint(append(b, kind), uint64(e.RetryAfter.Milliseconds()))
+	return binary.AppendUvarint(append(b, byte(e.Kind)), uint64(e.RetryAfter.Milliseconds()))
 }
 
 // reader reads the fields of a record in turn.
@@ -557,9 +609,9 @@
 }
 
 func (r *reader) end() *message.End {
-	e := &message.End{}
-	if r.u8() == 1 {
-		e.Kind = message.Refused
+	e := &message.End{Kind: message.Kind(r.u8())}
+	if e.Kind > message.Delivered {
+		r.bad = true
 	}
 	e.RetryAfter = time.Duration(r.uvarint()) * time.Millisecond
 	return e
--- a/internal/store/journal/journal_test.go
+++ b/internal/store/journal/journal_test.go
@@ -29,7 +29,7 @@
 
 func mustOpen(t *testing.T, dir string, limit int64) (*Journal, []*message.Message) {
 	t.Helper()
-	j, r, err := Open(dir, limit, quietLog())
+	j, r, err := Open(Config{Dir: dir, MaxBytes: limit}, quietLog())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +78,7 @@
 	must(t, j.Outcome(ctx, store.Outcome{Message: done, Outcome: policy.Delivered, Endpoint: "e3", At: at}))
 	must(t, j.Close())
 
-	again, recovered, err := Open(dir, MinDisk, quietLog())
+	again, recovered, err := Open(Config{Dir: dir, MaxBytes: MinDisk}, quietLog())
 	must(t, err)
 	t.Cleanup(func() { _ = again.Close() })
 	owed := recovered.Owed
--- a/internal/store/sqlite/sqlite.go
+++ b/internal/store/sqlite/sqlite.go
@@ -335,16 +335,20 @@
 	}
 	o := &op{kind: opAttempt, endpoint: a.Endpoint, at: a.At, waited: true}
 	for _, m := range a.Messages {
-		if s.live[m.Seq] != nil && m.Past.Forgotten(m.Window, a.At) {
+		var err error
+		if s.live[m.Seq] == nil {
+			err = store.ErrOver
+		} else if m.Past.Forgotten(m.Window, a.At) {
+			err = store.ErrForgotten
+		}
+		if err != nil {
 			s.mu.Unlock()
-			return fmt.Errorf("message %s: %w", m.ID, store.ErrForgotten)
+			return fmt.Errorf("message %s: %w", m.ID, err)
 		}
 	}
 	for _, m := range a.Messages {
-		if s.live[m.Seq] != nil {
-			m.Past.Attempt(a.Zone, a.At)
-			o.seqs, o.pasts = append(o.seqs, m.Seq), append(o.pasts, m.Past)
-		}
+		m.Past.Attempt(a.Zone, a.At)
+		o.seqs, o.pasts = append(o.seqs, m.Seq), append(o.pasts, m.Past)
 	}
 	s.add(o)
 	s.mu.Unlock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,6 +27,8 @@
 	// ErrForgotten says that a message which may have run can't be sent any more: its
 	// destination has forgotten the key.
 	ErrForgotten = errors.New("the destination has forgotten the key")
+	// ErrOver says that a message has its final answer on record: nothing is sent for it.
+	ErrOver = errors.New("the message is over")
 	// ErrUnavailable says that the store can't be reached, is locked or does not answer.
 	ErrUnavailable = errors.New("the store is not available")
 )
@@ -97,8 +99,8 @@
 	Take(ctx context.Context, m *message.Message) error
 	// Attempt puts on record that messages are about to be sent in one call. It is durable
 	// when Attempt returns nil; otherwise the call must not be made, though the attempt may
-	// count all the same. Messages that are over are passed over. ErrForgotten where
-	// one may not be sent at that time any more.
+	// count all the same. ErrOver where one of them is over, ErrForgotten where one may not
+	// be sent at that time any more: then none has an attempt.
 	Attempt(ctx context.Context, a Attempt) error
 	// Outcome puts on record how an attempt ended. It is ordered before all later calls
 	// when it returns, and durable at the latest with the next of them that is. Delivered
--- a/internal/store/storetest/storetest.go
+++ b/internal/store/storetest/storetest.go
@@ -126,6 +126,9 @@
 	if refused.End.Kind != message.Refused {
 		t.Error("a second answer replaced the first")
 	}
+	if err := s.Attempt(ctx, attempt(at, 0, fresh, refused)); !errors.Is(err, store.ErrOver) || fresh.Past.Attempts != 0 {
+		t.Errorf("an attempt at a message that is over, in a bundle with one that is not: %v, %+v", err, fresh.Past)
+	}
 	must(t, s.Told(ctx, told))
 	must(t, s.Attempt(ctx, attempt(at, 0, done)))
 	must(t, s.Outcome(ctx, store.Outcome{Message: done, Outcome: policy.Delivered, Endpoint: "e1", At: at.Add(2 * time.Second)}))
