Store: a bounded log of intents keeps answers in time while the database is locked

A database that another program locked for some seconds held calls and final answers up until their time was over, though the node had all it needed to give them.

internal/store/intents stands around a store that one node owns. What the store has not written within 100 ms goes into a local log and lands in the store once, in order, when it is back or at the next start. The log is bounded by what may be held. New messages are never taken into it. An empty End is a barrier of the contract, which says when the log may be emptied.

The suite runs with everything going through the log, crashes included; breaking the barrier or the check for what has landed fails it.

--- a/cmd/wingmount/kill_test.go
+++ b/cmd/wingmount/kill_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,16 +17,16 @@
 	"wingmount/internal/standin/partner"
 )
 
-// killRun is one life cut short at a failure point, and the life after it.
+// killRun is lives that are cut short at failure points, and the life after them.
 type killRun struct {
-	store, point string
-	pass         int
-	maxMB, body  int
-	messages     int
+	store       string
+	lives       []string // the points armed in each; one of them kills
+	maxMB, body int
+	messages    int // in each
 }
 
 // run sends messages of all classes to a sound partner and to one that fails, kills the node
-// at the point, starts it again and counts. Every message that was taken must have one
+// in each life, starts it once more and counts. Every message that was taken must have one
 // answer, in time, and no effect beyond what its class allows.
 func (k killRun) run(t *testing.T) rig.Tally {
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Second)
@@ -35,20 +37,13 @@
 	must(t, err)
 	defer func() { must(t, r.Close()) }()
 	r.Destinations[1].System.Set(partner.Fails)
-	p, err := r.Start(ctx, fmt.Sprintf("%s=kill@%d", k.point, k.pass))
-	if p == nil {
-		t.Fatal(err)
-	}
 	var sending sync.WaitGroup
 	var errs atomic.Pointer[error]
-	if err != nil { // killed on its way up
-		<-p.Ended()
-		r.CountKill()
-		p, err = r.Start(ctx, "")
-		must(t, err)
-	}
-	hand := func(from, to int) {
-		for i := from; i < to; i++ {
+	handed := 0
+	hand := func(n int) {
+		for range n {
+			i := handed
+			handed++
 			sending.Go(func() {
 				class := []string{rig.Keyed, rig.Idempotent, rig.Unsafe}[i%3]
 				if err := r.Hand(ctx, fmt.Sprint("m", i), class, 1+i/3%2); err != nil {
@@ -58,19 +53,23 @@
 			time.Sleep(5 * time.Millisecond) // the pace of traffic, no wait for anything
 		}
 	}
-	hand(0, k.messages)
-	if r.Kills == 0 {
+	for _, points := range k.lives {
+		p, err := r.Start(ctx, points)
+		if err != nil && !errors.Is(err, rig.ErrEnded) { // killed on its way up is killed too
+			t.Fatal(err)
+		}
+		hand(k.messages)
 		select {
 		case <-p.Ended():
 			r.CountKill()
-			p, err = r.Start(ctx, "")
-			must(t, err)
 		case <-ctx.Done():
 			p.Kill()
-			t.Fatalf("%s was never passed %d times", k.point, k.pass)
+			t.Fatalf("%s did not kill", points)
 		}
 	}
-	hand(k.messages, k.messages+6)
+	p, err := r.Start(ctx, "")
+	must(t, err)
+	hand(6)
 	sending.Wait()
 	if e := errs.Load(); e != nil {
 		t.Error(*e)
@@ -78,7 +77,7 @@
 	r.Settle(ctx)
 	p.Kill()
 	tally := r.Tally()
-	if broken := tally.Broken(); len(broken) > 0 || tally.Kills != 1 {
+	if broken := tally.Broken(); len(broken) > 0 || tally.Kills != len(k.lives) {
 		t.Errorf("broken: %v; %+v\n%s", broken, tally, p.Log())
 	}
 	return tally
@@ -91,16 +90,27 @@
 	t.Run("points", func(t *testing.T) {
 		for _, store := range []string{"sqlite", "journal"} {
 			for _, point := range fail.Names("") {
-				if strings.HasPrefix(point, "store/") && !strings.HasPrefix(point, "store/"+store+"/") {
+				mine := []string{"store/" + store + "/"}
+				if store == "sqlite" {
+					mine = append(mine, "store/intents/")
+				}
+				if strings.HasPrefix(point, "store/") && !slices.ContainsFunc(mine, func(p string) bool { return strings.HasPrefix(point, p) }) {
 					continue
 				}
-				k := killRun{store: store, point: point, pass: 5, messages: 24}
+				// A slow database sends attempts and answers into the log of intents.
+				const slow = "store/sqlite/before-commit=150ms,"
+				k := killRun{store: store, lives: []string{point + "=kill@5"}, messages: 24}
 				switch {
-				case strings.HasPrefix(point, "engine/"), strings.Contains(point, "migrat"), strings.Contains(point, "retention"):
-					k.pass = 1 // at the start, or rare
+				case strings.HasPrefix(point, "engine/"), strings.Contains(point, "migrat"), strings.Contains(point, "retention"),
+					point == "store/intents/before-truncate":
+					k.lives[0] = point + "=kill@1" // at the start, or rare
+				case point == "store/intents/after-write":
+					k.lives[0] = slow + point + "=kill@5"
+				case point == "store/intents/during-replay":
+					k.lives = []string{slow + "store/intents/after-write=kill@5", point + "=kill@1"}
 				case point == "store/journal/after-roll", point == "store/journal/before-remove":
 					// Segments are begun and cleaned as the folder fills.
-					k.pass, k.maxMB, k.body, k.messages = 2, 4, 60_000, 120
+					k.lives[0], k.maxMB, k.body, k.messages = point+"=kill@2", 4, 60_000, 120
 				}
 				t.Run(store+" "+strings.ReplaceAll(point, "/", "."), func(t *testing.T) {
 					t.Parallel()
--- a/internal/demo/scenarios.go
+++ b/internal/demo/scenarios.go
@@ -92,7 +92,7 @@
 
 // storeCrash kills the node at one point after another while messages come.
 func storeCrash(ctx context.Context, s *stage) (err error) {
-	r, err := rig.New(rig.Config{Dir: s.dir, Command: s.command, Store: "sqlite", Deadline: 8 * time.Second, Destinations: 3, Takes: 30 * time.Millisecond})
+	r, err := rig.New(rig.Config{Dir: s.dir, Command: s.command, Store: "sqlite", Deadline: 4 * time.Second, Destinations: 3, Takes: 30 * time.Millisecond})
 	if err != nil {
 		return err
 	}
@@ -130,9 +130,10 @@
 			pass = 1
 		}
 		p, err = r.Start(ctx, fmt.Sprintf("%s=kill@%d", point, pass))
-		if err != nil {
+		if err != nil && !errors.Is(err, rig.ErrEnded) { // killed on its way up is killed too
 			break
 		}
+		err = nil
 		select {
 		case <-ctx.Done():
 			err = ctx.Err()
@@ -148,14 +149,29 @@
 	}
 	if err == nil {
 		r.Destinations[1].System.Set(partner.Sound)
-		s.say("partner-2 is back")
+		s.say("partner-2 is back; each commit takes 200 ms, and the node is killed again")
+		if p, err = r.Start(ctx, "store/sqlite/before-commit=200ms,store/sqlite/after-commit=kill@8"); err == nil {
+			select {
+			case <-ctx.Done():
+				err = ctx.Err()
+			case <-p.Ended():
+				r.CountKill()
+			}
+		}
+	}
+	if err == nil {
 		if p, err = r.Start(ctx, ""); err == nil {
-			s.say("another program locks the database")
+			select {
+			case <-ctx.Done():
+			case <-time.After(500 * time.Millisecond):
+			}
+			r.Destinations[1].System.Set(partner.Shut)
+			s.say("another program locks the database for longer than a message's time, and partner-2 shuts")
 			var unlock func() error
 			if unlock, err = lock(ctx, r.StorePath()); err == nil {
 				select {
 				case <-ctx.Done():
-				case <-time.After(1500 * time.Millisecond):
+				case <-time.After(5 * time.Second):
 				}
 				err = unlock()
 				s.say("the database is free again")
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -15,6 +15,7 @@
 	"wingmount/internal/message"
 	"wingmount/internal/platform"
 	"wingmount/internal/store"
+	"wingmount/internal/store/intents"
 	"wingmount/internal/store/journal"
 	"wingmount/internal/store/sqlite"
 )
@@ -22,6 +23,15 @@
 // idleClose is when partners are taken to close idle connections at the latest.
 const idleClose = 15 * time.Second
 
+const (
+	// storePatience is how long the store may take before attempts and answers go into the
+	// log beside it.
+	storePatience = 100 * time.Millisecond
+	// intentRoom is the room in that log for each message that may be held: six attempts
+	// and an answer, with the names of endpoints.
+	intentRoom = 1024
+)
+
 // answer is how a final answer is told outside the platform.
 type answer struct {
 	ID        string `json:"id"`
@@ -58,8 +68,17 @@
 	if s.Durability == "process" {
 		d = sqlite.Process
 	}
-	return sqlite.Open(sqlite.Config{Path: s.Path, Durability: d, MaxBytes: s.MaxMB << 20, Keep: time.Duration(s.Keep),
+	records, r, err := sqlite.Open(sqlite.Config{Path: s.Path, Durability: d, MaxBytes: s.MaxMB << 20, Keep: time.Duration(s.Keep),
 		TellDelivered: f.Answers.URL != "", NoCheck: s.Check != nil && !*s.Check}, log)
+	if err != nil {
+		return nil, r, err
+	}
+	logged, err := intents.Open(context.Background(), intents.Config{Path: s.Path + "-intents", MaxBytes: int64(f.Limits.Held) * intentRoom,
+		Patience: storePatience, Sync: d == sqlite.Power}, records, &r, log)
+	if err != nil {
+		return nil, r, errors.Join(err, records.Close())
+	}
+	return logged, r, nil
 }
 
 // RunGateway serves by a file of our own until the context ends and then stops in good
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -80,6 +81,7 @@
 	order    []string
 	downs    []down // when there was no node
 	Kills    int
+	refusals []time.Duration // how long clients waited that were turned away
 }
 
 type down struct{ from, to time.Time }
@@ -165,6 +167,9 @@
 	return errors.Join(errs...)
 }
 
+// ErrEnded says that a node ended before it was ready.
+var ErrEnded = errors.New("the node ended before it was ready")
+
 // Process is one life of a node.
 type Process struct {
 	cmd   *exec.Cmd
@@ -210,7 +215,7 @@
 		case <-ctx.Done():
 			return p, fmt.Errorf("the node is not ready after %v: %w: %s", time.Since(began), ctx.Err(), p.Log())
 		case <-p.ended:
-			return p, fmt.Errorf("the node ended before it was ready: %w", p.err)
+			return p, fmt.Errorf("%w: %w", ErrEnded, p.err)
 		case <-time.After(2 * time.Millisecond):
 		}
 	}
@@ -260,6 +265,7 @@
 		if left <= 0 || ctx.Err() != nil {
 			return ctx.Err()
 		}
+		asked := time.Now()
 		status, err := r.post(ctx, m, left)
 		if err == nil {
 			r.mu.Lock()
@@ -271,6 +277,7 @@
 				m.Known = true
 			case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 				m.Refused = true
+				r.refusals = append(r.refusals, time.Since(asked))
 			default:
 				return fmt.Errorf("handing in %s: answered %d", id, status)
 			}
@@ -371,6 +378,9 @@
 	Late          int `json:"late"`
 	EarlyCalls    int `json:"early_calls"` // calls during a told wait
 	Kills         int `json:"kills"`
+	// RefusalP99 is within how many milliseconds 99 of 100 clients that were turned away
+	// heard so.
+	RefusalP99 float64 `json:"refusal_p99_ms"`
 }
 
 // Broken lists the promises that were broken.
@@ -393,6 +403,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := Tally{Kills: r.Kills}
+	if n := len(r.refusals); n > 0 {
+		sorted := slices.Sorted(slices.Values(r.refusals))
+		t.RefusalP99 = float64(sorted[(n*99-1)/100].Microseconds()) / 1000
+	}
 	ledgers := map[int]partner.Ledger{}
 	for _, d := range r.Destinations {
 		l := d.System.Ledger()
