wingmount store: check, stat, show, export, backup and migrate

Operators had no way to ask what became of a message, nor to copy a store while its node runs. The tools open the file beside the node and change nothing; backup writes under another name, syncs and renames, so that a copy that was cut off is never taken for one.

Tests inspect and copy a store under load, open the copies as stores, crash at both points of a backup, migrate an old schema and refuse a file in use.

--- a/cmd/wingmount/kill_test.go
+++ b/cmd/wingmount/kill_test.go
@@ -90,6 +90,9 @@
 	t.Run("points", func(t *testing.T) {
 		for _, store := range []string{"sqlite", "journal"} {
 			for _, point := range fail.Names("") {
+				if strings.Contains(point, "backup") {
+					continue // no part of a node's life: TestKilledDuringBackup
+				}
 				mine := []string{"store/" + store + "/"}
 				if store == "sqlite" {
 					mine = append(mine, "store/intents/")
@@ -127,3 +130,53 @@
 		t.Error("no points")
 	}
 }
+
+// The operators' tools work on the store of a running node and of a stopped one.
+func TestStoreTools(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	dir := t.TempDir()
+	r, err := rig.New(rig.Config{Dir: dir, Command: []string{os.Args[0]}, Env: []string{"WINGMOUNT_TEST_NODE=1", "GORACE=atexit_sleep_ms=0"},
+		Store: "sqlite", Deadline: 3 * time.Second, Destinations: 1, Takes: time.Millisecond, Slack: 3 * time.Second})
+	must(t, err)
+	defer func() { must(t, r.Close()) }()
+	p, err := r.Start(ctx, "")
+	must(t, err)
+	must(t, r.Hand(ctx, "a", rig.Keyed, 1))
+	r.Settle(ctx)
+	file := dir + "/gateway.toml"
+	tool := func(args ...string) (string, error) {
+		var out strings.Builder
+		err := command(ctx, append(args, "--config", file), nil, &out, nil)
+		return out.String(), err
+	}
+	for _, running := range []bool{true, false} {
+		if !running {
+			p.Kill()
+		}
+		for _, c := range []struct {
+			args []string
+			want string
+		}{
+			{[]string{"check"}, "is good"},
+			{[]string{"store", "check"}, "is good"},
+			{[]string{"store", "stat"}, "answers owed"},
+			{[]string{"store", "show", "a"}, `"outcome":"delivered"`},
+			{[]string{"store", "export"}, `"id":"a"`},
+			{[]string{"store", "backup", fmt.Sprint(dir, "/copy-", running)}, "is a copy of"},
+		} {
+			if out, err := tool(c.args...); err != nil || !strings.Contains(out, c.want) {
+				t.Errorf("%v, running %v: %q, %v", c.args, running, out, err)
+			}
+		}
+		out, err := tool("store", "migrate")
+		if running == (err == nil) {
+			t.Errorf("migrate, running %v: %q, %v", running, out, err)
+		}
+	}
+	for _, args := range [][]string{{"store", "show", "nobody"}, {"store", "dance"}, {"store"}, {"dance"}} {
+		if out, err := tool(args...); err == nil {
+			t.Errorf("%v: %q", args, out)
+		}
+	}
+}
--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -23,6 +23,8 @@
   wingmount                       a node of the platform, by PROXY_CONFIG and its like
   wingmount run --config FILE     a node of another installation
   wingmount check --config FILE   says what is wrong with a file
+  wingmount store check|stat|show ID|export|backup FILE|migrate --config FILE
+                                  looks at a store of record, see docs/operate/store.md
   wingmount demo [SCENARIO]       real traffic against stand-ins on loopback; --list names the scenarios
 `
 
@@ -65,6 +67,8 @@
 		fmt.Fprintf(out, "%s is good: %d classes, %d destinations, %d endpoints, store %s\n",
 			path, len(f.Classes), len(f.Destinations), len(f.List().Members), f.Store.Kind)
 		return nil
+	case "store":
+		return storeCommand(args[1:], out)
 	case "demo":
 		return demo.Command(ctx, args[1:], out, os.Stderr)
 	case "help", "-h", "--help":
--- /dev/null
+++ b/internal/store/sqlite/inspect.go
@@ -0,0 +1,257 @@
+package sqlite
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/ncruces/go-sqlite3"
+
+	"wingmount/internal/fail"
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+)
+
+var (
+	atBackup = fail.New("store/sqlite/during-backup")
+	atRename = fail.New("store/sqlite/before-backup-rename")
+)
+
+// Inspector looks at the file of a store, also while a node works on it. It changes nothing.
+type Inspector struct {
+	path string
+	conn *sqlite3.Conn
+}
+
+// Inspect opens a file to look at it. It refuses what is no store of a schema that this
+// program knows.
+func Inspect(path string) (*Inspector, error) {
+	c, err := sqlite3.OpenFlags("file:"+path, sqlite3.OPEN_READWRITE|sqlite3.OPEN_URI)
+	if err != nil {
+		return nil, fmt.Errorf("opening %s: %w", path, err)
+	}
+	i := &Inspector{path: path, conn: c}
+	err = func() error {
+		if _, err := c.Config(sqlite3.DBCONFIG_NO_CKPT_ON_CLOSE, true); err != nil {
+			return err
+		}
+		if err := c.BusyTimeout(closeWait); err != nil {
+			return err
+		}
+		v, err := version(c, path)
+		if err != nil {
+			return err
+		}
+		if v < len(migrations) {
+			return fmt.Errorf("%s has schema %d of %d: run 'wingmount store migrate', or start the node", path, v, len(migrations))
+		}
+		return nil
+	}()
+	if err != nil {
+		return nil, plain{errors.Join(err, c.Close())}
+	}
+	return i, nil
+}
+
+// Close lets go of the file.
+func (i *Inspector) Close() error { return i.conn.Close() }
+
+// Check reads every page and index, and compares the file with its witness.
+func (i *Inspector) Check() error {
+	st, _, err := i.conn.Prepare("PRAGMA integrity_check(10)")
+	if err != nil {
+		return plain{err}
+	}
+	defer st.Close()
+	for st.Step() {
+		if text := st.ColumnText(0); text != "ok" {
+			return plain{fmt.Errorf("%s is damaged: %s", i.path, text)}
+		}
+	}
+	if err := st.Err(); err != nil {
+		return plain{fmt.Errorf("%s is damaged: %w", i.path, err)}
+	}
+	// The witness first: the file may go on meanwhile, and is never behind it.
+	seen, _ := readWitness(i.path + "-witness")
+	commits, err := number(i.conn, "SELECT commits FROM meta")
+	if err != nil {
+		return err
+	}
+	if seen > commits {
+		return fmt.Errorf("%s: %w: it has %d, and had %d", i.path, errBehind, commits, seen)
+	}
+	return nil
+}
+
+// Stat is what a store holds.
+type Stat struct {
+	Schema      int   `json:"schema"`
+	Commits     int64 `json:"commits"`
+	Running     int64 `json:"running"`  // messages that have not ended
+	Owed        int64 `json:"owed"`     // answers that are not told
+	Kept        int64 `json:"kept"`     // answers that are told
+	Attempts    int64 `json:"attempts"` // of running messages
+	Bytes       int64 `json:"bytes"`    // of the file
+	FreeBytes   int64 `json:"free_bytes"`
+	WALBytes    int64 `json:"wal_bytes"`
+	IntentBytes int64 `json:"intent_bytes"`
+	// OldestRunning is when the oldest running message was taken, null where there is none.
+	OldestRunning *time.Time `json:"oldest_running"`
+	LastCommit    time.Time  `json:"last_commit"`
+}
+
+// Stat counts.
+func (i *Inspector) Stat() (Stat, error) {
+	s := Stat{Schema: len(migrations)}
+	var oldest, last, pages, free int64
+	for _, q := range []struct {
+		query string
+		to    *int64
+	}{
+		{"SELECT commits FROM meta", &s.Commits}, {"SELECT latest FROM meta", &last},
+		{"SELECT count(*) FROM message", &s.Running}, {"SELECT coalesce(sum(attempts), 0) FROM past", &s.Attempts},
+		{"SELECT coalesce(min(taken), 0) FROM message", &oldest},
+		{"SELECT count(*) FROM answer WHERE told IS NULL", &s.Owed}, {"SELECT count(*) FROM answer WHERE told IS NOT NULL", &s.Kept},
+		{"PRAGMA page_count", &pages}, {"PRAGMA freelist_count", &free},
+	} {
+		var err error
+		if *q.to, err = number(i.conn, q.query); err != nil {
+			return s, plain{err}
+		}
+	}
+	s.Bytes, s.FreeBytes, s.LastCommit = pages*pageSize, free*pageSize, fromMicro(last)
+	if oldest > 0 {
+		at := fromMicro(oldest)
+		s.OldestRunning = &at
+	}
+	s.WALBytes, s.IntentBytes = size(i.path+"-wal"), size(i.path+"-intents")
+	return s, nil
+}
+
+func size(path string) int64 {
+	info, err := os.Stat(path)
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
+// Entries hands over what is on record of a message, or of all where id is empty, in the
+// order in which they were taken.
+func (i *Inspector) Entries(id string, hand func(store.Entry) error) error {
+	st, _, err := i.conn.Prepare(`SELECT m.seq, id, dest, taken, deadline, coalesce(attempts, 0), coalesce(flags, 0), -1, 0, 0, 0, length(body)
+			FROM message m LEFT JOIN past p ON p.seq = m.seq WHERE ?1 = '' OR id = ?1
+		UNION ALL SELECT seq, id, dest, taken, 0, attempts, 0, kind, retry, ended, coalesce(told, 0), 0 FROM answer WHERE ?1 = '' OR id = ?1
+		ORDER BY 1`)
+	if err != nil {
+		return plain{err}
+	}
+	defer st.Close()
+	if err := st.BindText(1, id); err != nil {
+		return err
+	}
+	for st.Step() {
+		e := store.Entry{Seq: st.ColumnInt64(0), ID: st.ColumnText(1), Dest: st.ColumnInt(2), Taken: fromMicro(st.ColumnInt64(3)), Attempts: st.ColumnInt(5)}
+		switch kind := st.ColumnInt(7); {
+		case kind < 0:
+			e.State = "running"
+			e.Deadline, e.Bytes = at(st.ColumnInt64(4)), st.ColumnInt(11)
+			flags := st.ColumnInt(6)
+			e.MayHaveRun, e.Out = flags&flagMayRun != 0, flags&flagOut != 0
+		default:
+			e.State, e.Outcome = "owed", message.Kind(kind).String()
+			e.RetryInMs, e.Ended, e.Told = st.ColumnInt64(8), at(st.ColumnInt64(9)), at(st.ColumnInt64(10))
+			if e.Told != nil {
+				e.State = "told"
+			}
+		}
+		if err := hand(e); err != nil {
+			return err
+		}
+	}
+	if err := st.Err(); err != nil {
+		return plain{err}
+	}
+	return nil
+}
+
+func at(us int64) *time.Time {
+	if us == 0 {
+		return nil
+	}
+	t := time.UnixMicro(us)
+	return &t
+}
+
+// Backup writes a copy of the store as it is at one moment, also while a node works on it:
+// to a file of another name first, which is synced and then renamed. A file that is there
+// already is not touched. While it lasts the WAL grows by what the node writes.
+func (i *Inspector) Backup(to string) (err error) {
+	if _, err := os.Stat(to); !errors.Is(err, os.ErrNotExist) {
+		return errors.Join(fmt.Errorf("%s is there already", to), err)
+	}
+	part := to + ".part"
+	if err := os.Remove(part); err != nil && !errors.Is(err, os.ErrNotExist) { // of a backup that was cut off
+		return err
+	}
+	defer func() {
+		if err != nil {
+			err = plain{errors.Join(err, removeIf(part))}
+		}
+	}()
+	st, _, err := i.conn.Prepare("VACUUM INTO ?1")
+	if err != nil {
+		return err
+	}
+	defer st.Close()
+	if err := exec(st, part); err != nil {
+		return fmt.Errorf("writing %s: %w", part, err)
+	}
+	if err := atBackup.At(); err != nil {
+		return err
+	}
+	for _, path := range []string{part, filepath.Dir(to)} {
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(f.Sync(), f.Close()); err != nil {
+			return err
+		}
+	}
+	if err := atRename.At(); err != nil {
+		return err
+	}
+	return os.Rename(part, to)
+}
+
+func removeIf(path string) error {
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
+// Migrate brings the file of a stopped node to the schema of this program, and tells from
+// which schema to which.
+func Migrate(cfg Config) (from, to int, err error) {
+	lock, err := lockFile(cfg.Path)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { err = errors.Join(err, lock.Close()) }()
+	c, err := sqlite3.OpenFlags("file:"+cfg.Path, sqlite3.OPEN_READWRITE|sqlite3.OPEN_URI)
+	if err != nil {
+		return 0, 0, fmt.Errorf("opening %s: %w", cfg.Path, err)
+	}
+	defer func() { err = errors.Join(err, c.Close()) }()
+	if from, err = version(c, cfg.Path); err != nil {
+		return 0, 0, plain{err}
+	}
+	if err := check(c, cfg.Path); err != nil {
+		return from, from, plain{err}
+	}
+	return from, len(migrations), migrate(c, from)
+}
--- /dev/null
+++ b/internal/store/sqlite/inspect_test.go
@@ -0,0 +1,168 @@
+package sqlite
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wingmount/internal/fail"
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/internal/store/storetest"
+	"wingmount/policy"
+)
+
+// An operator sees a running node's store as it is, and disturbs nothing.
+func TestInspect(t *testing.T) {
+	c := config(t.TempDir())
+	s, _ := mustOpen(t, c)
+	var ms []*message.Message
+	for i := range 5 {
+		m := storetest.NewMessage(fmt.Sprint("m", i), 100)
+		must(t, s.Take(ctx, m))
+		ms = append(ms, m)
+	}
+	at := time.Now()
+	must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", At: at, Messages: ms[:2]}))
+	must(t, s.Outcome(ctx, store.Outcome{Message: ms[0], Outcome: policy.Delivered, Endpoint: "e1", At: at}))
+	must(t, s.End(ctx, store.Ending{Message: ms[2], End: message.End{Kind: message.Refused, RetryAfter: time.Second}}))
+	must(t, s.Told(ctx, ms[0]))
+	must(t, s.End(ctx))
+	i, err := Inspect(c.Path)
+	must(t, err)
+	must(t, i.Check())
+	st, err := i.Stat()
+	must(t, err)
+	if st.Running != 3 || st.Owed != 1 || st.Kept != 1 || st.Attempts != 1 || st.OldestRunning == nil || st.Bytes == 0 || st.Schema != len(migrations) {
+		t.Errorf("stat %+v", st)
+	}
+	var got []string
+	must(t, i.Entries("", func(e store.Entry) error {
+		got = append(got, fmt.Sprint(e.ID, " ", e.State, " ", e.Outcome, " ", e.Attempts, " ", e.Out))
+		return nil
+	}))
+	want := []string{"m0 told delivered 1 false", "m1 running  1 true", "m2 owed refused 0 false", "m3 running  0 false", "m4 running  0 false"}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("entries %q, want %q", got, want)
+	}
+	n := 0
+	must(t, i.Entries("m2", func(store.Entry) error { n++; return nil }))
+	if n != 1 {
+		t.Errorf("m2 is there %d times", n)
+	}
+	must(t, i.Close())
+	must(t, s.Close())
+	if _, err := Inspect(filepath.Join(t.TempDir(), "none.db")); err == nil {
+		t.Error("a file that is not there was opened")
+	}
+}
+
+// A copy made while messages come is the store of one moment, and opens as one.
+func TestBackupOfARunningStore(t *testing.T) {
+	dir := t.TempDir()
+	c := config(dir)
+	s, _ := mustOpen(t, c)
+	stop := make(chan struct{})
+	var taking sync.WaitGroup
+	taking.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+				if err := s.Take(ctx, storetest.NewMessage(fmt.Sprint("m", n), 200)); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		}
+	})
+	eventually(t, "some messages", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.live) > 50 })
+	for k := range 3 {
+		i, err := Inspect(c.Path)
+		must(t, err)
+		to := filepath.Join(dir, fmt.Sprint("copy", k))
+		must(t, i.Backup(to))
+		if err := i.Backup(to); err == nil || !strings.Contains(err.Error(), "is there already") {
+			t.Errorf("over a file that is there: %v", err)
+		}
+		must(t, i.Close())
+		copied, r := mustOpen(t, Config{Path: to, Durability: Power, Keep: time.Hour, TellDelivered: true})
+		if len(r.Owed) < 50 {
+			t.Errorf("the copy holds %d messages", len(r.Owed))
+		}
+		for n, m := range r.Owed {
+			if m.ID != fmt.Sprint("m", n) {
+				t.Fatalf("message %d of the copy is %s", n, m.ID)
+			}
+		}
+		must(t, copied.Take(ctx, storetest.NewMessage("new", 1)))
+		must(t, copied.Close())
+	}
+	close(stop)
+	taking.Wait()
+	must(t, s.Close())
+}
+
+// A backup that is cut off leaves no file that could be taken for one, the next one goes
+// through, and the store is as it was.
+func TestKilledDuringBackup(t *testing.T) {
+	for _, point := range []string{"store/sqlite/during-backup", "store/sqlite/before-backup-rename"} {
+		t.Run(filepath.Base(point), func(t *testing.T) {
+			dir, image := t.TempDir(), t.TempDir()
+			c := config(dir)
+			s, _ := mustOpen(t, c)
+			must(t, s.Take(ctx, storetest.NewMessage("a", 1)))
+			i, err := Inspect(c.Path)
+			must(t, err)
+			clear, err := fail.Set(point, func() error { return storetest.Image(dir, image) })
+			must(t, err)
+			defer clear()
+			must(t, i.Backup(filepath.Join(dir, "copy")))
+			clear()
+			must(t, i.Close())
+			must(t, s.Close())
+			if _, err := os.Stat(filepath.Join(image, "copy")); !errors.Is(err, os.ErrNotExist) {
+				t.Errorf("a file that looks like a backup: %v", err)
+			}
+			s, r := mustOpen(t, config(image))
+			if len(r.Owed) != 1 {
+				t.Errorf("owed %v", r.Owed)
+			}
+			i, err = Inspect(config(image).Path)
+			must(t, err)
+			must(t, i.Backup(filepath.Join(image, "copy")))
+			must(t, i.Close())
+			must(t, s.Close())
+		})
+	}
+}
+
+// A migration of a stopped node's file; one in use is refused.
+func TestMigrate(t *testing.T) {
+	c := config(t.TempDir())
+	s, _ := mustOpen(t, c)
+	if _, _, err := Migrate(c); err == nil || !strings.Contains(err.Error(), "in use") {
+		t.Errorf("a file in use: %v", err)
+	}
+	must(t, s.Take(ctx, storetest.NewMessage("a", 1)))
+	must(t, s.conn.Exec("DROP TABLE call; PRAGMA user_version = 1")) // as the first schema left it
+	must(t, s.Close())
+	if _, err := Inspect(c.Path); err == nil || !strings.Contains(err.Error(), "store migrate") {
+		t.Errorf("an old schema: %v", err)
+	}
+	from, to, err := Migrate(c)
+	if err != nil || from != 1 || to != len(migrations) {
+		t.Errorf("from %d to %d: %v", from, to, err)
+	}
+	s, r := mustOpen(t, c)
+	if len(r.Owed) != 1 {
+		t.Errorf("owed %v", r.Owed)
+	}
+	must(t, s.Close())
+}
--- a/internal/store/sqlite/sqlite.go
+++ b/internal/store/sqlite/sqlite.go
@@ -158,11 +158,8 @@
 			err = plain{errors.Join(err, s.release())}
 		}
 	}()
-	if s.lock, err = os.OpenFile(cfg.Path+"-lock", os.O_RDWR|os.O_CREATE, 0o600); err != nil {
-		return nil, none, fmt.Errorf("opening the store: %w", err)
-	}
-	if err := syscall.Flock(int(s.lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		return nil, none, fmt.Errorf("%s is in use by another node: %w", cfg.Path, err)
+	if s.lock, err = lockFile(cfg.Path); err != nil {
+		return nil, none, err
 	}
 	if s.conn, err = sqlite3.Open("file:" + cfg.Path); err != nil {
 		return nil, none, fmt.Errorf("opening %s: %w", cfg.Path, err)
@@ -175,6 +172,18 @@
 	return s, r, nil
 }
 
+// lockFile keeps other nodes off a file, until it is closed.
+func lockFile(path string) (*os.File, error) {
+	f, err := os.OpenFile(path+"-lock", os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("opening the store: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.Join(fmt.Errorf("%s is in use by another node: %w", path, err), f.Close())
+	}
+	return f, nil
+}
+
 // start checks the file, migrates it and reads what is owed.
 func (s *Store) start() (store.Recovered, error) {
 	var none store.Recovered
--- a/internal/store/sqlite/sqlite_test.go
+++ b/internal/store/sqlite/sqlite_test.go
@@ -23,6 +23,6 @@
 
 func TestConformance(t *testing.T) {
 	storetest.Run(t, storetest.Maker{Points: "store/sqlite/", KeepsAnswers: true,
-		Elsewhere: []string{"store/sqlite/during-retention"}, TellsDelivered: true, Fills: true,
+		Elsewhere: []string{"store/sqlite/during-retention", "store/sqlite/during-backup", "store/sqlite/before-backup-rename"}, TellsDelivered: true, Fills: true,
 		Open: func(dir string) (store.Store, store.Recovered, error) { return Open(config(dir), quietLog()) }})
 }
--- a/internal/store/sqlite/witness.go
+++ b/internal/store/sqlite/witness.go
@@ -39,15 +39,20 @@
 	if err != nil {
 		return nil, 0, 0, fmt.Errorf("opening the witness: %w", err)
 	}
-	w = &witness{f: f}
-	var b [witnessSize]byte
-	if n, _ := f.ReadAt(b[:], 0); n < witnessSize { // new, or torn
-		return w, 0, 0, nil
+	commits, boot = readWitness(path)
+	return &witness{f: f}, commits, boot, nil
+}
+
+// readWitness reads what a file knows; nothing where it is not there, new or torn.
+func readWitness(path string) (commits int64, boot uint64) {
+	b, err := os.ReadFile(path)
+	if err != nil || len(b) < witnessSize {
+		return 0, 0
 	}
-	if binary.LittleEndian.Uint32(b[:]) != witnessMagic || crc32.ChecksumIEEE(b[:20]) != binary.LittleEndian.Uint32(b[20:]) {
-		return w, 0, 0, nil
+	if binary.LittleEndian.Uint32(b) != witnessMagic || crc32.ChecksumIEEE(b[:20]) != binary.LittleEndian.Uint32(b[20:]) {
+		return 0, 0
 	}
-	return w, int64(binary.LittleEndian.Uint64(b[4:])), binary.LittleEndian.Uint64(b[12:]), nil
+	return int64(binary.LittleEndian.Uint64(b[4:])), binary.LittleEndian.Uint64(b[12:])
 }
 
 func (w *witness) write(commits int64, boot uint64) error {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -88,6 +88,24 @@
 	Memories map[string]*Memory
 }
 
+// Entry is what is on record of one message, for those who look.
+type Entry struct {
+	Seq        int64      `json:"seq"`
+	ID         string     `json:"id"`
+	State      string     `json:"state"` // running, owed (its answer is not told) or told
+	Dest       int        `json:"dest"`
+	Taken      time.Time  `json:"taken"`
+	Deadline   *time.Time `json:"deadline,omitempty"`
+	Bytes      int        `json:"bytes,omitempty"`
+	Attempts   int        `json:"attempts"`
+	Out        bool       `json:"out,omitempty"`          // an attempt has no outcome
+	MayHaveRun bool       `json:"may_have_run,omitempty"` // running
+	Outcome    string     `json:"outcome,omitempty"`
+	RetryInMs  int64      `json:"retry_in_ms,omitempty"`
+	Ended      *time.Time `json:"ended,omitempty"`
+	Told       *time.Time `json:"told,omitempty"`
+}
+
 // Store is a store of record. What a call changes of its messages (Seq, Past, End) is
 // changed before it returns, and nobody else changes it.
 type Store interface {
