Store: the queue and its group commit in a package of their own

What SQLite's store decided in memory and how it queued and committed records does not depend on SQLite, and PostgreSQL needs the same. internal/store/group has it, with the database behind a contract of five calls; internal/store/sqlite keeps the file.

--- /dev/null
+++ b/internal/store/group/group.go
@@ -0,0 +1,474 @@
+// Package group is the part of a store of record that does not depend on the database: what
+// is decided in memory, in the order of the calls, and a queue that one goroutine writes in
+// transactions of many records.
+//
+// While the database can't be written new messages are refused at once; everything else
+// waits in the queue, bounded by the messages that are held, until it is written.
+package group
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/policy"
+)
+
+const (
+	// batchMax is how many records go into one transaction.
+	batchMax = 512
+	// retryPause is the pause after a transaction that failed.
+	retryPause = 50 * time.Millisecond
+	// closeWait is how long Close tries to write what is left.
+	closeWait = 5 * time.Second
+	// idleEvery is how often the backend may see to other things while nothing is to be
+	// written.
+	idleEvery = 200 * time.Millisecond
+)
+
+// Kind of a record.
+type Kind int
+
+// The kinds.
+const (
+	Take    Kind = iota
+	Attempt      // Pasts, Endpoint
+	Outcome      // Pasts, Endpoint, Memory; with Ends for a message that is over with it
+	End          // Ends
+	Told
+)
+
+// Record is one record on its way to the database. A backend changes nothing of it.
+type Record struct {
+	Kind     Kind
+	Seqs     []policy.MessageID
+	Message  *message.Message // Take
+	Pasts    []message.Past
+	Ends     []message.End
+	Over     bool // Ends: nothing is to be told
+	Endpoint string
+	At       time.Time
+	Memory   *store.Memory // Outcome: the endpoint's as it is now, nil where it did not change
+
+	state  state // guarded by the queue
+	waited bool  // somebody waits for done
+	done   chan error
+}
+
+type state int
+
+const (
+	queued state = iota
+	claimed
+	withdrawn
+)
+
+// Backend is the database. All calls come from one goroutine.
+type Backend interface {
+	// Begin begins a transaction, or fails where that can't be done soon. Until it returns
+	// nil a take can be withdrawn.
+	Begin() error
+	// Commit writes records in the transaction that has begun. It returns what takes that
+	// are not taken hear, nil for all other records. With an error nothing is on record and
+	// the transaction is gone; a backend that can't tell finds out before it returns.
+	Commit(batch []*Record) ([]error, error)
+	// Idle lets the backend see to other things.
+	Idle(now time.Time) error
+	// Full tells whether an error means that there is no room.
+	Full(err error) bool
+	// Close lets go of the database.
+	Close() error
+}
+
+// Config is what a queue is told.
+type Config struct {
+	// TellDelivered says that deliveries are told like other answers.
+	TellDelivered bool
+	// Next is the number of the first message that is taken.
+	Next policy.MessageID
+	// Live are the messages that run, as they were recovered.
+	Live []*message.Message
+	// Memories are copied.
+	Memories map[string]*store.Memory
+}
+
+// Queue is a store of record on a backend.
+type Queue struct {
+	cfg     Config
+	backend Backend
+	log     *slog.Logger
+
+	mu       sync.Mutex
+	queue    []*Record
+	closing  bool
+	stuck    error // why the last transaction failed, nil once one was good
+	next     policy.MessageID
+	live     map[policy.MessageID]*message.Message
+	memories map[string]*store.Memory // failures only, to write what changes
+	wake     chan struct{}
+	done     chan struct{}
+}
+
+// New returns a queue, whose goroutine runs until Close.
+func New(c Config, b Backend, log *slog.Logger) *Queue {
+	s := &Queue{cfg: c, backend: b, log: log, next: c.Next, wake: make(chan struct{}, 1), done: make(chan struct{}),
+		live: map[policy.MessageID]*message.Message{}, memories: map[string]*store.Memory{}}
+	for _, m := range c.Live {
+		s.live[m.Seq] = m
+	}
+	for name, m := range c.Memories {
+		own := store.Memory{FailedAt: m.FailedAt, BackAt: m.BackAt}
+		if !own.FailedAt.IsZero() {
+			s.memories[name] = &own
+		}
+	}
+	go s.run()
+	return s
+}
+
+// Pending is how many records wait.
+func (s *Queue) Pending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue)
+}
+
+// Stuck is why the last transaction failed, nil where it did not.
+func (s *Queue) Stuck() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stuck
+}
+
+// add queues a record. It is called with the lock held, so that the queue has the order in
+// which things were decided.
+func (s *Queue) add(o *Record) {
+	o.done = make(chan error, 1)
+	s.queue = append(s.queue, o)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// wait waits for a record to be durable.
+func (s *Queue) wait(ctx context.Context, o *Record) error {
+	select {
+	case err := <-o.done:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+	}
+}
+
+var errClosed = fmt.Errorf("%w: it is closed", store.ErrUnavailable)
+
+// Take implements [store.Store]. While the file can't be written it refuses at once.
+func (s *Queue) Take(ctx context.Context, m *message.Message) error {
+	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		return errClosed
+	}
+	if s.stuck != nil {
+		err := s.stuck
+		s.mu.Unlock()
+		return s.refusal(err)
+	}
+	s.next++
+	m.Seq = s.next
+	o := &Record{Kind: Take, Message: m, Seqs: []policy.MessageID{m.Seq}, At: time.Now(), waited: true}
+	s.add(o)
+	s.mu.Unlock()
+	select {
+	case err := <-o.done:
+		return err
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	if o.state == queued {
+		o.state = withdrawn
+		s.mu.Unlock()
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+	}
+	s.mu.Unlock()
+	return <-o.done // it may be on record in this moment: what came of it must be known
+}
+
+// refusal is what a take hears of a transaction that failed.
+func (s *Queue) refusal(err error) error {
+	if s.backend.Full(err) {
+		return fmt.Errorf("%w: %w", store.ErrFull, err)
+	}
+	return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
+}
+
+// Attempt implements [store.Store].
+func (s *Queue) Attempt(ctx context.Context, a store.Attempt) error {
+	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		return errClosed
+	}
+	o := &Record{Kind: Attempt, Endpoint: a.Endpoint, At: a.At, waited: true}
+	for _, m := range a.Messages {
+		var err error
+		if s.live[m.Seq] == nil {
+			err = store.ErrOver
+		} else if m.Past.Forgotten(m.Window, a.At) {
+			err = store.ErrForgotten
+		}
+		if err != nil {
+			s.mu.Unlock()
+			return fmt.Errorf("message %s: %w", m.ID, err)
+		}
+	}
+	for _, m := range a.Messages {
+		m.Past.Attempt(a.Zone, a.At)
+		o.Seqs, o.Pasts = append(o.Seqs, m.Seq), append(o.Pasts, m.Past)
+	}
+	s.add(o)
+	s.mu.Unlock()
+	return s.wait(ctx, o)
+}
+
+// Outcome implements [store.Store].
+func (s *Queue) Outcome(ctx context.Context, out store.Outcome) error {
+	m := out.Message
+	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		return errClosed
+	}
+	if s.live[m.Seq] == nil {
+		s.mu.Unlock()
+		return nil
+	}
+	m.Past.Outcome(out.Outcome)
+	o := &Record{Kind: Outcome, Seqs: []policy.MessageID{m.Seq}, Pasts: []message.Past{m.Past}, Endpoint: out.Endpoint, At: out.At,
+		Memory: s.remember(out)}
+	switch {
+	case out.Outcome == policy.Delivered:
+		o.Ends, o.Over, o.waited = []message.End{{Kind: message.Delivered}}, !s.cfg.TellDelivered, true
+		if s.cfg.TellDelivered {
+			m.End = &o.Ends[0]
+		}
+		delete(s.live, m.Seq)
+	case out.Over:
+		o.Ends, o.Over = []message.End{{Kind: message.Failed}}, true
+		delete(s.live, m.Seq)
+	}
+	s.add(o)
+	s.mu.Unlock()
+	if !o.waited {
+		return nil
+	}
+	return s.wait(ctx, o)
+}
+
+// remember takes an outcome into what is known of its endpoint. It returns what is to be
+// written, nil where nothing changed.
+func (s *Queue) remember(o store.Outcome) *store.Memory {
+	e := s.memories[o.Endpoint]
+	switch o.Outcome {
+	case policy.Failed, policy.TimedOut, policy.Unreachable, policy.Reset:
+		e = &store.Memory{FailedAt: o.At}
+	case policy.Delivered:
+		if e == nil || !e.BackAt.IsZero() {
+			return nil
+		}
+		e = &store.Memory{FailedAt: e.FailedAt, BackAt: o.At}
+	default:
+		return nil
+	}
+	s.memories[o.Endpoint] = e
+	return e
+}
+
+// End implements [store.Store].
+func (s *Queue) End(ctx context.Context, ends ...store.Ending) error {
+	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		return errClosed
+	}
+	o := &Record{Kind: End, At: time.Now(), waited: true}
+	for _, e := range ends {
+		m := e.Message
+		if s.live[m.Seq] == nil {
+			continue
+		}
+		m.End = &e.End
+		delete(s.live, m.Seq)
+		o.Seqs, o.Ends = append(o.Seqs, m.Seq), append(o.Ends, e.End)
+	}
+	s.add(o)
+	s.mu.Unlock()
+	return s.wait(ctx, o)
+}
+
+// Told implements [store.Store].
+func (s *Queue) Told(_ context.Context, ms ...*message.Message) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return errClosed
+	}
+	o := &Record{Kind: Told, At: time.Now()}
+	for _, m := range ms {
+		o.Seqs = append(o.Seqs, m.Seq)
+	}
+	s.add(o)
+	return nil
+}
+
+// Close implements [store.Store].
+func (s *Queue) Close() error {
+	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		return errClosed
+	}
+	s.closing = true
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	<-s.done
+	s.mu.Lock()
+	left := len(s.queue)
+	s.mu.Unlock()
+	var err error
+	if left > 0 {
+		err = fmt.Errorf("closing the store: %d records could not be written: %w", left, s.stuck)
+	}
+	return errors.Join(err, s.backend.Close())
+}
+
+// run is the writer: it commits what is queued until the store is closed and all is
+// written, or it can't be written for closeWait.
+func (s *Queue) run() {
+	defer close(s.done)
+	idle := time.NewTicker(idleEvery)
+	defer idle.Stop()
+	var until time.Time // when to give up, once the store closes
+	for {
+		s.mu.Lock()
+		n, closing, stuck := len(s.queue), s.closing, s.stuck
+		s.mu.Unlock()
+		if closing && until.IsZero() {
+			until = time.Now().Add(closeWait)
+		}
+		switch {
+		// With nothing to write a transaction that changes nothing tells whether takes may
+		// come again.
+		case n > 0, stuck != nil && !closing:
+			err := s.commit()
+			s.mu.Lock()
+			s.stuck = err
+			s.mu.Unlock()
+			if err == nil {
+				if stuck != nil {
+					s.log.Info("store: it can be written again")
+				}
+				continue
+			}
+			if stuck == nil || stuck.Error() != err.Error() { // once for each trouble
+				s.log.Error("store: it can't be written, takes are refused", "err", err)
+			}
+			if closing && time.Now().After(until) {
+				s.fail(err)
+				return
+			}
+			time.Sleep(retryPause)
+			continue
+		case closing:
+			return
+		}
+		select {
+		case <-s.wake:
+		case <-idle.C:
+			if err := s.backend.Idle(time.Now()); err != nil {
+				s.log.Debug("store: idle", "err", err) // the next look does it
+			}
+		}
+	}
+}
+
+// fail ends the waiting for what will not be written any more.
+func (s *Queue) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.queue {
+		o.done <- s.refusal(err)
+	}
+}
+
+// commit writes the first records of the queue in one transaction. If that fails, takes
+// hear so and are gone, and all else stays in the queue.
+func (s *Queue) commit() error {
+	// Nothing is claimed before the file is ours: until then a take can be withdrawn.
+	if err := s.backend.Begin(); err != nil {
+		s.dropTakes(err)
+		return err
+	}
+	s.mu.Lock()
+	n := min(len(s.queue), batchMax)
+	batch := make([]*Record, 0, n)
+	for _, o := range s.queue[:n] {
+		if o.state != withdrawn {
+			o.state = claimed
+			batch = append(batch, o)
+		}
+	}
+	s.mu.Unlock()
+	results, err := s.backend.Commit(batch)
+	if err != nil {
+		s.mu.Lock()
+		for _, o := range batch {
+			o.state = queued
+		}
+		s.mu.Unlock()
+		s.dropTakes(err)
+		return err
+	}
+	s.mu.Lock()
+	rest := copy(s.queue, s.queue[n:])
+	clear(s.queue[rest:])
+	s.queue = s.queue[:rest]
+	for i, o := range batch {
+		if o.Kind == Take && results[i] == nil {
+			s.live[o.Message.Seq] = o.Message
+		}
+	}
+	s.mu.Unlock()
+	for i, o := range batch {
+		o.done <- results[i]
+	}
+	return nil
+}
+
+// dropTakes refuses the takes in the queue: their clients must not wait for a file that
+// can't be written now.
+func (s *Queue) dropTakes(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stuck = err // from here on none comes
+	kept := s.queue[:0]
+	for _, o := range s.queue {
+		if o.Kind != Take {
+			kept = append(kept, o)
+			continue
+		}
+		o.state = withdrawn
+		o.done <- s.refusal(err)
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
--- a/internal/store/sqlite/inspect.go
+++ b/internal/store/sqlite/inspect.go
@@ -37,7 +37,7 @@
 		if _, err := c.Config(sqlite3.DBCONFIG_NO_CKPT_ON_CLOSE, true); err != nil {
 			return err
 		}
-		if err := c.BusyTimeout(closeWait); err != nil {
+		if err := c.BusyTimeout(openWait); err != nil {
 			return err
 		}
 		v, err := version(c, path)
--- a/internal/store/sqlite/inspect_test.go
+++ b/internal/store/sqlite/inspect_test.go
@@ -7,9 +7,12 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/ncruces/go-sqlite3"
+
 	"wingmount/internal/fail"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
@@ -68,6 +71,7 @@
 	c := config(dir)
 	s, _ := mustOpen(t, c)
 	stop := make(chan struct{})
+	var taken atomic.Int64
 	var taking sync.WaitGroup
 	taking.Go(func() {
 		for n := 0; ; n++ {
@@ -79,10 +83,11 @@
 					t.Error(err)
 					return
 				}
+				taken.Add(1)
 			}
 		}
 	})
-	eventually(t, "some messages", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.live) > 50 })
+	eventually(t, "some messages", func() bool { return taken.Load() > 50 })
 	for k := range 3 {
 		i, err := Inspect(c.Path)
 		must(t, err)
@@ -151,8 +156,11 @@
 		t.Errorf("a file in use: %v", err)
 	}
 	must(t, s.Take(ctx, storetest.NewMessage("a", 1)))
-	must(t, s.conn.Exec("DROP TABLE call; PRAGMA user_version = 1")) // as the first schema left it
 	must(t, s.Close())
+	db, err := sqlite3.Open("file:" + c.Path)
+	must(t, err)
+	must(t, db.Exec("DROP TABLE call; PRAGMA user_version = 1")) // as the first schema left it
+	must(t, db.Close())
 	if _, err := Inspect(c.Path); err == nil || !strings.Contains(err.Error(), "store migrate") {
 		t.Errorf("an old schema: %v", err)
 	}
--- a/internal/store/sqlite/trouble_test.go
+++ b/internal/store/sqlite/trouble_test.go
@@ -37,6 +37,15 @@
 	return s, r
 }
 
+// checkpoint moves the WAL into the file, as another program may.
+func checkpoint(c Config) error {
+	db, err := sqlite3.Open("file:" + c.Path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(db.BusyTimeout(10*time.Second), db.Exec("PRAGMA wal_checkpoint(TRUNCATE)"), db.Close())
+}
+
 // eventually waits for something that a goroutine of the store's brings about.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
@@ -58,7 +67,7 @@
 		for i := range 40 {
 			must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("m", i), 3000)))
 		}
-		must(t, s.conn.Exec("PRAGMA wal_checkpoint(TRUNCATE)"))
+		must(t, checkpoint(config(dir)))
 		for i := range 10 {
 			must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("late", i), 3000)))
 		}
@@ -182,7 +191,7 @@
 	if err := s.Take(short, storetest.NewMessage("first", 1)); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("a take on a locked file: %v", err)
 	}
-	eventually(t, "that the file is known to be locked", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.stuck != nil })
+	eventually(t, "that the file is known to be locked", func() bool { return s.Stuck() != nil })
 	for i := range 100 {
 		start := time.Now()
 		err := s.Take(ctx, storetest.NewMessage(fmt.Sprint("more", i), 1))
@@ -201,7 +210,7 @@
 	for _, m := range ms[1:] {
 		go func() { ended <- s.End(ctx, store.Ending{Message: m, End: message.End{Kind: message.Refused}}) }()
 	}
-	eventually(t, "the ends in the queue", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.queue) == len(ms)+1 })
+	eventually(t, "the ends in the queue", func() bool { return s.Pending() == len(ms)+1 })
 	if len(ended) != 0 {
 		t.Error("an end returned though it can't be on record")
 	}
@@ -243,7 +252,7 @@
 			}
 			ended := make(chan error)
 			go func() { ended <- s.End(ctx, store.Ending{Message: m}) }()
-			eventually(t, "the end in the queue", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.queue) == 1 })
+			eventually(t, "the end in the queue", func() bool { return s.Pending() == 1 })
 			clear()
 			must(t, <-ended)
 			eventually(t, "takes again", func() bool { return s.Take(ctx, storetest.NewMessage("y", 10)) == nil })
@@ -311,16 +320,8 @@
 		m := storetest.NewMessage(fmt.Sprint("m", i), 0)
 		ms = append(ms, m)
 		ends = append(ends, store.Ending{Message: m})
-		o := &op{kind: opTake, m: m, at: time.Now()} // without waiting for each
-		s.mu.Lock()
-		s.next++
-		m.Seq = s.next
-		s.add(o)
-		s.mu.Unlock()
-		if i == n-1 {
-			must(t, <-o.done)
-		}
 	}
+	parallel(64, n, func(i int) { must(t, s.Take(ctx, ms[i])) })
 	must(t, s.End(ctx, ends...))
 	owed := ms[7]
 	must(t, s.Told(ctx, append(append([]*message.Message(nil), ms[:7]...), ms[8:]...)...))
--- a/internal/store/sqlite/writer.go
+++ b/internal/store/sqlite/writer.go
@@ -9,6 +9,7 @@
 
 	"wingmount/internal/message"
 	"wingmount/internal/store"
+	"wingmount/internal/store/group"
 	"wingmount/policy"
 )
 
@@ -90,158 +91,45 @@
 	return st.Exec()
 }
 
-// run is the writer: it commits what is queued until the store is closed and all is
-// written, or it can't be written for closeWait.
-func (s *Store) run() {
-	defer close(s.done)
-	sweep := time.NewTicker(sweepEvery)
-	defer sweep.Stop()
-	var until time.Time // when to give up, once the store closes
-	for {
-		s.mu.Lock()
-		n, closing, stuck := len(s.queue), s.closing, s.stuck
-		s.mu.Unlock()
-		if closing && until.IsZero() {
-			until = time.Now().Add(closeWait)
-		}
-		switch {
-		// With nothing to write a transaction that changes nothing tells whether takes may
-		// come again.
-		case n > 0, stuck != nil && !closing:
-			err := s.commit()
-			s.mu.Lock()
-			s.stuck = err
-			s.mu.Unlock()
-			if err == nil {
-				if stuck != nil {
-					s.log.Info("store: it can be written again")
-				}
-				continue
-			}
-			if stuck == nil || stuck.Error() != err.Error() { // once for each trouble
-				s.log.Error("store: it can't be written, takes are refused", "err", err)
-			}
-			if closing && time.Now().After(until) {
-				s.fail(err)
-				return
-			}
-			time.Sleep(retryPause)
-			continue
-		case closing:
-			return
-		}
-		select {
-		case <-s.wake:
-		case <-sweep.C:
-			if err := s.sweep(time.Now()); err != nil {
-				s.log.Debug("store: letting go of what is old", "err", err) // the next look does it
-			}
-		}
+// Begin implements [group.Backend].
+func (s *file) Begin() error {
+	if err := s.conn.Exec("BEGIN IMMEDIATE"); err != nil {
+		return err
 	}
-}
-
-// fail ends the waiting for what will not be written any more.
-func (s *Store) fail(err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, o := range s.queue {
-		o.done <- refusal(err)
+	if err := atBegun.At(); err != nil {
+		return errors.Join(err, s.conn.Exec("ROLLBACK"))
 	}
+	return nil
 }
 
-// commit writes the first records of the queue in one transaction. If that fails, takes
-// hear so and are gone, and all else stays in the queue.
-func (s *Store) commit() error {
-	// Nothing is claimed before the file is ours: until then a take can be withdrawn.
-	if err := s.begin(); err != nil {
-		s.dropTakes(err)
-		return err
-	}
-	s.mu.Lock()
-	n := min(len(s.queue), batchMax)
-	batch := make([]*op, 0, n)
-	for _, o := range s.queue[:n] {
-		if o.state != withdrawn {
-			o.state = claimed
-			batch = append(batch, o)
-		}
-	}
-	s.mu.Unlock()
+// Commit implements [group.Backend].
+func (s *file) Commit(batch []*group.Record) ([]error, error) {
 	results := make([]error, len(batch))
-	err := s.write(batch, results)
-	if err != nil {
+	if err := s.write(batch, results); err != nil {
 		if !s.conn.GetAutocommit() {
 			if e := s.conn.Exec("ROLLBACK"); e != nil {
 				s.log.Error("store: rolling back", "err", e)
 			}
 		}
-		s.mu.Lock()
-		for _, o := range batch {
-			o.state = queued
-		}
-		s.mu.Unlock()
-		s.dropTakes(err)
-		return err
+		return nil, err
 	}
 	_ = atCommit.At() // it is on record, whatever an error says
 	if err := s.wit.write(s.commits, s.boot); err != nil {
 		s.log.Warn("store", "err", err) // it lags: a loss that follows may go unseen
 	}
 	_ = atTold.At()
-	s.mu.Lock()
-	rest := copy(s.queue, s.queue[n:])
-	clear(s.queue[rest:])
-	s.queue = s.queue[:rest]
-	for i, o := range batch {
-		if o.kind == opTake && results[i] == nil {
-			s.live[o.m.Seq] = o.m
-		}
-	}
-	s.mu.Unlock()
-	for i, o := range batch {
-		o.done <- results[i]
-	}
-	return nil
-}
-
-func (s *Store) begin() error {
-	if err := s.conn.Exec("BEGIN IMMEDIATE"); err != nil {
-		return err
-	}
-	if err := atBegun.At(); err != nil {
-		return errors.Join(err, s.conn.Exec("ROLLBACK"))
-	}
-	return nil
-}
-
-// dropTakes refuses the takes in the queue: their clients must not wait for a file that
-// can't be written now.
-func (s *Store) dropTakes(err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stuck = err // from here on none comes
-	kept := s.queue[:0]
-	for _, o := range s.queue {
-		if o.kind != opTake {
-			kept = append(kept, o)
-			continue
-		}
-		o.state = withdrawn
-		o.done <- refusal(err)
-	}
-	clear(s.queue[len(kept):])
-	s.queue = kept
+	return results, nil
 }
 
 // write writes records and commits. Results are of the takes.
-func (s *Store) write(batch []*op, results []error) error {
+func (s *file) write(batch []*group.Record, results []error) error {
 	room, err := s.room()
 	if err != nil {
 		return err
 	}
 	for i, o := range batch {
-		if o.kind == opTake {
-			need := int64(len(o.m.Body))/pageSize + 1
+		if o.Kind == group.Take {
+			need := int64(len(o.Message.Body))/pageSize + 1
 			if room < need+reservePages {
 				results[i] = store.ErrFull
 				continue
@@ -257,8 +145,8 @@
 	}
 	latest := time.Now()
 	for _, o := range batch {
-		if o.at.After(latest) {
-			latest = o.at
+		if o.At.After(latest) {
+			latest = o.At
 		}
 	}
 	if err := exec(s.st.meta, s.commits+1, latest.UnixMicro()); err != nil {
@@ -272,7 +160,7 @@
 }
 
 // room is how many pages may still be filled.
-func (s *Store) room() (int64, error) {
+func (s *file) room() (int64, error) {
 	if s.cfg.MaxBytes == 0 {
 		return 1 << 40, nil
 	}
@@ -289,30 +177,30 @@
 
 // record writes one record. What it returns first is for its caller alone; an error ends
 // the transaction.
-func (s *Store) record(o *op) (result, err error) {
-	switch o.kind {
-	case opTake:
+func (s *file) record(o *group.Record) (result, err error) {
+	switch o.Kind {
+	case group.Take:
 		return s.take(o)
-	case opAttempt:
-		if err := exec(s.st.call, o.endpoint, o.at.UnixMicro()); err != nil {
+	case group.Attempt:
+		if err := exec(s.st.call, o.Endpoint, o.At.UnixMicro()); err != nil {
 			return nil, err
 		}
 		return nil, s.past(o)
-	case opPast:
+	case group.Outcome:
 		if err := s.past(o); err != nil {
 			return nil, err
 		}
-		if e := o.memory; e != nil {
-			if err := exec(s.st.endpoint, o.endpoint, e.FailedAt.UnixMicro(), micro(e.BackAt)); err != nil {
+		if e := o.Memory; e != nil {
+			if err := exec(s.st.endpoint, o.Endpoint, e.FailedAt.UnixMicro(), micro(e.BackAt)); err != nil {
 				return nil, err
 			}
 		}
 		return nil, s.end(o)
-	case opEnd:
+	case group.End:
 		return nil, s.end(o)
-	case opTold:
-		for _, seq := range o.seqs {
-			if err := exec(s.st.told, seq, o.at.UnixMicro()); err != nil {
+	case group.Told:
+		for _, seq := range o.Seqs {
+			if err := exec(s.st.told, seq, o.At.UnixMicro()); err != nil {
 				return nil, err
 			}
 		}
@@ -334,9 +222,9 @@
 	return time.UnixMicro(us)
 }
 
-func (s *Store) take(o *op) (result, err error) {
-	m := o.m
-	if err := exec(s.st.take, m.Seq, m.ID, m.Key, m.Class, m.Dest, m.Deadline.UnixMicro(), o.at.UnixMicro(), m.Body); err != nil {
+func (s *file) take(o *group.Record) (result, err error) {
+	m := o.Message
+	if err := exec(s.st.take, m.Seq, m.ID, m.Key, m.Class, m.Dest, m.Deadline.UnixMicro(), o.At.UnixMicro(), m.Body); err != nil {
 		return nil, err
 	}
 	if s.conn.Changes() > 0 {
@@ -360,15 +248,15 @@
 	flagMayRun
 )
 
-func (s *Store) past(o *op) error {
-	for i, p := range o.pasts {
+func (s *file) past(o *group.Record) error {
+	for i, p := range o.Pasts {
 		flags := 0
 		for bit, set := range map[int]bool{flagSettled: p.Settled, flagOut: p.Out, flagMayRun: p.MayRun} {
 			if set {
 				flags |= bit
 			}
 		}
-		if err := exec(s.st.past, o.seqs[i], p.Attempts, flags, micro(p.RanAt), p.RanZone); err != nil {
+		if err := exec(s.st.past, o.Seqs[i], p.Attempts, flags, micro(p.RanAt), p.RanZone); err != nil {
 			return err
 		}
 	}
@@ -376,15 +264,15 @@
 }
 
 // end moves messages to their answers.
-func (s *Store) end(o *op) error {
-	for i, e := range o.ends {
+func (s *file) end(o *group.Record) error {
+	for i, e := range o.Ends {
 		var told any
-		if o.over {
-			told = o.at.UnixMicro()
+		if o.Over {
+			told = o.At.UnixMicro()
 		}
 		for _, err := range []error{
-			exec(s.st.answer, o.seqs[i], int(e.Kind), e.RetryAfter.Milliseconds(), o.at.UnixMicro(), told),
-			exec(s.st.drop, o.seqs[i]), exec(s.st.dropPast, o.seqs[i]),
+			exec(s.st.answer, o.Seqs[i], int(e.Kind), e.RetryAfter.Milliseconds(), o.At.UnixMicro(), told),
+			exec(s.st.drop, o.Seqs[i]), exec(s.st.dropPast, o.Seqs[i]),
 		} {
 			if err != nil {
 				return err
@@ -394,8 +282,8 @@
 	return nil
 }
 
-// sweep deletes a slice of what is too old to be kept.
-func (s *Store) sweep(now time.Time) (err error) {
+// Idle implements [group.Backend]: it deletes a slice of what is too old to be kept.
+func (s *file) Idle(now time.Time) (err error) {
 	var old []int64
 	st := s.st.oldAnswers
 	if err := errors.Join(st.BindInt64(1, s.swept), st.BindInt(2, sweepMax)); err != nil {
@@ -419,7 +307,7 @@
 		return nil
 	}
 	s.sweepAt = now.Add(10 * time.Second)
-	if err := s.begin(); err != nil {
+	if err := s.Begin(); err != nil {
 		return err
 	}
 	defer func() {
@@ -445,7 +333,7 @@
 }
 
 // recover reads what is owed. It runs before the writer does.
-func (s *Store) recover() (store.Recovered, error) {
+func (s *file) recover() (store.Recovered, policy.MessageID, error) {
 	r := store.Recovered{Memories: map[string]*store.Memory{}}
 	rows := func(query string, row func(*sqlite3.Stmt)) error {
 		st, _, err := s.conn.Prepare(query)
@@ -475,15 +363,12 @@
 			m.Past.Interrupt()
 			if kind := st.ColumnInt(11); kind >= 0 {
 				m.End = &message.End{Kind: message.Kind(kind), RetryAfter: time.Duration(st.ColumnInt64(12)) * time.Millisecond}
-			} else {
-				s.live[m.Seq] = m
 			}
 			r.Owed = append(r.Owed, m)
 		}),
 		rows(`SELECT name, failed, back FROM endpoint`, func(st *sqlite3.Stmt) {
 			e := store.Memory{FailedAt: fromMicro(st.ColumnInt64(1)), BackAt: fromMicro(st.ColumnInt64(2))}
-			own := e
-			s.memories[st.ColumnText(0)], r.Memories[st.ColumnText(0)] = &own, &e
+			r.Memories[st.ColumnText(0)] = &e
 		}),
 		rows(`SELECT endpoint, at FROM call ORDER BY n`, func(st *sqlite3.Stmt) {
 			name := st.ColumnText(0)
@@ -497,9 +382,8 @@
 		rows(`SELECT max(coalesce((SELECT seq FROM sqlite_sequence WHERE name = 'message'), 0), coalesce((SELECT max(seq) FROM answer), 0))`,
 			func(st *sqlite3.Stmt) { last = st.ColumnInt64(0) }))
 	if err != nil {
-		return store.Recovered{}, err
+		return store.Recovered{}, 0, err
 	}
-	s.next = policy.MessageID(last)
 	r.Rebase(fromMicro(latest), time.Now())
-	return r, nil
+	return r, policy.MessageID(last), nil
 }
