--- /dev/null
+++ b/internal/standin/pgserver/pgserver_test.go
@@ -0,0 +1,249 @@
+package pgserver
+
+import (
+	"context"
+	"errors"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func start(t *testing.T) (*Server, context.Context) {
+	t.Helper()
+	s, err := New(Config{Path: filepath.Join(t.TempDir(), "pg.db"), User: "wing", Password: "mount"})
+	must(t, err)
+	t.Cleanup(func() { must(t, s.Close()) })
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	t.Cleanup(cancel)
+	return s, ctx
+}
+
+func connect(t *testing.T, ctx context.Context, s *Server) *pgx.Conn {
+	t.Helper()
+	c, err := pgx.Connect(ctx, s.URL())
+	must(t, err)
+	t.Cleanup(func() { _ = c.Close(context.Background()) }) // it may be cut
+	return c
+}
+
+// sqlState is the SQLSTATE of an error, "" where it has none.
+func sqlState(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+const table = "CREATE TABLE m (seq BIGINT PRIMARY KEY, id TEXT NOT NULL UNIQUE, body BYTEA, ok BOOLEAN)"
+
+// A client written by others works with it: types both ways, transactions, batches, errors.
+func TestOrdinaryClient(t *testing.T) {
+	s, ctx := start(t)
+	c := connect(t, ctx, s)
+	_, err := c.Exec(ctx, table)
+	must(t, err)
+	tag, err := c.Exec(ctx, "INSERT INTO m VALUES ($1::bigint, $2::text, $3::bytea, $4::boolean)", int64(1)<<40, "it's; one", []byte{0, 255, 7}, true)
+	if err != nil || tag.String() != "INSERT 0 1" {
+		t.Fatalf("%v, %v", tag, err)
+	}
+	var seq int64
+	var id string
+	var body []byte
+	var ok bool
+	must(t, c.QueryRow(ctx, "SELECT seq, id, body, ok FROM m WHERE id = $1::text", "it's; one").Scan(&seq, &id, &body, &ok))
+	if seq != 1<<40 || id != "it's; one" || string(body) != "\x00\xff\x07" || !ok {
+		t.Errorf("%d %q %v %v came back", seq, id, body, ok)
+	}
+	var none *string
+	must(t, c.QueryRow(ctx, "SELECT id FROM m WHERE seq = $1::bigint UNION ALL SELECT NULL", int64(5)).Scan(&none))
+	if none != nil {
+		t.Errorf("%v, want null", *none)
+	}
+	for want, query := range map[string]string{"23505": "INSERT INTO m VALUES (2, 'it''s; one', NULL, NULL)", "23502": "INSERT INTO m VALUES (2, NULL, NULL, NULL)",
+		"42601": "SELEC 1", "42P01": "SELECT * FROM cats"} {
+		if _, err := c.Exec(ctx, query); sqlState(err) != want {
+			t.Errorf("%s: %v, want %s", query, err, want)
+		}
+	}
+	tx, err := c.Begin(ctx)
+	must(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO m VALUES (3, 'three', NULL, NULL)")
+	must(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO m VALUES (3, 'again', NULL, NULL)")
+	if sqlState(err) != "23505" {
+		t.Error(err)
+	}
+	if _, err = tx.Exec(ctx, "SELECT 1"); sqlState(err) != "25P02" {
+		t.Errorf("in a transaction that has failed: %v", err)
+	}
+	must(t, tx.Rollback(ctx))
+	// One round trip for a batch; an error ends it, and its transaction with it.
+	before := s.RoundTrips()
+	b := &pgx.Batch{}
+	b.Queue("BEGIN")
+	for i := range 20 {
+		b.Queue("INSERT INTO m VALUES ($1::bigint, $2::text, NULL, NULL)", int64(10+i), string(rune('a'+i)))
+	}
+	b.Queue("COMMIT")
+	must(t, c.SendBatch(ctx, b).Close())
+	if n := s.RoundTrips() - before; n > 5 { // the batch, and the preparing of its statements
+		t.Errorf("%d round trips", n)
+	}
+	b = &pgx.Batch{}
+	b.Queue("BEGIN")
+	b.Queue("INSERT INTO m VALUES (99, 'x', NULL, NULL)")
+	b.Queue("INSERT INTO m VALUES (99, 'y', NULL, NULL)")
+	b.Queue("COMMIT")
+	if err := c.SendBatch(ctx, b).Close(); sqlState(err) != "23505" {
+		t.Error(err)
+	}
+	_, err = c.Exec(ctx, "ROLLBACK")
+	must(t, err)
+	var n int64
+	must(t, c.QueryRow(ctx, "SELECT count(*) FROM m").Scan(&n))
+	if n != 21 {
+		t.Errorf("%d rows, want 21", n)
+	}
+	var now int64
+	must(t, c.QueryRow(ctx, "SELECT "+nowText).Scan(&now))
+	if d := time.Since(time.UnixMicro(now)); d < 0 || d > time.Minute {
+		t.Errorf("the server's clock is %v off", d)
+	}
+}
+
+func TestStartup(t *testing.T) {
+	s, ctx := start(t)
+	for name, url := range map[string]string{"password": strings.Replace(s.URL(), "mount", "moun", 1), "user": strings.Replace(s.URL(), "wing:", "wong:", 1)} {
+		if _, err := pgx.Connect(ctx, url); sqlState(err) != "28P01" {
+			t.Errorf("wrong %s: %v", name, err)
+		}
+	}
+	s.SetRefusing(true)
+	if _, err := pgx.Connect(ctx, s.URL()); sqlState(err) != "53300" {
+		t.Errorf("too many: %v", err)
+	}
+	s.SetRefusing(false)
+	connect(t, ctx, s)
+}
+
+// What a client can know of a COMMIT whose connection is cut.
+func TestCutAroundCommit(t *testing.T) {
+	for at, committed := range map[At]bool{BeforeCommit: false, DuringCommit: true, AfterCommit: true} {
+		t.Run(string(at), func(t *testing.T) {
+			s, ctx := start(t)
+			c := connect(t, ctx, s)
+			_, err := c.Exec(ctx, table)
+			must(t, err)
+			s.Inject(Fault{At: at})
+			tx, err := c.Begin(ctx)
+			must(t, err)
+			_, err = tx.Exec(ctx, "INSERT INTO m VALUES (1, 'a', NULL, NULL)")
+			must(t, err)
+			if err := tx.Commit(ctx); err == nil || sqlState(err) != "" {
+				t.Errorf("commit: %v, want a broken connection", err)
+			}
+			var n int64
+			must(t, connect(t, ctx, s).QueryRow(ctx, "SELECT count(*) FROM m").Scan(&n))
+			if (n == 1) != committed || s.Hits(at) != 1 {
+				t.Errorf("%d rows after a cut %s, %d hits", n, at, s.Hits(at))
+			}
+		})
+	}
+}
+
+func TestOtherFaults(t *testing.T) {
+	s, ctx := start(t)
+	c := connect(t, ctx, s)
+	_, err := c.Exec(ctx, table)
+	must(t, err)
+	for _, state := range []string{"40001", "40P01"} {
+		s.Inject(Fault{At: AtStatement, State: state})
+		if _, err := c.Exec(ctx, "SELECT 1"); sqlState(err) != state {
+			t.Errorf("%v, want %s", err, state)
+		}
+	}
+	s.SetReadOnly(true)
+	if _, err := c.Exec(ctx, "INSERT INTO m VALUES (1, 'a', NULL, NULL)"); sqlState(err) != "25006" {
+		t.Errorf("a write on a standby: %v", err)
+	}
+	s.SetReadOnly(false)
+	// Another transaction holds the lock.
+	other := connect(t, ctx, s)
+	tx, err := other.Begin(ctx)
+	must(t, err)
+	_, err = c.Exec(ctx, "SET lock_timeout = 50")
+	must(t, err)
+	if _, err := c.Exec(ctx, "INSERT INTO m VALUES (1, 'a', NULL, NULL)"); sqlState(err) != "55P03" {
+		t.Errorf("a lock that is held: %v", err)
+	}
+	must(t, tx.Rollback(ctx))
+	// Silence, ended by the client's own time.
+	s.Inject(Fault{At: AtStatement, Silent: true})
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	if _, err := c.Exec(short, "SELECT 1"); err == nil || !c.IsClosed() {
+		t.Errorf("silence: %v", err)
+	}
+	// Cancel reaches what runs.
+	c = connect(t, ctx, s)
+	ran := make(chan error)
+	go func() {
+		_, err := c.Exec(ctx, "WITH RECURSIVE n(x) AS (SELECT 1 UNION ALL SELECT x + 1 FROM n) SELECT count(*) FROM n")
+		ran <- err
+	}()
+	for done := false; !done; {
+		must(t, c.PgConn().CancelRequest(ctx))
+		select {
+		case err := <-ran:
+			if sqlState(err) != "57014" {
+				t.Errorf("cancelled: %v", err)
+			}
+			done = true
+		case <-time.After(20 * time.Millisecond): // it had not begun
+		}
+	}
+	s.CutAll()
+	if _, err := c.Exec(ctx, "SELECT 1"); err == nil {
+		t.Error("a cut connection works")
+	}
+}
+
+// What a stranger sends ends its connection, and nothing else.
+func FuzzMessages(f *testing.F) {
+	q, err := (&pgproto3.Query{String: "SELECT 1"}).Encode(nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(q)
+	f.Add([]byte("SELECT $1::bigint; x'"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, text := range split(string(data)) {
+			_ = translate(text)
+			_ = verb(text)
+		}
+		if oids := parameters(string(data), nil); len(oids) > 1000 {
+			t.Errorf("%d parameters", len(oids))
+		}
+		for _, oid := range []uint32{oidInt8, oidInt4, oidBool, oidBytea, oidText} {
+			for _, format := range []int16{0, 1} {
+				_, _ = decode(data, oid, format)
+			}
+		}
+	})
+}
