Store: PostgreSQL behind the common queue, with leases, fencing and found-out commits

Several nodes are to share one store of record, and a node that was paused past its lease must not write, whatever its clock says.

store/postgres sends each transaction whole in one round trip. Its first statement makes the transaction fail in the database unless the lease still has the node's epoch. A COMMIT whose answer was lost is found out by raising the epoch, which fences what may still come, and reading whether the lease counted it. An engine that was fenced tells no answers. run takes it by store.kind = "postgres".

Takeover by another node, and answers in time while the database is gone, are not done.

The contract now says that an ordered call may be lost until a barrier; the log of intents never kept more, and the suite had failed by chance over it.

--- a/internal/engine/scribe.go
+++ b/internal/engine/scribe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 
@@ -82,7 +83,12 @@
 	_ = atEnd.At() // the module has decided, whatever an error says
 	// No context: an answer that the module gave is written, and the store has bounds of
 	// its own.
-	if err := w.store.End(context.Background(), batch...); err != nil {
+	err := w.store.End(context.Background(), batch...)
+	if errors.Is(err, store.ErrFenced) {
+		w.log.Warn("store: answers are another node's to give", "answers", len(batch))
+		return true
+	}
+	if err != nil {
 		// Told all the same: their clients wait. After a restart they are answered again.
 		w.log.Error("store: end", "err", err)
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -17,6 +17,7 @@
 	"wingmount/internal/store"
 	"wingmount/internal/store/intents"
 	"wingmount/internal/store/journal"
+	"wingmount/internal/store/postgres"
 	"wingmount/internal/store/sqlite"
 )
 
@@ -55,6 +56,14 @@
 	}
 }
 
+// opened is a store as the contract has it: no store where it could not be opened.
+func opened[S store.Store](s S, r store.Recovered, err error) (store.Store, store.Recovered, error) {
+	if err != nil {
+		return nil, r, err
+	}
+	return s, r, nil
+}
+
 // OpenStore opens the store that a file of our own names.
 func OpenStore(f *config.File, log *slog.Logger) (store.Store, store.Recovered, error) {
 	s := f.Store
@@ -62,7 +71,11 @@
 		if err := os.MkdirAll(s.Path, 0o700); err != nil {
 			return nil, store.Recovered{}, fmt.Errorf("opening the journal: %w", err)
 		}
-		return journal.Open(journal.Config{Dir: s.Path, MaxBytes: s.MaxMB << 20, TellDelivered: f.Answers.URL != ""}, log)
+		return opened(journal.Open(journal.Config{Dir: s.Path, MaxBytes: s.MaxMB << 20, TellDelivered: f.Answers.URL != ""}, log))
+	}
+	if s.Kind == "postgres" {
+		return opened(postgres.Open(context.Background(), postgres.Config{URL: s.URL, Node: f.Name, Lease: time.Duration(s.Lease),
+			Keep: time.Duration(s.Keep), TellDelivered: f.Answers.URL != ""}, log))
 	}
 	d := sqlite.Power
 	if s.Durability == "process" {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -23,6 +23,7 @@
 
 	"wingmount/internal/standin/answers"
 	"wingmount/internal/standin/partner"
+	"wingmount/internal/standin/pgserver"
 )
 
 const (
@@ -58,7 +59,7 @@
 	Dir          string        // for the store, the file and the logs
 	Command      []string      // starts a node; 'run --config FILE [--fail POINTS]' is appended
 	Env          []string      // beyond this process's
-	Store        string        // "sqlite" or "journal"
+	Store        string        // "sqlite", "journal" or "postgres", for which a stand-in is started
 	Deadline     time.Duration // of all classes
 	Destinations int
 	Takes        time.Duration // for a call
@@ -71,6 +72,7 @@
 type Rig struct {
 	Destinations []*Destination
 	Answers      *answers.Sink
+	Postgres     *pgserver.Server // nil with other stores
 	cfg          Config
 	listen       string
 	file         string
@@ -111,6 +113,11 @@
 	}
 	r := &Rig{cfg: c, Answers: sink, messages: map[string]*Message{},
 		client: &http.Client{Timeout: clientPatience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	if c.Store == "postgres" {
+		if r.Postgres, err = pgserver.New(pgserver.Config{Path: filepath.Join(c.Dir, "pg.db"), User: "wing", Password: "mount"}); err != nil {
+			return nil, errors.Join(err, r.Close())
+		}
+	}
 	for i := range c.Destinations {
 		d := &Destination{Number: i + 1, Name: fmt.Sprint("partner-", i+1), System: partner.New(12*time.Second, c.Takes)}
 		for _, building := range []string{"ops-building", "annex"} {
@@ -145,6 +152,11 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "name = \"rig\"\nlisten = %q\n[store]\nkind = %q\npath = %q\ndurability = \"process\"\nmax_mb = %d\n[answers]\nurl = %q\n[limits]\nheld = 400\nslots = 32\n",
 		r.listen, r.cfg.Store, r.StorePath(), r.cfg.MaxMB, r.Answers.URL())
+	if r.Postgres != nil {
+		text := strings.Replace(b.String(), "[store]\n", fmt.Sprintf("[store]\nurl = %q\n", r.Postgres.URL()), 1)
+		b.Reset()
+		b.WriteString(text)
+	}
 	for _, class := range []string{Keyed, Idempotent, Unsafe} {
 		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\nwanted = \"1s\"\ndeadline = %q\nlate_worth = 0.5\n", class, class, r.cfg.Deadline)
 		if class == Keyed {
@@ -161,6 +173,9 @@
 func (r *Rig) Close() error {
 	r.client.CloseIdleConnections()
 	errs := []error{r.Answers.Close()}
+	if r.Postgres != nil {
+		errs = append(errs, r.Postgres.Close())
+	}
 	for _, d := range r.Destinations {
 		errs = append(errs, d.System.Close())
 	}
--- a/internal/standin/pgserver/engine.go
+++ b/internal/standin/pgserver/engine.go
@@ -48,7 +48,8 @@
 	return strings.ToUpper(strings.TrimRight(word, ";\r\n\t"))
 }
 
-// split splits the statements of a simple query; quoted semicolons are minded.
+// split splits the statements of a simple query; quotes and comments to the end of a line
+// are minded.
 func split(text string) []string {
 	var out []string
 	start, quote := 0, byte(0)
@@ -63,6 +64,8 @@
 			if c == quote {
 				quote = 0
 			}
+		case c == '-' && i+1 < len(text) && text[i+1] == '-':
+			quote = '\n'
 		case c == '\'' || c == '"':
 			quote = c
 		case c == ';':
--- a/internal/store/group/group.go
+++ b/internal/store/group/group.go
@@ -107,6 +107,7 @@
 	queue    []*Record
 	closing  bool
 	stuck    error // why the last transaction failed, nil once one was good
+	lost     error // that nothing may be written any more
 	next     policy.MessageID
 	live     map[policy.MessageID]*message.Message
 	memories map[string]*store.Memory // failures only, to write what changes
@@ -156,6 +157,14 @@
 	}
 }
 
+// gone tells why nothing is queued any more, nil where it is.
+func (s *Queue) gone() error {
+	if s.closing {
+		return errClosed
+	}
+	return s.lost
+}
+
 // wait waits for a record to be durable.
 func (s *Queue) wait(ctx context.Context, o *Record) error {
 	select {
@@ -171,9 +180,9 @@
 // Take implements [store.Store]. While the file can't be written it refuses at once.
 func (s *Queue) Take(ctx context.Context, m *message.Message) error {
 	s.mu.Lock()
-	if s.closing {
+	if err := s.gone(); err != nil {
 		s.mu.Unlock()
-		return errClosed
+		return err
 	}
 	if s.stuck != nil {
 		err := s.stuck
@@ -202,6 +211,9 @@
 
 // refusal is what a take hears of a transaction that failed.
 func (s *Queue) refusal(err error) error {
+	if errors.Is(err, store.ErrFenced) {
+		return err
+	}
 	if s.backend.Full(err) {
 		return fmt.Errorf("%w: %w", store.ErrFull, err)
 	}
@@ -211,9 +223,9 @@
 // Attempt implements [store.Store].
 func (s *Queue) Attempt(ctx context.Context, a store.Attempt) error {
 	s.mu.Lock()
-	if s.closing {
+	if err := s.gone(); err != nil {
 		s.mu.Unlock()
-		return errClosed
+		return err
 	}
 	o := &Record{Kind: Attempt, Endpoint: a.Endpoint, At: a.At, waited: true}
 	for _, m := range a.Messages {
@@ -241,9 +253,9 @@
 func (s *Queue) Outcome(ctx context.Context, out store.Outcome) error {
 	m := out.Message
 	s.mu.Lock()
-	if s.closing {
+	if err := s.gone(); err != nil {
 		s.mu.Unlock()
-		return errClosed
+		return err
 	}
 	if s.live[m.Seq] == nil {
 		s.mu.Unlock()
@@ -293,9 +305,9 @@
 // End implements [store.Store].
 func (s *Queue) End(ctx context.Context, ends ...store.Ending) error {
 	s.mu.Lock()
-	if s.closing {
+	if err := s.gone(); err != nil {
 		s.mu.Unlock()
-		return errClosed
+		return err
 	}
 	o := &Record{Kind: End, At: time.Now(), waited: true}
 	for _, e := range ends {
@@ -316,8 +328,8 @@
 func (s *Queue) Told(_ context.Context, ms ...*message.Message) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing {
-		return errClosed
+	if err := s.gone(); err != nil {
+		return err
 	}
 	o := &Record{Kind: Told, At: time.Now()}
 	for _, m := range ms {
@@ -373,6 +385,10 @@
 			s.mu.Lock()
 			s.stuck = err
 			s.mu.Unlock()
+			if errors.Is(err, store.ErrFenced) {
+				s.fenced(err)
+				return
+			}
 			if err == nil {
 				if stuck != nil {
 					s.log.Info("store: it can be written again")
@@ -394,13 +410,29 @@
 		select {
 		case <-s.wake:
 		case <-idle.C:
-			if err := s.backend.Idle(time.Now()); err != nil {
+			if err := s.backend.Idle(time.Now()); errors.Is(err, store.ErrFenced) {
+				s.fenced(err)
+				return
+			} else if err != nil {
 				s.log.Debug("store: idle", "err", err) // the next look does it
 			}
 		}
 	}
 }
 
+// fenced ends the writing: nothing is written any more, and everybody hears so.
+func (s *Queue) fenced(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log.Error("store: this node may write nothing more", "err", err)
+	s.stuck, s.lost = err, err
+	for _, o := range s.queue {
+		o.done <- err
+	}
+	clear(s.queue)
+	s.queue = nil
+}
+
 // fail ends the waiting for what will not be written any more.
 func (s *Queue) fail(err error) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/store/postgres/postgres_test.go
@@ -0,0 +1,224 @@
+package postgres
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wingmount/internal/message"
+	"wingmount/internal/standin/pgserver"
+	"wingmount/internal/store"
+	"wingmount/internal/store/storetest"
+	"wingmount/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var ctx = context.Background()
+
+func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func server(dir string) (*pgserver.Server, error) {
+	return pgserver.New(pgserver.Config{Path: filepath.Join(dir, "pg.db"), User: "wing", Password: "mount"})
+}
+
+func config(s *pgserver.Server, node string) Config {
+	return Config{URL: s.URL(), Node: node, Lease: 10 * time.Second, Keep: time.Hour, TellDelivered: true}
+}
+
+// whole is a store with the server that it runs on.
+type whole struct {
+	store.Store
+	server *pgserver.Server
+}
+
+func (w whole) Close() error { return errors.Join(w.Store.Close(), w.server.Close()) }
+
+// The suite; a crash takes the node and the server with it.
+func TestConformance(t *testing.T) {
+	storetest.Run(t, storetest.Maker{Points: "store/postgres/", KeepsAnswers: true, TellsDelivered: true, Histories: 15,
+		Open: func(dir string) (store.Store, store.Recovered, error) {
+			srv, err := server(dir)
+			if err != nil {
+				return nil, store.Recovered{}, err
+			}
+			s, r, err := Open(ctx, config(srv, "n1"), quietLog())
+			if err != nil {
+				return nil, r, errors.Join(err, srv.Close())
+			}
+			return whole{s, srv}, r, nil
+		}})
+}
+
+func start(t *testing.T) *pgserver.Server {
+	t.Helper()
+	srv, err := server(t.TempDir())
+	must(t, err)
+	t.Cleanup(func() { must(t, srv.Close()) })
+	return srv
+}
+
+func open(t *testing.T, c Config) (*Store, store.Recovered) {
+	t.Helper()
+	s, r, err := Open(ctx, c, quietLog())
+	must(t, err)
+	return s, r
+}
+
+// COMMIT is sent and the connection is cut, before, while or after it is made: what each
+// call heard is what the record says, and everything is there once.
+func TestCutAroundCommit(t *testing.T) {
+	for _, at := range []pgserver.At{pgserver.BeforeCommit, pgserver.DuringCommit, pgserver.AfterCommit, pgserver.AtStatement} {
+		for name, f := range map[string]pgserver.Fault{"cut": {}, "serialization failure": {State: "40001"}, "deadlock": {State: "40P01"}} {
+			if f.State != "" && at != pgserver.AtStatement {
+				continue // a COMMIT that has been made can't fail
+			}
+			t.Run(fmt.Sprint(at, " ", name), func(t *testing.T) {
+				srv := start(t)
+				s, _ := open(t, config(srv, "n1"))
+				m := storetest.NewMessage("m", 10)
+				must(t, s.Take(ctx, m))
+				must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: []*message.Message{m}}))
+				f.At = at
+				srv.Inject(f)
+				must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Delivered, Endpoint: "e1", At: time.Now()}))
+				if srv.Hits(at) != 1 {
+					t.Fatalf("the fault never happened")
+				}
+				srv.Inject(f)
+				x := storetest.NewMessage("x", 10)
+				taken := s.Take(ctx, x) == nil
+				var known *store.KnownError
+				err := s.Take(ctx, storetest.NewMessage("m", 1))
+				for errors.Is(err, store.ErrUnavailable) { // until a transaction has gone through
+					time.Sleep(time.Millisecond)
+					err = s.Take(ctx, storetest.NewMessage("m", 1))
+				}
+				if !errors.As(err, &known) || known.End == nil || known.End.Kind != message.Delivered {
+					t.Errorf("m again: %v", err)
+				}
+				must(t, s.Close())
+				s, r := open(t, config(srv, "n1"))
+				var ids []string
+				for _, o := range r.Owed {
+					ids = append(ids, o.ID)
+				}
+				want := "[m]"
+				if taken {
+					want = "[m x]"
+				}
+				if fmt.Sprint(ids) != want {
+					t.Errorf("owed %v, want %s", ids, want)
+				}
+				must(t, s.Close())
+			})
+		}
+	}
+}
+
+// A process whose lease another has can write nothing more, whatever its clock says, and
+// hears so; what it had on record is the other's.
+func TestFenced(t *testing.T) {
+	srv := start(t)
+	old, _ := open(t, config(srv, "n1"))
+	a, b := storetest.NewMessage("a", 10), storetest.NewMessage("b", 10)
+	must(t, old.Take(ctx, a))
+	must(t, old.Take(ctx, b))
+	fresh, r := open(t, config(srv, "n1"))
+	if len(r.Owed) != 2 {
+		t.Fatalf("%d owed, want 2", len(r.Owed))
+	}
+	if err := old.Attempt(ctx, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: []*message.Message{a}}); !errors.Is(err, store.ErrFenced) {
+		t.Errorf("an attempt of the old process: %v", err)
+	}
+	if err := old.End(ctx, store.Ending{Message: b}); !errors.Is(err, store.ErrFenced) {
+		t.Errorf("an end of the old process: %v", err)
+	}
+	if err := old.Take(ctx, storetest.NewMessage("c", 1)); !errors.Is(err, store.ErrFenced) {
+		t.Errorf("a take of the old process: %v", err)
+	}
+	must(t, fresh.End(ctx, store.Ending{Message: r.Owed[1], End: message.End{Kind: message.Refused}}))
+	must(t, old.Close())
+	must(t, fresh.Close())
+	fresh, r = open(t, config(srv, "n1"))
+	if len(r.Owed) != 2 || r.Owed[0].Past.Attempts != 0 || r.Owed[1].End == nil || r.Owed[1].End.Kind != message.Refused {
+		t.Errorf("owed %+v", r.Owed)
+	}
+	must(t, fresh.Close())
+}
+
+// One id handed in at two nodes at once is taken by one of them.
+func TestOneIDAtTwoNodes(t *testing.T) {
+	srv := start(t)
+	s1, _ := open(t, config(srv, "n1"))
+	s2, _ := open(t, config(srv, "n2"))
+	var wg sync.WaitGroup
+	var won, known atomic.Int64
+	for i := range 20 {
+		for _, s := range []*Store{s1, s2} {
+			wg.Go(func() {
+				var k *store.KnownError
+				switch err := s.Take(ctx, storetest.NewMessage(fmt.Sprint("m", i), 10)); {
+				case err == nil:
+					won.Add(1)
+				case errors.As(err, &k):
+					known.Add(1)
+				default:
+					t.Error(err)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	if won.Load() != 20 || known.Load() != 20 {
+		t.Errorf("%d taken and %d known, want 20 and 20", won.Load(), known.Load())
+	}
+	must(t, s1.Close())
+	must(t, s2.Close())
+}
+
+// Under batching a message costs few round trips.
+func TestRoundTrips(t *testing.T) {
+	srv := start(t)
+	s, _ := open(t, config(srv, "n1"))
+	const takers, each = 64, 10
+	for _, warm := range []bool{true, false} {
+		before := srv.RoundTrips()
+		var wg sync.WaitGroup
+		for g := range takers {
+			wg.Go(func() {
+				for i := range each {
+					m := storetest.NewMessage(fmt.Sprint("m", warm, g, "-", i), 200)
+					at := time.Now()
+					if err := errors.Join(s.Take(ctx, m), s.Attempt(ctx, store.Attempt{Endpoint: "e1", At: at, Messages: []*message.Message{m}}),
+						s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Delivered, Endpoint: "e1", At: at}), s.Told(ctx, m)); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		per := float64(srv.RoundTrips()-before) / (takers * each)
+		t.Logf("%.3f round trips a message, %d takers, warm-up %v", per, takers, warm)
+		if !warm && per > 0.25 {
+			t.Errorf("%.3f round trips a message: they are not batched", per)
+		}
+	}
+	must(t, s.Close())
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,6 +29,9 @@
 	ErrForgotten = errors.New("the destination has forgotten the key")
 	// ErrOver says that a message has its final answer on record: nothing is sent for it.
 	ErrOver = errors.New("the message is over")
+	// ErrFenced says that the messages of this node are another's, or a newer process's under
+	// its name: nothing may be sent, told or taken for them any more.
+	ErrFenced = errors.New("the messages belong to another node")
 	// ErrUnavailable says that the store can't be reached, is locked or does not answer.
 	ErrUnavailable = errors.New("the store is not available")
 )
@@ -121,15 +124,18 @@
 	// be sent at that time any more: then none has an attempt.
 	Attempt(ctx context.Context, a Attempt) error
 	// Outcome puts on record how an attempt ended. It is ordered before all later calls
-	// when it returns, and durable at the latest with the next of them that is. Delivered
-	// is a message's final answer, and durable when Outcome returns nil; a store that is
+	// when it returns; until a barrier, see [Store.End], has returned nil, a crash may lose
+	// it: then the message may have run. Delivered is a message's final answer, and durable when Outcome returns nil; a store that is
 	// told to have deliveries told sets End, and the message is owed until Told.
 	Outcome(ctx context.Context, o Outcome) error
 	// End puts final answers on record. They are durable when End returns nil, and only
-	// then may they be told. A message that is over keeps its first answer.
+	// then may they be told. A message that is over keeps its first answer: its End is set by
+	// the call that ended it, and stays nil where nothing is to be told. With no answers
+	// End is a barrier: when it returns nil, the store has all that was called before.
 	End(ctx context.Context, ends ...Ending) error
 	// Told puts on record that final answers have been told, and that nothing is owed for
-	// their messages any more. It is ordered when it returns.
+	// their messages any more. It is ordered when it returns, as Outcome is: lost, it is
+	// told again.
 	Told(ctx context.Context, ms ...*message.Message) error
 	// Close makes everything durable and lets go of the store. No call may follow it.
 	Close() error
--- a/internal/store/storetest/storetest.go
+++ b/internal/store/storetest/storetest.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -34,8 +35,12 @@
 	Elsewhere []string
 	// KeepsAnswers says that ids of messages whose answers were told are known still.
 	KeepsAnswers bool
+	// Spills says that a durable call does not make the ordered ones before it durable.
+	Spills bool
 	// TellsDelivered says that a delivered message is owed until its answer is told.
 	TellsDelivered bool
+	// Histories is how many random histories are run, rapid's own number where it is 0.
+	Histories int
 	// Messages and Size are how many messages of how many bytes the history has that is
 	// crashed at each failure point: enough to pass them all. 12 and 500 where they are 0.
 	Messages, Size int
@@ -48,7 +53,13 @@
 // Run runs the suite.
 func Run(t *testing.T, m Maker) {
 	t.Run("contract", m.contract)
-	t.Run("histories", func(t *testing.T) { rapid.Check(t, m.history) })
+	t.Run("histories", func(t *testing.T) {
+		if f := flag.Lookup("rapid.checks"); m.Histories > 0 && f.Value.String() == f.DefValue {
+			must(t, flag.Set("rapid.checks", fmt.Sprint(m.Histories)))
+			defer func() { must(t, flag.Set("rapid.checks", f.DefValue)) }()
+		}
+		rapid.Check(t, m.history)
+	})
 	t.Run("points", m.points)
 	t.Run("concurrent", m.concurrent)
 	t.Run("clock", m.clock)
@@ -227,6 +238,15 @@
 	return c
 }
 
+// take adds a message, behind all others.
+func (w *world) take(x *message.Message) {
+	if w.byID[x.ID] != nil { // told, and not kept
+		w.order = slices.DeleteFunc(w.order, func(id string) bool { return id == x.ID })
+	}
+	w.order = append(w.order, x.ID)
+	w.byID[x.ID] = &state{m: *x}
+}
+
 // diff tells how what was recovered differs from a world, "" where it does not.
 func (w *world) diff(r store.Recovered) string {
 	var want []*state
@@ -288,7 +308,20 @@
 	live := map[string]*message.Message{} // as the store knows them in this life
 	// lazy are the worlds that a crash may leave: all since the last durable call.
 	lazy := []*world{}
-	durable := func() { lazy = lazy[:0] }
+	// change changes the model as a call does, which is durable or only ordered.
+	change := func(durable bool, f func(*world)) {
+		switch {
+		case !durable:
+			lazy = append(lazy, w.clone())
+		case m.Spills:
+			for _, c := range lazy {
+				f(c)
+			}
+		default:
+			lazy = lazy[:0]
+		}
+		f(w)
+	}
 	start := time.Now().Add(-time.Second).Truncate(time.Microsecond)
 	step := 0
 	tick := func() time.Time { step++; return start.Add(time.Duration(step) * time.Microsecond) }
@@ -339,7 +372,7 @@
 		for _, x := range r.Owed {
 			live[x.ID] = x
 		}
-		durable()
+		lazy = lazy[:0]
 	}
 	ends := rapid.Custom(func(t *rapid.T) message.End {
 		if rapid.Bool().Draw(t, "refused") {
@@ -361,18 +394,8 @@
 				return
 			}
 			must(t, err)
-			if old != nil { // told, and not kept
-				for i, o := range w.order {
-					if o == id {
-						w.order = append(w.order[:i:i], w.order[i+1:]...)
-						break
-					}
-				}
-			}
-			w.order = append(w.order, id)
-			w.byID[id] = &state{m: *x}
 			live[id] = x
-			durable()
+			change(true, func(w *world) { w.take(x) })
 		},
 		"attempt": func(t *rapid.T) {
 			x := pick("attempt", func(x *state) bool { return running(x) && !x.m.Past.Out })
@@ -381,8 +404,7 @@
 			}
 			at, zone := tick(), rapid.IntRange(0, 1).Draw(t, "zone")
 			must(t, s.Attempt(ctx, attempt(at, zone, live[x.m.ID])))
-			x.m.Past.Attempt(zone, at)
-			durable()
+			change(true, func(w *world) { w.byID[x.m.ID].m.Past.Attempt(zone, at) })
 		},
 		"outcome": func(t *rapid.T) {
 			x := pick("outcome", func(x *state) bool { return running(x) && x.m.Past.Out })
@@ -391,18 +413,19 @@
 			}
 			o := policy.Outcome(rapid.IntRange(int(policy.Delivered), int(policy.Moot)).Draw(t, "outcome"))
 			over := o == policy.Moot && rapid.Bool().Draw(t, "over")
-			lazy = append(lazy, w.clone())
 			must(t, s.Outcome(ctx, store.Outcome{Message: live[x.m.ID], Outcome: o, Endpoint: "e1", At: tick(), Over: over}))
-			x.m.Past.Outcome(o)
-			switch {
-			case over: // withdrawn: nothing is told, and nothing is known of its end
-				x.told = true
-				x.m.End = &message.End{Kind: message.Failed}
-			case o == policy.Delivered:
-				x.m.End = &message.End{Kind: message.Delivered}
-				x.told = !m.TellsDelivered
-				durable()
-			}
+			change(o == policy.Delivered, func(w *world) {
+				x := w.byID[x.m.ID]
+				x.m.Past.Outcome(o)
+				switch {
+				case over: // withdrawn: nothing is told, and nothing is known of its end
+					x.told = true
+					x.m.End = &message.End{Kind: message.Failed}
+				case o == policy.Delivered:
+					x.m.End = &message.End{Kind: message.Delivered}
+					x.told = !m.TellsDelivered
+				}
+			})
 		},
 		"end": func(t *rapid.T) {
 			x := pick("end", running)
@@ -411,8 +434,7 @@
 			}
 			e := ends.Draw(t, "answer")
 			must(t, s.End(ctx, store.Ending{Message: live[x.m.ID], End: e}))
-			x.m.End = &e
-			durable()
+			change(true, func(w *world) { w.byID[x.m.ID].m.End = &e })
 		},
 		"end again": func(t *rapid.T) {
 			if x := pick("end again", func(x *state) bool { return x.m.End != nil }); x != nil {
@@ -424,9 +446,8 @@
 			if x == nil {
 				return
 			}
-			lazy = append(lazy, w.clone())
 			must(t, s.Told(ctx, live[x.m.ID]))
-			x.told = true
+			change(false, func(w *world) { w.byID[x.m.ID].told = true })
 		},
 		"close": func(t *rapid.T) {
 			must(t, s.Close())
@@ -531,20 +552,29 @@
 	if crashed() {
 		before, after = w.clone(), w.clone()
 	}
-	do := func(durable bool, act func() error, change func()) {
+	do := func(durable bool, act func() error, change func(*world)) {
 		old := w.clone()
 		must(t, act())
-		change()
-		if after == nil {
-			if crashed() {
-				before, after = old, w.clone()
-				lazy = append(lazy, old)
-				return
+		change(w)
+		if after != nil {
+			return
+		}
+		hit := crashed()
+		if hit {
+			before, after = old, w.clone()
+		}
+		switch {
+		case durable && m.Spills:
+			for _, c := range lazy {
+				if hit { // without it, and with it
+					lazy = append(lazy, c.clone())
+				}
+				change(c)
 			}
+		case durable && !hit:
+			lazy = lazy[:0]
+		case !durable:
 			lazy = append(lazy, old)
-			if durable {
-				lazy = lazy[:0]
-			}
 		}
 	}
 	at := time.Now().Add(-time.Second).Truncate(time.Microsecond)
@@ -555,19 +585,17 @@
 		id := fmt.Sprint("m", i)
 		x := NewMessage(id, m.Size+i)
 		live[id] = x
-		do(true, func() error { return s.Take(ctx, x) }, func() {
-			w.order = append(w.order, id)
-			w.byID[id] = &state{m: *x}
-		})
+		do(true, func() error { return s.Take(ctx, x) }, func(w *world) { w.take(x) })
 		st := w.byID[id]
 		if i%4 == 3 {
 			continue
 		}
-		do(true, func() error { return s.Attempt(ctx, attempt(at, 0, x)) }, func() { st.m.Past.Attempt(0, at) })
+		do(true, func() error { return s.Attempt(ctx, attempt(at, 0, x)) }, func(w *world) { w.byID[id].m.Past.Attempt(0, at) })
 		outcome := []policy.Outcome{policy.Delivered, policy.Full, policy.TimedOut}[i%4]
 		do(outcome == policy.Delivered, func() error {
 			return s.Outcome(ctx, store.Outcome{Message: x, Outcome: outcome, Endpoint: "e1", At: at})
-		}, func() {
+		}, func(w *world) {
+			st := w.byID[id]
 			st.m.Past.Outcome(outcome)
 			if outcome == policy.Delivered {
 				st.m.End, st.told = &message.End{Kind: message.Delivered}, !m.TellsDelivered
@@ -575,10 +603,10 @@
 		})
 		if i%4 == 1 {
 			e := message.End{Kind: message.Refused, RetryAfter: time.Second}
-			do(true, func() error { return s.End(ctx, store.Ending{Message: x, End: e}) }, func() { st.m.End = &e })
+			do(true, func() error { return s.End(ctx, store.Ending{Message: x, End: e}) }, func(w *world) { w.byID[id].m.End = &e })
 		}
 		if st.m.End != nil && !st.told && i > 4 {
-			do(false, func() error { return s.Told(ctx, x) }, func() { st.told = true })
+			do(false, func() error { return s.Told(ctx, x) }, func(w *world) { w.byID[id].told = true })
 		}
 	}
 	must(t, s.Close())
