--- a/cmd/wingmount/kill_test.go
+++ b/cmd/wingmount/kill_test.go
@@ -15,6 +15,7 @@
 	"wingmount/internal/fail"
 	"wingmount/internal/rig"
 	"wingmount/internal/standin/partner"
+	"wingmount/internal/testkit"
 )
 
 // killRun is lives that are cut short at failure points, and the life after them.
@@ -34,8 +35,8 @@
 	r, err := rig.New(rig.Config{Dir: t.TempDir(), Command: []string{os.Args[0]}, Env: []string{"WINGMOUNT_TEST_NODE=1", "GORACE=atexit_sleep_ms=0"},
 		Store: k.store, Deadline: 3 * time.Second, Destinations: 2, Takes: 20 * time.Millisecond, MaxMB: k.maxMB, Body: k.body,
 		Slack: 3 * time.Second}) // the machine may be busy: what is late is the demo's to show
-	must(t, err)
-	defer func() { must(t, r.Close()) }()
+	testkit.Must(t, err)
+	defer func() { testkit.Must(t, r.Close()) }()
 	r.Destinations[1].System.Set(partner.Fails)
 	var sending sync.WaitGroup
 	var errs atomic.Pointer[error]
@@ -68,7 +69,7 @@
 		}
 	}
 	p, err := r.Start(ctx, "")
-	must(t, err)
+	testkit.Must(t, err)
 	hand(6)
 	sending.Wait()
 	if e := errs.Load(); e != nil {
@@ -138,11 +139,11 @@
 	dir := t.TempDir()
 	r, err := rig.New(rig.Config{Dir: dir, Command: []string{os.Args[0]}, Env: []string{"WINGMOUNT_TEST_NODE=1", "GORACE=atexit_sleep_ms=0"},
 		Store: "sqlite", Deadline: 3 * time.Second, Destinations: 1, Takes: time.Millisecond, Slack: 3 * time.Second})
-	must(t, err)
-	defer func() { must(t, r.Close()) }()
+	testkit.Must(t, err)
+	defer func() { testkit.Must(t, r.Close()) }()
 	p, err := r.Start(ctx, "")
-	must(t, err)
-	must(t, r.Hand(ctx, "a", rig.Keyed, 1))
+	testkit.Must(t, err)
+	testkit.Must(t, r.Hand(ctx, "a", rig.Keyed, 1))
 	r.Settle(ctx)
 	file := dir + "/gateway.toml"
 	tool := func(args ...string) (string, error) {
--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"wingmount/internal/testkit"
 )
 
 const patience = 15 * time.Second
@@ -62,19 +64,12 @@
 	t.Cleanup(p.endpoint.Close)
 	t.Cleanup(p.endpoint.CloseClientConnections)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(t, err)
+	testkit.Must(t, err)
 	p.listen = l.Addr().String()
-	must(t, l.Close())
+	testkit.Must(t, l.Close())
 	return p
 }
 
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func (p *testbed) serveDiscovery(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/v2/finals" {
 		p.mu.Lock()
@@ -179,7 +174,7 @@
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":256,"disk_mb":3},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
 		p.listen, discovery, settings)
-	must(p.t, os.WriteFile(p.config, []byte(text), 0o600))
+	testkit.Must(p.t, os.WriteFile(p.config, []byte(text), 0o600))
 }
 
 // start starts a process and waits until it is ready.
@@ -194,7 +189,7 @@
 		"PROXY_DISCOVERY="+p.discovery.Listener.Addr().String(),
 		"GORACE=atexit_sleep_ms=0") // the race detector would add a second to each end
 	n.cmd.Stderr = &n.log
-	must(p.t, n.cmd.Start())
+	testkit.Must(p.t, n.cmd.Start())
 	go func() { n.end <- n.cmd.Wait() }()
 	p.t.Cleanup(func() { _ = n.cmd.Process.Kill() })
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
@@ -225,7 +220,7 @@
 func (p *testbed) send(id string, timeout time.Duration) *http.Response {
 	p.t.Helper()
 	resp, err := http.DefaultClient.Do(p.request(id, timeout))
-	must(p.t, err)
+	testkit.Must(p.t, err)
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
 	return resp
@@ -234,7 +229,7 @@
 func (p *testbed) request(id string, timeout time.Duration) *http.Request {
 	p.t.Helper()
 	req, err := http.NewRequest(http.MethodPost, "http://"+p.listen+"/meter-message", strings.NewReader("body"))
-	must(p.t, err)
+	testkit.Must(p.t, err)
 	req.Header.Set("X-Request-ID", id)
 	req.Header.Set("X-Priority-Class", "meter-message")
 	req.Header.Set("X-Timeout-Ms", fmt.Sprint(timeout.Milliseconds()))
@@ -266,7 +261,7 @@
 	p.send("a", 20*time.Second)
 	p.send("b", 20*time.Second)
 	p.eventually("both calls", func() bool { return p.calls["a"] == 1 && p.calls["b"] == 1 })
-	must(t, n.cmd.Process.Signal(syscall.SIGKILL))
+	testkit.Must(t, n.cmd.Process.Signal(syscall.SIGKILL))
 	_ = n.wait(t) // killed
 	p.set(func() { p.answer = func(string) int { return http.StatusOK } })
 	p.start()
@@ -284,7 +279,7 @@
 	p.eventually("a notice that goes unanswered", func() bool { return p.deaf < 1<<30 })
 	p.send("b", 300*time.Millisecond)
 	p.eventually("the call", func() bool { return p.calls["b"] == 1 })
-	must(t, n.cmd.Process.Signal(syscall.SIGKILL))
+	testkit.Must(t, n.cmd.Process.Signal(syscall.SIGKILL))
 	_ = n.wait(t) // killed
 	p.set(func() { p.deaf = 2 })
 	p.start()
@@ -300,7 +295,7 @@
 	p.send("a", 20*time.Second)
 	p.eventually("the call", func() bool { return p.calls["a"] == 1 })
 	start := time.Now()
-	must(t, n.cmd.Process.Signal(syscall.SIGTERM))
+	testkit.Must(t, n.cmd.Process.Signal(syscall.SIGTERM))
 	p.set(func() { p.answer = func(string) int { return http.StatusOK } })
 	accepted := 0
 	for i := range 5 {
@@ -367,13 +362,13 @@
 	p.eventually("the call", func() bool { return p.calls["a"] == 1 })
 
 	p.configure(addr)
-	must(t, n.cmd.Process.Signal(syscall.SIGHUP))
+	testkit.Must(t, n.cmd.Process.Signal(syscall.SIGHUP))
 	p.eventually("the whole list, asked for at the new address", func() bool { return p.lists[addr] == 1 })
 	p.discovery.CloseClientConnections()
 	p.discovery.Close()
 
-	must(t, os.WriteFile(p.config, []byte("{"), 0o600))
-	must(t, n.cmd.Process.Signal(syscall.SIGHUP))
+	testkit.Must(t, os.WriteFile(p.config, []byte("{"), 0o600))
+	testkit.Must(t, n.cmd.Process.Signal(syscall.SIGHUP))
 	p.send("b", 300*time.Millisecond)
 	p.eventually("a notice", func() bool { return p.finals["b"] != "" && p.told["b"] == addr })
 	p.mu.Lock()
@@ -382,8 +377,8 @@
 	}
 	p.mu.Unlock()
 
-	must(t, n.cmd.Process.Signal(syscall.SIGTERM))
-	must(t, n.cmd.Process.Signal(syscall.SIGHUP))
+	testkit.Must(t, n.cmd.Process.Signal(syscall.SIGTERM))
+	testkit.Must(t, n.cmd.Process.Signal(syscall.SIGHUP))
 	if err := n.wait(t); err != nil {
 		t.Fatalf("ended with %v: %s", err, n.log.String())
 	}
@@ -426,7 +421,7 @@
 			req := p.request("id-"+strings.ReplaceAll(name, " ", "-"), 5*time.Second)
 			c.spoil(req)
 			resp, err := http.DefaultClient.Do(req)
-			must(t, err)
+			testkit.Must(t, err)
 			_ = resp.Body.Close()
 			if resp.StatusCode != c.want {
 				t.Errorf("answered %s, want %d", resp.Status, c.want)
@@ -445,16 +440,16 @@
 func (p *testbed) raw(text string, closeSending bool) string {
 	p.t.Helper()
 	conn, err := net.Dial("tcp", p.listen)
-	must(p.t, err)
+	testkit.Must(p.t, err)
 	defer conn.Close()
 	_, err = io.WriteString(conn, text)
-	must(p.t, err)
+	testkit.Must(p.t, err)
 	if closeSending {
-		must(p.t, conn.(*net.TCPConn).CloseWrite())
+		testkit.Must(p.t, conn.(*net.TCPConn).CloseWrite())
 	}
-	must(p.t, conn.SetReadDeadline(time.Now().Add(patience)))
+	testkit.Must(p.t, conn.SetReadDeadline(time.Now().Add(patience)))
 	line, err := bufio.NewReader(conn).ReadString('\n')
-	must(p.t, err)
+	testkit.Must(p.t, err)
 	return strings.TrimSpace(line)
 }
 
@@ -526,7 +521,7 @@
 		"settings": `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","limits":{"disk_mb":3},"settings":{}}`,
 	} {
 		path := filepath.Join(dir, name)
-		must(t, os.WriteFile(path, []byte(text), 0o600))
+		testkit.Must(t, os.WriteFile(path, []byte(text), 0o600))
 		cmd := exec.Command(os.Args[0])
 		cmd.Env = append(os.Environ(), "WINGMOUNT_TEST_NODE=1", "PROXY_CONFIG="+path, "PROXY_STATE="+dir)
 		out, err := cmd.CombinedOutput()
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -142,8 +143,8 @@
 	}
 	// A store may have taken its time: the key's window ends for the first byte.
 	for _, m := range ms {
-		if m.Window > 0 && m.Past.MayRun && !now.Before(m.Past.RanAt.Add(m.Window)) {
-			return store.ErrForgotten
+		if m.Past.Forgotten(m.Window, now) {
+			return fmt.Errorf("message %s: %w", m.ID, store.ErrForgotten)
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/carrier/carrier_test.go
@@ -0,0 +1,117 @@
+package carrier
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/internal/testkit"
+	"wingmount/policy"
+)
+
+// book is a store that notes attempts and outcomes, and does what a test wants meanwhile.
+type book struct {
+	store.Store
+	attempts  []store.Attempt
+	outcomes  []store.Outcome
+	meanwhile func() error
+}
+
+func (b *book) Attempt(_ context.Context, a store.Attempt) error {
+	b.attempts = append(b.attempts, a)
+	for _, m := range a.Messages {
+		m.Past.Attempt(a.Zone, a.At)
+	}
+	if b.meanwhile != nil {
+		return b.meanwhile()
+	}
+	return nil
+}
+
+func (b *book) Outcome(_ context.Context, o store.Outcome) error {
+	b.outcomes = append(b.outcomes, o)
+	return errors.New("no disk")
+}
+
+func newCall() *Call {
+	return &Call{Endpoint: &Endpoint{ID: 9, Name: "e1", Zone: 1, Leaves: &Gate{}, Waits: &Gate{}}, Started: time.Now(),
+		Parts: []*Part{{Message: &message.Message{Seq: 4, ID: "a"}}, {Message: &message.Message{Seq: 5, ID: "b"}, Attempt: 2}}}
+}
+
+// What is told before the first byte binds the call, also while the store is at it: then the
+// attempt is on record, and nothing is sent.
+func TestBegin(t *testing.T) {
+	for name, c := range map[string]struct {
+		before    func(*Call)
+		meanwhile func(*Call) error
+		want      error
+		recorded  bool
+	}{
+		"open":                {nil, nil, nil, true},
+		"drains":              {func(k *Call) { k.Endpoint.Leaves.CloseFrom(time.Now()) }, nil, ErrClosed, false},
+		"drains later":        {func(k *Call) { k.Endpoint.Leaves.CloseFrom(time.Now().Add(time.Hour)) }, nil, nil, true},
+		"told to wait":        {func(k *Call) { k.Endpoint.Waits.Wait(time.Now().Add(time.Hour)) }, nil, ErrClosed, false},
+		"told meanwhile":      {nil, func(k *Call) error { k.Endpoint.Waits.Wait(time.Now().Add(time.Hour)); return nil }, ErrClosed, true},
+		"not on record":       {nil, func(*Call) error { return store.ErrUnavailable }, store.ErrUnavailable, true},
+		"forgotten meanwhile": {func(k *Call) { k.Parts[1].Message.Window = time.Hour }, func(k *Call) error { k.Parts[1].Message.Past.RanAt = time.Now().Add(-time.Hour); return nil }, store.ErrForgotten, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k, b := newCall(), &book{}
+			if c.before != nil {
+				c.before(k)
+			}
+			if c.meanwhile != nil {
+				b.meanwhile = func() error { return c.meanwhile(k) }
+			}
+			r := &Recorder{Store: b, Log: testkit.QuietLog()}
+			if err := r.Begin(context.Background(), k); !errors.Is(err, c.want) {
+				t.Errorf("%v, want %v", err, c.want)
+			}
+			if (len(b.attempts) == 1) != c.recorded {
+				t.Errorf("recorded %+v", b.attempts)
+			}
+			if c.recorded && (b.attempts[0].Endpoint != "e1" || b.attempts[0].Zone != 1 || len(b.attempts[0].Messages) != 2) {
+				t.Errorf("recorded %+v", b.attempts[0])
+			}
+		})
+	}
+}
+
+// An outcome goes on record and is told once, whoever says it first, and is told also where
+// the record failed.
+func TestFinish(t *testing.T) {
+	k, b := newCall(), &book{}
+	var told []policy.Ended
+	r := &Recorder{Store: b, Log: testkit.QuietLog(), Tell: func(e policy.Event) { told = append(told, e.(policy.Ended)) }}
+	r.Finish(k, k.Parts[1], policy.Ended{Outcome: policy.Delivered, Final: true})
+	r.Finish(k, k.Parts[1], policy.Ended{Outcome: policy.TimedOut})
+	r.Finish(k, k.Parts[0], policy.Ended{Outcome: policy.Moot, Final: true})
+	if len(b.outcomes) != 2 || b.outcomes[0].Over || !b.outcomes[1].Over || b.outcomes[0].Endpoint != "e1" {
+		t.Errorf("recorded %+v, want a delivery, and one that is over", b.outcomes)
+	}
+	if len(told) != 2 || told[0].Message != 5 || told[0].Attempt != 2 || told[0].Endpoint != 9 || told[0].Outcome != policy.Delivered || told[1].Message != 4 {
+		t.Errorf("told %+v", told)
+	}
+}
+
+// A wait never shortens one that is longer, and a time to close from stays the first.
+func TestGate(t *testing.T) {
+	var g Gate
+	now := time.Now()
+	g.Wait(now.Add(time.Minute))
+	g.Wait(now.Add(time.Second))
+	if g.Open(now.Add(59*time.Second)) || !g.Open(now.Add(time.Minute)) {
+		t.Error("a shorter wait replaced a longer one")
+	}
+	g.CloseFrom(now.Add(time.Hour))
+	g.CloseFrom(now.Add(2 * time.Hour))
+	if !g.Closing() || g.Open(now.Add(time.Hour)) || !g.Open(now.Add(time.Hour-1)) {
+		t.Error("the first time to close from does not stand")
+	}
+	if g.Reopen(); g.Closing() || !g.Open(now.Add(3*time.Hour)) {
+		t.Error("it did not open again")
+	}
+}
--- a/internal/carrier/http1/calls_test.go
+++ b/internal/carrier/http1/calls_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -17,20 +16,12 @@
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/internal/store/journal"
+	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
 
 const patience = 10 * time.Second
 
-func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func newMessage(id string, size int) *message.Message {
 	return &message.Message{ID: id, Key: "k-" + id, Dest: 7, Deadline: time.Now().Add(20 * time.Second), Body: make([]byte, size)}
 }
@@ -48,12 +39,12 @@
 
 func newCallRig(t *testing.T, addr string) *callRig {
 	r := &callRig{t: t, addr: addr, outcomes: make(chan policy.Ended, 16)}
-	j, _, err := journal.Open(journal.Config{Dir: t.TempDir(), MaxBytes: journal.MinDisk}, quietLog())
-	must(t, err)
+	j, _, err := journal.Open(journal.Config{Dir: t.TempDir(), MaxBytes: journal.MinDisk}, testkit.QuietLog())
+	testkit.Must(t, err)
 	t.Cleanup(func() { _ = j.Close() })
 	r.store = j
-	record := &carrier.Recorder{Store: j, Log: quietLog(), Tell: func(e policy.Event) { r.outcomes <- e.(policy.Ended) }}
-	r.caller = New(Config{ConnectTimeout: time.Second, IdleClose: 15 * time.Second}, record, quietLog())
+	record := &carrier.Recorder{Store: j, Log: testkit.QuietLog(), Tell: func(e policy.Event) { r.outcomes <- e.(policy.Ended) }}
+	r.caller = New(Config{ConnectTimeout: time.Second, IdleClose: 15 * time.Second}, record, testkit.QuietLog())
 	r.endpoint = &carrier.Endpoint{ID: 1, Name: "e1", Leaves: &carrier.Gate{}, Waits: &carrier.Gate{}}
 	t.Cleanup(func() { r.caller.running.Wait() })
 	return r
@@ -73,7 +64,7 @@
 	for range n {
 		r.seq++
 		m := newMessage(fmt.Sprint("id", r.seq), 20)
-		must(r.t, r.store.Take(context.Background(), m))
+		testkit.Must(r.t, r.store.Take(context.Background(), m))
 		messages = append(messages, m)
 	}
 	r.call(limit, messages...)
@@ -95,7 +86,7 @@
 func rawServer(t *testing.T, serve func(n int64, conn net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(t, err)
+	testkit.Must(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	var n atomic.Int64
 	go func() {
@@ -168,7 +159,7 @@
 	addr := rawServer(t, func(n int64, conn net.Conn) {
 		defer conn.Close()
 		if n == 1 {
-			must(t, conn.(*net.TCPConn).SetLinger(0)) // a reset, with most of the call unread
+			testkit.Must(t, conn.(*net.TCPConn).SetLinger(0)) // a reset, with most of the call unread
 			_, _ = conn.Read(make([]byte, 100))
 			return
 		}
@@ -233,9 +224,9 @@
 
 func TestCallThatFindsNobodyNeverRan(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(t, err)
+	testkit.Must(t, err)
 	addr := l.Addr().String()
-	must(t, l.Close())
+	testkit.Must(t, l.Close())
 	r := newCallRig(t, addr)
 	m := r.start(5*time.Second, 1)[0]
 	if e := r.next(); e.Outcome != policy.Unreachable {
@@ -486,9 +477,9 @@
 		m := newMessage(name, 5)
 		m.Window = 12 * time.Second
 		ctx, at := context.Background(), time.Now().Add(-c.ago)
-		must(t, r.store.Take(ctx, m))
-		must(t, r.store.Attempt(ctx, store.Attempt{Endpoint: "e1", At: at, Messages: []*message.Message{m}}))
-		must(t, r.store.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.TimedOut, Endpoint: "e1", At: time.Now()}))
+		testkit.Must(t, r.store.Take(ctx, m))
+		testkit.Must(t, r.store.Attempt(ctx, store.Attempt{Endpoint: "e1", At: at, Messages: []*message.Message{m}}))
+		testkit.Must(t, r.store.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.TimedOut, Endpoint: "e1", At: time.Now()}))
 		r.call(5*time.Second, m)
 		if e := r.next(); e.Outcome != c.want {
 			t.Errorf("%s the window: %v, want %v", name, e.Outcome, c.want)
@@ -508,7 +499,7 @@
 	fill := func(e *carrier.Endpoint) {
 		for range 3 * maxIdle {
 			conn, err := r.caller.dialer.Dial("tcp", addr)
-			must(t, err)
+			testkit.Must(t, err)
 			p.put(newConnection(conn, e, addr))
 		}
 	}
@@ -540,9 +531,9 @@
 	a.Body, a.Key, b.Body = []byte("hello"), "", []byte("x\r\ny")
 	k := &carrier.Call{Addr: "127.0.0.1:1", Limit: time.Second, Started: time.Now(), Parts: []*carrier.Part{{Message: a}, {Message: b}}}
 	req, err := request(k)
-	must(t, err)
+	testkit.Must(t, err)
 	body, err := io.ReadAll(req.Body)
-	must(t, err)
+	testkit.Must(t, err)
 	if want := "a - 5\r\nhello\r\nb k-b 4\r\nx\r\ny\r\n"; string(body) != want || req.URL.Path != "/events/bundle" {
 		t.Errorf("%s with %q, want %q", req.URL.Path, body, want)
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -15,13 +13,12 @@
 	"wingmount/internal/directory"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
+	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-
 // fakes are parts that note what they are told.
 type fakes struct {
 	calls []*carrier.Call
@@ -56,7 +53,7 @@
 		}
 		return nil
 	}
-	l.Use(Parts{Store: fakeStore{f: f}, Carrier: f, Admission: f, Teller: f, Memories: map[string]*store.Memory{}, Log: quietLog()})
+	l.Use(Parts{Store: fakeStore{f: f}, Carrier: f, Admission: f, Teller: f, Memories: map[string]*store.Memory{}, Log: testkit.QuietLog()})
 	return l, f
 }
 
--- a/internal/front/http/clients_test.go
+++ b/internal/front/http/clients_test.go
@@ -12,16 +12,17 @@
 	"time"
 
 	"wingmount/internal/message"
+	"wingmount/internal/testkit"
 )
 
 // clientRig serves an intake over loopback, to so many clients at once.
 func clientRig(t *testing.T, in *Intake, limit int) *Listener {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
-	must(t, err)
+	testkit.Must(t, err)
 	l := NewListener(raw, limit)
 	in.accept = func(*message.Message) {}
-	server := NewServer(in, quietLog())
+	server := NewServer(in, testkit.QuietLog())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -37,8 +38,8 @@
 func dialClient(t *testing.T, l net.Listener) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", l.Addr().String())
-	must(t, err)
-	must(t, c.SetDeadline(time.Now().Add(patience)))
+	testkit.Must(t, err)
+	testkit.Must(t, c.SetDeadline(time.Now().Add(patience)))
 	t.Cleanup(func() { _ = c.Close() })
 	return c
 }
@@ -54,7 +55,7 @@
 func askNote(t *testing.T, c net.Conn, id string) int {
 	t.Helper()
 	_, err := io.WriteString(c, rawNote(id, noteLength)+"body")
-	must(t, err)
+	testkit.Must(t, err)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		t.Fatalf("%s: no answer: %v", id, err)
@@ -95,7 +96,7 @@
 	for _, text := range []string{"", "POST /note HTT", rawNote("a", noteLength) + "b", "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"} {
 		c := dialClient(t, l)
 		_, err := io.WriteString(c, text)
-		must(t, err)
+		testkit.Must(t, err)
 		conns = append(conns, c)
 	}
 	for i, c := range conns {
@@ -165,12 +166,12 @@
 	c := dialClient(t, clientRig(t, newIntake(t, &accepted), 8))
 	const size = 16 << 20
 	_, err := io.WriteString(c, rawNote("a", fmt.Sprintf("Content-Length: %d\r\n", size)))
-	must(t, err)
+	testkit.Must(t, err)
 	if _, err := c.Write(make([]byte, size)); err != nil {
 		t.Fatalf("sending was cut off: %v", err)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	must(t, err)
+	testkit.Must(t, err)
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusRequestEntityTooLarge {
 		t.Errorf("answered %s", resp.Status)
@@ -204,9 +205,9 @@
 		t.Helper()
 		c := dialClient(t, l)
 		_, err := io.WriteString(c, strings.Replace(rawNote(id, noteLength)+"body", from, to, 1))
-		must(t, err)
+		testkit.Must(t, err)
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-		must(t, err)
+		testkit.Must(t, err)
 		_ = resp.Body.Close()
 		return resp.StatusCode
 	}
@@ -244,7 +245,7 @@
 	}{{nil, false, 503}, {map[int]bool{7: true}, false, 200}, {nil, true, 200}} {
 		in.SetDestinations(c.dests, c.told)
 		resp, err := http.Get("http://" + l.Addr().String() + "/healthz")
-		must(t, err)
+		testkit.Must(t, err)
 		_ = resp.Body.Close()
 		if resp.StatusCode != c.want {
 			t.Errorf("destinations %v, told %v: answered %s, want %d", c.dests, c.told, resp.Status, c.want)
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -129,7 +129,7 @@
 		return
 	}
 	if err := in.take(r.Context(), m); err != nil {
-		in.Ended(m.ID)
+		in.release(m.ID)
 		in.notTaken(w, m, err)
 		return
 	}
@@ -148,7 +148,8 @@
 }
 
 // notTaken answers the client of a message that the store did not take. One whose id is on
-// record hears what the record says: a refusal as such, a delivery as 200, a failure as 410.
+// record hears what the record says: a refusal as such, a delivery as 200, a failure as 410. Where the store does not
+// know in time whether it took the message, the client hears 504, and may ask by the same id.
 func (in *Intake) notTaken(w http.ResponseWriter, m *message.Message, err error) {
 	var known *store.KnownError
 	switch {
@@ -166,6 +167,9 @@
 		default:
 			http.Error(w, "the message has failed", http.StatusGone)
 		}
+	case errors.Is(err, store.ErrUndecided):
+		in.log.Warn("intake: undecided", "id", m.ID, "err", err)
+		http.Error(w, "not known yet: hand it in again under the same id", http.StatusGatewayTimeout)
 	case errors.Is(err, store.ErrFull):
 		in.turnAway(w, "the store takes no more")
 	case errors.Is(err, store.ErrUnavailable):
@@ -177,6 +181,13 @@
 	}
 }
 
+// Adopt starts a message that went on record after its client was told that this is not
+// known, or that another node left.
+func (in *Intake) Adopt(m *message.Message) {
+	in.Taken(m.ID)
+	in.accept(m)
+}
+
 // reject answers a request that can't be taken and ends its connection: what may
 // lie behind it there, or inside its body, must never be read as a request.
 func (in *Intake) reject(w http.ResponseWriter, r *http.Request, err error) {
@@ -332,6 +343,16 @@
 	return len(in.held)
 }
 
+// release gives a place back that was kept for a message, unless the message is there: one
+// that went on record late may have come first.
+func (in *Intake) release(id string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !in.held[id] {
+		delete(in.held, id)
+	}
+}
+
 // Ended frees the place of a message.
 func (in *Intake) Ended(id string) {
 	in.mu.Lock()
--- a/internal/front/http/intake_test.go
+++ b/internal/front/http/intake_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,28 +12,20 @@
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/internal/store/journal"
+	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
 
 const patience = 10 * time.Second
 
-func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 // newIntake has one keyed class and remembers what it accepts.
 func newIntake(t *testing.T, accepted *[]*message.Message) *Intake {
-	j, _, err := journal.Open(journal.Config{Dir: t.TempDir(), MaxBytes: journal.MinDisk}, quietLog())
-	must(t, err)
+	j, _, err := journal.Open(journal.Config{Dir: t.TempDir(), MaxBytes: journal.MinDisk}, testkit.QuietLog())
+	testkit.Must(t, err)
 	t.Cleanup(func() { _ = j.Close() })
 	in := New(Config{Classes: map[string]int{"note": 0}, MaxHeld: 2,
 		Rules: []policy.Class{{Repeat: policy.Deduplicated, Deadline: 28 * time.Second}}}, j,
-		func(m *message.Message) { *accepted = append(*accepted, m) }, quietLog())
+		func(m *message.Message) { *accepted = append(*accepted, m) }, testkit.QuietLog())
 	in.SetDestinations(map[int]bool{7: true}, true)
 	return in
 }
@@ -67,7 +57,7 @@
 func TestFailedJournalRefuses(t *testing.T) {
 	var accepted []*message.Message
 	in := newIntake(t, &accepted)
-	must(t, in.store.Close())
+	testkit.Must(t, in.store.Close())
 	for _, id := range []string{"a", "b", "c", "a"} {
 		w := httptest.NewRecorder()
 		in.ServeHTTP(w, noteRequest(context.Background(), id))
@@ -100,6 +90,7 @@
 		"delivered":   {&store.KnownError{End: &message.End{Kind: message.Delivered}}, http.StatusOK, "delivered"},
 		"refused":     {&store.KnownError{End: &message.End{Kind: message.Refused}}, http.StatusServiceUnavailable, "refused"},
 		"failed":      {&store.KnownError{End: &message.End{}}, http.StatusGone, "failed"},
+		"undecided":   {fmt.Errorf("%w: slow", store.ErrUndecided), http.StatusGatewayTimeout, ""},
 		"unavailable": {fmt.Errorf("%w: locked", store.ErrUnavailable), http.StatusServiceUnavailable, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -70,6 +70,39 @@
 	}
 }
 
+// Flags are the booleans of a past as stores keep them: 1 settled, 2 out, 4 may run. They
+// are on disk.
+func (p *Past) Flags() int64 {
+	flags := int64(0)
+	for i, set := range []bool{p.Settled, p.Out, p.MayRun} {
+		if set {
+			flags |= 1 << i
+		}
+	}
+	return flags
+}
+
+// SetFlags reads what Flags wrote.
+func (p *Past) SetFlags(flags int64) {
+	p.Settled, p.Out, p.MayRun = flags&1 != 0, flags&2 != 0, flags&4 != 0
+}
+
+// Micros is a time as stores keep it: Unix microseconds, 0 for the zero time.
+func Micros(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMicro()
+}
+
+// FromMicros reads what Micros wrote.
+func FromMicros(us int64) time.Time {
+	if us == 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(us)
+}
+
 // Forgotten tells that a message which may have run must not be sent at a time any
 // more, because its key, remembered for a window, is forgotten by then.
 func (p *Past) Forgotten(window time.Duration, at time.Time) bool {
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -60,6 +60,9 @@
 		engine: engine.New(engine.Config{Settings: p.settings, Seed: p.seed, Kinds: p.kinds, Zones: p.zones})}
 	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, MaxHeld: p.settings.MaxHeld},
 		p.store, func(m *message.Message) { n.engine.Post(m) }, p.log)
+	if l, ok := p.store.(store.Late); ok {
+		l.OnLate(n.intake.Adopt)
+	}
 	n.calls = http1.New(http1.Config{ConnectTimeout: p.settings.ConnectTimeout, IdleClose: p.idleClose,
 		MaxIdle: idleSockets(p.sockets, p.settings.Slots)}, &carrier.Recorder{Store: p.store, Log: p.log, Tell: n.event}, p.log)
 	n.engineParts = engine.Parts{Store: p.store, Carrier: n.calls, Admission: n.intake, Teller: p.teller,
--- a/internal/platform/peers_test.go
+++ b/internal/platform/peers_test.go
@@ -2,51 +2,41 @@
 
 import (
 	"context"
-	"io"
-	"log/slog"
 	"net"
 	"net/netip"
 	"testing"
 	"time"
 
+	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
 
 const patience = 10 * time.Second
 
-func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 // Notes reach the others in the adapter's format; what a stranger sends, or what
 // has no meaning, is passed over and the next note still comes.
 func TestNotesBetweenNodes(t *testing.T) {
 	other, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	must(t, err)
+	testkit.Must(t, err)
 	defer other.Close()
 	stranger, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	must(t, err)
+	testkit.Must(t, err)
 	defer stranger.Close()
 	addr := other.LocalAddr().(*net.UDPAddr).AddrPort()
 	told := make(chan policy.Event, 8)
 	p, err := OpenPeers(Config{PeerBind: "127.0.0.1:0", PeersAll: addr.String(), Me: 1,
-		Peers: []netip.AddrPort{addr, netip.MustParseAddrPort("127.0.0.1:9")}}, quietLog(),
+		Peers: []netip.AddrPort{addr, netip.MustParseAddrPort("127.0.0.1:9")}}, testkit.QuietLog(),
 		func(e policy.Event) { told <- e })
-	must(t, err)
+	testkit.Must(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { p.Run(ctx); close(done) }()
 
 	p.Send(policy.Tell{Tag: 77, News: policy.BackCold})
 	note := make([]byte, 300)
-	must(t, other.SetReadDeadline(time.Now().Add(patience)))
+	testkit.Must(t, other.SetReadDeadline(time.Now().Add(patience)))
 	n, _, err := other.ReadFromUDPAddrPort(note)
-	must(t, err)
+	testkit.Must(t, err)
 
 	to := p.conn.LocalAddr().(*net.UDPAddr)
 	for _, c := range []struct {
@@ -54,7 +44,7 @@
 		data []byte
 	}{{stranger, note[:n]}, {other, make([]byte, 290)}, {other, nil}, {other, note[:n]}} {
 		_, err := c.from.WriteToUDP(c.data, to)
-		must(t, err)
+		testkit.Must(t, err)
 	}
 	select {
 	case e := <-told:
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -282,7 +282,7 @@
 		}
 		asked := time.Now()
 		status, err := r.post(ctx, m, left)
-		if err == nil {
+		if err == nil && status != http.StatusGatewayTimeout { // not known yet: asked again by the same id
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			switch {
--- a/internal/standin/pgserver/pgserver_test.go
+++ b/internal/standin/pgserver/pgserver_test.go
@@ -12,22 +12,17 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"go.uber.org/goleak"
+
+	"wingmount/internal/testkit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func start(t *testing.T) (*Server, context.Context) {
 	t.Helper()
 	s, err := New(Config{Path: filepath.Join(t.TempDir(), "pg.db"), User: "wing", Password: "mount"})
-	must(t, err)
-	t.Cleanup(func() { must(t, s.Close()) })
+	testkit.Must(t, err)
+	t.Cleanup(func() { testkit.Must(t, s.Close()) })
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	t.Cleanup(cancel)
 	return s, ctx
@@ -36,7 +31,7 @@
 func connect(t *testing.T, ctx context.Context, s *Server) *pgx.Conn {
 	t.Helper()
 	c, err := pgx.Connect(ctx, s.URL())
-	must(t, err)
+	testkit.Must(t, err)
 	t.Cleanup(func() { _ = c.Close(context.Background()) }) // it may be cut
 	return c
 }
@@ -57,7 +52,7 @@
 	s, ctx := start(t)
 	c := connect(t, ctx, s)
 	_, err := c.Exec(ctx, table)
-	must(t, err)
+	testkit.Must(t, err)
 	tag, err := c.Exec(ctx, "INSERT INTO m VALUES ($1::bigint, $2::text, $3::bytea, $4::boolean)", int64(1)<<40, "it's; one", []byte{0, 255, 7}, true)
 	if err != nil || tag.String() != "INSERT 0 1" {
 		t.Fatalf("%v, %v", tag, err)
@@ -66,12 +61,12 @@
 	var id string
 	var body []byte
 	var ok bool
-	must(t, c.QueryRow(ctx, "SELECT seq, id, body, ok FROM m WHERE id = $1::text", "it's; one").Scan(&seq, &id, &body, &ok))
+	testkit.Must(t, c.QueryRow(ctx, "SELECT seq, id, body, ok FROM m WHERE id = $1::text", "it's; one").Scan(&seq, &id, &body, &ok))
 	if seq != 1<<40 || id != "it's; one" || string(body) != "\x00\xff\x07" || !ok {
 		t.Errorf("%d %q %v %v came back", seq, id, body, ok)
 	}
 	var none *string
-	must(t, c.QueryRow(ctx, "SELECT id FROM m WHERE seq = $1::bigint UNION ALL SELECT NULL", int64(5)).Scan(&none))
+	testkit.Must(t, c.QueryRow(ctx, "SELECT id FROM m WHERE seq = $1::bigint UNION ALL SELECT NULL", int64(5)).Scan(&none))
 	if none != nil {
 		t.Errorf("%v, want null", *none)
 	}
@@ -82,9 +77,9 @@
 		}
 	}
 	tx, err := c.Begin(ctx)
-	must(t, err)
+	testkit.Must(t, err)
 	_, err = tx.Exec(ctx, "INSERT INTO m VALUES (3, 'three', NULL, NULL)")
-	must(t, err)
+	testkit.Must(t, err)
 	_, err = tx.Exec(ctx, "INSERT INTO m VALUES (3, 'again', NULL, NULL)")
 	if sqlState(err) != "23505" {
 		t.Error(err)
@@ -92,7 +87,7 @@
 	if _, err = tx.Exec(ctx, "SELECT 1"); sqlState(err) != "25P02" {
 		t.Errorf("in a transaction that has failed: %v", err)
 	}
-	must(t, tx.Rollback(ctx))
+	testkit.Must(t, tx.Rollback(ctx))
 	// One round trip for a batch; an error ends it, and its transaction with it.
 	before := s.RoundTrips()
 	b := &pgx.Batch{}
@@ -101,7 +96,7 @@
 		b.Queue("INSERT INTO m VALUES ($1::bigint, $2::text, NULL, NULL)", int64(10+i), string(rune('a'+i)))
 	}
 	b.Queue("COMMIT")
-	must(t, c.SendBatch(ctx, b).Close())
+	testkit.Must(t, c.SendBatch(ctx, b).Close())
 	if n := s.RoundTrips() - before; n > 5 { // the batch, and the preparing of its statements
 		t.Errorf("%d round trips", n)
 	}
@@ -114,14 +109,14 @@
 		t.Error(err)
 	}
 	_, err = c.Exec(ctx, "ROLLBACK")
-	must(t, err)
+	testkit.Must(t, err)
 	var n int64
-	must(t, c.QueryRow(ctx, "SELECT count(*) FROM m").Scan(&n))
+	testkit.Must(t, c.QueryRow(ctx, "SELECT count(*) FROM m").Scan(&n))
 	if n != 21 {
 		t.Errorf("%d rows, want 21", n)
 	}
 	var now int64
-	must(t, c.QueryRow(ctx, "SELECT "+nowText).Scan(&now))
+	testkit.Must(t, c.QueryRow(ctx, "SELECT "+nowText).Scan(&now))
 	if d := time.Since(time.UnixMicro(now)); d < 0 || d > time.Minute {
 		t.Errorf("the server's clock is %v off", d)
 	}
@@ -149,17 +144,17 @@
 			s, ctx := start(t)
 			c := connect(t, ctx, s)
 			_, err := c.Exec(ctx, table)
-			must(t, err)
+			testkit.Must(t, err)
 			s.Inject(Fault{At: at})
 			tx, err := c.Begin(ctx)
-			must(t, err)
+			testkit.Must(t, err)
 			_, err = tx.Exec(ctx, "INSERT INTO m VALUES (1, 'a', NULL, NULL)")
-			must(t, err)
+			testkit.Must(t, err)
 			if err := tx.Commit(ctx); err == nil || sqlState(err) != "" {
 				t.Errorf("commit: %v, want a broken connection", err)
 			}
 			var n int64
-			must(t, connect(t, ctx, s).QueryRow(ctx, "SELECT count(*) FROM m").Scan(&n))
+			testkit.Must(t, connect(t, ctx, s).QueryRow(ctx, "SELECT count(*) FROM m").Scan(&n))
 			if (n == 1) != committed || s.Hits(at) != 1 {
 				t.Errorf("%d rows after a cut %s, %d hits", n, at, s.Hits(at))
 			}
@@ -171,7 +166,7 @@
 	s, ctx := start(t)
 	c := connect(t, ctx, s)
 	_, err := c.Exec(ctx, table)
-	must(t, err)
+	testkit.Must(t, err)
 	for _, state := range []string{"40001", "40P01"} {
 		s.Inject(Fault{At: AtStatement, State: state})
 		if _, err := c.Exec(ctx, "SELECT 1"); sqlState(err) != state {
@@ -186,13 +181,13 @@
 	// Another transaction holds the lock.
 	other := connect(t, ctx, s)
 	tx, err := other.Begin(ctx)
-	must(t, err)
+	testkit.Must(t, err)
 	_, err = c.Exec(ctx, "SET lock_timeout = 50")
-	must(t, err)
+	testkit.Must(t, err)
 	if _, err := c.Exec(ctx, "INSERT INTO m VALUES (1, 'a', NULL, NULL)"); sqlState(err) != "55P03" {
 		t.Errorf("a lock that is held: %v", err)
 	}
-	must(t, tx.Rollback(ctx))
+	testkit.Must(t, tx.Rollback(ctx))
 	// Silence, ended by the client's own time.
 	s.Inject(Fault{At: AtStatement, Silent: true})
 	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
@@ -208,7 +203,7 @@
 		ran <- err
 	}()
 	for done := false; !done; {
-		must(t, c.PgConn().CancelRequest(ctx))
+		testkit.Must(t, c.PgConn().CancelRequest(ctx))
 		select {
 		case err := <-ran:
 			if sqlState(err) != "57014" {
--- a/internal/store/group/group.go
+++ b/internal/store/group/group.go
@@ -65,7 +65,9 @@
 const (
 	queued state = iota
 	claimed
+	left // claimed, and its caller waits no more
 	withdrawn
+	decided
 )
 
 // Backend is the database. All calls come from one goroutine.
@@ -106,8 +108,9 @@
 	mu       sync.Mutex
 	queue    []*Record
 	closing  bool
-	stuck    error // why the last transaction failed, nil once one was good
-	lost     error // that nothing may be written any more
+	stuck    error                  // why the last transaction failed, nil once one was good
+	lost     error                  // that nothing may be written any more
+	late     func(*message.Message) // nil where takes wait until they are decided
 	next     policy.MessageID
 	live     map[policy.MessageID]*message.Message
 	memories map[string]*store.Memory // failures only, to write what changes
@@ -132,6 +135,9 @@
 	return s
 }
 
+// OnLate implements [store.Late].
+func (s *Queue) OnLate(f func(*message.Message)) { s.late = f }
+
 // Pending is how many records wait.
 func (s *Queue) Pending() int {
 	s.mu.Lock()
@@ -205,6 +211,11 @@
 		s.mu.Unlock()
 		return fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
 	}
+	if s.late != nil && o.state == claimed {
+		o.state = left
+		s.mu.Unlock()
+		return fmt.Errorf("%w: %w", store.ErrUndecided, ctx.Err())
+	}
 	s.mu.Unlock()
 	return <-o.done // it may be on record in this moment: what came of it must be known
 }
@@ -474,12 +485,20 @@
 	rest := copy(s.queue, s.queue[n:])
 	clear(s.queue[rest:])
 	s.queue = s.queue[:rest]
+	var late []*message.Message
 	for i, o := range batch {
 		if o.Kind == Take && results[i] == nil {
 			s.live[o.Message.Seq] = o.Message
+			if o.state == left {
+				late = append(late, o.Message)
+			}
 		}
+		o.state = decided
 	}
 	s.mu.Unlock()
+	for _, m := range late {
+		s.late(m)
+	}
 	for i, o := range batch {
 		o.done <- results[i]
 	}
--- a/internal/store/intents/intents.go
+++ b/internal/store/intents/intents.go
@@ -175,6 +175,13 @@
 	return context.WithTimeout(ctx, s.cfg.Patience)
 }
 
+// OnLate implements [store.Late], where the store does.
+func (s *Store) OnLate(f func(*message.Message)) {
+	if l, ok := s.Store.(store.Late); ok {
+		l.OnLate(f)
+	}
+}
+
 // Attempt implements [store.Store].
 func (s *Store) Attempt(ctx context.Context, a store.Attempt) error {
 	within, cancel := s.bound(ctx)
--- a/internal/store/intents/intents_test.go
+++ b/internal/store/intents/intents_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log/slog"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -20,6 +18,7 @@
 	"wingmount/internal/store"
 	"wingmount/internal/store/sqlite"
 	"wingmount/internal/store/storetest"
+	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
 
@@ -27,21 +26,12 @@
 
 var ctx = context.Background()
 
-func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func open(dir string, patience time.Duration, max int64) (store.Store, store.Recovered, error) {
-	inner, r, err := sqlite.Open(sqlite.Config{Path: filepath.Join(dir, "wingmount.db"), Durability: sqlite.Process, Keep: time.Hour, TellDelivered: true}, quietLog())
+	inner, r, err := sqlite.Open(sqlite.Config{Path: filepath.Join(dir, "wingmount.db"), Durability: sqlite.Process, Keep: time.Hour, TellDelivered: true}, testkit.QuietLog())
 	if err != nil {
 		return nil, r, err
 	}
-	s, err := Open(ctx, Config{Path: filepath.Join(dir, "intents"), MaxBytes: max, Patience: patience}, inner, &r, quietLog())
+	s, err := Open(ctx, Config{Path: filepath.Join(dir, "intents"), MaxBytes: max, Patience: patience}, inner, &r, testkit.QuietLog())
 	if err != nil {
 		return nil, r, errors.Join(err, inner.Close())
 	}
@@ -59,19 +49,19 @@
 func locked(t *testing.T, dir string, n int, max int64) (s store.Store, ms []*message.Message, unlock func()) {
 	t.Helper()
 	s, _, err := open(dir, 20*time.Millisecond, max)
-	must(t, err)
+	testkit.Must(t, err)
 	for i := range n {
 		m := storetest.NewMessage(fmt.Sprint("m", i), 100)
-		must(t, s.Take(ctx, m))
+		testkit.Must(t, s.Take(ctx, m))
 		ms = append(ms, m)
 	}
 	db, err := sqlite3.Open("file:" + filepath.Join(dir, "wingmount.db"))
-	must(t, err)
-	must(t, db.BusyTimeout(10*time.Second))
-	must(t, db.Exec("BEGIN IMMEDIATE"))
+	testkit.Must(t, err)
+	testkit.Must(t, db.BusyTimeout(10*time.Second))
+	testkit.Must(t, db.Exec("BEGIN IMMEDIATE"))
 	return s, ms, func() {
-		must(t, db.Exec("ROLLBACK"))
-		must(t, db.Close())
+		testkit.Must(t, db.Exec("ROLLBACK"))
+		testkit.Must(t, db.Close())
 	}
 }
 
@@ -80,16 +70,16 @@
 	t.Helper()
 	at := time.Now()
 	for i, m := range ms {
-		must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: []*message.Message{m}}))
+		testkit.Must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: []*message.Message{m}}))
 		switch i % 4 {
 		case 0:
-			must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Delivered, Endpoint: "e1", At: at}))
+			testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Delivered, Endpoint: "e1", At: at}))
 		case 1:
-			must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Failed, Endpoint: "e1", At: at}))
-			must(t, s.End(ctx, store.Ending{Message: m}))
+			testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Failed, Endpoint: "e1", At: at}))
+			testkit.Must(t, s.End(ctx, store.Ending{Message: m}))
 		case 2:
-			must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Full, Endpoint: "e1", At: at}))
-			must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: []*message.Message{m}}))
+			testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Full, Endpoint: "e1", At: at}))
+			testkit.Must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: []*message.Message{m}}))
 		}
 	}
 }
@@ -124,24 +114,24 @@
 		t.Errorf("%v for %d messages on a locked database", took, len(ms))
 	}
 	image := t.TempDir()
-	must(t, storetest.Image(dir, image))
+	testkit.Must(t, storetest.Image(dir, image))
 	unlock()
-	must(t, s.End(ctx))
+	testkit.Must(t, s.End(ctx))
 	s.(*Store).running.Wait()
 	if info, err := os.Stat(filepath.Join(dir, "intents")); err != nil || info.Size() != 0 {
 		t.Errorf("the log holds %d bytes after all has landed, %v", info.Size(), err)
 	}
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 	for name, d := range map[string]string{"landed": dir, "killed while locked": image} {
 		t.Run(name, func(t *testing.T) {
 			s, r, err := open(d, time.Second, 1<<20)
-			must(t, err)
+			testkit.Must(t, err)
 			checkLived(t, r, ms)
-			must(t, s.Close())
+			testkit.Must(t, s.Close())
 			s, r, err = open(d, time.Second, 1<<20)
-			must(t, err)
+			testkit.Must(t, err)
 			checkLived(t, r, ms)
-			must(t, s.Close())
+			testkit.Must(t, s.Close())
 		})
 	}
 }
@@ -152,13 +142,13 @@
 	s, ms, unlock := locked(t, dir, 12, 1<<20)
 	live(t, s, ms)
 	image := t.TempDir()
-	must(t, storetest.Image(dir, image))
+	testkit.Must(t, storetest.Image(dir, image))
 	unlock()
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 	for _, point := range []string{"store/intents/during-replay", "store/intents/before-truncate"} {
 		for nth := 1; ; nth++ {
 			work, crash := t.TempDir(), t.TempDir()
-			must(t, storetest.Image(image, work))
+			testkit.Must(t, storetest.Image(image, work))
 			passes := 0
 			clear := arm(t, point, func() error {
 				if passes++; passes == nth {
@@ -167,10 +157,10 @@
 				return nil
 			})
 			s, r, err := open(work, time.Second, 1<<20)
-			must(t, err)
+			testkit.Must(t, err)
 			checkLived(t, r, ms)
 			clear()
-			must(t, s.Close())
+			testkit.Must(t, s.Close())
 			if passes < nth {
 				if nth == 1 {
 					t.Errorf("%s was never passed", point)
@@ -178,9 +168,9 @@
 				break
 			}
 			s, r, err = open(crash, time.Second, 1<<20)
-			must(t, err)
+			testkit.Must(t, err)
 			checkLived(t, r, ms)
-			must(t, s.Close())
+			testkit.Must(t, s.Close())
 		}
 	}
 }
@@ -205,11 +195,11 @@
 		t.Errorf("%d bytes, want %d at most; %v", info.Size(), max, err)
 	}
 	image := t.TempDir()
-	must(t, storetest.Image(dir, image))
+	testkit.Must(t, storetest.Image(dir, image))
 	unlock()
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 	s, r, err := open(image, time.Second, max)
-	must(t, err)
+	testkit.Must(t, err)
 	ended := 0
 	for _, m := range r.Owed {
 		if m.End != nil {
@@ -219,7 +209,7 @@
 	if ended != done {
 		t.Errorf("%d ends came back, want %d", ended, done)
 	}
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 }
 
 func TestRecords(t *testing.T) {
@@ -255,6 +245,6 @@
 func arm(t *testing.T, point string, hook func() error) (clear func()) {
 	t.Helper()
 	clear, err := fail.Set(point, hook)
-	must(t, err)
+	testkit.Must(t, err)
 	return clear
 }
--- a/internal/store/journal/journal.go
+++ b/internal/store/journal/journal.go
@@ -199,7 +199,7 @@
 		m.Deadline = time.UnixMicro(int64(r.uvarint()))
 		m.Past.Attempts, m.Past.RanZone = int(r.uvarint()), int(r.uvarint())
 		flags := r.u8()
-		m.Past.Settled, m.Past.Out, m.Past.MayRun = flags&1 != 0, flags&2 != 0, flags&4 != 0
+		m.Past.SetFlags(int64(flags))
 		if at := r.uvarint(); m.Past.MayRun {
 			m.Past.RanAt = time.UnixMicro(int64(at))
 		}
@@ -550,11 +550,9 @@
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.Class)), uint64(m.Dest))
 	b = binary.AppendUvarint(b, uint64(m.Deadline.UnixMicro()))
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(m.Past.Attempts)), uint64(m.Past.RanZone))
-	flags := byte(0)
-	for i, set := range []bool{m.Past.Settled, m.Past.Out, m.Past.MayRun, m.End != nil} {
-		if set {
-			flags |= 1 << i
-		}
+	flags := byte(m.Past.Flags())
+	if m.End != nil {
+		flags |= 8
 	}
 	ranAt := uint64(0)
 	if m.Past.MayRun {
--- a/internal/store/journal/journal_test.go
+++ b/internal/store/journal/journal_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log/slog"
 	"os"
 	"path/filepath"
 	"testing"
@@ -13,23 +11,15 @@
 
 	"wingmount/internal/message"
 	"wingmount/internal/store"
+	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
 
 var ctx = context.Background()
 
-func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func mustOpen(t *testing.T, dir string, limit int64) (*Journal, []*message.Message) {
 	t.Helper()
-	j, r, err := Open(Config{Dir: dir, MaxBytes: limit}, quietLog())
+	j, r, err := Open(Config{Dir: dir, MaxBytes: limit}, testkit.QuietLog())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,11 +35,11 @@
 func dirSize(t *testing.T, dir string) int64 {
 	t.Helper()
 	files, err := os.ReadDir(dir)
-	must(t, err)
+	testkit.Must(t, err)
 	sum := int64(0)
 	for _, f := range files {
 		info, err := f.Info()
-		must(t, err)
+		testkit.Must(t, err)
 		sum += onDisk(info.Size())
 	}
 	return sum
@@ -64,22 +54,22 @@
 		newMessage("turned", 3), newMessage("over", 5), newMessage("done", 5)
 	fresh.Body = []byte("0123456\r\n9")
 	for _, m := range []*message.Message{fresh, tried, out, turned, over, done} {
-		must(t, j.Take(ctx, m))
-	}
-	must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: []*message.Message{tried}}))
-	must(t, j.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.TimedOut, Endpoint: "e1", At: at}))
-	must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at.Add(time.Second), Messages: []*message.Message{tried}}))
-	must(t, j.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.Full, Endpoint: "e1", At: at.Add(time.Second)}))
-	must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e2", Zone: 1, At: at, Messages: []*message.Message{out}}))
-	must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e2", Zone: 1, At: at, Messages: []*message.Message{turned}}))
-	must(t, j.Outcome(ctx, store.Outcome{Message: turned, Outcome: policy.Full, Endpoint: "e2", At: at}))
-	must(t, j.End(ctx, store.Ending{Message: over, End: message.End{Kind: message.Refused, RetryAfter: 500 * time.Millisecond}}))
-	must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e3", Zone: 0, At: at, Messages: []*message.Message{done}}))
-	must(t, j.Outcome(ctx, store.Outcome{Message: done, Outcome: policy.Delivered, Endpoint: "e3", At: at}))
-	must(t, j.Close())
+		testkit.Must(t, j.Take(ctx, m))
+	}
+	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: []*message.Message{tried}}))
+	testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.TimedOut, Endpoint: "e1", At: at}))
+	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at.Add(time.Second), Messages: []*message.Message{tried}}))
+	testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.Full, Endpoint: "e1", At: at.Add(time.Second)}))
+	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e2", Zone: 1, At: at, Messages: []*message.Message{out}}))
+	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e2", Zone: 1, At: at, Messages: []*message.Message{turned}}))
+	testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: turned, Outcome: policy.Full, Endpoint: "e2", At: at}))
+	testkit.Must(t, j.End(ctx, store.Ending{Message: over, End: message.End{Kind: message.Refused, RetryAfter: 500 * time.Millisecond}}))
+	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e3", Zone: 0, At: at, Messages: []*message.Message{done}}))
+	testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: done, Outcome: policy.Delivered, Endpoint: "e3", At: at}))
+	testkit.Must(t, j.Close())
 
-	again, recovered, err := Open(Config{Dir: dir, MaxBytes: MinDisk}, quietLog())
-	must(t, err)
+	again, recovered, err := Open(Config{Dir: dir, MaxBytes: MinDisk}, testkit.QuietLog())
+	testkit.Must(t, err)
 	t.Cleanup(func() { _ = again.Close() })
 	owed := recovered.Owed
 	got := map[string]*message.Message{}
@@ -110,7 +100,7 @@
 		t.Errorf("e1 is remembered as %+v", e)
 	}
 	next := newMessage("next", 1)
-	must(t, again.Take(ctx, next))
+	testkit.Must(t, again.Take(ctx, next))
 	if next.Seq <= done.Seq {
 		t.Errorf("number %d was given before", next.Seq)
 	}
@@ -127,19 +117,19 @@
 		t.Run(name, func(t *testing.T) {
 			dir := t.TempDir()
 			j, _ := mustOpen(t, dir, MinDisk)
-			must(t, j.Take(ctx, newMessage("a", 100)))
-			must(t, j.Take(ctx, newMessage("b", 100)))
-			must(t, j.Close())
+			testkit.Must(t, j.Take(ctx, newMessage("a", 100)))
+			testkit.Must(t, j.Take(ctx, newMessage("b", 100)))
+			testkit.Must(t, j.Close())
 			path := segmentPath(dir, 1)
 			data, err := os.ReadFile(path)
-			must(t, err)
-			must(t, os.WriteFile(path, spoil(data), 0o600))
+			testkit.Must(t, err)
+			testkit.Must(t, os.WriteFile(path, spoil(data), 0o600))
 			j, owed := mustOpen(t, dir, MinDisk)
 			if len(owed) == 0 || owed[0].ID != "a" {
 				t.Fatalf("owed %v, want a at least", owed)
 			}
-			must(t, j.Take(ctx, newMessage("c", 100)))
-			must(t, j.Close())
+			testkit.Must(t, j.Take(ctx, newMessage("c", 100)))
+			testkit.Must(t, j.Close())
 			_, owed = mustOpen(t, dir, MinDisk)
 			if last := owed[len(owed)-1]; last.ID != "c" {
 				t.Errorf("what was written behind the torn tail is lost: last is %q", last.ID)
@@ -167,16 +157,16 @@
 			for range 3 { // the newest go, so that old ones must be moved on
 				last := open[len(open)-1]
 				open = open[:len(open)-1]
-				must(t, j.End(ctx, store.Ending{Message: last}))
-				must(t, j.Told(ctx, last))
+				testkit.Must(t, j.End(ctx, store.Ending{Message: last}))
+				testkit.Must(t, j.Told(ctx, last))
 			}
 		case err != nil:
 			t.Fatal(err)
 		default:
 			open = append(open, m)
 			for range 6 {
-				must(t, j.Attempt(ctx, store.Attempt{Endpoint: "endpoint", Zone: 1, At: time.Now(), Messages: []*message.Message{m}}))
-				must(t, j.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Full, Endpoint: "endpoint", At: time.Now()}))
+				testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "endpoint", Zone: 1, At: time.Now(), Messages: []*message.Message{m}}))
+				testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Full, Endpoint: "endpoint", At: time.Now()}))
 			}
 		}
 		if size := dirSize(t, dir); size > limit {
@@ -186,7 +176,7 @@
 	if refused == 0 {
 		t.Fatal("nothing was refused")
 	}
-	must(t, j.Close())
+	testkit.Must(t, j.Close())
 	_, owed := mustOpen(t, dir, limit)
 	if size := dirSize(t, dir); size > limit {
 		t.Errorf("%d bytes in the folder after the next start", size)
@@ -215,10 +205,10 @@
 		t.Fatalf("take on a full disk: %v", err)
 	}
 	j.file = good
-	must(t, full.Close())
-	must(t, j.Take(ctx, newMessage("b", 10)))
-	must(t, j.Close())
-	must(t, os.WriteFile(filepath.Join(dir, "stranger"), []byte("x"), 0o600))
+	testkit.Must(t, full.Close())
+	testkit.Must(t, j.Take(ctx, newMessage("b", 10)))
+	testkit.Must(t, j.Close())
+	testkit.Must(t, os.WriteFile(filepath.Join(dir, "stranger"), []byte("x"), 0o600))
 	_, owed := mustOpen(t, dir, MinDisk)
 	if len(owed) != 1 || owed[0].ID != "b" {
 		t.Errorf("owed %v, want b", owed)
@@ -239,25 +229,25 @@
 				if errors.Is(err, store.ErrFull) {
 					break
 				}
-				must(t, err)
+				testkit.Must(t, err)
 				open = append(open, m)
 			}
 			for range 6 {
 				for _, m := range open {
-					must(t, j.Attempt(ctx, store.Attempt{Endpoint: "an-endpoint-with-a-long-name", Zone: 1, At: time.Now(), Messages: []*message.Message{m}}))
-					must(t, j.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.TimedOut, Endpoint: "an-endpoint-with-a-long-name", At: time.Now()}))
+					testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "an-endpoint-with-a-long-name", Zone: 1, At: time.Now(), Messages: []*message.Message{m}}))
+					testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.TimedOut, Endpoint: "an-endpoint-with-a-long-name", At: time.Now()}))
 				}
 			}
 			for _, m := range open {
-				must(t, j.End(ctx, store.Ending{Message: m}))
+				testkit.Must(t, j.End(ctx, store.Ending{Message: m}))
 			}
 			if n := dirSize(t, dir); n > MinDisk {
 				t.Errorf("%d bytes in the folder, over %d", n, MinDisk)
 			}
 			for _, m := range open {
-				must(t, j.Told(ctx, m))
+				testkit.Must(t, j.Told(ctx, m))
 			}
-			must(t, j.Take(ctx, newMessage("next", size)))
+			testkit.Must(t, j.Take(ctx, newMessage("next", size)))
 		})
 	}
 }
--- a/internal/store/postgres/postgres.go
+++ b/internal/store/postgres/postgres.go
@@ -393,15 +393,9 @@
 func (b *base) queue(batch *pgx.Batch, r *group.Record, result *error) {
 	past := func() {
 		for i, p := range r.Pasts {
-			flags := int64(0)
-			for bit, set := range map[int64]bool{1: p.Settled, 2: p.Out, 4: p.MayRun} {
-				if set {
-					flags |= bit
-				}
-			}
 			batch.Queue(`INSERT INTO past SELECT $1::bigint, $2::bigint, $3::bigint, $4::bigint, $5::bigint WHERE EXISTS (SELECT 1 FROM message WHERE seq = $1)
 				ON CONFLICT (seq) DO UPDATE SET attempts = excluded.attempts, flags = excluded.flags, ran = excluded.ran, zone = excluded.zone`,
-				int64(r.Seqs[i]), int64(p.Attempts), flags, micro(p.RanAt), int64(p.RanZone))
+				int64(r.Seqs[i]), int64(p.Attempts), p.Flags(), message.Micros(p.RanAt), int64(p.RanZone))
 		}
 	}
 	switch r.Kind {
@@ -421,7 +415,7 @@
 		if e := r.Memory; e != nil {
 			batch.Queue(`INSERT INTO endpoint VALUES ($1::text, $2::text, $3::bigint, $4::bigint)
 				ON CONFLICT (node, name) DO UPDATE SET failed = excluded.failed, back = excluded.back`,
-				b.cfg.Node, r.Endpoint, micro(e.FailedAt), micro(e.BackAt))
+				b.cfg.Node, r.Endpoint, message.Micros(e.FailedAt), message.Micros(e.BackAt))
 		}
 	case group.Told:
 		for _, seq := range r.Seqs {
@@ -470,20 +464,6 @@
 	return b
 }
 
-func micro(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixMicro()
-}
-
-func fromMicro(us int64) time.Time {
-	if us == 0 {
-		return time.Time{}
-	}
-	return time.UnixMicro(us)
-}
-
 // Idle implements [group.Backend]: it renews the lease in time, and lets go of old answers.
 func (b *base) Idle(at time.Time) error {
 	ctx, cancel := context.WithTimeout(b.life, statementTime)
@@ -551,8 +531,8 @@
 		m.Seq, m.Class, m.Dest, m.Deadline = policy.MessageID(seq), int(class), int(dest), time.UnixMicro(deadline)
 		latest = max(latest, taken)
 		if attempts != nil {
-			m.Past = message.Past{Attempts: int(*attempts), Settled: *flags&1 != 0, Out: *flags&2 != 0, MayRun: *flags&4 != 0,
-				RanAt: fromMicro(*ran), RanZone: int(*zone)}
+			m.Past = message.Past{Attempts: int(*attempts), RanAt: message.FromMicros(*ran), RanZone: int(*zone)}
+			m.Past.SetFlags(*flags)
 			latest = max(latest, *ran)
 		}
 		m.Past.Interrupt()
@@ -592,7 +572,7 @@
 			return r, err
 		}
 		latest = max(latest, failed, back)
-		r.Memories[name] = &store.Memory{FailedAt: fromMicro(failed), BackAt: fromMicro(back)}
+		r.Memories[name] = &store.Memory{FailedAt: message.FromMicros(failed), BackAt: message.FromMicros(back)}
 	}
 	if err := rows.Err(); err != nil {
 		return r, err
@@ -617,7 +597,7 @@
 	if err := rows.Err(); err != nil {
 		return r, err
 	}
-	r.Rebase(fromMicro(latest), time.Now())
+	r.Rebase(message.FromMicros(latest), time.Now())
 	return r, nil
 }
 
--- a/internal/store/postgres/postgres_test.go
+++ b/internal/store/postgres/postgres_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log/slog"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -18,6 +16,7 @@
 	"wingmount/internal/standin/pgserver"
 	"wingmount/internal/store"
 	"wingmount/internal/store/storetest"
+	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
 
@@ -25,15 +24,6 @@
 
 var ctx = context.Background()
 
-func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func server(dir string) (*pgserver.Server, error) {
 	return pgserver.New(pgserver.Config{Path: filepath.Join(dir, "pg.db"), User: "wing", Password: "mount"})
 }
@@ -58,7 +48,7 @@
 			if err != nil {
 				return nil, store.Recovered{}, err
 			}
-			s, r, err := Open(ctx, config(srv, "n1"), quietLog())
+			s, r, err := Open(ctx, config(srv, "n1"), testkit.QuietLog())
 			if err != nil {
 				return nil, r, errors.Join(err, srv.Close())
 			}
@@ -69,15 +59,15 @@
 func start(t *testing.T) *pgserver.Server {
 	t.Helper()
 	srv, err := server(t.TempDir())
-	must(t, err)
-	t.Cleanup(func() { must(t, srv.Close()) })
+	testkit.Must(t, err)
+	t.Cleanup(func() { testkit.Must(t, srv.Close()) })
 	return srv
 }
 
 func open(t *testing.T, c Config) (*Store, store.Recovered) {
 	t.Helper()
-	s, r, err := Open(ctx, c, quietLog())
-	must(t, err)
+	s, r, err := Open(ctx, c, testkit.QuietLog())
+	testkit.Must(t, err)
 	return s, r
 }
 
@@ -93,11 +83,11 @@
 				srv := start(t)
 				s, _ := open(t, config(srv, "n1"))
 				m := storetest.NewMessage("m", 10)
-				must(t, s.Take(ctx, m))
-				must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: []*message.Message{m}}))
+				testkit.Must(t, s.Take(ctx, m))
+				testkit.Must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: []*message.Message{m}}))
 				f.At = at
 				srv.Inject(f)
-				must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Delivered, Endpoint: "e1", At: time.Now()}))
+				testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Delivered, Endpoint: "e1", At: time.Now()}))
 				if srv.Hits(at) != 1 {
 					t.Fatalf("the fault never happened")
 				}
@@ -113,7 +103,7 @@
 				if !errors.As(err, &known) || known.End == nil || known.End.Kind != message.Delivered {
 					t.Errorf("m again: %v", err)
 				}
-				must(t, s.Close())
+				testkit.Must(t, s.Close())
 				s, r := open(t, config(srv, "n1"))
 				var ids []string
 				for _, o := range r.Owed {
@@ -126,20 +116,63 @@
 				if fmt.Sprint(ids) != want {
 					t.Errorf("owed %v, want %s", ids, want)
 				}
-				must(t, s.Close())
+				testkit.Must(t, s.Close())
 			})
 		}
 	}
 }
 
+// A server that falls silent in the middle of a transaction holds nobody up: the take that is
+// under way is undecided in time, those behind it are refused in time, and what had been
+// committed is handed over, once, when it is found out.
+func TestSilentServer(t *testing.T) {
+	for at, landed := range map[pgserver.At]bool{pgserver.AtStatement: false, pgserver.DuringCommit: true} {
+		t.Run(string(at), func(t *testing.T) {
+			srv := start(t)
+			s, _ := open(t, config(srv, "n1"))
+			late := make(chan *message.Message, 8)
+			s.OnLate(func(m *message.Message) { late <- m })
+			testkit.Must(t, s.Take(ctx, storetest.NewMessage("first", 10)))
+			srv.Inject(pgserver.Fault{At: at, Silent: true})
+			take := func(id string) (error, time.Duration) {
+				within, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+				defer cancel()
+				began := time.Now()
+				err := s.Take(within, storetest.NewMessage(id, 10))
+				return err, time.Since(began)
+			}
+			if err, took := take("under way"); !errors.Is(err, store.ErrUndecided) || took > time.Second {
+				t.Errorf("under way: %v after %v", err, took)
+			}
+			if err, took := take("behind it"); !errors.Is(err, store.ErrUnavailable) || took > time.Second {
+				t.Errorf("behind it: %v after %v", err, took)
+			}
+			testkit.Must(t, s.End(ctx)) // all is found out
+			want := 0
+			if landed {
+				want = 1
+			}
+			if len(late) != want {
+				t.Errorf("%d messages were handed over, want %d", len(late), want)
+			}
+			testkit.Must(t, s.Close())
+			s, r := open(t, config(srv, "n1"))
+			if len(r.Owed) != 1+want {
+				t.Errorf("%d owed, want %d", len(r.Owed), 1+want)
+			}
+			testkit.Must(t, s.Close())
+		})
+	}
+}
+
 // A process whose lease another has can write nothing more, whatever its clock says, and
 // hears so; what it had on record is the other's.
 func TestFenced(t *testing.T) {
 	srv := start(t)
 	old, _ := open(t, config(srv, "n1"))
 	a, b := storetest.NewMessage("a", 10), storetest.NewMessage("b", 10)
-	must(t, old.Take(ctx, a))
-	must(t, old.Take(ctx, b))
+	testkit.Must(t, old.Take(ctx, a))
+	testkit.Must(t, old.Take(ctx, b))
 	fresh, r := open(t, config(srv, "n1"))
 	if len(r.Owed) != 2 {
 		t.Fatalf("%d owed, want 2", len(r.Owed))
@@ -153,14 +186,14 @@
 	if err := old.Take(ctx, storetest.NewMessage("c", 1)); !errors.Is(err, store.ErrFenced) {
 		t.Errorf("a take of the old process: %v", err)
 	}
-	must(t, fresh.End(ctx, store.Ending{Message: r.Owed[1], End: message.End{Kind: message.Refused}}))
-	must(t, old.Close())
-	must(t, fresh.Close())
+	testkit.Must(t, fresh.End(ctx, store.Ending{Message: r.Owed[1], End: message.End{Kind: message.Refused}}))
+	testkit.Must(t, old.Close())
+	testkit.Must(t, fresh.Close())
 	fresh, r = open(t, config(srv, "n1"))
 	if len(r.Owed) != 2 || r.Owed[0].Past.Attempts != 0 || r.Owed[1].End == nil || r.Owed[1].End.Kind != message.Refused {
 		t.Errorf("owed %+v", r.Owed)
 	}
-	must(t, fresh.Close())
+	testkit.Must(t, fresh.Close())
 }
 
 // One id handed in at two nodes at once is taken by one of them.
@@ -189,8 +222,8 @@
 	if won.Load() != 20 || known.Load() != 20 {
 		t.Errorf("%d taken and %d known, want 20 and 20", won.Load(), known.Load())
 	}
-	must(t, s1.Close())
-	must(t, s2.Close())
+	testkit.Must(t, s1.Close())
+	testkit.Must(t, s2.Close())
 }
 
 // Under batching a message costs few round trips.
@@ -220,5 +253,5 @@
 			t.Errorf("%.3f round trips a message: they are not batched", per)
 		}
 	}
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 }
--- a/internal/store/sqlite/bench_test.go
+++ b/internal/store/sqlite/bench_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/internal/store/storetest"
+	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
 
@@ -34,7 +36,7 @@
 	if v := os.Getenv("WINGMOUNT_MEASURE_ROWS"); v != "" {
 		var err error
 		most, err = strconv.Atoi(v)
-		must(t, err)
+		testkit.Must(t, err)
 	}
 	const takers, rounds = 64, 5
 	for _, d := range []Durability{Power, Process} {
@@ -44,7 +46,7 @@
 		for r := range rounds { // in turn, so that what the machine does meets all
 			s, _ := mustOpen(t, c)
 			ours = append(ours, storeRate(t, s, takers, 20_000, fmt.Sprint("a", r)))
-			must(t, s.Close())
+			testkit.Must(t, s.Close())
 			raw = append(raw, rawRate(t, filepath.Join(dir, "raw.db"), d, takers, 20_000, r))
 			single = append(single, rawRate(t, filepath.Join(dir, "single.db"), d, 1, 3_000, r))
 		}
@@ -64,13 +66,13 @@
 			empty := Config{Path: filepath.Join(dir, fmt.Sprint("empty", rows, r)), Durability: Power, Keep: 100 * time.Hour, TellDelivered: true}
 			s, _ := mustOpen(t, empty)
 			without = append(without, storeRate(t, s, takers, 20_000, fmt.Sprint("b", rows, r)))
-			must(t, s.Close())
+			testkit.Must(t, s.Close())
 			s, _ = mustOpen(t, full)
 			with = append(with, storeRate(t, s, takers, 20_000, fmt.Sprint("c", rows, r)))
-			must(t, s.Close())
+			testkit.Must(t, s.Close())
 		}
 		info, err := os.Stat(full.Path)
-		must(t, err)
+		testkit.Must(t, err)
 		t.Logf("%d ended rows (%d MB): %.0f/s against %.0f/s in an empty file (ratio %.2f)",
 			rows, info.Size()>>20, median(with), median(without), median(with)/median(without))
 	}
@@ -78,9 +80,9 @@
 	c := Config{Path: filepath.Join(dir, "owed.db"), Durability: Process}
 	s, _ := mustOpen(t, c)
 	parallel(takers, 100_000, func(i int) {
-		must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("owed", i), 500)))
+		testkit.Must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("owed", i), 500)))
 	})
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -91,19 +93,11 @@
 	runtime.ReadMemStats(&after)
 	t.Logf("recovery of %d owed messages of 500 bytes: %v, %d MB of heap", len(r.Owed), took.Round(time.Millisecond), (after.HeapAlloc-before.HeapAlloc)>>20)
 	runtime.KeepAlive(r)
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 }
 
 func median(v []float64) float64 {
-	v = append([]float64(nil), v...)
-	for i := range v {
-		for j := range v[:i] {
-			if v[i] < v[j] {
-				v[i], v[j] = v[j], v[i]
-			}
-		}
-	}
-	return v[len(v)/2]
+	return slices.Sorted(slices.Values(v))[len(v)/2]
 }
 
 func parallel(workers, n int, f func(i int)) {
@@ -129,10 +123,10 @@
 	start := time.Now()
 	parallel(takers, n, func(i int) {
 		m := storetest.NewMessage(spread(prefix, i), 500)
-		must(t, s.Take(ctx, m))
-		must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: []*message.Message{m}}))
-		must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Delivered, Endpoint: "e1", At: time.Now()}))
-		must(t, s.Told(ctx, m))
+		testkit.Must(t, s.Take(ctx, m))
+		testkit.Must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: []*message.Message{m}}))
+		testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Delivered, Endpoint: "e1", At: time.Now()}))
+		testkit.Must(t, s.Told(ctx, m))
 	})
 	return float64(n) / time.Since(start).Seconds()
 }
@@ -142,45 +136,45 @@
 func rawRate(t *testing.T, path string, d Durability, group, n, round int) float64 {
 	t.Helper()
 	s, _ := mustOpen(t, Config{Path: path, Durability: d, Keep: time.Hour, TellDelivered: true})
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 	db, err := sqlite3.Open("file:" + path)
-	must(t, err)
+	testkit.Must(t, err)
 	sync := map[Durability]string{Power: "FULL", Process: "NORMAL"}[d]
-	must(t, db.Exec("PRAGMA synchronous="+sync+"; PRAGMA wal_autocheckpoint=1000; PRAGMA cache_size=-16384"))
+	testkit.Must(t, db.Exec("PRAGMA synchronous="+sync+"; PRAGMA wal_autocheckpoint=1000; PRAGMA cache_size=-16384"))
 	var st statements
-	must(t, st.prepare(db))
+	testkit.Must(t, st.prepare(db))
 	body := storetest.NewMessage("x", 500).Body
 	now := time.Now().UnixMicro()
 	base := round * n
 	start := time.Now()
 	tx := func(f func(seq int)) {
-		must(t, db.Exec("BEGIN IMMEDIATE"))
+		testkit.Must(t, db.Exec("BEGIN IMMEDIATE"))
 		for i := range group {
 			f(base + i + 1)
 		}
-		must(t, exec(st.meta, int64(base), now))
-		must(t, db.Exec("COMMIT"))
+		testkit.Must(t, exec(st.meta, int64(base), now))
+		testkit.Must(t, db.Exec("COMMIT"))
 	}
 	for done := 0; done < n; done += group {
 		tx(func(seq int) {
-			must(t, exec(st.take, seq, spread("r", seq), "key", 1, 7, now, now, body))
+			testkit.Must(t, exec(st.take, seq, spread("r", seq), "key", 1, 7, now, now, body))
 		})
 		tx(func(seq int) {
-			must(t, exec(st.call, "e1", now))
-			must(t, exec(st.past, seq, 1, 6, now, 0))
+			testkit.Must(t, exec(st.call, "e1", now))
+			testkit.Must(t, exec(st.past, seq, 1, 6, now, 0))
 		})
 		tx(func(seq int) {
-			must(t, exec(st.past, seq, 1, 5, now, 0))
-			must(t, exec(st.answer, seq, 2, 0, now, nil))
-			must(t, exec(st.drop, seq))
-			must(t, exec(st.dropPast, seq))
+			testkit.Must(t, exec(st.past, seq, 1, 5, now, 0))
+			testkit.Must(t, exec(st.answer, seq, 2, 0, now, nil))
+			testkit.Must(t, exec(st.drop, seq))
+			testkit.Must(t, exec(st.dropPast, seq))
 		})
-		tx(func(seq int) { must(t, exec(st.told, seq, now)) })
+		tx(func(seq int) { testkit.Must(t, exec(st.told, seq, now)) })
 		base += group
 	}
 	took := time.Since(start)
 	st.close()
-	must(t, db.Close())
+	testkit.Must(t, db.Close())
 	return float64(n) / took.Seconds()
 }
 
@@ -188,24 +182,24 @@
 func fill(t *testing.T, c Config, from, to int) {
 	t.Helper()
 	s, _ := mustOpen(t, c)
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 	db, err := sqlite3.Open("file:" + c.Path)
-	must(t, err)
-	must(t, db.Exec("PRAGMA synchronous=OFF; PRAGMA cache_size=-262144"))
+	testkit.Must(t, err)
+	testkit.Must(t, db.Exec("PRAGMA synchronous=OFF; PRAGMA cache_size=-262144"))
 	st, _, err := db.Prepare("INSERT INTO answer VALUES (?1, ?2, 2, 0, 7, 1, ?3, ?3, ?3)")
-	must(t, err)
+	testkit.Must(t, err)
 	now := time.Now().UnixMicro()
 	last, err := number(db, "SELECT coalesce(max(seq), 0) FROM answer")
-	must(t, err)
+	testkit.Must(t, err)
 	const slice = 100_000
 	for i := from; i < to; {
-		must(t, db.Exec("BEGIN IMMEDIATE"))
+		testkit.Must(t, db.Exec("BEGIN IMMEDIATE"))
 		for range slice {
 			i++
-			must(t, exec(st, last+int64(i-from), spread("f", i), now))
+			testkit.Must(t, exec(st, last+int64(i-from), spread("f", i), now))
 		}
-		must(t, db.Exec("COMMIT"))
+		testkit.Must(t, db.Exec("COMMIT"))
 	}
-	must(t, st.Close())
-	must(t, db.Close())
+	testkit.Must(t, st.Close())
+	testkit.Must(t, db.Close())
 }
--- a/internal/store/sqlite/inspect.go
+++ b/internal/store/sqlite/inspect.go
@@ -121,9 +121,9 @@
 			return s, plain{err}
 		}
 	}
-	s.Bytes, s.FreeBytes, s.LastCommit = pages*pageSize, free*pageSize, fromMicro(last)
+	s.Bytes, s.FreeBytes, s.LastCommit = pages*pageSize, free*pageSize, message.FromMicros(last)
 	if oldest > 0 {
-		at := fromMicro(oldest)
+		at := message.FromMicros(oldest)
 		s.OldestRunning = &at
 	}
 	s.WALBytes, s.IntentBytes = size(i.path+"-wal"), size(i.path+"-intents")
@@ -153,13 +153,14 @@
 		return err
 	}
 	for st.Step() {
-		e := store.Entry{Seq: st.ColumnInt64(0), ID: st.ColumnText(1), Dest: st.ColumnInt(2), Taken: fromMicro(st.ColumnInt64(3)), Attempts: st.ColumnInt(5)}
+		e := store.Entry{Seq: st.ColumnInt64(0), ID: st.ColumnText(1), Dest: st.ColumnInt(2), Taken: message.FromMicros(st.ColumnInt64(3)), Attempts: st.ColumnInt(5)}
 		switch kind := st.ColumnInt(7); {
 		case kind < 0:
 			e.State = "running"
 			e.Deadline, e.Bytes = at(st.ColumnInt64(4)), st.ColumnInt(11)
-			flags := st.ColumnInt(6)
-			e.MayHaveRun, e.Out = flags&flagMayRun != 0, flags&flagOut != 0
+			var p message.Past
+			p.SetFlags(st.ColumnInt64(6))
+			e.MayHaveRun, e.Out = p.MayRun, p.Out
 		default:
 			e.State, e.Outcome = "owed", message.Kind(kind).String()
 			e.RetryInMs, e.Ended, e.Told = st.ColumnInt64(8), at(st.ColumnInt64(9)), at(st.ColumnInt64(10))
--- a/internal/store/sqlite/inspect_test.go
+++ b/internal/store/sqlite/inspect_test.go
@@ -17,6 +17,7 @@
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/internal/store/storetest"
+	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
 
@@ -27,25 +28,25 @@
 	var ms []*message.Message
 	for i := range 5 {
 		m := storetest.NewMessage(fmt.Sprint("m", i), 100)
-		must(t, s.Take(ctx, m))
+		testkit.Must(t, s.Take(ctx, m))
 		ms = append(ms, m)
 	}
 	at := time.Now()
-	must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", At: at, Messages: ms[:2]}))
-	must(t, s.Outcome(ctx, store.Outcome{Message: ms[0], Outcome: policy.Delivered, Endpoint: "e1", At: at}))
-	must(t, s.End(ctx, store.Ending{Message: ms[2], End: message.End{Kind: message.Refused, RetryAfter: time.Second}}))
-	must(t, s.Told(ctx, ms[0]))
-	must(t, s.End(ctx))
+	testkit.Must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", At: at, Messages: ms[:2]}))
+	testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: ms[0], Outcome: policy.Delivered, Endpoint: "e1", At: at}))
+	testkit.Must(t, s.End(ctx, store.Ending{Message: ms[2], End: message.End{Kind: message.Refused, RetryAfter: time.Second}}))
+	testkit.Must(t, s.Told(ctx, ms[0]))
+	testkit.Must(t, s.End(ctx))
 	i, err := Inspect(c.Path)
-	must(t, err)
-	must(t, i.Check())
+	testkit.Must(t, err)
+	testkit.Must(t, i.Check())
 	st, err := i.Stat()
-	must(t, err)
+	testkit.Must(t, err)
 	if st.Running != 3 || st.Owed != 1 || st.Kept != 1 || st.Attempts != 1 || st.OldestRunning == nil || st.Bytes == 0 || st.Schema != len(migrations) {
 		t.Errorf("stat %+v", st)
 	}
 	var got []string
-	must(t, i.Entries("", func(e store.Entry) error {
+	testkit.Must(t, i.Entries("", func(e store.Entry) error {
 		got = append(got, fmt.Sprint(e.ID, " ", e.State, " ", e.Outcome, " ", e.Attempts, " ", e.Out))
 		return nil
 	}))
@@ -54,12 +55,12 @@
 		t.Errorf("entries %q, want %q", got, want)
 	}
 	n := 0
-	must(t, i.Entries("m2", func(store.Entry) error { n++; return nil }))
+	testkit.Must(t, i.Entries("m2", func(store.Entry) error { n++; return nil }))
 	if n != 1 {
 		t.Errorf("m2 is there %d times", n)
 	}
-	must(t, i.Close())
-	must(t, s.Close())
+	testkit.Must(t, i.Close())
+	testkit.Must(t, s.Close())
 	if _, err := Inspect(filepath.Join(t.TempDir(), "none.db")); err == nil {
 		t.Error("a file that is not there was opened")
 	}
@@ -87,16 +88,16 @@
 			}
 		}
 	})
-	eventually(t, "some messages", func() bool { return taken.Load() > 50 })
+	testkit.Eventually(t, "some messages", func() bool { return taken.Load() > 50 })
 	for k := range 3 {
 		i, err := Inspect(c.Path)
-		must(t, err)
+		testkit.Must(t, err)
 		to := filepath.Join(dir, fmt.Sprint("copy", k))
-		must(t, i.Backup(to))
+		testkit.Must(t, i.Backup(to))
 		if err := i.Backup(to); err == nil || !strings.Contains(err.Error(), "is there already") {
 			t.Errorf("over a file that is there: %v", err)
 		}
-		must(t, i.Close())
+		testkit.Must(t, i.Close())
 		copied, r := mustOpen(t, Config{Path: to, Durability: Power, Keep: time.Hour, TellDelivered: true})
 		if len(r.Owed) < 50 {
 			t.Errorf("the copy holds %d messages", len(r.Owed))
@@ -106,12 +107,12 @@
 				t.Fatalf("message %d of the copy is %s", n, m.ID)
 			}
 		}
-		must(t, copied.Take(ctx, storetest.NewMessage("new", 1)))
-		must(t, copied.Close())
+		testkit.Must(t, copied.Take(ctx, storetest.NewMessage("new", 1)))
+		testkit.Must(t, copied.Close())
 	}
 	close(stop)
 	taking.Wait()
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 }
 
 // A backup that is cut off leaves no file that could be taken for one, the next one goes
@@ -122,16 +123,16 @@
 			dir, image := t.TempDir(), t.TempDir()
 			c := config(dir)
 			s, _ := mustOpen(t, c)
-			must(t, s.Take(ctx, storetest.NewMessage("a", 1)))
+			testkit.Must(t, s.Take(ctx, storetest.NewMessage("a", 1)))
 			i, err := Inspect(c.Path)
-			must(t, err)
+			testkit.Must(t, err)
 			clear, err := fail.Set(point, func() error { return storetest.Image(dir, image) })
-			must(t, err)
+			testkit.Must(t, err)
 			defer clear()
-			must(t, i.Backup(filepath.Join(dir, "copy")))
+			testkit.Must(t, i.Backup(filepath.Join(dir, "copy")))
 			clear()
-			must(t, i.Close())
-			must(t, s.Close())
+			testkit.Must(t, i.Close())
+			testkit.Must(t, s.Close())
 			if _, err := os.Stat(filepath.Join(image, "copy")); !errors.Is(err, os.ErrNotExist) {
 				t.Errorf("a file that looks like a backup: %v", err)
 			}
@@ -140,10 +141,10 @@
 				t.Errorf("owed %v", r.Owed)
 			}
 			i, err = Inspect(config(image).Path)
-			must(t, err)
-			must(t, i.Backup(filepath.Join(image, "copy")))
-			must(t, i.Close())
-			must(t, s.Close())
+			testkit.Must(t, err)
+			testkit.Must(t, i.Backup(filepath.Join(image, "copy")))
+			testkit.Must(t, i.Close())
+			testkit.Must(t, s.Close())
 		})
 	}
 }
@@ -155,12 +156,12 @@
 	if _, _, err := Migrate(c); err == nil || !strings.Contains(err.Error(), "in use") {
 		t.Errorf("a file in use: %v", err)
 	}
-	must(t, s.Take(ctx, storetest.NewMessage("a", 1)))
-	must(t, s.Close())
+	testkit.Must(t, s.Take(ctx, storetest.NewMessage("a", 1)))
+	testkit.Must(t, s.Close())
 	db, err := sqlite3.Open("file:" + c.Path)
-	must(t, err)
-	must(t, db.Exec("DROP TABLE call; PRAGMA user_version = 1")) // as the first schema left it
-	must(t, db.Close())
+	testkit.Must(t, err)
+	testkit.Must(t, db.Exec("DROP TABLE call; PRAGMA user_version = 1")) // as the first schema left it
+	testkit.Must(t, db.Close())
 	if _, err := Inspect(c.Path); err == nil || !strings.Contains(err.Error(), "store migrate") {
 		t.Errorf("an old schema: %v", err)
 	}
@@ -172,5 +173,5 @@
 	if len(r.Owed) != 1 {
 		t.Errorf("owed %v", r.Owed)
 	}
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 }
--- a/internal/store/sqlite/sqlite_test.go
+++ b/internal/store/sqlite/sqlite_test.go
@@ -1,8 +1,6 @@
 package sqlite
 
 import (
-	"io"
-	"log/slog"
 	"path/filepath"
 	"testing"
 	"time"
@@ -11,12 +9,11 @@
 
 	"wingmount/internal/store"
 	"wingmount/internal/store/storetest"
+	"wingmount/internal/testkit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
-
 func config(dir string) Config {
 	return Config{Path: filepath.Join(dir, "wingmount.db"), Durability: Process, Keep: time.Hour, TellDelivered: true, MaxBytes: 24 << 20}
 }
@@ -24,5 +21,5 @@
 func TestConformance(t *testing.T) {
 	storetest.Run(t, storetest.Maker{Points: "store/sqlite/", KeepsAnswers: true, Histories: 40,
 		Elsewhere: []string{"store/sqlite/during-retention", "store/sqlite/during-backup", "store/sqlite/before-backup-rename"}, TellsDelivered: true, Fills: true,
-		Open: func(dir string) (store.Store, store.Recovered, error) { return Open(config(dir), quietLog()) }})
+		Open: func(dir string) (store.Store, store.Recovered, error) { return Open(config(dir), testkit.QuietLog()) }})
 }
--- a/internal/store/sqlite/trouble_test.go
+++ b/internal/store/sqlite/trouble_test.go
@@ -18,22 +18,16 @@
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/internal/store/storetest"
+	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
 
 var ctx = context.Background()
 
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func mustOpen(t *testing.T, c Config) (*Store, store.Recovered) {
 	t.Helper()
-	s, r, err := Open(c, quietLog())
-	must(t, err)
+	s, r, err := Open(c, testkit.QuietLog())
+	testkit.Must(t, err)
 	return s, r
 }
 
@@ -46,17 +40,6 @@
 	return errors.Join(db.BusyTimeout(10*time.Second), db.Exec("PRAGMA wal_checkpoint(TRUNCATE)"), db.Close())
 }
 
-// eventually waits for something that a goroutine of the store's brings about.
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	t.Fatalf("never seen: %s", what)
-}
-
 // A file that can't be trusted is refused with a plain message, and neither it nor its WAL
 // is touched.
 func TestRefusedFiles(t *testing.T) {
@@ -65,27 +48,27 @@
 		dir := t.TempDir()
 		s, _ := mustOpen(t, config(dir))
 		for i := range 40 {
-			must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("m", i), 3000)))
+			testkit.Must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("m", i), 3000)))
 		}
-		must(t, checkpoint(config(dir)))
+		testkit.Must(t, checkpoint(config(dir)))
 		for i := range 10 {
-			must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("late", i), 3000)))
+			testkit.Must(t, s.Take(ctx, storetest.NewMessage(fmt.Sprint("late", i), 3000)))
 		}
 		to := t.TempDir()
-		must(t, storetest.Image(dir, to))
-		must(t, s.Close())
+		testkit.Must(t, storetest.Image(dir, to))
+		testkit.Must(t, s.Close())
 		return config(to)
 	}
 	edit := func(t *testing.T, path string, f func([]byte) []byte) {
 		data, err := os.ReadFile(path)
-		must(t, err)
-		must(t, os.WriteFile(path, f(data), 0o600))
+		testkit.Must(t, err)
+		testkit.Must(t, os.WriteFile(path, f(data), 0o600))
 	}
 	sql := func(t *testing.T, c Config, text string) {
 		db, err := sqlite3.Open("file:" + c.Path)
-		must(t, err)
-		must(t, db.Exec(text))
-		must(t, db.Close())
+		testkit.Must(t, err)
+		testkit.Must(t, db.Exec(text))
+		testkit.Must(t, db.Close())
 	}
 	for name, c := range map[string]struct {
 		spoil func(*testing.T, Config)
@@ -98,8 +81,8 @@
 			edit(t, c.Path, func(b []byte) []byte { b[30*pageSize+pageSize/2] ^= 1; return b })
 		}, "is damaged"},
 		"no database": {func(t *testing.T, c Config) {
-			must(t, os.Remove(c.Path+"-wal"))
-			must(t, os.WriteFile(c.Path, bytes.Repeat([]byte("what? "), 2000), 0o600))
+			testkit.Must(t, os.Remove(c.Path+"-wal"))
+			testkit.Must(t, os.WriteFile(c.Path, bytes.Repeat([]byte("what? "), 2000), 0o600))
 		}, "is damaged, or no database"},
 		"cut in the middle of the file": {func(t *testing.T, c Config) {
 			edit(t, c.Path, func(b []byte) []byte { return b[:len(b)/2/pageSize*pageSize] })
@@ -107,13 +90,13 @@
 		"truncated WAL": {func(t *testing.T, c Config) {
 			edit(t, c.Path+"-wal", func(b []byte) []byte { return b[:len(b)/2] })
 		}, "has lost commits"},
-		"no WAL": {func(t *testing.T, c Config) { must(t, os.Remove(c.Path+"-wal")) }, "has lost commits"},
+		"no WAL": {func(t *testing.T, c Config) { testkit.Must(t, os.Remove(c.Path+"-wal")) }, "has lost commits"},
 		"newer schema": {func(t *testing.T, c Config) {
 			sql(t, c, fmt.Sprintf("PRAGMA user_version = %d", len(migrations)+1))
 		}, "written by a newer one"},
 		"of something else": {func(t *testing.T, c Config) {
 			for _, end := range []string{"", "-wal", "-witness"} {
-				must(t, os.Remove(c.Path+end))
+				testkit.Must(t, os.Remove(c.Path+end))
 			}
 			sql(t, c, "CREATE TABLE cats (name TEXT)")
 		}, "a database of something else"},
@@ -122,14 +105,14 @@
 			conf := image(t)
 			c.spoil(t, conf)
 			before, err := os.ReadFile(conf.Path)
-			must(t, err)
+			testkit.Must(t, err)
 			wal, _ := os.ReadFile(conf.Path + "-wal") // may not be there
-			_, _, err = Open(conf, quietLog())
+			_, _, err = Open(conf, testkit.QuietLog())
 			if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
 				t.Errorf("opened with %v, want one line with %q", err, c.want)
 			}
 			after, err := os.ReadFile(conf.Path)
-			must(t, err)
+			testkit.Must(t, err)
 			walAfter, _ := os.ReadFile(conf.Path + "-wal")
 			if !bytes.Equal(before, after) || !bytes.Equal(wal, walAfter) {
 				t.Error("the files were touched")
@@ -141,7 +124,7 @@
 		if len(r.Owed) != 50 {
 			t.Errorf("%d messages are owed, want 50", len(r.Owed))
 		}
-		must(t, s.Close())
+		testkit.Must(t, s.Close())
 	})
 }
 
@@ -149,28 +132,28 @@
 func TestOneNodeAFile(t *testing.T) {
 	c := config(t.TempDir())
 	s, _ := mustOpen(t, c)
-	if _, _, err := Open(c, quietLog()); err == nil || !strings.Contains(err.Error(), "in use by another node") {
+	if _, _, err := Open(c, testkit.QuietLog()); err == nil || !strings.Contains(err.Error(), "in use by another node") {
 		t.Errorf("opened a second time: %v", err)
 	}
-	must(t, s.Take(ctx, storetest.NewMessage("a", 1)))
-	must(t, s.Close())
+	testkit.Must(t, s.Take(ctx, storetest.NewMessage("a", 1)))
+	testkit.Must(t, s.Close())
 	s, r := mustOpen(t, c)
 	if len(r.Owed) != 1 {
 		t.Errorf("owed %v", r.Owed)
 	}
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 }
 
 // locker holds the write lock of a file.
 func locker(t *testing.T, c Config) (unlock func()) {
 	t.Helper()
 	db, err := sqlite3.Open("file:" + c.Path)
-	must(t, err)
-	must(t, db.BusyTimeout(10*time.Second))
-	must(t, db.Exec("BEGIN IMMEDIATE"))
+	testkit.Must(t, err)
+	testkit.Must(t, db.BusyTimeout(10*time.Second))
+	testkit.Must(t, db.Exec("BEGIN IMMEDIATE"))
 	return func() {
-		must(t, db.Exec("ROLLBACK"))
-		must(t, db.Close())
+		testkit.Must(t, db.Exec("ROLLBACK"))
+		testkit.Must(t, db.Close())
 	}
 }
 
@@ -182,7 +165,7 @@
 	var ms []*message.Message
 	for i := range 20 {
 		m := storetest.NewMessage(fmt.Sprint("m", i), 100)
-		must(t, s.Take(ctx, m))
+		testkit.Must(t, s.Take(ctx, m))
 		ms = append(ms, m)
 	}
 	unlock := locker(t, c)
@@ -191,7 +174,7 @@
 	if err := s.Take(short, storetest.NewMessage("first", 1)); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("a take on a locked file: %v", err)
 	}
-	eventually(t, "that the file is known to be locked", func() bool { return s.Stuck() != nil })
+	testkit.Eventually(t, "that the file is known to be locked", func() bool { return s.Stuck() != nil })
 	for i := range 100 {
 		start := time.Now()
 		err := s.Take(ctx, storetest.NewMessage(fmt.Sprint("more", i), 1))
@@ -205,21 +188,21 @@
 	if err := s.Attempt(gone, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: ms[:1]}); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("an attempt: %v", err)
 	}
-	must(t, s.Outcome(ctx, store.Outcome{Message: ms[0], Outcome: policy.Moot, Endpoint: "e1", At: time.Now()}))
+	testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: ms[0], Outcome: policy.Moot, Endpoint: "e1", At: time.Now()}))
 	ended := make(chan error, len(ms))
 	for _, m := range ms[1:] {
 		go func() { ended <- s.End(ctx, store.Ending{Message: m, End: message.End{Kind: message.Refused}}) }()
 	}
-	eventually(t, "the ends in the queue", func() bool { return s.Pending() == len(ms)+1 })
+	testkit.Eventually(t, "the ends in the queue", func() bool { return s.Pending() == len(ms)+1 })
 	if len(ended) != 0 {
 		t.Error("an end returned though it can't be on record")
 	}
 	unlock()
 	for range ms[1:] {
-		must(t, <-ended)
+		testkit.Must(t, <-ended)
 	}
-	must(t, s.Take(ctx, storetest.NewMessage("after", 1)))
-	must(t, s.Close())
+	testkit.Must(t, s.Take(ctx, storetest.NewMessage("after", 1)))
+	testkit.Must(t, s.Close())
 	s, r := mustOpen(t, c)
 	var running, ends []string
 	for _, m := range r.Owed {
@@ -232,7 +215,7 @@
 	if fmt.Sprint(running) != "[m0 1 false after 0 false]" || len(ends) != len(ms)-1 {
 		t.Errorf("running %v and %d ends, want m0, after and %d", running, len(ends), len(ms)-1)
 	}
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 }
 
 // A transaction that fails, at whatever point, refuses its takes and loses nothing else; and
@@ -243,25 +226,25 @@
 			c := config(t.TempDir())
 			s, _ := mustOpen(t, c)
 			m := storetest.NewMessage("m", 10)
-			must(t, s.Take(ctx, m))
+			testkit.Must(t, s.Take(ctx, m))
 			clear, err := fail.Set(point, func() error { return fail.Injected{Point: point} })
-			must(t, err)
+			testkit.Must(t, err)
 			defer clear()
 			if err := s.Take(ctx, storetest.NewMessage("x", 10)); !errors.Is(err, store.ErrUnavailable) {
 				t.Errorf("take: %v", err)
 			}
 			ended := make(chan error)
 			go func() { ended <- s.End(ctx, store.Ending{Message: m}) }()
-			eventually(t, "the end in the queue", func() bool { return s.Pending() == 1 })
+			testkit.Eventually(t, "the end in the queue", func() bool { return s.Pending() == 1 })
 			clear()
-			must(t, <-ended)
-			eventually(t, "takes again", func() bool { return s.Take(ctx, storetest.NewMessage("y", 10)) == nil })
-			must(t, s.Close())
+			testkit.Must(t, <-ended)
+			testkit.Eventually(t, "takes again", func() bool { return s.Take(ctx, storetest.NewMessage("y", 10)) == nil })
+			testkit.Must(t, s.Close())
 			s, r := mustOpen(t, c)
 			if len(r.Owed) != 2 || r.Owed[0].End == nil || r.Owed[1].ID != "y" {
 				t.Errorf("%d owed, want the end of m, and y", len(r.Owed))
 			}
-			must(t, s.Close())
+			testkit.Must(t, s.Close())
 		})
 	}
 }
@@ -275,8 +258,8 @@
 		t.Errorf("take: %v", err)
 	}
 	unlock()
-	eventually(t, "takes again", func() bool { return s.Take(ctx, storetest.NewMessage("x", 10)) == nil })
-	must(t, s.Close())
+	testkit.Eventually(t, "takes again", func() bool { return s.Take(ctx, storetest.NewMessage("x", 10)) == nil })
+	testkit.Must(t, s.Close())
 }
 
 // A store that closes while its file is locked says what it could not write.
@@ -284,9 +267,9 @@
 	c := config(t.TempDir())
 	s, _ := mustOpen(t, c)
 	m := storetest.NewMessage("m", 10)
-	must(t, s.Take(ctx, m))
+	testkit.Must(t, s.Take(ctx, m))
 	unlock := locker(t, c)
-	must(t, s.Told(ctx, m))
+	testkit.Must(t, s.Told(ctx, m))
 	if err := s.Close(); err == nil || !strings.Contains(err.Error(), "1 records could not be written") {
 		t.Errorf("closed with %v", err)
 	}
@@ -311,7 +294,7 @@
 		}
 		return nil
 	})
-	must(t, err)
+	testkit.Must(t, err)
 	defer clear()
 	const n = 2*sweepMax + 10
 	var ms []*message.Message
@@ -321,13 +304,13 @@
 		ms = append(ms, m)
 		ends = append(ends, store.Ending{Message: m})
 	}
-	parallel(64, n, func(i int) { must(t, s.Take(ctx, ms[i])) })
-	must(t, s.End(ctx, ends...))
+	parallel(64, n, func(i int) { testkit.Must(t, s.Take(ctx, ms[i])) })
+	testkit.Must(t, s.End(ctx, ends...))
 	owed := ms[7]
-	must(t, s.Told(ctx, append(append([]*message.Message(nil), ms[:7]...), ms[8:]...)...))
-	must(t, s.End(ctx)) // behind it, and durable
+	testkit.Must(t, s.Told(ctx, append(append([]*message.Message(nil), ms[:7]...), ms[8:]...)...))
+	testkit.Must(t, s.End(ctx)) // behind it, and durable
 	told.Store(true)
-	eventually(t, "that told answers go", func() bool {
+	testkit.Eventually(t, "that told answers go", func() bool {
 		m := storetest.NewMessage(ms[n-1].ID, 0)
 		err := s.Take(ctx, m)
 		return err == nil
@@ -336,7 +319,7 @@
 	if err := s.Take(ctx, storetest.NewMessage(owed.ID, 0)); !errors.As(err, &known) || known.End == nil {
 		t.Errorf("an answer that is owed still was let go of: %v", err)
 	}
-	must(t, s.Close())
+	testkit.Must(t, s.Close())
 	clear()
 	if len(images) < 2 {
 		t.Fatalf("%d slices were seen, want one for each %d rows", len(images), sweepMax)
@@ -346,6 +329,6 @@
 		if len(r.Owed) != 1 || r.Owed[0].ID != owed.ID {
 			t.Errorf("a crash during retention leaves %d owed, want %s alone", len(r.Owed), owed.ID)
 		}
-		must(t, again.Close())
+		testkit.Must(t, again.Close())
 	}
 }
--- a/internal/store/sqlite/writer.go
+++ b/internal/store/sqlite/writer.go
@@ -191,7 +191,7 @@
 			return nil, err
 		}
 		if e := o.Memory; e != nil {
-			if err := exec(s.st.endpoint, o.Endpoint, e.FailedAt.UnixMicro(), micro(e.BackAt)); err != nil {
+			if err := exec(s.st.endpoint, o.Endpoint, e.FailedAt.UnixMicro(), message.Micros(e.BackAt)); err != nil {
 				return nil, err
 			}
 		}
@@ -208,20 +208,6 @@
 	return nil, nil
 }
 
-func micro(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixMicro()
-}
-
-func fromMicro(us int64) time.Time {
-	if us == 0 {
-		return time.Time{}
-	}
-	return time.UnixMicro(us)
-}
-
 func (s *file) take(o *group.Record) (result, err error) {
 	m := o.Message
 	if err := exec(s.st.take, m.Seq, m.ID, m.Key, m.Class, m.Dest, m.Deadline.UnixMicro(), o.At.UnixMicro(), m.Body); err != nil {
@@ -241,22 +227,9 @@
 	return known, st.Reset()
 }
 
-// Flags of a past.
-const (
-	flagSettled = 1 << iota
-	flagOut
-	flagMayRun
-)
-
 func (s *file) past(o *group.Record) error {
 	for i, p := range o.Pasts {
-		flags := 0
-		for bit, set := range map[int]bool{flagSettled: p.Settled, flagOut: p.Out, flagMayRun: p.MayRun} {
-			if set {
-				flags |= bit
-			}
-		}
-		if err := exec(s.st.past, o.Seqs[i], p.Attempts, flags, micro(p.RanAt), p.RanZone); err != nil {
+		if err := exec(s.st.past, o.Seqs[i], p.Attempts, p.Flags(), message.Micros(p.RanAt), p.RanZone); err != nil {
 			return err
 		}
 	}
@@ -357,9 +330,8 @@
 			ORDER BY 1`, func(st *sqlite3.Stmt) {
 			m := &message.Message{Seq: policy.MessageID(st.ColumnInt64(0)), ID: st.ColumnText(1), Key: st.ColumnText(2),
 				Class: st.ColumnInt(3), Dest: st.ColumnInt(4), Deadline: time.UnixMicro(st.ColumnInt64(5)), Body: st.ColumnBlob(6, nil)}
-			flags := st.ColumnInt(8)
-			m.Past = message.Past{Attempts: st.ColumnInt(7), Settled: flags&flagSettled != 0, Out: flags&flagOut != 0,
-				MayRun: flags&flagMayRun != 0, RanAt: fromMicro(st.ColumnInt64(9)), RanZone: st.ColumnInt(10)}
+			m.Past = message.Past{Attempts: st.ColumnInt(7), RanAt: message.FromMicros(st.ColumnInt64(9)), RanZone: st.ColumnInt(10)}
+			m.Past.SetFlags(st.ColumnInt64(8))
 			m.Past.Interrupt()
 			if kind := st.ColumnInt(11); kind >= 0 {
 				m.End = &message.End{Kind: message.Kind(kind), RetryAfter: time.Duration(st.ColumnInt64(12)) * time.Millisecond}
@@ -367,7 +339,7 @@
 			r.Owed = append(r.Owed, m)
 		}),
 		rows(`SELECT name, failed, back FROM endpoint`, func(st *sqlite3.Stmt) {
-			e := store.Memory{FailedAt: fromMicro(st.ColumnInt64(1)), BackAt: fromMicro(st.ColumnInt64(2))}
+			e := store.Memory{FailedAt: message.FromMicros(st.ColumnInt64(1)), BackAt: message.FromMicros(st.ColumnInt64(2))}
 			r.Memories[st.ColumnText(0)] = &e
 		}),
 		rows(`SELECT endpoint, at FROM call ORDER BY n`, func(st *sqlite3.Stmt) {
@@ -384,6 +356,6 @@
 	if err != nil {
 		return store.Recovered{}, 0, err
 	}
-	r.Rebase(fromMicro(latest), time.Now())
+	r.Rebase(message.FromMicros(latest), time.Now())
 	return r, policy.MessageID(last), nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -32,6 +32,9 @@
 	// ErrFenced says that the messages of this node are another's, or a newer process's under
 	// its name: nothing may be sent, told or taken for them any more.
 	ErrFenced = errors.New("the messages belong to another node")
+	// ErrUndecided says that whether a message was taken is not known in time. If it was, it
+	// is owed like any other, and is handed over by [Late].
+	ErrUndecided = errors.New("whether the message is on record is not known yet")
 	// ErrUnavailable says that the store can't be reached, is locked or does not answer.
 	ErrUnavailable = errors.New("the store is not available")
 )
@@ -116,7 +119,8 @@
 	// nil; otherwise it is not taken, and no later life finds it. A [KnownError] where its
 	// id is on record, of a message whose answer is not told, or is kept still. ErrFull
 	// where there is no room for all that it may need until its answer is told.
-	// ErrUnavailable where it could not be put on record before the context ended.
+	// ErrUnavailable where it could not be put on record before the context ended, and
+	// ErrUndecided, from a store that is [Late], where that is not known by then.
 	Take(ctx context.Context, m *message.Message) error
 	// Attempt puts on record that messages are about to be sent in one call. It is durable
 	// when Attempt returns nil; otherwise the call must not be made, though the attempt may
@@ -141,6 +145,14 @@
 	Close() error
 }
 
+// Late is a store that can put a message on record after its Take has returned
+// [ErrUndecided].
+type Late interface {
+	// OnLate sets who is handed such messages, each once. It is called before the first Take;
+	// without it Take waits until it knows.
+	OnLate(func(*message.Message))
+}
+
 // Rebase corrects what was recovered when the clock has been set back since: latest is the
 // latest time on record, now is after it otherwise. How long the node was away is not known
 // then. No message gets more time than it had left, and a key that may have been used counts
--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,36 @@
+// Package testkit has the few lines that tests of all packages need.
+package testkit
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+)
+
+// Patience is how long Eventually waits: long enough for a busy machine, since a test that
+// passes never waits for it.
+const Patience = 20 * time.Second
+
+// Must ends the test on an error.
+func Must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// QuietLog is a log that nobody reads.
+func QuietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// Eventually waits for something that another goroutine or process brings about, and ends
+// the test where it never comes.
+func Eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never seen: %s", what)
+}
