Discovery: a fleet asks again with full jitter by its size, and only for changes

At fault: watchPause after errors in internal/platform/discovery.go, the first call at the start of each node, and the whole list where a version is known.

Ruled out: silence of discovery (no call timed out before; with the pauses alone 112 whole lists timed out after 1 s, so an answer now has up to 2.5 s by the fleet's size).

Now a node that knows a list first asks after a time drawn from its share of the fleet's calls, for what changed since its version; after a refusal from a span that doubles. All nodes together make about ten calls a second, whatever their number; three nodes ask as often as before within a factor of two. A version older than the last asks for the whole.

--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -127,12 +127,12 @@
 	var running sync.WaitGroup
 	quiet := make(chan struct{})
 	running.Go(func() { n.engine.Run(life, quiet) })
+	if len(known.Members) > 0 {
+		n.engine.Post(known) // before changes to it come
+	}
 	for _, run := range n.others {
 		running.Go(func() { run(life) })
 	}
-	if len(known.Members) > 0 {
-		n.engine.Post(known)
-	}
 	n.owe(store.Recovered{Owed: n.recovered.Owed})
 	server := httpfront.NewServer(n.listener, n.intake, n.log)
 	served := make(chan error, 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"runtime/debug"
 	"time"
@@ -25,6 +26,8 @@
 	// endpointShare of all for calls. Clients have the rest.
 	ownSockets    = 32
 	endpointShare = 0.25
+	// directorySeed tells the random numbers of calls at the directory from the module's.
+	directorySeed = 0xd15c
 	// anySockets is what counts where the configuration tells no limit.
 	anySockets = 1024
 )
@@ -95,7 +98,8 @@
 		n.engineParts.Notes = peers
 		n.beside(peers.Run)
 	}
-	follower := platform.NewDiscovery(c.Discovery, log, func(l directory.List) { n.engine.Post(l) })
+	follower := platform.NewDiscovery(c.Discovery, platform.Fleet{Nodes: c.Settings.Senders, Rand: rand.New(rand.NewPCG(c.Seed, directorySeed))},
+		c.Known, log, func(l directory.List) { n.engine.Post(l) })
 	n.beside(follower.Run)
 	n.beside(func(life context.Context) {
 		reload.run(life, log, func(addr string) {
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -17,18 +18,59 @@
 const (
 	// watchWait is how long one watch waits for news. It is short, so that a call
 	// which hangs in a silent agent is soon given up for a new one.
-	watchWait   = 2 * time.Second
-	watchMargin = time.Second
+	watchWait = 2 * time.Second
+	// An answer to a new call has so long to come, as there are many nodes: given up too
+	// early it was made in vain, and the call comes again.
+	minAnswer, maxAnswer = time.Second, 2500 * time.Millisecond
 	// watchPause must stay well under the 200 ms in which a watch goes on.
 	watchPause = 50 * time.Millisecond
 	maxList    = 4 << 20
+	// askGap is what all nodes together leave between two new calls to a directory that
+	// refuses them, in the mean: one node takes its part of it, as there are so many.
+	askGap = 100 * time.Millisecond
+	// minSpan is the longest span that a small fleet draws from: who is few asks often.
+	minSpan = time.Second
+	// maxNodes bounds what a wrong count can do: a call in 17 minutes still comes.
+	maxNodes = 10_000
 )
 
+// Fleet is what the spacing of calls at a directory follows. It answers for all
+// nodes, and each call that it turns away, or starts to answer for nobody, delays all others.
+type Fleet struct {
+	Nodes int
+	Rand  *rand.Rand
+}
+
+// first is when a node that knows a list asks for the next one: nodes that a release
+// starts together do not ask together.
+func (f Fleet) first() time.Duration { return f.draw(f.share()) }
+
+// again is when to ask after so many failures in a row: with full jitter, from a span that
+// doubles once. A mean of half a span at each node makes one call in askGap of all.
+func (f Fleet) again(failures int) time.Duration {
+	span := min(watchPause<<min(failures, 10), max(minSpan, 2*f.share()))
+	if f.share() > minSpan {
+		span = f.share() << min(failures-1, 1)
+	}
+	return watchPause + f.draw(span)
+}
+
+// patience is how long an answer may take: as long as all others' calls before it.
+func (f Fleet) patience() time.Duration { return min(max(minAnswer, f.share()), maxAnswer) }
+
+func (f Fleet) share() time.Duration { return time.Duration(min(max(1, f.Nodes), maxNodes)) * askGap }
+
+func (f Fleet) draw(span time.Duration) time.Duration {
+	return time.Duration(f.Rand.Int64N(int64(span)))
+}
+
 // Discovery follows the list of endpoints.
 type Discovery struct {
 	client *http.Client
 	log    *slog.Logger
 	tell   func(directory.List)
+	fleet  Fleet
+	known  int64 // the version of the list that is known from before, or -1
 
 	mu    sync.Mutex
 	url   string
@@ -36,9 +78,14 @@
 }
 
 // NewDiscovery returns a follower of the directory at an address, which tells each list
-// in turn, and marks it as fresh.
-func NewDiscovery(addr string, log *slog.Logger, tell func(directory.List)) *Discovery {
-	return &Discovery{url: listURL(addr), log: log, tell: tell,
+// in turn, and marks it as fresh. One that knows a whole list from before is in no
+// hurry, and asks only for what has changed since: a whole list costs the directory most.
+func NewDiscovery(addr string, fleet Fleet, known directory.List, log *slog.Logger, tell func(directory.List)) *Discovery {
+	at := int64(-1)
+	if known.Complete && len(known.Members) > 0 {
+		at = known.Revision
+	}
+	return &Discovery{url: listURL(addr), log: log, tell: tell, fleet: fleet, known: at,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 }
 
@@ -58,24 +105,30 @@
 
 // Run follows the list until the context ends.
 func (d *Discovery) Run(ctx context.Context) {
+	known := d.known
+	if known >= 0 {
+		pause(ctx, d.fleet.first())
+	}
 	for ctx.Err() == nil {
 		here, leave := context.WithCancel(ctx)
 		d.mu.Lock()
 		url := d.url
 		d.leave = leave
 		d.mu.Unlock()
-		d.follow(here, url)
+		d.follow(here, url, known)
 		leave()
+		known = -1
 		d.client.CloseIdleConnections()
 	}
 }
 
-// follow fetches the whole list and then watches it until the context ends. It
-// starts anew at each address: versions told by another may mean something else.
-func (d *Discovery) follow(ctx context.Context, base string) {
-	at := int64(-1)
+// follow fetches the whole list, unless that of a version is known, and then watches it until
+// the context ends. It starts anew at each address, and where a version is told that is older
+// than the last: versions told by another may mean something else.
+func (d *Discovery) follow(ctx context.Context, base string, at int64) {
+	failures, heard := 0, false
 	for ctx.Err() == nil {
-		url, limit := base, watchMargin
+		url, limit := base, d.fleet.patience()
 		if at >= 0 {
 			url = fmt.Sprintf("%s?index=%d&wait=%d", base, at, watchWait.Milliseconds())
 			limit += watchWait
@@ -85,27 +138,40 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil && (l.Complete || at >= 0 && l.Revision > at) {
+		if err == nil && (l.Complete || at >= 0 && (l.Revision > at || l.Revision == at && !heard)) {
 			l.Fresh = true
-			d.tell(l)
-			at = l.Revision
+			d.tell(l) // the first answer also where nothing has changed: what is known is right
+			at, failures, heard = l.Revision, 0, true
+			continue
+		}
+		if err == nil && l.Revision < at {
+			at = -1
 			continue
 		}
 		if err == nil && at < 0 {
 			err = errors.New("the whole list was asked for and a part came")
 		}
-		if err != nil || time.Since(asked) < watchPause { // no agent answers a watch at once with nothing
-			if err != nil && ctx.Err() == nil {
-				d.log.Warn("discovery: no list", "err", err)
-			}
-			select {
-			case <-time.After(watchPause):
-			case <-ctx.Done():
-			}
+		switch {
+		case err != nil:
+			failures++
+			d.log.Warn("discovery: no list", "err", err)
+			pause(ctx, d.fleet.again(failures))
+		case time.Since(asked) < watchPause: // no agent answers a watch at once with nothing
+			pause(ctx, watchPause)
+		default:
+			failures = 0
 		}
 	}
 }
 
+// pause waits, until the context ends at the latest.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (d *Discovery) get(ctx context.Context, url string, limit time.Duration) (directory.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- /dev/null
+++ b/internal/platform/discovery_test.go
@@ -0,0 +1,143 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"wingmount/internal/directory"
+	"wingmount/internal/testkit"
+)
+
+// However many nodes there are, a directory that refuses all calls gets few of them, and no
+// burst when a release has started all at once. A small fleet asks more often, each by itself.
+func TestCallsAtDirectoryThatRefuses(t *testing.T) {
+	const length = 60 * time.Second
+	for _, nodes := range []int{1, 2, 3, 10, 11, 40, 80, 200} {
+		perSecond := make([]int, int(length/time.Second))
+		for n := range nodes {
+			f := Fleet{Nodes: nodes, Rand: rand.New(rand.NewPCG(uint64(n), 1))}
+			at := f.first()
+			for failures := 1; at < length; failures++ {
+				perSecond[at/time.Second]++
+				at += f.again(failures)
+			}
+		}
+		most := slices.Max(perSecond)
+		all := 0
+		for _, n := range perSecond {
+			all += n
+		}
+		// One in askGap in the mean, twice that while spans are short, and chance.
+		if mean := float64(all) / length.Seconds(); mean > 20 || most > 40 {
+			t.Errorf("%d nodes: %.1f calls a second in the mean, %d at most", nodes, mean, most)
+		}
+		if nodes <= 3 && all < nodes*60 {
+			t.Errorf("%d nodes: only %d calls", nodes, all)
+		}
+	}
+}
+
+// An answer that has waited behind the whole fleet's calls is not given up.
+func TestAnswerHasTheFleetsTime(t *testing.T) {
+	if p := (Fleet{Nodes: 3}).patience(); p != minAnswer {
+		t.Errorf("3 nodes: %v", p)
+	}
+	if p := (Fleet{Nodes: 80}).patience(); p <= 2*time.Second {
+		t.Errorf("80 nodes: %v, which a directory that is full takes", p)
+	}
+	if p := (Fleet{Nodes: 1 << 40}).patience(); p != maxAnswer {
+		t.Errorf("absurdly many nodes: %v", p)
+	}
+}
+
+// asked is what a directory was asked, and the answer to it.
+type asked struct {
+	query  string
+	answer chan string
+}
+
+func startDirectory(t *testing.T, known directory.List) (calls chan asked, told chan directory.List) {
+	calls, told = make(chan asked), make(chan directory.List, 8)
+	over := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a := asked{r.URL.RawQuery, make(chan string, 1)}
+		select {
+		case calls <- a:
+		case <-over:
+			return
+		}
+		select {
+		case text := <-a.answer:
+			if text == "" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			_, _ = w.Write([]byte(text))
+		case <-over:
+		}
+	}))
+	fleet := Fleet{Nodes: 1, Rand: rand.New(rand.NewPCG(1, 2))}
+	d := NewDiscovery(server.Listener.Addr().String(), fleet, known, testkit.QuietLog(), func(l directory.List) { told <- l })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { d.Run(ctx); close(done) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		close(over)
+		server.Close()
+	})
+	return calls, told
+}
+
+func next[T any](t *testing.T, what string, from chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(patience):
+		t.Fatalf("%s never came", what)
+		panic("unreachable")
+	}
+}
+
+// A node that knows a list asks for what has changed, through refusals; the first answer
+// confirms what it knows, and a version from before that brings the whole list.
+func TestKnownListIsNotAskedFor(t *testing.T) {
+	known := directory.List{Revision: 41, Complete: true, Members: []directory.Member{{ID: "a"}}}
+	calls, told := startDirectory(t, known)
+	watch := func(at int) string { return fmt.Sprintf("index=%d&wait=%d", at, watchWait.Milliseconds()) }
+	for _, c := range []struct{ want, answer string }{
+		{watch(41), ""}, {watch(41), ""},
+		{watch(41), `{"revision":41,"complete":false,"members":[]}`},
+		{watch(41), `{"revision":41,"complete":false,"members":[]}`},
+		{watch(41), `{"revision":43,"complete":false,"members":[{"id":"a","phase":"leaving"}]}`},
+		{watch(43), `{"revision":7,"complete":false,"members":[]}`},
+		{"", `{"revision":7,"complete":true,"members":[{"id":"b"}]}`},
+		{watch(7), ""},
+	} {
+		a := next(t, "a call", calls)
+		if a.query != c.want {
+			t.Fatalf("asked %q, want %q", a.query, c.want)
+		}
+		a.answer <- c.answer
+	}
+	for i, want := range []int64{41, 43, 7} {
+		if l := next(t, "a list", told); l.Revision != want || !l.Fresh || len(l.Members) != min(i, 1) {
+			t.Errorf("told %+v, want version %d", l, want)
+		}
+	}
+}
+
+// One that knows none, or a part only, asks for the whole list.
+func TestUnknownListIsAskedFor(t *testing.T) {
+	calls, _ := startDirectory(t, directory.List{Revision: 41, Members: []directory.Member{{ID: "a"}}})
+	if a := next(t, "a call", calls); a.query != "" {
+		t.Errorf("asked %q", a.query)
+	}
+}
