Share: many nodes tell each other refusals of a limit and move their parts together

At fault: the cuts and growth of policy.full and passedOne, each by one sender's own outcomes: from a slice of one call a full divides by 80^(1/3) and a success multiplies by 80^(1/9), which balances where 25% are refused, whatever the limit; above one call at 41%. A floor of a call in a window was twice a listed rate of 19 calls a second. Three refusals in a row, common by chance in a fleet, told all that an endpoint was shut (one of three endpoints got 116 calls a second).

Ruled out: clumps at one node (at most 13 messages in a second), discovery, cold budgets.

Shut needs refusals at the lowest level.

--- /dev/null
+++ b/decide/share/share.go
@@ -0,0 +1,105 @@
+// Package share decides how much of a limit each of many senders uses, when none of them is told
+// the limit. It does no I/O and reads no clock.
+//
+// Of eighty senders each makes a call in some seconds: what one learns by refusals of its own comes
+// too late, and cuts and growth by those alone balance only where a quarter of all calls is refused,
+// which use the limit up. So senders tell each other each refusal, and each takes a small step back
+// at every one of them, wherever it was: all move as one.
+//
+// With R calls a second of all senders and a part f of them refused, the level falls by Weight*f in a
+// second (each refusal by Weight/R) and rises by the growth, so that it rests where f is growth over
+// Weight, whatever the number of senders and the limit: 3 to 6%, and up to twice that where a limit
+// of a few calls a second lets refusals come seldom. The level falls by a factor of e^Weight in
+// a second, and once by e^Burst more, at most: neither refusals that come together nor a sender that
+// tells nonsense closes what answers, and it comes back within seconds once they end.
+package share
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Weight is how much of itself the level loses in a second in which all calls are refused.
+	Weight = 1.0
+	// Burst is how much of a cut may come at once: calls that were out together are refused together.
+	Burst = 0.5
+	// growth a second right after a refusal; it gains growth once more after probe, and so on by the
+	// square of the time without one, up to mostGrowth: near the limit it goes slowly, and after
+	// a limit was lifted quickly.
+	growth, mostGrowth = 0.02, 0.6
+	probe              = time.Second
+	// fresh is for how long after a message had to wait for its part a sender's level grows: of a
+	// level that nobody uses up nothing is known, and it would have to fall first when it is too high.
+	fresh = 4 * time.Second
+	// least and most bound the level. A listed rate may be half of the true one, and some senders
+	// may have nothing to send; a limit may be a small part of what is listed for a time.
+	least, most = 0.1, 3.0
+	// memory is in what time the level of late, for the wide window, follows one that fell.
+	memory = 6 * time.Second
+)
+
+// Part is one sender's part of a limit. All senders that hear the same have the same level.
+type Part struct {
+	fair    float64 // calls a second of one sender at level 1
+	senders float64
+	level   float64
+	late    float64 // the level of late: at least the level, and falls after it
+	budget  float64 // how much of a cut may come now
+	at      time.Duration
+	refused time.Duration // the last refusal
+	bound   time.Duration // when a message last had to wait for it
+}
+
+// New returns a part of a rate in calls a second for all of so many senders.
+func New(now time.Duration, rate float64, senders int) *Part {
+	n := float64(max(1, senders))
+	return &Part{fair: rate / n, senders: n, level: 1, late: 1, budget: Burst, at: now, refused: now, bound: now - fresh}
+}
+
+// Rate is how many calls a second this sender may make, and made of late.
+func (p *Part) Rate(now time.Duration) (rate, late float64) {
+	p.move(now)
+	return p.fair * p.level, p.fair * p.late
+}
+
+// Bound takes in that a message waits for this sender's part.
+func (p *Part) Bound(now time.Duration) {
+	p.move(now)
+	p.bound = now
+}
+
+// Refused takes in that a call was refused: of this sender, or of another that told so. Where
+// nobody can tell, alone says so, and one refusal stands for those of all.
+func (p *Part) Refused(now time.Duration, alone bool) {
+	p.move(now)
+	stands := 1.0
+	if alone {
+		stands = p.senders
+	}
+	cut := min(p.budget, Weight*stands/max(1, p.fair*p.senders*p.level))
+	p.budget -= cut
+	p.level = max(least, p.level*math.Exp(-cut))
+	p.refused = now
+}
+
+// Least tells that all have taken back what they can: what refuses calls still is more than busy.
+func (p *Part) Least(now time.Duration) bool {
+	p.move(now)
+	return p.level <= least
+}
+
+// move lets the level grow until a time.
+func (p *Part) move(now time.Duration) {
+	if now <= p.at {
+		return
+	}
+	since := (now - p.at).Seconds()
+	p.budget = min(Burst, p.budget+Weight*since)
+	if until := min(now, p.bound+fresh); until > p.at {
+		quiet := float64(until-p.refused) / float64(probe)
+		p.level = min(most, p.level*math.Exp(min(mostGrowth, growth*(1+quiet*quiet))*(until-p.at).Seconds()))
+	}
+	p.late = max(p.level, p.late*math.Exp(-since/memory.Seconds()))
+	p.at = now
+}
--- /dev/null
+++ b/decide/share/share_test.go
@@ -0,0 +1,81 @@
+package share
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever is heard and asked, at any number of senders and any rate, the part is a number within
+// its bounds, and no second takes more from the level than is stated.
+func TestPartStaysWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		senders := rapid.IntRange(-1, 300).Draw(t, "senders")
+		listed := rapid.Float64Range(0.001, 1e6).Draw(t, "rate")
+		now := time.Hour
+		p := New(now, listed, senders)
+		fair := listed / float64(max(1, senders))
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			step := time.Duration(rapid.IntRange(0, 3000).Draw(t, "step")) * time.Millisecond
+			before, _ := p.Rate(now)
+			now += step
+			for range rapid.IntRange(0, 20).Draw(t, "refusals") {
+				p.Refused(now, rapid.Bool().Draw(t, "alone"))
+			}
+			if rapid.Bool().Draw(t, "bound") {
+				p.Bound(now)
+			}
+			rate, late := p.Rate(now)
+			if math.IsNaN(rate) || rate < least*fair*0.999 || rate > most*fair*1.001 || late < rate {
+				t.Fatalf("rate %v, late %v of a fair %v", rate, late, fair)
+			}
+			if floor := before * math.Exp(-Burst-Weight*step.Seconds()); rate < min(floor, before)*0.999 && rate > least*fair*1.001 {
+				t.Fatalf("fell from %v to %v within %v", before, rate, step)
+			}
+		}
+	})
+}
+
+// A level that no message waits for does not grow, and one that binds doubles within five seconds
+// without a refusal, however low it was.
+func TestPartGrowsWhereItBinds(t *testing.T) {
+	now := time.Hour
+	p := New(now, 80, 80)
+	now += time.Minute
+	if rate, _ := p.Rate(now); rate != 1 {
+		t.Errorf("an idle part grew to %v of 1", rate)
+	}
+	for range 100 {
+		now += 100 * time.Millisecond
+		p.Refused(now, true)
+	}
+	if !p.Least(now) {
+		t.Error("refusals for 10 s do not take back all")
+	}
+	low, late := p.Rate(now)
+	if late <= low {
+		t.Errorf("the wide window forgot at once: %v of late, %v now", late, low)
+	}
+	for range 50 {
+		now += 100 * time.Millisecond
+		p.Bound(now)
+	}
+	if rate, _ := p.Rate(now); rate < 2*low || p.Least(now) {
+		t.Errorf("grew from %v to %v in 5 s", low, rate)
+	}
+}
+
+// One refusal stands for those of all senders where nobody tells of theirs.
+func TestRefusalAlone(t *testing.T) {
+	now := time.Hour
+	told, alone := New(now, 800, 80), New(now, 800, 80)
+	told.Refused(now, false)
+	alone.Refused(now, true)
+	a, _ := told.Rate(now)
+	b, _ := alone.Rate(now)
+	if one := 10 * math.Exp(-Weight/800); math.Abs(a-one) > 1e-9 || b >= a {
+		t.Errorf("told %v (want %v), alone %v", a, one, b)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"log/slog"
 	"time"
@@ -136,6 +137,7 @@
 	leaving   map[policy.EndpointID]*endpoint // those that are gone, until no call is out to them
 	dests     map[int]*destination
 	vacant    map[int]*destination // those without an endpoint that the directory has
+	debug     bool                 // the log takes what is of each message and call
 	told      bool                 // the directory has told the whole list
 	changed   bool                 // the admission has not heard of all that told and dests say
 	batch     []policy.Event
@@ -156,6 +158,9 @@
 // Use sets the parts of an engine, which know its Post.
 func (l *Engine) Use(p Parts) {
 	l.Parts = p
+	if l.debug = p.Log.Enabled(context.Background(), slog.LevelDebug); l.debug {
+		l.Log.Debug("settings", "settings", fmt.Sprintf("%+v", l.settings))
+	}
 	l.scribe = newScribe(p.Store, p.Teller, p.Log)
 }
 
@@ -230,6 +235,9 @@
 	switch e := e.(type) {
 	case *message.Message:
 		l.held[e.Seq] = e
+		if l.debug {
+			l.Log.Debug("taken", "n", e.Seq, "dest", e.Dest, "left", time.Until(e.Deadline))
+		}
 		l.batch = append(l.batch, l.arrived(e))
 	case directory.List:
 		l.batch = append(l.batch, l.listed(e))
@@ -248,6 +256,9 @@
 		l.remind(e)
 	case policy.Ended:
 		o := l.endpoints[e.Endpoint]
+		if l.debug && o != nil {
+			l.Log.Debug("outcome", "n", e.Message, "dest", o.Dest, "endpoint", o.Name, "outcome", e.Outcome, "wait", e.Wait, "took", e.Took)
+		}
 		if o != nil {
 			o.out--
 			o.heard = time.Now()
@@ -377,6 +388,9 @@
 			d.present++
 			e.gone, l.endpoints[id], l.leaving[id] = true, e, e
 		}
+		if l.debug {
+			l.Log.Debug("listed", "dest", e.Dest, "endpoint", e.Name, "kind", e.Kind, "zone", e.Zone, "phase", m.Phase, "rate", m.Size)
+		}
 		if state != policy.Gone {
 			e.addr = m.HostPort
 		}
@@ -543,6 +557,9 @@
 			}
 		case policy.Tell:
 			if l.Notes != nil {
+				if l.debug {
+					l.Log.Debug("note", "tag", a.Tag, "news", a.News)
+				}
 				l.Notes.Send(a)
 			}
 		case policy.Wake:
@@ -550,6 +567,9 @@
 		}
 	}
 	for _, k := range calls {
+		if l.debug {
+			l.Log.Debug("call", "dest", k.Endpoint.Dest, "endpoint", k.Endpoint.Name, "messages", len(k.Parts))
+		}
 		l.Carrier.Start(ctx, k)
 	}
 	l.tell()
@@ -569,7 +589,7 @@
 	if m == nil {
 		return
 	}
-	l.Log.Debug("ended", "id", m.ID, "dest", m.Dest, "outcome", kind, "left", time.Until(m.Deadline))
+	l.Log.Debug("ended", "id", m.ID, "n", m.Seq, "dest", m.Dest, "outcome", kind, "left", time.Until(m.Deadline))
 	l.forget(m, false)
 	l.scribe.add(store.Ending{Message: m, End: message.End{Kind: kind, RetryAfter: wait}})
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -6,7 +6,11 @@
 // same events give the same actions. A Sender is not safe for concurrent use.
 package policy
 
-import "time"
+import (
+	"time"
+
+	"wingmount/decide/terms"
+)
 
 // Time is a reading of the node's clock, counted from any fixed origin.
 type Time = time.Duration
@@ -17,78 +21,21 @@
 // EndpointID names an endpoint. It is the node's own name for it and carries no meaning.
 type EndpointID uint64
 
-// Repeat says what a repeat of a message does at its destination.
-type Repeat int
-
-// The kinds of message, by what a repeat of them does.
-const (
-	// Idempotent messages may be sent and refused at will.
-	Idempotent Repeat = iota
-	// Deduplicated messages are dropped when repeated within a window, by
-	// the endpoints of a group.
-	Deduplicated
-	// AtMostOnce messages must never take effect twice.
-	AtMostOnce
+// The terms of the settings.
+type (
+	Repeat   = terms.Repeat
+	Class    = terms.Class
+	Kind     = terms.Kind
+	Listing  = terms.Listing
+	Settings = terms.Settings
 )
 
-// Class is what the settings say of one class of message.
-type Class struct {
-	Repeat    Repeat
-	GroupAll  bool          // Deduplicated: every endpoint of the destination drops repeats
-	GroupZone bool          // Deduplicated: the endpoints of one zone drop repeats
-	Window    time.Duration // Deduplicated: how long repeats are dropped
-	Ordered   bool          // messages with the same key go one at a time, in order
-	Aim       time.Duration // delivered within this time, a message earns its full worth
-	Deadline  time.Duration // a message is given up this long after it was first handed in
-	Worth     float64       // full worth
-	LateWorth float64       // the share of Worth that is left at the deadline
-}
-
-// Kind is what the settings say of one kind of destination.
-type Kind struct {
-	RoutesApart bool // each endpoint has its own limit, pace and outages
-	BundleMax   int  // messages in one call at most
-}
-
-// Listing says what the rate that the list gives for a destination is worth.
-type Listing int
-
-// The ways in which rates are listed.
+// What a repeat does, and what a listed rate is worth.
 const (
-	RateUnlisted Listing = iota // no rates are given
-	RateNominal                 // rates are right
-	RateRough                   // rates are up to half too high or too low
+	Idempotent, Deduplicated, AtMostOnce = terms.Idempotent, terms.Deduplicated, terms.AtMostOnce
+	RateUnlisted, RateNominal, RateRough = terms.RateUnlisted, terms.RateNominal, terms.RateRough
 )
 
-// Settings is what a sender knows when it starts.
-type Settings struct {
-	Senders int // how many senders there are
-	Classes []Class
-	Kinds   []Kind
-	// MustSubscribe says that changes to the list come only to who asked.
-	MustSubscribe bool
-	ZoneFee       []float64 // per zone: worth lost for each message that a route apart there takes
-	Listing       Listing
-
-	HalvesLate  bool          // worth halves with each aim after the first, instead of falling evenly
-	Slots       int           // calls that may be out at once
-	MaxHeld     int           // messages held at most, sent or not
-	MaxAttempts int           // attempts for a message at most
-	MayTell     bool          // senders may send each other notes
-	MaxWait     time.Duration // the longest wait that a client heeds
-	AdviseWait  bool          // clients are told how long to wait
-	// ConnectTimeout is when an attempt without a connection is Unreachable.
-	ConnectTimeout time.Duration
-	Tick           time.Duration // how often the sender is called at most
-
-	DrainGrace   time.Duration // sends to a draining endpoint must cease within this time
-	ColdShare    float64       // the share of its capacity that a destination has after an outage
-	WarmUp       time.Duration // the time within which it is back to all of it
-	FallMultiple float64       // sent more than this multiple of its present capacity
-	FallWindow   time.Duration // for this long, it falls over
-	TurnGap      time.Duration // Ordered: how long a key rests after an attempt that may still run
-}
-
 // Event is something that the node has seen.
 type Event interface{ event() }
 
--- /dev/null
+++ b/policy/fleet_test.go
@@ -0,0 +1,203 @@
+package policy_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wingmount/policy"
+)
+
+// fleet is many modules on virtual time that send to one destination with a limit: a bucket that
+// refused calls drain as well.
+type fleet struct {
+	t       *testing.T
+	rng     *rand.Rand
+	nodes   []*policy.Sender
+	now     policy.Time
+	due     happenings
+	rate    float64 // calls a second that the destination takes
+	tokens  float64
+	filled  policy.Time
+	notes   float64 // the share of notes that arrives
+	message policy.MessageID
+
+	calls, refused, taken, answers int // since the last look
+}
+
+// happening is something that a node sees at a time, or a look that it asked for.
+type happening struct {
+	at    policy.Time
+	node  int
+	event policy.Event
+}
+
+type happenings []happening
+
+func (h happenings) Len() int           { return len(h) }
+func (h happenings) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h happenings) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *happenings) Push(x any)        { *h = append(*h, x.(happening)) }
+func (h *happenings) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+const (
+	fleetTick    = time.Millisecond
+	fleetLatency = 30 * time.Millisecond
+	bucketDepth  = 0.5 // seconds of the limit
+)
+
+func newFleet(t *testing.T, nodes, told int, listed, rate, notes float64, seed uint64) *fleet {
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: policy.Time(time.Hour), rate: rate, tokens: rate * bucketDepth, notes: notes}
+	f.filled = f.now
+	set := policy.Settings{Senders: told, Slots: 5, MaxHeld: 100, MaxAttempts: 6, Tick: fleetTick, MayTell: true,
+		Listing: policy.RateRough, DrainGrace: time.Second, ColdShare: 0.21, WarmUp: 14 * time.Second, FallMultiple: 2,
+		FallWindow: 1500 * time.Millisecond, ConnectTimeout: time.Second, Kinds: []policy.Kind{{BundleMax: 1}},
+		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 5 * time.Second, Aim: 3 * time.Second,
+			Deadline: 12 * time.Second, Worth: 1, LateWorth: 0.5}}}
+	for i := range nodes {
+		f.nodes = append(f.nodes, policy.New(set, seed<<16|uint64(i)))
+		list := policy.Listed{Whole: true, Entries: []policy.Entry{
+			{Endpoint: 1, State: policy.Ready, Rate: listed}, {Endpoint: 2, State: policy.Ready, Rate: listed}}}
+		heap.Push(&f.due, happening{f.now, i, list})
+	}
+	return f
+}
+
+// offer has clients hand in so many messages a second, at any node, for a time.
+func (f *fleet) offer(rate float64, during time.Duration) {
+	for at := f.now; ; {
+		at += time.Duration(f.rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= f.now+during {
+			break
+		}
+		f.message++
+		heap.Push(&f.due, happening{at, f.rng.IntN(len(f.nodes)), policy.Arrived{Message: f.message, GiveUpAt: at + 12*time.Second}})
+	}
+	f.run(f.now + during)
+}
+
+// run lets the fleet live until a time.
+func (f *fleet) run(until policy.Time) {
+	for len(f.due) > 0 && f.due[0].at < until {
+		h := heap.Pop(&f.due).(happening)
+		f.now = max(f.now, h.at)
+		for _, a := range f.nodes[h.node].Step(f.now, []policy.Event{h.event}, nil) {
+			f.act(h.node, a)
+		}
+	}
+	f.now = until
+}
+
+func (f *fleet) act(node int, a policy.Action) {
+	switch a := a.(type) {
+	case policy.Wake:
+		heap.Push(&f.due, happening{max(a.At, f.now+fleetTick), node, policy.Woken{}})
+	case policy.Refuse, policy.Fail:
+		f.answers++
+	case policy.Tell:
+		for i := range f.nodes {
+			if i != node && f.rng.Float64() < f.notes {
+				delay := time.Millisecond + time.Duration(f.rng.Int64N(int64(34*time.Millisecond)))
+				heap.Push(&f.due, happening{f.now + delay, i, policy.Told{Tag: a.Tag, News: a.News}})
+			}
+		}
+	case policy.Send:
+		f.calls++
+		f.tokens = min(f.rate*bucketDepth, f.tokens+f.rate*(f.now-f.filled).Seconds())
+		f.filled = f.now
+		ended := policy.Ended{Message: a.Message, Endpoint: a.Endpoint, Outcome: policy.Delivered, Final: true, Took: fleetLatency}
+		if f.tokens < 1 {
+			f.refused++
+			ended.Outcome, ended.Final, ended.Took = policy.Full, false, 10*time.Millisecond
+		} else {
+			f.taken++
+		}
+		f.tokens = max(0, f.tokens-1)
+		heap.Push(&f.due, happening{f.now + ended.Took, node, ended})
+	}
+}
+
+// look returns the counts since the last one.
+func (f *fleet) look() (calls, refused, taken int) {
+	calls, refused, taken = f.calls, f.refused, f.taken
+	f.calls, f.refused, f.taken = 0, 0, 0
+	return calls, refused, taken
+}
+
+// Many nodes that are offered more than the limit deliver most of what it lets through, and few of
+// their calls are refused, whatever their number, also where the number that they are told is wrong
+// by a factor of four, or a third of the notes is lost.
+func TestFleetSharesLimit(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		nodes, told   int
+		listed, limit float64
+		notes         float64
+		least, most   float64 // the least share of the limit that is delivered, the most of calls that are refused
+	}{
+		{"eighty", 80, 80, 60, 60, 1, 0.8, 0.12},
+		{"a few", 20, 20, 60, 60, 1, 0.8, 0.12},
+		{"two hundred", 200, 200, 60, 60, 1, 0.8, 0.12},
+		{"listed too high", 80, 80, 60, 40, 1, 0.8, 0.12},
+		{"listed too low", 80, 80, 40, 60, 1, 0.8, 0.12},
+		{"a low limit", 80, 80, 8, 8, 1, 0.6, 0.2},
+		{"told of four times as many", 20, 80, 60, 60, 1, 0.5, 0.12},
+		{"told of a quarter", 80, 20, 60, 60, 1, 0.8, 0.15},
+		{"notes get lost", 80, 80, 60, 60, 0.67, 0.8, 0.15},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, c.nodes, c.told, c.listed, c.limit, c.notes, 3)
+			f.offer(1.5*c.limit, 10*time.Second) // a start
+			f.look()
+			f.offer(1.5*c.limit, 20*time.Second)
+			calls, refused, taken := f.look()
+			if share := float64(taken) / (20 * c.limit); share < c.least {
+				t.Errorf("%.2f of the limit was delivered, of %d calls %d were refused", share, calls, refused)
+			}
+			if share := float64(refused) / float64(calls); share > c.most {
+				t.Errorf("%.2f of %d calls were refused", share, calls)
+			}
+		})
+	}
+}
+
+// A limit that falls to a quarter and comes back costs refusals for a second or two and no more, and
+// is used again within six seconds of its return.
+func TestFleetFollowsLimit(t *testing.T) {
+	f := newFleet(t, 80, 80, 60, 60, 1, 5)
+	f.offer(70, 10*time.Second)
+	f.look()
+	f.rate = 15
+	f.offer(70, 2*time.Second)
+	_, first, _ := f.look()
+	f.offer(70, 7*time.Second)
+	calls, refused, _ := f.look()
+	if first > 2*60 || float64(refused) > 0.5*float64(calls) || calls > 2*7*15 {
+		t.Errorf("%d calls were refused in the first 2 s, and %d of %d after that", first, refused, calls)
+	}
+	f.rate = 60
+	f.offer(70, 6*time.Second)
+	f.look()
+	f.offer(70, 4*time.Second)
+	if _, _, taken := f.look(); float64(taken) < 0.8*4*60 {
+		t.Errorf("of 240 calls in the seventh second and the next three %d were delivered", taken)
+	}
+}
+
+// Where all notes are lost each refusal stands for those of all: the fleet still stays near the limit.
+func TestFleetWithoutNotes(t *testing.T) {
+	f := newFleet(t, 80, 80, 60, 40, 0, 9)
+	f.offer(60, 10*time.Second)
+	f.look()
+	f.offer(60, 20*time.Second)
+	calls, refused, taken := f.look()
+	if float64(taken) < 0.5*20*40 || float64(refused) > 0.6*float64(calls) {
+		t.Errorf("of %d calls %d were taken and %d refused", calls, taken, refused)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"wingmount/decide/share"
 	"wingmount/internal/estimate"
 	"wingmount/internal/index"
 )
@@ -39,6 +40,8 @@
 	smallCuts     = 3
 	smallGrowth   = 3
 	stretchSpread = 0.5 // such windows differ by up to this share of their length
+	// From so many senders on, one alone learns a limit too late: they share refusals, see share.
+	manySenders = 16
 
 	// A full that tells no wait closes the logs for this long, doubled with
 	// each further full that no success comes between, up to the maximum.
@@ -186,7 +189,7 @@
 // newPath starts with an unbound slice, or with this sender's part of the
 // listed rate, at least one call in a window.
 func (s *Sender) newPath(d *destination, kind Kind, entry Entry) *path {
-	p := &path{dest: d, kind: kind, slice: math.Inf(1),
+	p := &path{dest: d, kind: kind, slice: math.Inf(1), phase: 1,
 		narrow: index.Window{Span: narrowWindow}, wide: index.Window{Span: wideWindow},
 		taken: estimate.Rate{Window: index.Window{Span: narrowWindow}}, most: 1,
 		latency: estimate.Latency{Mean: firstLatency}}
@@ -197,6 +200,11 @@
 		if s.set.Listing == RateRough {
 			p.sureRate /= roughOver
 		}
+		if s.set.Senders >= manySenders {
+			p.part = share.New(s.now, entry.Rate, s.set.Senders)
+			s.follow(p)
+			p.narrow.Record(s.now - estimate.Jitter(s.rng, p.narrow.Span)) // all start at once
+		}
 	}
 	if kind.RoutesApart && entry.Zone < len(s.set.ZoneFee) {
 		p.fee = s.set.ZoneFee[entry.Zone]
@@ -214,14 +222,36 @@
 
 // hasRoom tells whether a path may be sent one more call now.
 func (s *Sender) hasRoom(p *path) bool {
+	if p.part != nil {
+		s.follow(p)
+	}
 	slice := max(1, p.slice)
-	if s.now < max(s.due(p), p.closedUntil) || float64(p.narrow.Count(s.now)) > slice-1 ||
+	if s.now < p.closedUntil {
+		return false
+	}
+	if _, out := p.outSince(); out && p.part != nil {
+		return p.inFlight < s.bound(p) // trials have spaces of their own; stretched logs would hold them back
+	}
+	if s.now < s.due(p) || float64(p.narrow.Count(s.now)) > slice-1 ||
 		float64(p.wide.Count(s.now)) > slice*float64(wideWindow/narrowWindow)-1 {
+		if p.part != nil {
+			p.part.Bound(s.now)
+		}
 		return false
 	}
 	return p.inFlight < s.bound(p)
 }
 
+// follow sets a slice to this sender's part of what all of them together may send. The wide
+// window follows one that falls slowly: it would close the logs for what was in order.
+func (s *Sender) follow(p *path) {
+	rate, late := p.part.Rate(s.now)
+	p.slice = rate * narrowWindow.Seconds()
+	stretch := p.phase / min(1, p.slice)
+	p.narrow.Span = time.Duration(stretch * float64(narrowWindow))
+	p.wide.Span = time.Duration(stretch * float64(wideWindow) * rate / late)
+}
+
 // resize sets a slice and the windows to it. With many senders a fair slice is
 // less than one call in a window: the windows stretch until it is one, by
 // lengths drawn apart, or senders that were refused together come back together.
@@ -251,7 +281,10 @@
 // full cuts a slice after a full, or sets it from the narrow count the first
 // time, and closes the logs for the told wait.
 func (s *Sender) full(p *path, e *endpoint, sent Time, wait time.Duration) {
-	if sent >= e.fullAt { // calls that were out together count as one refusal
+	if p.part != nil {
+		p.part.Refused(s.now, !s.tell(e, Jam) || !s.notesCome())
+		e.fullRun++
+	} else if sent >= e.fullAt { // calls that were out together count as one refusal
 		if math.IsInf(p.slice, 1) {
 			s.resize(p, max(1, float64(p.narrow.Count(s.now))))
 		} else {
@@ -268,7 +301,7 @@
 		e.fullRun++
 		e.fullAt = s.now
 	}
-	if p.slice <= 1 && s.set.MayTell && s.jam(p) {
+	if p.part == nil && p.slice <= 1 && s.set.MayTell && s.jam(p) {
 		s.tell(e, Jam)
 	}
 	pause := wait
@@ -299,7 +332,7 @@
 func (s *Sender) passedOne(p *path, took time.Duration) {
 	p.taken.Pass(s.now)
 	s.usual += (took.Seconds() - s.usual) * estimate.SlowGain
-	if !math.IsInf(p.slice, 1) && float64(p.narrow.Count(s.now)) >= p.slice-1 {
+	if p.part == nil && !math.IsInf(p.slice, 1) && float64(p.narrow.Count(s.now)) >= p.slice-1 {
 		share := growthShare
 		if p.slice < 1 {
 			share = math.Pow(s.smallCut, -1.0/smallGrowth) - 1
@@ -578,6 +611,9 @@
 		}
 	}
 	e.phase = s.drawPhase() * bundleWork(c.size)
+	if p.part != nil {
+		p.phase = s.drawPhase()
+	}
 	e.cold.Only(s.now)
 	var timeout time.Duration // one fate, so one time-out
 	for _, n := range bundle {
@@ -745,9 +781,9 @@
 		return
 	case Full:
 		s.full(p, e, c.sent, wait)
-		if e.fullRun >= shutRun || wait > narrowWindow {
+		if e.fullRun >= shutRun && (p.part == nil || p.part.Least(s.now)) || wait > narrowWindow {
 			weight = 1
-			if p.beforeRun > 0 && !e.out && wait > narrowWindow {
+			if p.part == nil && p.beforeRun > 0 && !e.out && wait > narrowWindow {
 				s.resize(p, p.beforeRun) // shut: its refusals told nothing of the limit
 			}
 		}
@@ -804,7 +840,9 @@
 	switch {
 	case e == nil:
 	case n.News == Jam:
-		if p := e.path; p.slice <= 1 || math.IsInf(p.slice, 1) && s.rate(p) <= 1/narrowWindow.Seconds() {
+		if p := e.path; p.part != nil {
+			p.part.Refused(s.now, false)
+		} else if p.slice <= 1 || math.IsInf(p.slice, 1) && s.rate(p) <= 1/narrowWindow.Seconds() {
 			s.jam(p)
 		}
 	case n.News == Down:
@@ -834,7 +872,7 @@
 		}
 		s.tell(e, news)
 		s.returned(e, news)
-		if p.beforeRun > p.slice && e.fullRun >= shutRun {
+		if p.part == nil && p.beforeRun > p.slice && e.fullRun >= shutRun {
 			s.resize(p, p.beforeRun) // it was shut: its refusals told nothing of the limit
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"wingmount/decide/share"
 	"wingmount/internal/estimate"
 	"wingmount/internal/index"
 )
@@ -124,6 +125,8 @@
 	narrow, wide index.Window
 	taken        estimate.Rate // its successes
 	most         int           // the most endpoints that were ready at a time
+	part         *share.Part   // of a limit that many senders share, or nil
+	phase        float64       // drawn with each call: how long a stretched window is, about 1
 	slice        float64       // calls in a narrow window; infinite while unbound
 	beforeRun    float64       // the slice before the fulls in a row of late, or 0
 	listed       float64       // listed part of this sender in calls a second, or 0
