Share: an endpoint that refuses beside others tells nothing of their limit

At fault: policy.full told them apart by path alone.

Now each endpoint keeps a heat of refusals, told ones among them, that an own success halves; one that is four times as hot as the coolest beside it is sick: its refusals cut nothing and choose leaves it while another is usable. A start asks discovery within 4 s rather than 8.

--- a/decide/terms/terms.go
+++ b/decide/terms/terms.go
@@ -75,3 +75,41 @@
 	FallWindow   time.Duration // for this long, it falls over
 	TurnGap      time.Duration // Ordered: how long a key rests after an attempt that may still run
 }
+
+// EndpointID names an endpoint. It is the node's own name for it and carries no meaning.
+type EndpointID uint64
+
+// EndpointState is what the list says of an endpoint. It tells nothing of its health.
+type EndpointState int
+
+// The states of an endpoint in the list.
+const (
+	Gone EndpointState = iota
+	Ready
+	Draining
+)
+
+// Entry is one endpoint in a list.
+type Entry struct {
+	Endpoint    EndpointID
+	Destination int
+	Kind        int
+	Zone        int
+	State       EndpointState
+	Rate        float64 // see Settings.Listing: calls a second from all senders together
+}
+
+// Outcome says how an attempt ended.
+type Outcome int
+
+// The outcomes. Full, Unreachable and Moot prove that the attempt never ran.
+const (
+	Delivered   Outcome = iota
+	Failed              // the destination answered with an error
+	Full                // turned away unseen
+	TimedOut            // no answer in time
+	Unreachable         // no connection could be made
+	Reset               // the connection broke
+	Cancelled           // called off
+	Moot                // not sent at all
+)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -42,8 +42,9 @@
 }
 
 // first is when a node that knows a list asks for the next one: nodes that a release
-// starts together do not ask together.
-func (f Fleet) first() time.Duration { return f.draw(f.share()) }
+// starts together do not ask together. The span is half of what a full directory needs: those that
+// it refuses come again later, and the others know sooner of what was replaced meanwhile.
+func (f Fleet) first() time.Duration { return f.draw(f.share() / 2) }
 
 // again is when to ask after so many failures in a row: with full jitter, from a span that
 // doubles once. A mean of half a span at each node makes one call in askGap of all.
--- a/policy/api.go
+++ b/policy/api.go
@@ -18,9 +18,6 @@
 // MessageID names a message. The node chooses it and never uses one twice.
 type MessageID uint64
 
-// EndpointID names an endpoint. It is the node's own name for it and carries no meaning.
-type EndpointID uint64
-
 // The terms of the settings.
 type (
 	Repeat   = terms.Repeat
@@ -30,6 +27,22 @@
 	Settings = terms.Settings
 )
 
+// The terms of lists and outcomes.
+type (
+	EndpointState = terms.EndpointState
+	EndpointID    = terms.EndpointID
+	Entry         = terms.Entry
+	Outcome       = terms.Outcome
+)
+
+// The states of an endpoint in the list, and how an attempt ended.
+const (
+	Gone, Ready, Draining = terms.Gone, terms.Ready, terms.Draining
+
+	Delivered, Failed, Full, TimedOut   = terms.Delivered, terms.Failed, terms.Full, terms.TimedOut
+	Unreachable, Reset, Cancelled, Moot = terms.Unreachable, terms.Reset, terms.Cancelled, terms.Moot
+)
+
 // What a repeat does, and what a listed rate is worth.
 const (
 	Idempotent, Deduplicated, AtMostOnce = terms.Idempotent, terms.Deduplicated, terms.AtMostOnce
@@ -39,26 +52,6 @@
 // Event is something that the node has seen.
 type Event interface{ event() }
 
-// EndpointState is what the list says of an endpoint. It tells nothing of its health.
-type EndpointState int
-
-// The states of an endpoint in the list.
-const (
-	Gone EndpointState = iota
-	Ready
-	Draining
-)
-
-// Entry is one endpoint in a list.
-type Entry struct {
-	Endpoint    EndpointID
-	Destination int
-	Kind        int
-	Zone        int
-	State       EndpointState
-	Rate        float64 // see Settings.Listing: calls a second from all senders together
-}
-
 // Listed brings the whole list of endpoints, or changes to it.
 type Listed struct {
 	Whole   bool // endpoints that are missing are gone
@@ -86,21 +79,6 @@
 	RanZone  int  // where it was sent
 }
 
-// Outcome says how an attempt ended.
-type Outcome int
-
-// The outcomes. Full, Unreachable and Moot prove that the attempt never ran.
-const (
-	Delivered   Outcome = iota
-	Failed              // the destination answered with an error
-	Full                // turned away unseen
-	TimedOut            // no answer in time
-	Unreachable         // no connection could be made
-	Reset               // the connection broke
-	Cancelled           // called off
-	Moot                // not sent at all
-)
-
 // Ended tells how an attempt ended. Every [Send] has exactly one.
 type Ended struct {
 	Message  MessageID
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -22,7 +22,9 @@
 	filled  policy.Time
 	notes   float64 // the share of notes that arrives
 	message policy.MessageID
+	ill     policy.EndpointID // refuses all calls by itself, if not 0
 
+	wasted                         int // calls to it
 	calls, refused, taken, answers int // since the last look
 }
 
@@ -109,6 +111,12 @@
 		}
 	case policy.Send:
 		f.calls++
+		if a.Endpoint == f.ill {
+			f.wasted++
+			heap.Push(&f.due, happening{f.now + 10*time.Millisecond, node,
+				policy.Ended{Message: a.Message, Endpoint: a.Endpoint, Outcome: policy.Full, Took: 10 * time.Millisecond}})
+			return
+		}
 		f.tokens = min(f.rate*bucketDepth, f.tokens+f.rate*(f.now-f.filled).Seconds())
 		f.filled = f.now
 		ended := policy.Ended{Message: a.Message, Endpoint: a.Endpoint, Outcome: policy.Delivered, Final: true, Took: fleetLatency}
@@ -201,3 +209,21 @@
 		t.Errorf("of %d calls %d were taken and %d refused", calls, taken, refused)
 	}
 }
+
+// One of two endpoints that drains, or is shut, refuses all calls while nodes have not heard of it: the
+// limit is none the worse, the other gets the calls, and few go to the first for as long as it lasts.
+func TestFleetLeavesEndpointThatRefuses(t *testing.T) {
+	f := newFleet(t, 80, 80, 60, 60, 1, 11)
+	f.offer(50, 10*time.Second)
+	f.look()
+	f.ill = 1
+	f.offer(50, 10*time.Second)
+	if _, _, taken := f.look(); float64(taken) < 0.85*10*50 || f.wasted > 150 {
+		t.Errorf("of 500 messages %d were taken, %d calls were wasted", taken, f.wasted)
+	}
+	f.ill, f.wasted = 0, 0
+	f.offer(50, 10*time.Second)
+	if _, _, taken := f.look(); float64(taken) < 0.85*10*50 {
+		t.Errorf("after it, of 500 messages %d were taken", taken)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -282,7 +282,7 @@
 // time, and closes the logs for the told wait.
 func (s *Sender) full(p *path, e *endpoint, sent Time, wait time.Duration) {
 	if p.part != nil {
-		p.part.Refused(s.now, !s.tell(e, Jam) || !s.notesCome())
+		s.refused(e, !s.tell(e, Jam) || !s.notesCome())
 		e.fullRun++
 	} else if sent >= e.fullAt { // calls that were out together count as one refusal
 		if math.IsInf(p.slice, 1) {
@@ -544,6 +544,9 @@
 	if x, y := a == m.failedAt, b == m.failedAt; x != y {
 		return y // leave out the endpoint that was just seen failing
 	}
+	if x, y := s.sick(a), s.sick(b); x != y {
+		return y
+	}
 	if a.path.fee != b.path.fee {
 		if s.scarce() {
 			return a.path.latency.Mean < b.path.latency.Mean
@@ -756,7 +759,7 @@
 	may := s.set.MayTell && (s.notesCome() || s.now-s.toldAt >= time.Duration(s.set.Senders)*s.set.Tick)
 	if may {
 		s.toldAt = s.now
-		s.out = append(s.out, Tell{Tag: e.id.tag(), News: news})
+		s.out = append(s.out, Tell{Tag: tagOf(e.id), News: news})
 	}
 	return may
 }
@@ -841,7 +844,7 @@
 	case e == nil:
 	case n.News == Jam:
 		if p := e.path; p.part != nil {
-			p.part.Refused(s.now, false)
+			s.refused(e, false)
 		} else if p.slice <= 1 || math.IsInf(p.slice, 1) && s.rate(p) <= 1/narrowWindow.Seconds() {
 			s.jam(p)
 		}
@@ -877,6 +880,7 @@
 		}
 	}
 	e.suspect, e.broken, e.timeouts, e.fullRun, e.lastOK = false, false, 0, 0, s.now
+	e.heat.Answered(s.now)
 	e.score *= successShrink
 	if e.warming = e.warming && s.warmth(e.warmFrom) < 1; !e.warming {
 		e.troubled = 0
--- a/policy/state.go
+++ b/policy/state.go
@@ -110,6 +110,7 @@
 	cold     index.Window // calls, while it may be cold
 	phase    float64      // drawn with each call: how long a stretched window is, about 1
 	troubled Time         // when it was first seen or heard to fail since it was sound, or 0
+	heat     share.Heat   // what it refuses, where parts of a limit are shared
 }
 
 // path is what shares one limit: a destination, or a route where routes are apart.
@@ -242,6 +243,24 @@
 	e.cold.Only(s.now)
 }
 
+// sick tells that an endpoint refuses calls by itself: another behind the same limit takes them.
+func (s *Sender) sick(e *endpoint) bool {
+	coolest := math.Inf(1)
+	for _, o := range e.path.endpoints {
+		if o != e && o.state == Ready && !o.out {
+			coolest = min(coolest, o.heat.Now(s.now))
+		}
+	}
+	return e.path.part != nil && e.heat.Sick(s.now, coolest)
+}
+
+// refused takes in that an endpoint refused a call, of this sender or of one that told so.
+func (s *Sender) refused(e *endpoint, alone bool) {
+	if e.heat.Refused(s.now); !s.sick(e) {
+		e.path.part.Refused(s.now, alone)
+	}
+}
+
 func (p *path) readyEndpoints() int {
 	n := 0
 	for _, e := range p.endpoints {
@@ -317,7 +336,7 @@
 		gone := e.state == Gone && len(e.calls) == 0 && s.now-e.told >= s.longest
 		if gone {
 			delete(s.endpoints, e.id)
-			if t := e.id.tag(); s.tags[t] == e {
+			if t := tagOf(e.id); s.tags[t] == e {
 				delete(s.tags, t)
 			}
 			e.path.dest.goneAt = s.now
@@ -389,7 +408,7 @@
 	e := &endpoint{id: entry.Endpoint, path: p, zone: entry.Zone, state: Ready, phase: 1}
 	p.endpoints = append(p.endpoints, e)
 	s.endpoints[e.id] = e
-	s.tags[e.id.tag()] = e
+	s.tags[tagOf(e.id)] = e
 	s.joined(e)
 	return e
 }
@@ -417,7 +436,7 @@
 }
 
 // tag spreads the ids of endpoints over the tags.
-func (id EndpointID) tag() Tag {
+func tagOf(id EndpointID) Tag {
 	return Tag(uint64(id) * 0x9e3779b97f4a7c15 >> (64 - TagBits))
 }
 
