--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -305,3 +306,26 @@
 		})
 	}
 }
+
+// However many nodes there are, and whatever part of a limit is left, what is refused until all have
+// followed it is bounded by the limit before, and not by the number of nodes.
+func TestFleetFollowsAnyFallOfLimit(t *testing.T) {
+	const limit = 60
+	for _, nodes := range []int{16, 33, 80, 200} {
+		for _, left := range []float64{0.1, 0.25, 0.6} {
+			f := newFleet(t, nodes, nodes, limit, limit, 1, uint64(nodes))
+			f.offer(1.2*limit, 8*time.Second)
+			f.look()
+			f.rate = left * limit
+			f.offer(1.2*limit, 4*time.Second)
+			_, first, _ := f.look()
+			f.offer(1.2*limit, 4*time.Second)
+			_, then, _ := f.look()
+			// R (1-q) ln(1/q) until the level has followed, see docs/design/fleet.md, and a second's calls for chance.
+			bound := limit*(1-left)*math.Log(1/left) + limit
+			if float64(first) > bound || then > limit {
+				t.Errorf("%d nodes, %.2f of the limit left: %d calls were refused in 4 s, and %d in the next 4", nodes, left, first, then)
+			}
+		}
+	}
+}
