Share: what is refused in an outage costs the level that all share nothing

At fault: refused in policy/state.go, which took trials for calls at the limit.

Now refusals of an endpoint that is out cut nothing, and with an outage the level goes back to what it was of late, as slices of few senders do by beforeRun. Ruled out: the cold budget (it allowed more) and discovery (nothing was replaced).

--- a/decide/share/share.go
+++ b/decide/share/share.go
@@ -83,6 +83,15 @@
 	p.refused = now
 }
 
+// Restore takes back what refusals of late have cost, to the level of late: they came of an outage and
+// told nothing of the limit. A nil Part has none.
+func (p *Part) Restore(now time.Duration) {
+	if p != nil {
+		p.move(now)
+		p.level = p.late
+	}
+}
+
 // Least tells that all have taken back what they can: what refuses calls still is more than busy.
 func (p *Part) Least(now time.Duration) bool {
 	p.move(now)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -825,6 +825,7 @@
 	if sure := e.score >= outScore || silent; !e.out && (sure || s.doubted(e)) {
 		e.lead = sure && s.tell(e, Down)
 		e.out, e.since = true, s.now
+		p.part.Restore(s.now)
 		p.nextTrial = s.now
 		if outcome != Reset { // after a reset the next connection tells more
 			p.nextTrial += s.trialGap(e)
@@ -854,6 +855,7 @@
 		}
 		if !e.out {
 			e.out, e.since, e.lead = true, s.now, false
+			e.path.part.Restore(s.now)
 			e.troubled = cmp.Or(e.troubled, s.now)
 			s.counted(e)
 		}
--- /dev/null
+++ b/policy/shut_test.go
@@ -0,0 +1,41 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// What a destination refuses before it is known to be shut, and in trials after that, tells nothing of
+// its limit: the part of it that nodes share is what it was of late.
+func TestRefusalsOfAnOutageCostNoPart(t *testing.T) {
+	set := testSettings()
+	set.Senders, set.MayTell, set.Listing = 80, true, RateRough
+	s := New(set, 1)
+	now := Time(time.Hour)
+	s.Step(now, []Event{Listed{Whole: true, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 60}}}}, nil)
+	e := s.endpoints[1]
+	rate := func() float64 {
+		r, _ := e.path.part.Rate(now)
+		return r
+	}
+	sound := rate()
+	for range 20 { // others are refused
+		now += 20 * time.Millisecond
+		s.Step(now, []Event{Told{Tag: tagOf(1), News: Jam}}, nil)
+	}
+	jammed := rate()
+	if jammed > 0.8*sound || e.out {
+		t.Fatalf("twenty refusals took the part from %v to %v, out %v", sound, jammed, e.out)
+	}
+	s.Step(now, []Event{Told{Tag: tagOf(1), News: Down}}, nil)
+	if r := rate(); !e.out || r < 0.9*sound {
+		t.Errorf("out %v, and the part is %v of %v", e.out, r, sound)
+	}
+	for range 20 { // trials are refused
+		now += 20 * time.Millisecond
+		s.Step(now, []Event{Told{Tag: tagOf(1), News: Jam}}, nil)
+	}
+	if r := rate(); r < 0.9*sound {
+		t.Errorf("refused trials took the part to %v of %v", r, sound)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -256,7 +256,7 @@
 
 // refused takes in that an endpoint refused a call, of this sender or of one that told so.
 func (s *Sender) refused(e *endpoint, alone bool) {
-	if e.heat.Refused(s.now); !s.sick(e) {
+	if e.heat.Refused(s.now); !e.out && !s.sick(e) { // an outage's tell nothing of the limit
 		e.path.part.Refused(s.now, alone)
 	}
 }
