A bundle is given up whole when the first of its messages has no time left

Ruled out by the same logs: notices (all told within 5 ms, none unanswered), messages missing after a restart (none without an end in a node's books), answers that stop short (none of the lost), the stop's times.

At fault: engine.step, k.Limit = max(k.Limit, a.Timeout), and endEarly in carrier/http1, which ended a message of a call that went on. A call is one slot and one fate (WIRE, BundleMax): its time is now the shortest of its messages', it is closed then, and all of them have timed out. That also takes away a second copy: the message that had timed out alone was free to go again.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -93,18 +93,20 @@
 // Part is one message of a call.
 type Part struct {
 	Message *message.Message
-	Attempt int           // its number, from 0
-	Timeout time.Duration // from the start of the call
+	Attempt int // its number, from 0
 
 	over bool // its outcome has been told; guarded by the call
 }
 
-// Call is one call to an endpoint: one message, or several in a bundle.
+// Call is one call to an endpoint: one message, or several in a bundle. A bundle has one fate: it is
+// given up as a whole as soon as the first of its messages has no time left. If the call went on, that
+// message would be answered while its attempt is out, and an answer that comes later than
+// it should would end the others though the far end does not count it.
 type Call struct {
 	Endpoint *Endpoint
 	Addr     string // HOST:PORT
 	Started  time.Time
-	Limit    time.Duration // from Started, the longest time-out of its parts
+	Limit    time.Duration // from Started, the shortest time-out of its parts
 	Parts    []*Part
 
 	mu sync.Mutex
@@ -129,13 +131,21 @@
 	return by
 }
 
-// extend gives a call and its parts more time, as far as their messages have it.
+// Add adds a message to a call that has not started.
+func (k *Call) Add(m *message.Message, timeout time.Duration) {
+	if len(k.Parts) == 0 || timeout < k.Limit {
+		k.Limit = timeout
+	}
+	k.Parts = append(k.Parts, &Part{Message: m})
+}
+
+// extend gives a call more time, as far as all its messages have it.
 func (k *Call) extend(by time.Duration) {
+	limit := k.Limit + by
 	for _, p := range k.Parts {
-		most := p.Message.Deadline.Add(-endMargin).Sub(k.Started)
-		p.Timeout = max(p.Timeout, min(p.Timeout+by, most))
-		k.Limit = max(k.Limit, p.Timeout)
+		limit = min(limit, p.Message.Deadline.Add(-endMargin).Sub(k.Started))
 	}
+	k.Limit = max(k.Limit, limit)
 }
 
 // Open tells whether a call may be sent now: what was told since the module's decision
@@ -157,7 +167,7 @@
 }
 
 // Begin puts the attempts of a call on record, within [RecordTime], by which it makes the
-// times of the call and its parts longer, as far as their messages have time. Only when it
+// call's time longer, as far as its messages have time. Only when it
 // returns nil may the first byte go out, and at once. It fails with [ErrClosed] when the call
 // may not be sent any more, also when that was told while the store was at it.
 func (r *Recorder) Begin(ctx context.Context, k *Call) error {
--- a/internal/carrier/http1/calls.go
+++ b/internal/carrier/http1/calls.go
@@ -120,7 +120,6 @@
 			call, end := context.WithDeadline(life, k.Started.Add(k.Limit)) // the record took its time
 			defer end()
 			ctx = call
-			defer c.endEarly(k)()
 		}
 		req, e := c.request(k)
 		if e != nil {
@@ -196,23 +195,6 @@
 	return true
 }
 
-// endEarly times out the messages of a bundle whose time is shorter than the call's.
-// It returns how to stop that.
-func (c *Carrier) endEarly(k *carrier.Call) (stop func()) {
-	var timers []*time.Timer
-	for _, p := range k.Parts {
-		if p.Timeout < k.Limit {
-			timers = append(timers, time.AfterFunc(p.Timeout-time.Since(k.Started),
-				func() { c.end(k, p, policy.TimedOut, 0, false) }))
-		}
-	}
-	return func() {
-		for _, t := range timers {
-			t.Stop()
-		}
-	}
-}
-
 // exchange sends a call and reads its answer, and the ends of its messages where it
 // tells each one's. One message is delivered with the first line of the answer,
 // whatever comes behind it.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -545,8 +545,7 @@
 			}
 			e.out++
 			l.seen = append(l.seen, admission.Seen{Kind: admission.Sent, Dest: e.Dest})
-			k.Parts = append(k.Parts, &carrier.Part{Message: m, Timeout: a.Timeout})
-			k.Limit = max(k.Limit, a.Timeout)
+			k.Add(m, a.Timeout)
 		case policy.Refuse:
 			l.end(a.Message, message.Refused, a.Wait)
 		case policy.Fail:
