Tests: nodes are stopped and killed at every point with short deadlines and silent partners

The operators saw messages end late or without a whole answer when nodes are told to end while a third of the partners hang.

--- a/cmd/wingmount/kill_test.go
+++ b/cmd/wingmount/kill_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,8 +25,11 @@
 	store       string
 	lives       []string // the points armed in each; one of them kills
 	maxMB, body int
-	messages    int  // in each
-	rules       bool // give classes and keys, and change all the time
+	messages    int           // in each
+	rules       bool          // give classes and keys, and change all the time
+	deadline    time.Duration // of all classes, 3 s where it is 0
+	hung        bool          // a third partner runs calls and says nothing
+	stops       bool          // one more life is told to end, and killed 3.7 s later
 }
 
 // ruleFile makes lines by one field of the body.
@@ -57,12 +61,19 @@
 	if k.rules {
 		rules = ruleFile("a")
 	}
+	deadline, destinations := cmp.Or(k.deadline, 3*time.Second), 2
+	if k.hung {
+		destinations = 3
+	}
 	r, err := rig.New(rig.Config{Dir: t.TempDir(), Command: []string{os.Args[0]}, Env: []string{"WINGMOUNT_TEST_NODE=1", "GORACE=atexit_sleep_ms=0"},
-		Store: k.store, Deadline: 3 * time.Second, Destinations: 2, Takes: 20 * time.Millisecond, MaxMB: k.maxMB, Body: k.body, Rules: rules,
+		Store: k.store, Deadline: deadline, Destinations: destinations, Takes: 20 * time.Millisecond, MaxMB: k.maxMB, Body: k.body, Rules: rules,
 		Slack: 3 * time.Second}) // the machine may be busy: what is late is the demo's to show
 	testkit.Must(t, err)
 	defer func() { testkit.Must(t, r.Close()) }()
 	r.Destinations[1].System.Set(partner.Fails)
+	if k.hung {
+		r.Destinations[2].System.Set(partner.Silent)
+	}
 	changes := 0
 	change := func(p *rig.Process) {
 		if k.rules {
@@ -80,7 +91,7 @@
 			handed++
 			sending.Go(func() {
 				class := []string{rig.Keyed, rig.Idempotent, rig.Unsafe}[i%3]
-				m := rig.Message{ID: fmt.Sprint("m", i), Class: class, Dest: 1 + i/3%2}
+				m := rig.Message{ID: fmt.Sprint("m", i), Class: class, Dest: 1 + i/3%destinations}
 				if k.rules {
 					m.Body = fmt.Sprintf(`{"a":"a%d","b":"b%d"}`, i%7, i%5)
 				}
@@ -114,6 +125,18 @@
 	}
 	p, err := r.Start(ctx, "")
 	testkit.Must(t, err)
+	if k.stops {
+		hand(k.messages / 2)
+		testkit.Must(t, p.Signal(syscall.SIGTERM))
+		hand(k.messages / 2) // clients send on, on every connection that stays open
+		select {
+		case <-p.Ended():
+		case <-time.After(3700 * time.Millisecond):
+			p.Kill()
+		}
+		p, err = r.Start(ctx, "")
+		testkit.Must(t, err)
+	}
 	hand(6)
 	sending.Wait()
 	if e := errs.Load(); e != nil {
@@ -128,6 +151,25 @@
 	return tally
 }
 
+// passes tells whether a node on a store passes a failure point.
+func passes(store, point string) bool {
+	switch {
+	case strings.Contains(point, "backup"): // no part of a node's life: TestKilledDuringBackup
+		return false
+	case point == "store/sqlite/during-seal": // comes after 65,536 answers: the store's own suite has small segments
+		return false
+	case strings.HasPrefix(point, "gossip/"): // no message waits for it: the suite of internal/gossip walks them
+		return false
+	case strings.Contains(point, "takeover"): // needs another node: TestTakenOverAtEveryPoint
+		return false
+	}
+	mine := []string{"store/" + store + "/"}
+	if store == "sqlite" {
+		mine = append(mine, "store/intents/")
+	}
+	return !strings.HasPrefix(point, "store/") || slices.ContainsFunc(mine, func(p string) bool { return strings.HasPrefix(point, p) })
+}
+
 // Every failure point, every store, every class: nothing that was taken is lost, answered
 // twice, run twice or out twice. The points are walked by enumeration.
 func TestKilledAtEveryPoint(t *testing.T) {
@@ -135,23 +177,7 @@
 	t.Run("points", func(t *testing.T) {
 		for _, store := range []string{"sqlite", "postgres", "journal"} {
 			for _, point := range fail.Names("") {
-				if strings.Contains(point, "backup") {
-					continue // no part of a node's life: TestKilledDuringBackup
-				}
-				if point == "store/sqlite/during-seal" {
-					continue // comes after 65,536 answers: the store's own suite has small segments
-				}
-				if strings.HasPrefix(point, "gossip/") {
-					continue // no message waits for it: the suite of internal/gossip walks them
-				}
-				if strings.Contains(point, "takeover") {
-					continue // needs another node: TestTakenOverAtEveryPoint
-				}
-				mine := []string{"store/" + store + "/"}
-				if store == "sqlite" {
-					mine = append(mine, "store/intents/")
-				}
-				if strings.HasPrefix(point, "store/") && !slices.ContainsFunc(mine, func(p string) bool { return strings.HasPrefix(point, p) }) {
+				if !passes(store, point) {
 					continue
 				}
 				// A slow database sends attempts and answers into the log of intents.
@@ -193,6 +219,30 @@
 	}
 }
 
+// The same with deadlines shorter than a stop, a third of the partners silent, and a life that is told to
+// end while clients send on: everything that was taken has its one answer in time.
+func TestStoppedAndKilledUnderSilentPartners(t *testing.T) {
+	for _, deadline := range []time.Duration{400 * time.Millisecond, 1500 * time.Millisecond} {
+		for _, point := range fail.Names("") {
+			if !passes("journal", point) || strings.HasPrefix(point, "ruling/") || strings.Contains(point, "retention") ||
+				point == "store/journal/after-roll" || point == "store/journal/before-remove" {
+				continue // TestKilledAtEveryPoint arms those that come rarely
+			}
+			kill := "=kill@5"
+			if strings.HasPrefix(point, "engine/") || strings.Contains(point, "migrat") {
+				kill = "=kill@1"
+			}
+			t.Run(deadline.String()+" "+strings.ReplaceAll(point, "/", "."), func(t *testing.T) {
+				t.Parallel()
+				k := killRun{store: "journal", lives: []string{point + kill}, messages: 36, deadline: deadline, hung: true, stops: true}
+				if tally := k.run(t); tally.Taken == 0 {
+					t.Errorf("nothing was taken: %+v", tally)
+				}
+			})
+		}
+	}
+}
+
 // The operators' tools work on the store of a running node and of a stopped one, whatever store
 // it is.
 func TestStoreTools(t *testing.T) {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -255,14 +255,14 @@
 	fmt.Fprintf(&b, "path = %q\ndurability = \"process\"\nmax_mb = %d\n[answers]\nurl = %q\n[limits]\nheld = %d\nslots = %d\nnodes = %d\nadmission = %t\n",
 		r.storePath(node), r.cfg.MaxMB, r.Answers.URL(), r.cfg.Held, r.cfg.Slots, max(1, r.cfg.Nodes), !r.cfg.NoAdmission)
 	for _, class := range []string{Keyed, Idempotent, Unsafe} {
-		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\nwanted = \"1s\"\ndeadline = %q\nlate_worth = 0.5\n", class, class, r.cfg.Deadline)
+		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\nwanted = %q\ndeadline = %q\nlate_worth = 0.5\n", class, class, min(time.Second, r.cfg.Deadline), r.cfg.Deadline)
 		if class == Keyed {
 			b.WriteString("window = \"12s\"\n")
 		}
 	}
 	if r.cfg.Rules != "" {
-		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = \"idempotent\"\nordered = true\nrest = \"500ms\"\nwanted = \"1s\"\ndeadline = %q\nlate_worth = 0.5\n[rules]\nfile = %q\n",
-			InLine, r.cfg.Deadline, p.rules())
+		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = \"idempotent\"\nordered = true\nrest = \"500ms\"\nwanted = %q\ndeadline = %q\nlate_worth = 0.5\n[rules]\nfile = %q\n",
+			InLine, min(time.Second, r.cfg.Deadline), r.cfg.Deadline, p.rules())
 	}
 	if r.cfg.Partners != "" {
 		fmt.Fprintf(&b, "[partners]\n%s\n", r.cfg.Partners)
