--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -2,6 +2,11 @@
 // directory hands to the engine.
 package directory
 
+import (
+	"encoding/json"
+	"fmt"
+)
+
 // List is the endpoints, or what has changed of them.
 type List struct {
 	Revision int64    `json:"revision"`
@@ -28,3 +33,34 @@
 	Phase    string  `json:"phase"`
 	Size     float64 `json:"size"` // listed rate in calls a second, see policy.Settings.Listing
 }
+
+// Unreadable is the phase of an entry that could not be read: of it nothing changes.
+const Unreadable = "unreadable"
+
+// UnmarshalJSON reads a list. An entry that can't be read costs nothing but itself, since a drain that
+// stands beside it counts as told: it is kept by its id with the phase [Unreadable], and one
+// without an id names its place in the list instead.
+func (l *List) UnmarshalJSON(text []byte) error {
+	var in struct {
+		Revision int64
+		Complete bool
+		Members  []json.RawMessage
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return err
+	}
+	*l = List{Revision: in.Revision, Complete: in.Complete, Members: make([]Member, len(in.Members))}
+	for i, text := range in.Members {
+		m := &l.Members[i]
+		if json.Unmarshal(text, m) == nil && m.ID != "" {
+			continue
+		}
+		var named struct{ ID any }
+		_ = json.Unmarshal(text, &named) // what can't be read has no id
+		*m = Member{Phase: Unreadable}
+		if m.ID, _ = named.ID.(string); m.ID == "" {
+			m.ID = fmt.Sprintf("entry %d of the list", i)
+		}
+	}
+	return nil
+}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -275,3 +276,61 @@
 		})
 	}
 }
+
+// A list may name an endpoint twice, or hold an entry that can't be read: the last word on an endpoint counts,
+// and of one that can't be read nothing changes, also in a whole list.
+func TestOddLists(t *testing.T) {
+	l, _ := newEngine(keyed)
+	twice := member("s1", 7, directory.Active)
+	twice.HostPort = "127.0.0.1:2"
+	l.take(directory.List{Complete: true, Members: []directory.Member{member("s1", 7, directory.Active), twice, member("s2", 7, directory.Active)}})
+	s1, s2 := l.endpoints[policy.EndpointID(hash("s1"))], l.endpoints[policy.EndpointID(hash("s2"))]
+	if len(l.endpoints) != 2 || s1.addr != "127.0.0.1:2" || l.dests[7].present != 2 || l.dests[7].listed != 2 {
+		t.Fatalf("endpoints %v, destination %+v", l.endpoints, l.dests[7])
+	}
+	l.take(directory.List{Complete: true, Members: []directory.Member{{ID: "s1", Phase: directory.Unreadable},
+		{ID: "entry 1 of the list", Phase: directory.Unreadable}, member("s2", 7, directory.Active), member("s2", 7, directory.Leaving)}})
+	if s1.gone || s1.Leaves.Closing() || s1.addr != "127.0.0.1:2" {
+		t.Errorf("of an entry that can't be read something changed: %+v", s1)
+	}
+	if !s2.Leaves.Closing() || len(l.endpoints) != 2 {
+		t.Errorf("the last word was that it leaves: %+v", s2)
+	}
+	l.step(context.Background())
+}
+
+// What is kept of endpoints is in proportion to those that there are: 1,100 cost a small part of what a
+// node may hold, and are let go of when they are gone.
+func TestMemoryFollowsTheEndpoints(t *testing.T) {
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	for _, n := range []int{3, 350, 1100} {
+		before := heap()
+		l, _ := newEngine(keyed)
+		all := directory.List{Complete: true}
+		for i := range n {
+			all.Members = append(all.Members, member(fmt.Sprint("s", i), i%40, directory.Active))
+		}
+		l.take(all)
+		l.step(context.Background())
+		took := heap() - before
+		t.Logf("%d endpoints: %d KB", n, took>>10)
+		if most := int64(2<<20 + n*8<<10); took > most {
+			t.Errorf("%d endpoints take %d bytes, want %d at most", n, took, most)
+		}
+		if len(l.endpoints) != n {
+			t.Fatalf("%d endpoints of %d", len(l.endpoints), n)
+		}
+		l.take(directory.List{Complete: true})
+		l.step(context.Background())
+		l.letGo(time.Now())
+		if len(l.endpoints) != 0 {
+			t.Errorf("%d endpoints are kept that are gone", len(l.endpoints))
+		}
+		runtime.KeepAlive(l)
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -92,6 +92,9 @@
 			Worth: k.Worth, LateWorth: k.LateWorth,
 			GroupAll: k.Group == "all", GroupZone: k.Group == "zone",
 		}
+		if class.Deadline <= 0 {
+			return policy.Settings{}, fmt.Errorf("unreadable settings: DeadlineUs of class %d is missing", i)
+		}
 		switch k.Idempotency {
 		case "idempotent":
 			class.Repeat = policy.Idempotent
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -251,6 +251,23 @@
 	}
 }
 
+// What the settings lack is named with its place.
+func TestSettingsNameWhatIsWrong(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"NInstances": 1, "Classes": []}`:                                                                 "Classes is missing",
+		`{"Classes": [{"DeadlineUs": 1, "Idempotency": "idempotent"}]}`:                                    "NInstances",
+		`{"NInstances": 1, "Classes": [{"DeadlineUs": 1, "Idempotency": "maybe"}]}`:                        `Idempotency of class 0 is "maybe"`,
+		`{"NInstances": 1, "Classes": [{"DeadlineUs": 1, "Idempotency": "idempotent"}, {}]}`:               "DeadlineUs of class 1",
+		`{"NInstances": 1, "Classes": [{"DeadlineUs": -5, "Idempotency": "idempotent"}]}`:                  "DeadlineUs of class 0",
+		`{"NInstances": 1, "Classes": [{"DeadlineUs": "soon", "Idempotency": "idempotent"}]}`:              "DeadlineUs",
+		`{"NInstances": 1, "Classes": [{"DeadlineUs": 1, "Idempotency": "idempotent"}], "Discovery": "x"}`: `Discovery is "x"`,
+	} {
+		if _, err := DecodeSettings([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want it to name %s", text, err, want)
+		}
+	}
+}
+
 func FuzzDecodeBatch(f *testing.F) {
 	f.Add(frame(f, "", selectRec, ingressRec, wakeupRec, select5Rec, abortedRec))
 	f.Add(frame(f, pageTail, selectRec, pageRec, fleetRec, doneRec))
