--- a/internal/lab/fleet/check.go
+++ b/internal/lab/fleet/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"wingmount/policy"
@@ -187,6 +188,19 @@
 	c.inTime(now, n, m)
 }
 
+// answers judges an answer: a call has one fate, so one that delivers when a message of it has had its
+// end already comes after the call's time, and the far end does not count it for the others.
+func (c *Check) answers(n *node, k *call, o policy.Outcome) {
+	if o != policy.Delivered || !slices.ContainsFunc(k.parts, func(m *message) bool { return m.over }) {
+		return
+	}
+	for _, m := range k.parts {
+		if !m.over {
+			c.broken("lost", "node %d takes message %d for delivered by an answer after the call's time", n.number, m.id)
+		}
+	}
+}
+
 // inTime judges that an answer comes in time: a node that was away has some more.
 func (c *Check) inTime(now policy.Time, n *node, m *message) {
 	limit := m.giveUp + answerSlack
--- a/internal/lab/fleet/check_test.go
+++ b/internal/lab/fleet/check_test.go
@@ -23,6 +23,16 @@
 		w.seconds(5, 3)
 	}
 	busy := func(w *World) { w.seconds(8, 1.3) }
+	bundles := func(c *Config) {
+		c.Settings.Kinds[0].BundleMax, c.Settings.Classes[0].Deadline = 5, 4*time.Second
+	}
+	hanging := func(w *World) {
+		w.seconds(3, 3)
+		w.SetHealth(0, Hung)
+		w.seconds(8, 3)
+		w.SetHealth(0, Sound)
+		w.seconds(3, 3)
+	}
 	for _, c := range []struct {
 		rule  string
 		conf  func(*Config)
@@ -32,6 +42,7 @@
 		{"lost", nil, Fault{Actions: func(a []policy.Action) []policy.Action {
 			return slices.DeleteFunc(a, func(a policy.Action) bool { _, refuse := a.(policy.Refuse); return refuse })
 		}}, busy},
+		{"lost", bundles, Fault{Longest: true}, hanging},
 		{"dup", nil, Fault{Actions: func(a []policy.Action) []policy.Action {
 			for _, o := range a {
 				if s, ok := o.(policy.Send); ok {
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -140,6 +140,23 @@
 		w.SetHealth(1, Sound)
 		w.seconds(6, 0.7)
 	}, 0.5},
+	{"hang", 0.7, func(w *World, nodes int) {
+		w.conf.Settings.Kinds[0].BundleMax = 5
+		w.seconds(4, 0.7)
+		w.SetHealth(0, Hung)
+		w.SetHealth(2, Hung)
+		for i := range nodes / 3 {
+			w.Kill(i)
+		}
+		w.second(0.7)
+		for i := range nodes / 3 {
+			w.Start(i)
+		}
+		w.seconds(5, 0.7)
+		w.SetHealth(0, Sound)
+		w.SetHealth(2, Sound)
+		w.seconds(6, 0.7)
+	}, 0.3},
 	{"join", 0.75, func(w *World, _ int) {
 		w.seconds(4, 0.75)
 		for i, d := range w.conf.Destinations {
--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -40,8 +40,12 @@
 	Down           // connections are refused
 	Silent         // nothing comes back
 	Failing        // all calls end with an error, and may have run
+	Hung           // calls are answered, seconds late
 )
 
+// hangs is the mean time of an answer of one that is hung.
+const hangs = 4 * time.Second
+
 // Config is what is played.
 type Config struct {
 	Settings     policy.Settings // Senders is the number that the nodes are told
@@ -60,6 +64,8 @@
 	Settings func(policy.Settings) policy.Settings
 	Event    func(policy.Event) policy.Event // nil: it is not handed in
 	Actions  func([]policy.Action) []policy.Action
+	// Longest gives a call the longest time of its messages in place of the shortest.
+	Longest bool
 }
 
 // Destination is one partner system.
@@ -366,7 +372,9 @@
 			}
 			m.out = k
 			k.parts = append(k.parts, m)
-			timeouts[k] = max(timeouts[k], a.Timeout)
+			if t, ok := timeouts[k]; !ok || (a.Timeout < t) != w.conf.Fault.Longest {
+				timeouts[k] = a.Timeout // one fate
+			}
 		}
 	}
 	for _, k := range calls {
@@ -432,6 +440,9 @@
 		d.tokens = max(0, d.tokens-1)
 	default:
 		d.tokens--
+		if health == Hung {
+			o.Took = time.Duration(float64(hangs) * w.rng.ExpFloat64())
+		}
 		if w.rng.Float64() < w.conf.AnswersLost {
 			o.Outcome = policy.Reset
 		}
@@ -464,6 +475,7 @@
 		mem.failed, mem.failedAt, mem.back = true, w.now, false
 	}
 	w.Check.outcome(w.now, n, k.end, o)
+	w.Check.answers(n, k, o.Outcome)
 	var events []policy.Event
 	for _, m := range k.parts {
 		m.out = nil
