A connection has its own time to come up, and giving it up early is no outage

Under the connect time-out of the settings a connection that came up late, or that was given up because a message had no time left, ended as 'unreachable': the endpoint is out at once, and all nodes are told so. At fault: carrier/http1 run, WithDeadline(life, Started+Limit) around the dial.

Given up because a message's time is over it ends as 'moot': nothing was sent, and nothing is known of the endpoint.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -120,15 +120,23 @@
 	Tell  func(policy.Event) // never called twice for one part
 }
 
+// Over is when the first message of a call has no time left, whatever the call's limit.
+func (k *Call) Over() time.Time {
+	over := k.Parts[0].Message.Deadline
+	for _, p := range k.Parts[1:] {
+		if p.Message.Deadline.Before(over) {
+			over = p.Message.Deadline
+		}
+	}
+	return over.Add(-endMargin)
+}
+
 // recordBy is by when the record of a call must be made.
 func (k *Call) recordBy(now time.Time) time.Time {
-	by := now.Add(RecordTime)
-	for _, p := range k.Parts {
-		if over := p.Message.Deadline.Add(-endMargin); over.Before(by) {
-			by = over
-		}
+	if by := now.Add(RecordTime); by.Before(k.Over()) {
+		return by
 	}
-	return by
+	return k.Over()
 }
 
 // Add adds a message to a call that has not started.
@@ -139,13 +147,9 @@
 	k.Parts = append(k.Parts, &Part{Message: m})
 }
 
-// extend gives a call more time, as far as all its messages have it.
-func (k *Call) extend(by time.Duration) {
-	limit := k.Limit + by
-	for _, p := range k.Parts {
-		limit = min(limit, p.Message.Deadline.Add(-endMargin).Sub(k.Started))
-	}
-	k.Limit = max(k.Limit, limit)
+// Extend gives a call more time, as far as all its messages have it.
+func (k *Call) Extend(by time.Duration) {
+	k.Limit = max(k.Limit, min(k.Limit+by, k.Over().Sub(k.Started)))
 }
 
 // Open tells whether a call may be sent now: what was told since the module's decision
@@ -188,7 +192,7 @@
 	if err := r.Store.Attempt(ctx, a); err != nil {
 		return err
 	}
-	k.extend(min(RecordTime, time.Since(now)))
+	k.Extend(min(RecordTime, time.Since(now)))
 	if err := atBegun.At(); err != nil {
 		return err
 	}
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -163,7 +163,7 @@
 	if k.Limit != 900*time.Millisecond {
 		t.Errorf("a call of messages with 0.9 s at least has %v", k.Limit)
 	}
-	k.extend(time.Hour)
+	k.Extend(time.Hour)
 	if k.Limit != time.Second-endMargin {
 		t.Errorf("a call that gets more time has %v, and its first message 1 s", k.Limit)
 	}
--- a/internal/carrier/http1/calls_test.go
+++ b/internal/carrier/http1/calls_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -237,6 +238,59 @@
 	}
 }
 
+// slowDial lets connections of a rig come up when told to, or never.
+func (r *callRig) slowDial(up <-chan struct{}) {
+	r.caller.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+		select {
+		case <-up:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// A connection that comes up late, though within its own time, costs the call nothing: the limit of a call
+// follows how soon answers come. Were it taken for an endpoint that can't be reached, that would be out
+// at once, and all nodes would be told.
+func TestLateConnectionIsNoOutage(t *testing.T) {
+	var served atomic.Int64
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		if readRequest(bufio.NewReader(conn)) == nil {
+			served.Add(1)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	r := newCallRig(t, addr)
+	up := make(chan struct{})
+	r.slowDial(up)
+	r.start(50*time.Millisecond, 1)
+	time.AfterFunc(200*time.Millisecond, func() { close(up) })
+	if e := r.next(); e.Outcome != policy.Delivered || served.Load() != 1 {
+		t.Errorf("outcome %v, served %d, want one call that is delivered", e.Outcome, served.Load())
+	}
+}
+
+// A connection that never comes up within its time proves an outage; one that is given up because a
+// message has no time left proves nothing. Neither call ran.
+func TestWhatProvesAnOutage(t *testing.T) {
+	for _, c := range []struct {
+		left time.Duration
+		want policy.Outcome
+	}{{patience, policy.Unreachable}, {300 * time.Millisecond, policy.Moot}} {
+		r := newCallRig(t, "127.0.0.1:1")
+		r.slowDial(nil)
+		m := newMessage("a", 20)
+		m.Deadline = time.Now().Add(c.left)
+		testkit.Must(t, r.store.Take(context.Background(), m))
+		r.call(50*time.Millisecond, m)
+		if e := r.next(); e.Outcome != c.want || e.Final || m.Past.MayRun {
+			t.Errorf("with %v left: %+v, past %+v, want %v of a call that never ran", c.left, e, m.Past, c.want)
+		}
+	}
+}
+
 // A time-out ends the call and its connection: a silent endpoint holds no socket.
 func TestTimeOutClosesTheConnection(t *testing.T) {
 	gone := make(chan error, 1)
