Notices: lines that the platform can't read are tried ever more seldom

Read from the code while notices were looked at: one line answered 400 with nothing else owed was posted 50 times a second for ever.

--- a/internal/platform/finals.go
+++ b/internal/platform/finals.go
@@ -21,7 +21,9 @@
 	// latest, and one that is sent twice does no harm.
 	noticeTimeout = 150 * time.Millisecond
 	noticePause   = 20 * time.Millisecond
-	noticeBatch   = 64
+	// maxNoticePause is the pause while all that is owed are lines that the platform can't read; it doubles up to that.
+	maxNoticePause = time.Second
+	noticeBatch    = 64
 	// maxNoticeAnswer is how much of an answer is read for reuse of its connection.
 	maxNoticeAnswer = 64 << 10
 )
@@ -122,8 +124,11 @@
 func (f *Finals) Run(ctx context.Context) {
 	defer f.client.CloseIdleConnections()
 	var pending []*message.Message
+	unread := 0 // answers in a row that tell of lines which can't be read
 	for {
-		pending = append(pending, f.take()...)
+		if more := f.take(); len(more) > 0 {
+			pending, unread = append(pending, more...), 0
+		}
 		if len(pending) == 0 {
 			select {
 			case <-f.more:
@@ -141,6 +146,7 @@
 			status, err = f.post(ctx, batch)
 		}
 		if err == nil && status/100 == 2 {
+			unread = 0
 			_ = atTold.At()
 			// Answered is answered, also when the node is stopping.
 			if err := f.store.Told(context.WithoutCancel(ctx), batch...); err != nil {
@@ -150,11 +156,16 @@
 			continue
 		}
 		f.log.Warn("finals: not answered", "notices", len(batch), "status", status, "err", err)
+		pause := noticePause
 		if status == http.StatusBadRequest { // to the end of the line
 			pending = append(append(pending[:0:0], pending[1:]...), pending[0])
+			if unread++; unread > len(pending) { // all of them
+				pause = min(noticePause<<min(unread-len(pending), 10), maxNoticePause)
+			}
 		}
 		select {
-		case <-time.After(noticePause):
+		case <-time.After(pause):
+		case <-f.more: // a good line does not wait for bad ones
 		case <-ctx.Done():
 			return
 		}
--- a/internal/platform/finals_test.go
+++ b/internal/platform/finals_test.go
@@ -175,3 +175,36 @@
 		}
 	}
 }
+
+// Where nothing is owed but lines that the platform can't read, they are tried ever more seldom; a good one that
+// comes meanwhile is told with the next.
+func TestNoticesThatCannotBeRead(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	p := &notified{ids: map[string]bool{}, bad: func(id string) bool { return id[0] == 'x' }}
+	t.Run("", func(t *testing.T) {
+		s := &toldStore{told: map[string]int{}, all: make(chan struct{}), want: 1}
+		f := NewFinals(p.serve(t), s, testkit.QuietLog())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		for _, id := range []string{"x1", "x2"} {
+			f.Add(&message.Message{ID: id, End: &message.End{Kind: message.Failed}})
+		}
+		go func() { f.Run(ctx); close(done) }()
+		time.Sleep(600 * time.Millisecond) // for the count of posts, not for an event
+		f.Add(&message.Message{ID: "m", End: &message.End{Kind: message.Failed}})
+		added := time.Now()
+		select {
+		case <-s.all:
+		case <-time.After(patience):
+			t.Error("a good notice waits for ever behind bad ones")
+		}
+		if waited := time.Since(added); waited > 300*time.Millisecond {
+			t.Errorf("a good notice waited %v behind bad ones", waited)
+		}
+		cancel()
+		<-done
+	})
+	if p.posts > 30 { // 60 and more without the pause
+		t.Errorf("%d posts within a second or two", p.posts)
+	}
+}
