A dial keeps its call's limit; only one given up for a message's time is no outage

Slots are held for up to 1 s by connections that do not come up. So the time is as it was, and only what is sure stays: a connection given up because a message of the call has no time left ends as 'moot', and does not take the endpoint out at this node and, by notes, at all.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -131,6 +131,9 @@
 	return over.Add(-endMargin)
 }
 
+// CutShort tells that a call's limit is the end of a message's time, and not what an answer may take.
+func (k *Call) CutShort() bool { return k.Over().Sub(k.Started) <= k.Limit+endMargin }
+
 // recordBy is by when the record of a call must be made.
 func (k *Call) recordBy(now time.Time) time.Time {
 	if by := now.Add(RecordTime); by.Before(k.Over()) {
@@ -147,8 +150,8 @@
 	k.Parts = append(k.Parts, &Part{Message: m})
 }
 
-// Extend gives a call more time, as far as all its messages have it.
-func (k *Call) Extend(by time.Duration) {
+// extend gives a call more time, as far as all its messages have it.
+func (k *Call) extend(by time.Duration) {
 	k.Limit = max(k.Limit, min(k.Limit+by, k.Over().Sub(k.Started)))
 }
 
@@ -192,7 +195,7 @@
 	if err := r.Store.Attempt(ctx, a); err != nil {
 		return err
 	}
-	k.Extend(min(RecordTime, time.Since(now)))
+	k.extend(min(RecordTime, time.Since(now)))
 	if err := atBegun.At(); err != nil {
 		return err
 	}
--- a/internal/carrier/http1/calls.go
+++ b/internal/carrier/http1/calls.go
@@ -95,9 +95,7 @@
 }
 
 func (c *Carrier) run(life context.Context, k *carrier.Call) {
-	// A connection has its own time to come up, as far as the messages have time: a call's limit follows how
-	// soon answers come, and says nothing of how long a connection may take.
-	ctx, cancel := context.WithDeadline(life, k.Over())
+	ctx, cancel := context.WithDeadline(life, k.Started.Add(k.Limit))
 	defer cancel()
 	var (
 		conn *connection
@@ -108,18 +106,15 @@
 	for try := range maxUnsent {
 		if conn, err = c.connection(ctx, k, try > 0); err != nil {
 			outcome := policy.Unreachable
-			if try == 0 && ctx.Err() != nil {
-				// Given up by us, before it could be told whether anybody is there: nothing was sent, and
-				// nothing is known of the endpoint.
+			if try == 0 && ctx.Err() != nil && k.CutShort() {
+				// Given up because a message has no time left, before it could be told whether anybody is
+				// there: nothing was sent, and nothing is known of the endpoint.
 				outcome = policy.Moot
 			}
 			c.log.Debug("call: no connection", "endpoint", k.Endpoint.Name, "outcome", outcome, "err", err)
 			c.endAll(k, outcome, 0, false)
 			return
 		}
-		if try == 0 && !conn.kept {
-			k.Extend(time.Since(k.Started))
-		}
 		// What was told since the module's decision binds this call too: nothing of
 		// it has been sent.
 		if !c.ready(life, k, try == 0) {
