--- a/internal/platform/finals.go
+++ b/internal/platform/finals.go
@@ -156,16 +156,16 @@
 			continue
 		}
 		f.log.Warn("finals: not answered", "notices", len(batch), "status", status, "err", err)
-		pause := noticePause
+		pause, more := noticePause, (chan struct{})(nil)
 		if status == http.StatusBadRequest { // to the end of the line
 			pending = append(append(pending[:0:0], pending[1:]...), pending[0])
 			if unread++; unread > len(pending) { // all of them
-				pause = min(noticePause<<min(unread-len(pending), 10), maxNoticePause)
+				pause, more = min(noticePause<<min(unread-len(pending), 10), maxNoticePause), f.more
 			}
 		}
 		select {
 		case <-time.After(pause):
-		case <-f.more: // a good line does not wait for bad ones
+		case <-more: // a good line does not wait for bad ones
 		case <-ctx.Done():
 			return
 		}
--- a/internal/platform/finals_test.go
+++ b/internal/platform/finals_test.go
@@ -42,7 +42,7 @@
 	return nil
 }
 
-// platform answers notices as one connection after the other is served.
+// notified is the platform that notices are posted to: it serves one connection beside the other.
 type notified struct {
 	mu     sync.Mutex
 	ids    map[string]bool
