Clients: a connection never ends under a request that has been read

The stop refuses, ends what rests, waits for the answers to what was read, while calls end beside it: a client that says half a request no longer costs the calls their time. Serve and Shutdown of http.Server are used no more.

Ruled out: limits of descriptors (one more than before is never held; the newcomer is not admitted until the other is closed), EMFILE at accept (http.Server waits 5 ms to 1 s).

--- a/internal/front/http/clients_test.go
+++ b/internal/front/http/clients_test.go
@@ -27,7 +27,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = server.Serve(l) // ends with the test
+		_ = server.Serve() // ends with the test
 	}()
 	t.Cleanup(func() {
 		_ = server.Close()
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"math"
 	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -136,7 +135,7 @@
 	n.owe(store.Recovered{Owed: n.recovered.Owed})
 	server := httpfront.NewServer(n.listener, n.intake, n.log)
 	served := make(chan error, 1)
-	running.Go(func() { served <- server.Serve(n.listener) })
+	running.Go(func() { served <- server.Serve() })
 	n.log.Info("ready", "name", n.name, "listen", n.listener.Addr().String(), "owed", len(n.recovered.Owed))
 
 	var err error
@@ -199,9 +198,11 @@
 	}
 }
 
-// stop lets go of the clients first, then of the endpoints. What is still owed
+// stop takes messages and makes calls for a while, as its clients go on sending on the connections that they
+// have; each answer ends its connection. Then it refuses, ends what rests, waits for the answers to
+// what it has read, and for the outcomes of the calls that are out. What is still owed
 // after that waits in the store for the next start.
-func (n *node) stop(server *http.Server, quiet chan<- struct{}) {
+func (n *node) stop(server *httpfront.Server, quiet chan<- struct{}) {
 	start := time.Now()
 	n.log.Info("stopping", "owed", n.hold.Count())
 	n.hold.Close(false)
@@ -209,10 +210,9 @@
 	n.hold.Close(true)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(stopWaiting))
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		n.log.Warn("stopping: clients are left", "err", err)
-	}
-	close(quiet)
+	clients := make(chan error, 1)
+	go func() { clients <- server.Stop(ctx) }()
+	close(quiet) // a client that never says its request whole is not to cost the calls their time
 	<-n.engine.Quieted()
 	calls := make(chan struct{})
 	go func() {
@@ -224,4 +224,7 @@
 	case <-ctx.Done():
 		n.log.Warn("stopping: calls are out")
 	}
+	if err := <-clients; err != nil {
+		n.log.Warn("stopping: clients are left", "err", err)
+	}
 }
