Discovery: one budget of six seconds from the last word to the next, whatever fails

Cause (decide/asking Again, internal/platform/discovery.go follow): a call behind a failed one waited for news like a watch, with a limit of 3 s (agent) or 4.5 s (shared); and at 80 nodes and more Again drew from 8 s after the first failure, from 16 s after the second, First from 4 s.

Seen with real sockets on the code before (TestNewsWithinSixSeconds): an agent whose watch falls silent and whose next connection says nothing, half an answer or a trickle: news after 6.33 s; at 300 nodes one silent watch alone: 8.39 s in all seven cases. A directory that answers watches at once with versions that go up and down was called 12 times in 0.6 ms (TestOddDirectories).

Change: Wait + Patience + Again + Patience stay under 6 s by construction; the call behind a failure does not wait; an agent is asked so often while it is silent that its node hears the return within a drain's grace, since what it gets then counts at once. A pause of 50 ms between calls, whatever comes.

First calls of a shared directory are no longer spread over 4 s (TestAgentIsAskedAtOnce said so): a list of an earlier life may lack what counts as told.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -17,14 +17,8 @@
 	"wingmount/policy"
 )
 
-const (
-	// watchWait is how long one watch waits for news. It is short, so that a call
-	// which hangs in a silent agent is soon given up for a new one.
-	watchWait = 2 * time.Second
-	// watchPause must stay well under the 200 ms in which a watch goes on.
-	watchPause = asking.Pause
-	maxList    = 4 << 20
-)
+// maxList bounds a list, in bytes.
+const maxList = 4 << 20
 
 // NewSpacing returns the spacing of calls for a node's settings. Where changes come unasked the address is an
 // agent of the node's own, which answers at once and for nothing; and what it has counts as told, heard or
@@ -32,9 +26,9 @@
 // ask the directory itself do they share it.
 func NewSpacing(s policy.Settings, rng *rand.Rand) asking.Spacing {
 	if !s.MustSubscribe {
-		return asking.Spacing{Nodes: 1, Rand: rng}
+		return asking.Spacing{Nodes: 1, Grace: s.DrainGrace, Rand: rng}
 	}
-	return asking.Spacing{Nodes: s.Senders, Rand: rng}
+	return asking.Spacing{Nodes: max(2, s.Senders), Grace: s.DrainGrace, Rand: rng}
 }
 
 // Discovery follows the list of endpoints.
@@ -97,42 +91,42 @@
 
 // follow fetches the whole list, unless that of a version is known, and then watches it until
 // the context ends. It starts anew at each address, and where a version is told that is older
-// than the last: versions told by another may mean something else.
+// than the last: versions told by another may mean something else. A watch goes on while the next call
+// comes within 200 ms of an answer; behind a failure the first call asks for what there is without waiting,
+// so that a second silence is found out soon.
 func (d *Discovery) follow(ctx context.Context, base string, at int64) {
 	failures, heard := 0, false
 	for ctx.Err() == nil {
-		url, limit := base, d.spaced.Patience()
+		url, limit := base, d.spaced.Whole(failures)
 		if at >= 0 {
-			url = fmt.Sprintf("%s?index=%d&wait=%d", base, at, watchWait.Milliseconds())
-			limit += watchWait
+			wait := d.spaced.Wait(failures)
+			url = fmt.Sprintf("%s?index=%d&wait=%d", base, at, wait.Milliseconds())
+			limit = wait + d.spaced.Patience(failures)
 		}
 		asked := time.Now()
 		l, err := d.get(ctx, url, limit)
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil && (l.Complete || at >= 0 && (l.Revision > at || l.Revision == at && !heard)) {
-			l.Fresh = true
-			d.tell(l) // the first answer also where nothing has changed: what is known is right
-			at, failures, heard = l.Revision, 0, true
-			continue
-		}
-		if err == nil && l.Revision < at {
-			at = -1
-			continue
-		}
-		if err == nil && at < 0 {
+		if err == nil && at < 0 && !l.Complete {
 			err = errors.New("the whole list was asked for and a part came")
 		}
 		switch {
 		case err != nil:
 			failures++
 			d.log.Warn("discovery: no list", "err", err)
-			pause(ctx, d.spaced.Again(failures))
-		case time.Since(asked) < watchPause: // no agent answers a watch at once with nothing
-			pause(ctx, watchPause)
-		default:
-			failures = 0
+			pause(ctx, d.spaced.Again(failures, errors.Is(err, errRefused)))
+			continue
+		case l.Complete || l.Revision > at || l.Revision == at && !heard:
+			l.Fresh = true
+			d.tell(l) // the first answer also where nothing has changed: what is known is right
+			at, heard = l.Revision, true
+		case l.Revision < at:
+			at = -1
+		}
+		failures = 0
+		if time.Since(asked) < asking.Pause { // whatever it answers, and however fast
+			pause(ctx, asking.Pause)
 		}
 	}
 }
@@ -145,6 +139,9 @@
 	}
 }
 
+// errRefused is an answer without a list: the directory is there, and has no time.
+var errRefused = errors.New("answered")
+
 func (d *Discovery) get(ctx context.Context, url string, limit time.Duration) (directory.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -158,7 +155,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return directory.List{}, fmt.Errorf("answered %s", resp.Status)
+		return directory.List{}, fmt.Errorf("%w: %s", errRefused, resp.Status)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
 	if err != nil {
