Settings: classes and buildings go by name over restarts, and a lost class ends its messages

Seen (TestOtherSettingsAfterARestart on the code before): a message of a class that may not be repeated, and that the new settings lack, was sent as one of another class.

What is of a class that the settings lack has its end at the start, on record before it is told: handed back if it surely never ran, else given up. The file of names counts for disk_mb now, twice, since a new one lies beside the old one for a moment. With `wingmount run` a class that is missing stays a clear error: there the file can be mended.

Ruled out: endpoints and what is remembered of them go by the directory's names (engine.remind); destinations by the number in their messages; SIGHUP takes the address of discovery alone, so other classes in a new file change nothing before the next start (Reload.run).

--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -53,6 +54,7 @@
 	lists    map[string]int    // whole lists asked for, by the address asked
 	told     map[string]string // where a notice came
 	config   string            // the file
+	settings string            // in it, if they are not the usual ones
 }
 
 func newTestbed(t *testing.T) *testbed {
@@ -175,7 +177,7 @@
 	p.t.Helper()
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
 		`"memory_mb":192,"sockets":256,"disk_mb":3},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
-		p.listen, discovery, settings)
+		p.listen, discovery, cmp.Or(p.settings, settings))
 	testkit.Must(p.t, os.WriteFile(p.config, []byte(text), 0o600))
 }
 
@@ -230,10 +232,15 @@
 
 func (p *testbed) request(id string, timeout time.Duration) *http.Request {
 	p.t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.listen+"/meter-message", strings.NewReader("body"))
+	return p.requestOf("meter-message", id, timeout)
+}
+
+func (p *testbed) requestOf(class, id string, timeout time.Duration) *http.Request {
+	p.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.listen+"/"+class, strings.NewReader("body"))
 	testkit.Must(p.t, err)
 	req.Header.Set("X-Request-ID", id)
-	req.Header.Set("X-Priority-Class", "meter-message")
+	req.Header.Set("X-Priority-Class", class)
 	req.Header.Set("X-Timeout-Ms", fmt.Sprint(timeout.Milliseconds()))
 	req.Header.Set("X-Route-To", "dest=7")
 	req.Header.Set("Idempotency-Key", "key-"+id)
@@ -270,6 +277,54 @@
 	p.eventually("both calls again", func() bool { return p.calls["a"] == 2 && p.calls["b"] == 2 })
 }
 
+// settingsOf are settings with these classes, one call at a time, and buildings in an order.
+func settingsOf(classes, zones string) string {
+	s := strings.Replace(settings, `"MaxCalls":8`, `"MaxCalls":1`, 1)
+	a, b := strings.Index(s, `"Classes":`), strings.Index(s, `"MachineTypes"`)
+	s = s[:a] + `"Classes":` + classes + "," + s[b:]
+	return strings.Replace(s, `"FailureDomains":["a","b"]`, `"FailureDomains":`+zones, 1)
+}
+
+// A node that starts again with the settings of another customer, or with its classes in another order, starts:
+// what it finds goes on by the rules of its class's name, and what has no class any more gets its end at once. A
+// message that may have run never goes again by the rules of a class that has got the number of its own.
+func TestOtherSettingsAfterARestart(t *testing.T) {
+	const (
+		meter = `{"Name":"meter-message","AimUs":3000000,"DeadlineUs":28000000,"WindowUs":12000000,"Group":"zone","Idempotency":"deduplicated","Worth":1,"LateWorth":0.5}`
+		alarm = `{"Name":"alarm","AimUs":3000000,"DeadlineUs":28000000,"Idempotency":"at_most_once","Worth":9,"LateWorth":0.5}`
+		other = `{"Name":"other","AimUs":3000000,"DeadlineUs":28000000,"Idempotency":"idempotent","Worth":1,"LateWorth":0.5}`
+	)
+	p := newTestbed(t)
+	p.answer = func(string) int { return 0 }
+	p.settings = settingsOf("["+meter+","+alarm+"]", `["a","b"]`)
+	n := p.start()
+	hand := func(class, id string) {
+		t.Helper()
+		resp, err := http.DefaultClient.Do(p.requestOf(class, id, 20*time.Second))
+		testkit.Must(t, err)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusAccepted {
+			t.Fatalf("%s was answered %s", id, resp.Status)
+		}
+	}
+	hand("alarm", "ran")
+	p.eventually("the call", func() bool { return p.calls["ran"] == 1 })
+	hand("alarm", "untried")
+	hand("meter-message", "kept")
+	testkit.Must(t, n.cmd.Process.Signal(syscall.SIGKILL))
+	_ = n.wait(t) // killed
+	p.set(func() { p.answer = func(string) int { return http.StatusOK } })
+	p.settings, p.config = settingsOf("["+other+","+meter+"]", `["c","b","a"]`), ""
+	p.start()
+	p.eventually("both ends", func() bool { return p.finals["ran"] == "given_up" && p.finals["untried"] == "handed_back" })
+	p.eventually("the call of what has its class still", func() bool { return p.calls["kept"] == 1 })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.calls["ran"] != 1 || p.calls["untried"] != 0 || len(p.finals) != 2 {
+		t.Errorf("calls %v, notices %v", p.calls, p.finals)
+	}
+}
+
 // A crash between the end of a message and the answer to its notice must not lose
 // the notice, and a message whose time ran out meanwhile gets one at once.
 func TestNoticesOutlastTheProcess(t *testing.T) {
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -43,6 +43,7 @@
 	admission             *admission.Controller // nil where only the hold bounds what is taken on
 	linesStay             bool                  // see http1.Config
 	keeper                *ruling.Keeper        // nil where there are no rules for keys and classes
+	endForeign            bool                  // see settleForeign
 	log                   *slog.Logger
 }
 
@@ -61,18 +62,8 @@
 
 // build builds a node and listens for clients. Nothing runs yet.
 func build(p parts) (*node, error) {
-	used := map[int]bool{}
-	for _, n := range p.classes {
-		used[n] = true
-	}
-	for _, m := range p.recovered.Owed {
-		if m.End == nil && !used[m.Class] {
-			name := strconv.Itoa(m.Class)
-			if names := p.recovered.Names.Classes; m.Class < len(names) {
-				name = strconv.Quote(names[m.Class])
-			}
-			return nil, fmt.Errorf("the store holds a message of class %s, which the settings lack: keep the class until its messages have ended", name)
-		}
+	if err := p.settleForeign(); err != nil {
+		return nil, err
 	}
 	listener, err := net.Listen("tcp", p.listen)
 	if err != nil {
@@ -102,6 +93,43 @@
 	return n, nil
 }
 
+// settleForeign deals with messages on record of classes that the settings lack: nothing tells by when or how
+// often they may be tried. Where endForeign says so each gets its end here, on record before it is told:
+// handed back if it surely never ran, since its client may come again to a node that knows the class, and given up if
+// it may have. Elsewhere the node does not start, and says why.
+func (p *parts) settleForeign() error {
+	used := map[int]bool{}
+	for _, n := range p.classes {
+		used[n] = true
+	}
+	var ends []store.Ending
+	for _, m := range p.recovered.Owed {
+		if m.End != nil || used[m.Class] {
+			continue
+		}
+		name := strconv.Itoa(m.Class)
+		if names := p.recovered.Names.Classes; m.Class < len(names) {
+			name = strconv.Quote(names[m.Class])
+		}
+		if !p.endForeign {
+			return fmt.Errorf("the store holds a message of class %s, which the settings lack: keep the class until its messages have ended", name)
+		}
+		end := message.End{Kind: message.Refused}
+		if m.Past.MayRun {
+			end.Kind = message.Failed
+		}
+		p.log.Warn("a message of a class that the settings lack has ended", "id", m.ID, "class", name, "outcome", end.Kind)
+		ends = append(ends, store.Ending{Message: m, End: end})
+	}
+	if len(ends) == 0 {
+		return nil
+	}
+	if err := p.store.End(context.Background(), ends...); err != nil {
+		p.log.Error("store: messages of classes that the settings lack", "err", err)
+	}
+	return nil
+}
+
 // witness tells the rules as well what the hold hears.
 type witness struct {
 	*hold.Hold
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,13 +79,14 @@
 	if c.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
 	}
-	records, recovered, err := journal.Open(journal.Config{Dir: c.State, MaxBytes: c.DiskBytes}, log)
+	records, recovered, err := journal.Open(journal.Config{Dir: c.State, MaxBytes: c.DiskBytes, Names: c.Names()}, log)
 	if err != nil {
 		return err
 	}
+	c.Renumber(recovered.Names)
 	finals := platform.NewFinals(c.Discovery, records, log)
 	n, err := build(parts{name: c.Name, listen: c.Listen, sockets: c.Sockets, idleClose: c.IdleClose, settings: c.Settings, seed: c.Seed,
-		classes: c.Classes, kinds: c.Kinds, zones: c.Zones, store: records, recovered: recovered, teller: finals, log: log})
+		classes: c.Classes, kinds: c.Kinds, zones: c.Zones, store: records, recovered: recovered, teller: finals, endForeign: true, log: log})
 	if err != nil {
 		return errors.Join(err, records.Close())
 	}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -4,15 +4,19 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
 	"wingmount/internal/directory"
+	"wingmount/internal/store"
 	"wingmount/internal/store/journal"
 	"wingmount/internal/wire"
 	"wingmount/policy"
@@ -41,6 +45,42 @@
 	IdleClose             time.Duration
 }
 
+// Names are the names of classes and buildings, in the order of the settings.
+func (c Config) Names() store.Names {
+	return store.Names{Classes: ordered(c.Classes), Zones: ordered(c.Zones)}
+}
+
+// Renumber gives classes and buildings the numbers that a record of earlier lives knows them by, whatever
+// their order in the settings is now. A class or building of the record alone keeps its place, unused.
+func (c *Config) Renumber(n store.Names) {
+	old, classes := c.Settings.Classes, make([]policy.Class, len(n.Classes))
+	for i := range classes {
+		classes[i] = policy.Class{Repeat: policy.AtMostOnce, Aim: time.Second, Deadline: time.Second, Worth: 1}
+	}
+	for i, name := range n.Classes {
+		if at, ok := c.Classes[name]; ok {
+			classes[i], c.Classes[name] = old[at], i
+		}
+	}
+	fees := make([]float64, len(n.Zones))
+	for i, name := range n.Zones {
+		if at, ok := c.Zones[name]; ok {
+			if at < len(c.Settings.ZoneFee) {
+				fees[i] = c.Settings.ZoneFee[at]
+			}
+			c.Zones[name] = i
+		}
+	}
+	c.Settings.Classes, c.Settings.ZoneFee = classes, fees
+}
+
+// ordered are the names of an index in the order of their numbers.
+func ordered(index map[string]int) []string {
+	names := slices.Collect(maps.Keys(index))
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(index[a], index[b]) })
+	return names
+}
+
 func index(list []string) map[string]int {
 	m := make(map[string]int, len(list))
 	for i, s := range list {
--- a/internal/store/journal/journal_test.go
+++ b/internal/store/journal/journal_test.go
@@ -251,3 +251,33 @@
 		})
 	}
 }
+
+// The names of classes and buildings are a part of what the folder may hold, also while a new file of them lies beside the old one.
+func TestNamesCountForTheFolder(t *testing.T) {
+	dir, names := t.TempDir(), store.Names{}
+	for i := range 200 {
+		names.Classes = append(names.Classes, fmt.Sprintf("a-class-with-a-long-name-%d", i))
+	}
+	for life := range 3 {
+		names.Zones = append(names.Zones, fmt.Sprint("building ", life))
+		j, r, err := Open(Config{Dir: dir, MaxBytes: MinDisk, Names: names}, testkit.QuietLog())
+		testkit.Must(t, err)
+		if len(r.Names.Classes) != 200 || len(r.Names.Zones) != life+1 {
+			t.Fatalf("%d classes and %d buildings have names", len(r.Names.Classes), len(r.Names.Zones))
+		}
+		text, err := os.ReadFile(filepath.Join(dir, namesFile))
+		testkit.Must(t, err)
+		most, full := int64(0), false
+		for i := 0; !full; i++ {
+			full = errors.Is(j.Take(ctx, newMessage(fmt.Sprint(life, " ", i), 3000)), store.ErrFull)
+			most = max(most, dirSize(t, dir))
+		}
+		if most+onDisk(int64(len(text))) > MinDisk {
+			t.Errorf("life %d: %d bytes in the folder beside a new file of names, %d at most", life, most, int64(MinDisk))
+		}
+		for _, m := range r.Owed {
+			testkit.Must(t, j.Told(ctx, m)) // room for the next life
+		}
+		testkit.Must(t, j.Close())
+	}
+}
--- a/internal/store/journal/names.go
+++ b/internal/store/journal/names.go
@@ -11,8 +11,8 @@
 	"wingmount/internal/store"
 )
 
-// namesFile is beside the segments of a node that keeps names; a few names, and no part of
-// MaxBytes.
+// namesFile is beside the segments of a node that keeps names. It is a part of MaxBytes, twice: a new one lies beside the old
+// one for a moment.
 const namesFile = "names.json"
 
 // names reads the names on record, and puts new ones on record before their numbers are used.
@@ -30,10 +30,11 @@
 		return have, fmt.Errorf("reading the names of classes and buildings: %s: %w", path, err)
 	}
 	all := have.With(more)
-	if reflect.DeepEqual(all, have) {
-		return all, nil
-	}
 	if text, err = json.Marshal(all); err == nil {
+		j.limit -= 2 * onDisk(int64(len(text)))
+		if reflect.DeepEqual(all, have) {
+			return all, nil
+		}
 		if err = os.WriteFile(path+".part", text, 0o600); err == nil {
 			err = os.Rename(path+".part", path)
 		}
