Calls: a connection that this machine has no descriptor for is no outage of whom it was to

Cause (internal/carrier/http1/calls.go run): every dial that failed ended its call as "could not connect", which puts an endpoint out at once and tells all nodes so, also where EMFILE, ENFILE, ENOBUFS, ENOMEM or EADDRNOTAVAIL said that the node itself was short.

Change: the call closes the longest idle connection and tries again every 20 ms for as long as it lasts; then it was not sent, and nothing is known of the endpoint. TestOwnShortageIsNoOutage fails on the code before (outcome unreachable). EMFILE at accept is http.Server's: it waits 5 ms to 1 s and tries again; the limits of descriptors keep both from happening.

--- a/internal/carrier/http1/calls.go
+++ b/internal/carrier/http1/calls.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"wingmount/internal/carrier"
@@ -27,8 +28,14 @@
 	// maxUnsent is over how many connections one attempt is tried, while each breaks
 	// before the call is written whole.
 	maxUnsent = 3
+	// shortagePause is between two tries to connect while this machine is short of descriptors, ports or room.
+	shortagePause = 20 * time.Millisecond
 )
 
+// errShortage is a connection that could not be made for as long as its call lasted, since this machine is short
+// of something.
+var errShortage = errors.New("this machine is short of what a connection needs")
+
 // Config is what a carrier is told.
 type Config struct {
 	// ConnectTimeout is when an attempt without a connection is unreachable; 1 s if 0.
@@ -106,9 +113,9 @@
 	for try := range maxUnsent {
 		if conn, err = c.connection(ctx, k, try > 0); err != nil {
 			outcome := policy.Unreachable
-			if try == 0 && ctx.Err() != nil && k.CutShort() {
-				// Given up because a message has no time left, before it could be told whether anybody is
-				// there: nothing was sent, and nothing is known of the endpoint.
+			if errors.Is(err, errShortage) || try == 0 && ctx.Err() != nil && k.CutShort() {
+				// Given up because a message has no time left or this machine no descriptor, before it could be
+				// told whether anybody is there: nothing was sent, and nothing is known of the endpoint.
 				outcome = policy.Moot
 			}
 			c.log.Debug("call: no connection", "endpoint", k.Endpoint.Name, "outcome", outcome, "err", err)
@@ -228,11 +235,33 @@
 			return conn, nil
 		}
 	}
-	conn, err := c.dialer.DialContext(ctx, "tcp", k.Addr)
-	if err != nil {
-		return nil, fmt.Errorf("connecting: %w", err)
+	for {
+		conn, err := c.dialer.DialContext(ctx, "tcp", k.Addr)
+		switch {
+		case err == nil:
+			return newConnection(conn, k.Endpoint, k.Addr), nil
+		case !ownShortage(err):
+			return nil, fmt.Errorf("connecting: %w", err)
+		}
+		// An idle connection gives its descriptor up; another call may give one up soon.
+		c.pool.closeOldest()
+		select {
+		case <-time.After(shortagePause):
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w: %w", errShortage, err)
+		}
+	}
+}
+
+// ownShortage tells that a connection could not be made for want of something of this machine's: that says nothing
+// of whom it was to.
+func ownShortage(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, e) {
+			return true
+		}
 	}
-	return newConnection(conn, k.Endpoint, k.Addr), nil
+	return false
 }
 
 // key is the key that goes on with a message, empty where none does.
--- a/internal/carrier/http1/calls_test.go
+++ b/internal/carrier/http1/calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -265,6 +266,44 @@
 	}
 }
 
+// Where this machine has no descriptor for a connection, that is no outage of whom it was to: the call waits for one, as
+// long as it may, and gives up the idle connections that there are.
+func TestOwnShortageIsNoOutage(t *testing.T) {
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		defer conn.Close()
+		if readRequest(bufio.NewReader(conn)) == nil {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	r := newCallRig(t, addr)
+	// The socket is real, and is refused as by the system when the process has no descriptor left.
+	var short atomic.Int64
+	r.caller.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		if short.Add(-1) >= 0 {
+			return syscall.EMFILE
+		}
+		return nil
+	}
+	idle, err := net.Dial("tcp", addr)
+	testkit.Must(t, err)
+	r.caller.pool.put(newConnection(idle, &carrier.Endpoint{ID: 2}, addr))
+	short.Store(2)
+	r.start(patience, 1)
+	if e := r.next(); e.Outcome != policy.Delivered {
+		t.Errorf("after a shortage of two tries: %+v", e)
+	}
+	if n, err := idle.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("the idle connection was not given up: read %d bytes, %v", n, err)
+	}
+	r.caller.running.Wait()
+	r.caller.pool.closeIdle(time.Now(), nil)
+	short.Store(1 << 30)
+	m := r.start(100*time.Millisecond, 1)[0]
+	if e := r.next(); e.Outcome != policy.Moot || e.Final || m.Past.MayRun {
+		t.Errorf("a shortage that does not end: %+v, past %+v", e, m.Past)
+	}
+}
+
 // A time-out ends the call and its connection: a silent endpoint holds no socket.
 func TestTimeOutClosesTheConnection(t *testing.T) {
 	gone := make(chan error, 1)
--- a/internal/carrier/http1/connection.go
+++ b/internal/carrier/http1/connection.go
@@ -288,6 +288,17 @@
 	_ = surplus.Close()
 }
 
+// closeOldest closes the longest idle connection, if one is idle.
+func (p *pool) closeOldest() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at := p.all.Front(); at != nil {
+		c := at.Value.(*connection)
+		p.remove(c)
+		_ = c.Close()
+	}
+}
+
 // closeIdle closes the connections that are idle since before a time, those that
 // the other side has closed or spoken on, and all to an endpoint, if one is named.
 func (p *pool) closeIdle(before time.Time, of *carrier.Endpoint) {
