--- a/internal/carrier/http1/calls_test.go
+++ b/internal/carrier/http1/calls_test.go
@@ -287,12 +287,13 @@
 	idle, err := net.Dial("tcp", addr)
 	testkit.Must(t, err)
 	r.caller.pool.put(newConnection(idle, &carrier.Endpoint{ID: 2}, addr))
+	testkit.Must(t, idle.SetReadDeadline(time.Now().Add(patience))) // should nobody close it
 	short.Store(2)
 	r.start(patience, 1)
 	if e := r.next(); e.Outcome != policy.Delivered {
 		t.Errorf("after a shortage of two tries: %+v", e)
 	}
-	if n, err := idle.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
+	if n, err := idle.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("the idle connection was not given up: read %d bytes, %v", n, err)
 	}
 	r.caller.running.Wait()
