--- a/cmd/wingmount/main_test.go
+++ b/cmd/wingmount/main_test.go
@@ -51,10 +51,14 @@
 	watches  []time.Time
 	answered []time.Time
 	silent   int               // so many watches get no answer
+	down     bool              // discovery answers nothing but notices
+	hung     int               // so many calls at it while it was down
 	lists    map[string]int    // whole lists asked for, by the address asked
 	told     map[string]string // where a notice came
 	config   string            // the file
 	settings string            // in it, if they are not the usual ones
+	knows    bool              // the file has the list
+	sockets  int               // in it, and the limit of the process; 0 for 256 and no limit
 }
 
 func newTestbed(t *testing.T) *testbed {
@@ -94,11 +98,19 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
+	p.mu.Lock()
+	down := p.down
+	if down {
+		p.hung++
+	}
+	p.mu.Unlock()
+	if down {
+		<-r.Context().Done()
+		return
+	}
 	if r.URL.Query().Get("index") == "" {
 		p.set(func() { p.lists[r.Host]++ })
-		fmt.Fprintf(w, `{"revision":1,"complete":true,"members":[{"id":"s1","host_port":%q,"locality":"a",`+
-			`"flavor":"general","cell":7,"phase":"active","size":100},{"id":"odd","phase":"whatever"}]}`,
-			p.endpoint.Listener.Addr())
+		fmt.Fprintf(w, `{"revision":1,"complete":true,"members":[%s,{"id":"odd","phase":"whatever"}]}`, p.member())
 		return
 	}
 	p.mu.Lock()
@@ -123,6 +135,12 @@
 	p.mu.Unlock()
 }
 
+// member is the endpoint in a list.
+func (p *testbed) member() string {
+	return fmt.Sprintf(`{"id":"s1","host_port":%q,"locality":"a","flavor":"general","cell":7,"phase":"active","size":100}`,
+		p.endpoint.Listener.Addr())
+}
+
 func (p *testbed) serveEndpoint(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-ID")
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -175,9 +193,13 @@
 // configure writes the configuration with an address of discovery.
 func (p *testbed) configure(discovery string) {
 	p.t.Helper()
+	known := `{"revision":0,"complete":true,"members":[]}`
+	if p.knows {
+		known = fmt.Sprintf(`{"revision":1,"complete":true,"members":[%s]}`, p.member())
+	}
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,`+
-		`"memory_mb":192,"sockets":256,"disk_mb":3},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
-		p.listen, discovery, cmp.Or(p.settings, settings))
+		`"memory_mb":192,"sockets":%d,"disk_mb":3},"known":%s,"settings":%s}`,
+		p.listen, discovery, cmp.Or(p.sockets, 256), known, cmp.Or(p.settings, settings))
 	testkit.Must(p.t, os.WriteFile(p.config, []byte(text), 0o600))
 }
 
@@ -189,6 +211,9 @@
 		p.configure(p.discovery.Listener.Addr().String())
 	}
 	n := &process{cmd: exec.Command(os.Args[0]), end: make(chan error, 1)}
+	if p.sockets > 0 {
+		n.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, p.sockets), os.Args[0])
+	}
 	n.cmd.Env = append(os.Environ(), "WINGMOUNT_TEST_NODE=1", "PROXY_CONFIG="+p.config, "PROXY_STATE="+p.dir,
 		"PROXY_DISCOVERY="+p.discovery.Listener.Addr().String(),
 		"GORACE=atexit_sleep_ms=0") // the race detector would add a second to each end
@@ -325,6 +350,138 @@
 	}
 }
 
+// Idle clients that come by hundreds while discovery is down take no descriptor from discovery, notices, endpoints or the
+// store, and none from the clients that have something to say.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	const idle = 1100
+	p := newTestbed(t)
+	p.sockets = 128
+	n := p.start()
+	p.send("before", 20*time.Second)
+	p.eventually("the call", func() bool { return p.calls["before"] == 1 })
+	p.set(func() { p.down, p.hung = true, 0 })
+	p.eventually("a call at discovery while it is down", func() bool { return p.hung > 0 })
+	most := 0
+	count := func() {
+		fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid))
+		testkit.Must(t, err)
+		most = max(most, len(fds))
+	}
+	for i := range idle {
+		c, err := net.Dial("tcp", p.listen)
+		testkit.Must(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		if i%100 != 0 {
+			continue
+		}
+		count()
+		id := fmt.Sprint("among", i)
+		if resp := p.send(id, 20*time.Second); resp.StatusCode != http.StatusAccepted {
+			t.Errorf("%s was answered %s", id, resp.Status)
+		}
+		p.eventually("the call of "+id, func() bool { return p.calls[id] == 1 })
+	}
+	p.set(func() { p.answer = func(string) int { return 0 } })
+	p.send("ended", 300*time.Millisecond)
+	p.eventually("a notice", func() bool { return p.finals["ended"] == "given_up" })
+	count()
+	p.set(func() { p.down = false })
+	watches := 0
+	p.set(func() { watches = len(p.watches) })
+	p.eventually("a watch after its return", func() bool { return len(p.watches) > watches })
+	count()
+	if most > 110 {
+		t.Errorf("%d descriptors of 128 were open", most)
+	}
+	testkit.Must(t, n.cmd.Process.Signal(syscall.SIGTERM))
+	if err := n.wait(t); err != nil {
+		t.Errorf("ended with %v: %s", err, n.log.String())
+	}
+}
+
+// A node that starts with a full folder while discovery is down is ready soon, and tries what it finds untried.
+func TestStartsFullWhileDiscoveryIsDown(t *testing.T) {
+	p := newTestbed(t)
+	p.answer = func(string) int { return 0 }
+	p.settings = strings.Replace(strings.Replace(settings, `"MaxCalls":8`, `"MaxCalls":1`, 1), `"MaxOpen":4`, `"MaxOpen":4000`, 1)
+	p.knows = true
+	n := p.start()
+	hand := func(id string) int {
+		t.Helper()
+		req := p.request(id, 28*time.Second)
+		body := strings.Repeat("b", 1500)
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+		resp, err := http.DefaultClient.Do(req)
+		testkit.Must(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	taken := 0
+	for hand(fmt.Sprint("m", taken)) == http.StatusAccepted {
+		taken++
+	}
+	testkit.Must(t, n.cmd.Process.Signal(syscall.SIGKILL))
+	_ = n.wait(t) // killed
+	before, tried := 0, 0
+	p.set(func() {
+		before = len(p.calls)
+		p.answer, p.down = func(string) int { return http.StatusOK }, true
+	})
+	from := time.Now()
+	p.start()
+	ready := time.Since(from)
+	p.eventually("most of what was untried", func() bool {
+		tried = len(p.calls) - before
+		return tried >= (taken-before)/2
+	})
+	t.Logf("%d messages filled the folder, %d were tried before the restart; ready after %v", taken, before, ready)
+	if taken < 500 || before > taken/10 {
+		t.Errorf("%d messages were taken, %d tried: not what this is about", taken, before)
+	}
+	if ready > 10*time.Second {
+		t.Errorf("ready after %v", ready)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if early := len(p.finals); early > taken/10 {
+		t.Errorf("%d of %d were given up", early, taken)
+	}
+}
+
+// What may have run before a restart goes again only while its key is remembered, also where that is a second.
+func TestShortWindowOverARestart(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"within": 0, "after": 1100 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestbed(t)
+			p.answer = func(string) int { return 0 }
+			window := 20 * time.Second // as long as it takes to start again
+			if wait > 0 {
+				window = time.Second
+			}
+			p.settings = strings.Replace(settings, `"WindowUs":12000000`, fmt.Sprintf(`"WindowUs":%d`, window.Microseconds()), 1)
+			n := p.start()
+			p.send("a", 25*time.Second)
+			p.eventually("the call", func() bool { return p.calls["a"] == 1 })
+			testkit.Must(t, n.cmd.Process.Signal(syscall.SIGKILL))
+			_ = n.wait(t) // killed
+			p.set(func() { p.answer = func(string) int { return http.StatusOK } })
+			time.Sleep(wait) // until the key is forgotten
+			p.start()
+			if wait > 0 {
+				p.eventually("its end", func() bool { return p.finals["a"] == "given_up" })
+			} else {
+				p.eventually("its second call", func() bool { return p.calls["a"] == 2 })
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if wait > 0 && p.calls["a"] != 1 || wait == 0 && len(p.finals) != 0 {
+				t.Errorf("calls %v, notices %v", p.calls, p.finals)
+			}
+		})
+	}
+}
+
 // A crash between the end of a message and the answer to its notice must not lose
 // the notice, and a message whose time ran out meanwhile gets one at once.
 func TestNoticesOutlastTheProcess(t *testing.T) {
