--- a/internal/front/http/endings_test.go
+++ b/internal/front/http/endings_test.go
@@ -217,6 +217,37 @@
 	taken(t, late, "who came last")
 }
 
+// While it answers, the server reads a byte ahead. Where that came, the next request has begun, and the connection
+// does not rest, though nothing more is read until the answer is out.
+func TestByteReadAheadKeepsTheConnection(t *testing.T) {
+	answer := newGate(t, "front/http/before-answer")
+	_, l, _ := endingRig(t, 4)
+	answer.close()
+	c := dialClient(t, l)
+	r := bufio.NewReader(c)
+	sendNote(t, c, "first")
+	answer.wait(t)
+	next := rawNote("second", noteLength) + "body"
+	_, err := io.WriteString(c, next[:1])
+	testkit.Must(t, err)
+	eventually(t, l, "a byte has been read ahead", func() bool {
+		for c := range l.all {
+			return c.ahead
+		}
+		return false
+	})
+	answer.release()
+	taken(t, r, "the first")
+	busy(t, l)
+	late := dialClient(t, l) // finds no place: all have a request open
+	if _, err := late.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("who came last: %v", err)
+	}
+	_, err = io.WriteString(c, next[1:])
+	testkit.Must(t, err)
+	taken(t, r, "the request of which a byte was read ahead")
+}
+
 // stopping stops a server and returns its error, once it has ended.
 func stopping(stop func(context.Context) error) <-chan error {
 	done := make(chan error, 1)
