--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		name := strconv.Itoa(m.Class)
-		if names := p.recovered.Names.Classes; m.Class < len(names) {
+		if names := p.recovered.Names.Classes; m.Class >= 0 && m.Class < len(names) {
 			name = strconv.Quote(names[m.Class])
 		}
 		if !p.endForeign {
--- a/internal/store/journal/journal_test.go
+++ b/internal/store/journal/journal_test.go
@@ -281,3 +281,29 @@
 		testkit.Must(t, j.Close())
 	}
 }
+
+// A file of names that can't be read does not keep a node from its start. What is running has no class then, since whose
+// number it has is not known; what is owed its telling is told.
+func TestUnreadableNames(t *testing.T) {
+	for _, text := range []string{"", "{", `{"Classes":7}`, "\x00\x00"} {
+		dir, names := t.TempDir(), store.Names{Classes: []string{"a", "b"}, Zones: []string{"x"}}
+		j, _, err := Open(Config{Dir: dir, MaxBytes: MinDisk, Names: names}, testkit.QuietLog())
+		testkit.Must(t, err)
+		running, over := newMessage("running", 3), newMessage("over", 3)
+		running.Class = 1
+		testkit.Must(t, j.Take(ctx, running))
+		testkit.Must(t, j.Take(ctx, over))
+		testkit.Must(t, j.End(ctx, store.Ending{Message: over, End: message.End{Kind: message.Refused}}))
+		testkit.Must(t, j.Close())
+		path := filepath.Join(dir, namesFile)
+		testkit.Must(t, os.WriteFile(path, []byte(text), 0o600))
+		for life := range 2 {
+			j, r, err := Open(Config{Dir: dir, MaxBytes: MinDisk, Names: names}, testkit.QuietLog())
+			testkit.Must(t, err)
+			if len(r.Owed) != 2 || life == 0 && r.Owed[0].Class != unknownClass || r.Owed[1].End == nil || len(r.Names.Classes) != 2 {
+				t.Errorf("%q, life %d: owed %+v, names %v", text, life, r.Owed, r.Names)
+			}
+			testkit.Must(t, j.Close())
+		}
+	}
+}
--- a/internal/store/journal/names.go
+++ b/internal/store/journal/names.go
@@ -15,7 +15,11 @@
 // one for a moment.
 const namesFile = "names.json"
 
-// names reads the names on record, and puts new ones on record before their numbers are used.
+// unknownClass is the class of a message whose number no name stands for any more.
+const unknownClass = -1
+
+// names reads the names on record, and puts new ones on record before their numbers are used. Where the file can't be
+// read the node starts all the same, with names anew: what is running then is of no known class.
 func (j *Journal) names(more store.Names) (store.Names, error) {
 	var have store.Names
 	if len(more.Classes)+len(more.Zones) == 0 {
@@ -27,7 +31,12 @@
 		err = json.Unmarshal(text, &have)
 	}
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return have, fmt.Errorf("reading the names of classes and buildings: %s: %w", path, err)
+		j.log.Error("journal: the names of classes and buildings can't be read: what is running has no class", "file", path, "err", err)
+		j.faults = append(j.faults, fmt.Sprintf("%s: unreadable: %v", namesFile, err))
+		have = store.Names{}
+		for _, m := range j.live {
+			m.Class = unknownClass
+		}
 	}
 	all := have.With(more)
 	if text, err = json.Marshal(all); err == nil {
