--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -132,6 +132,12 @@
 // scripted is a directory on a socket: each connection that comes is handed to the script, which answers its
 // requests as it likes.
 func scripted(t *testing.T, spaced asking.Spacing, script func(n int, c *net.TCPConn, r *http.Request)) (told chan directory.List) {
+	t.Helper()
+	return scriptedDials(t, spaced, func(context.Context, int) {}, script)
+}
+
+// scriptedDials is scripted with something done before each connection is made, counted from 1.
+func scriptedDials(t *testing.T, spaced asking.Spacing, dial func(ctx context.Context, n int), script func(n int, c *net.TCPConn, r *http.Request)) (told chan directory.List) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	testkit.Must(t, err)
@@ -160,6 +166,11 @@
 	})
 	told = make(chan directory.List, 64)
 	d := NewDiscovery(l.Addr().String(), spaced, directory.List{}, testkit.QuietLog(), func(l directory.List) { told <- l })
+	var dials atomic.Int64
+	d.client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dial(ctx, int(dials.Add(1)))
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { d.Run(ctx); close(done) }()
@@ -231,6 +242,30 @@
 	}
 }
 
+// Behind a watch that fell silent two connections do not come up: the agent's news is heard in time all the same.
+func TestNewsBehindConnectionsThatHang(t *testing.T) {
+	silent := make(chan time.Time, 1)
+	told := scriptedDials(t, asking.Spacing{Nodes: 1, Rand: rand.New(rand.NewPCG(7, 8))}, func(ctx context.Context, n int) {
+		if n == 2 || n == 3 {
+			<-ctx.Done()
+		}
+	}, func(n int, c *net.TCPConn, _ *http.Request) {
+		switch n {
+		case 1:
+			say(c, fmt.Sprintf(oneEndpoint, 1))
+		case 2:
+			silent <- time.Now()
+		default:
+			say(c, fmt.Sprintf(oneEndpoint, 2))
+		}
+	})
+	next(t, "the first list", told)
+	l := next(t, "the news", told)
+	if took := time.Since(next(t, "the silence", silent)); l.Revision != 2 || took > asking.Told {
+		t.Errorf("version %d was heard %v after the watch fell silent", l.Revision, took)
+	}
+}
+
 // Lists that are indented, name an id twice, go back in version, or come without end at once are followed at a bounded pace.
 func TestOddDirectories(t *testing.T) {
 	var calls atomic.Int64
