Notices and discovery: a connection that does not come up is given up after a second

Cause (internal/platform/finals.go NewTeller, discovery.go NewDiscovery): http.Transport goes on making a connection whose request was given up, for the next one, and had no bound but the system's two minutes. A notice comes again every 170 ms, so each left a descriptor behind.

Calls to endpoints have a dialer of their own with the settings' time, ended with the call: ruled out by reading.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -53,7 +54,15 @@
 		at = known.Revision
 	}
 	return &Discovery{url: listURL(addr), log: log, tell: tell, spaced: spaced, known: at,
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+		client: &http.Client{Transport: newTransport()}}
+}
+
+// dialTime is how long a connection may take to come up. http.Transport goes on making one whose request was given up,
+// for the next: without a bound of its own each call that hangs would hold a descriptor for minutes.
+const dialTime = time.Second
+
+func newTransport() *http.Transport {
+	return &http.Transport{DisableCompression: true, DialContext: (&net.Dialer{Timeout: dialTime}).DialContext}
 }
 
 func listURL(addr string) string { return "http://" + addr + "/v1/servers" }
--- a/internal/platform/finals.go
+++ b/internal/platform/finals.go
@@ -80,7 +80,7 @@
 func NewTeller(url string, form Form, s store.Store, log *slog.Logger) *Finals {
 	return &Finals{url: url, form: form, store: s, log: log,
 		more:   make(chan struct{}, 1),
-		client: &http.Client{Timeout: noticeTimeout, Transport: &http.Transport{DisableCompression: true}}}
+		client: &http.Client{Timeout: noticeTimeout, Transport: newTransport()}}
 }
 
 func finalsURL(addr string) string { return "http://" + addr + "/v2/finals" }
