--- a/cmd/wingmount/takeover_test.go
+++ b/cmd/wingmount/takeover_test.go
@@ -163,7 +163,17 @@
 			s.Destinations[1].System.Set(partner.Fails)
 			first, second := s.start(0, point+"=stop@3"), s.start(1, "")
 			s.hand(48)
-			testkit.Must(t, first.Paused(s.ctx))
+			paused := make(chan error, 1)
+			go func() { paused <- first.Paused(s.ctx) }()
+			for running := true; running; {
+				select {
+				case err := <-paused:
+					testkit.Must(t, err)
+					running = false
+				case <-time.After(200 * time.Millisecond):
+					s.hand(3) // on a busy machine some were turned away, or the other node's
+				}
+			}
 			s.settled(first, second)
 			before := 0
 			for _, d := range s.Destinations {
