--- a/internal/store/group/group.go
+++ b/internal/store/group/group.go
@@ -37,6 +37,9 @@
 	// is up, until it is told as the lease implies it.
 	impliedAfter = 100 * time.Millisecond
 	impliedEvery = 25 * time.Millisecond
+	// findMax is how many ids may be asked for at once. Who asks for one more hears that the
+	// store is not available.
+	findMax = 256
 )
 
 // Kind of a record.
@@ -107,6 +110,12 @@
 	TakeOver(now time.Time, room int) (store.Recovered, error)
 }
 
+// Finder is a backend that can be asked for ids between two transactions.
+type Finder interface {
+	// Find tells what takes of these ids would hear: a store.KnownError each, or nil.
+	Find(ids []string) ([]error, error)
+}
+
 // Implier is a backend whose owner's lease answers messages that have no answer on record.
 type Implier interface {
 	// ImpliedUntil is until when that holds, by this machine's clock: a message whose time
@@ -136,6 +145,7 @@
 	mu       sync.Mutex
 	queue    []*Record // all but takes
 	takes    []*Record // written behind the queue: see commit
+	finds    []find    // ids that are asked for, findMax at most
 	closing  bool
 	stuck    error                  // why the last transaction failed, nil once one was good
 	lost     error                  // that nothing may be written any more
@@ -498,6 +508,7 @@
 		s.mu.Lock()
 		n, closing, stuck := len(s.queue)+len(s.takes), s.closing, s.stuck
 		s.mu.Unlock()
+		s.answerFinds()
 		if closing && until.IsZero() {
 			until = time.Now().Add(closeWait)
 		}
--- a/internal/store/intents/intents.go
+++ b/internal/store/intents/intents.go
@@ -182,6 +182,14 @@
 	}
 }
 
+// Find implements [store.Finder], where the store does.
+func (s *Store) Find(ctx context.Context, id string) error {
+	if f, ok := s.Store.(store.Finder); ok {
+		return f.Find(ctx, id)
+	}
+	return fmt.Errorf("%w: it can't be asked for an id", store.ErrUnavailable)
+}
+
 // Attempt implements [store.Store].
 func (s *Store) Attempt(ctx context.Context, a store.Attempt) error {
 	within, cancel := s.bound(ctx)
--- a/internal/store/journal/journal.go
+++ b/internal/store/journal/journal.go
@@ -272,16 +272,31 @@
 // cost is the room that a message may take up until nothing is owed for it.
 func cost(m *message.Message) int64 { return int64(len(m.Body)+len(m.ID)+len(m.Key)) + ownShare }
 
-// Take implements [store.Store].
-func (j *Journal) Take(_ context.Context, m *message.Message) error {
+// Find implements [store.Finder].
+func (j *Journal) Find(_ context.Context, id string) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if known := j.ids[m.ID]; known != nil {
+	return j.find(id)
+}
+
+// find is [Journal.Find] with the lock held.
+func (j *Journal) find(id string) error {
+	if known := j.ids[id]; known != nil {
 		return &store.KnownError{End: known.End}
 	}
-	if told, ok := j.answers[m.ID]; ok {
+	if told, ok := j.answers[id]; ok {
 		return &store.KnownError{End: &told.end}
 	}
+	return nil
+}
+
+// Take implements [store.Store].
+func (j *Journal) Take(_ context.Context, m *message.Message) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if err := j.find(m.ID); err != nil {
+		return err
+	}
 	// Three segments are left: for records that no longer count, for the next one,
 	// and for a copy made while old and new lie there together.
 	if j.liveSize+cost(m) > j.limit-3*j.segSize {
--- a/internal/store/postgres/postgres.go
+++ b/internal/store/postgres/postgres.go
@@ -523,26 +523,62 @@
 	}
 }
 
+// knownID asks what is on record of an id, see scanKnown.
+const knownID = `SELECT i.seq, a.kind, a.retry FROM ident i LEFT JOIN answer a ON a.seq = i.seq WHERE i.id = $1::text`
+
+// scanKnown reads the row of knownID: what a take of the id hears, and the number of the message that has it.
+func scanKnown(row pgx.Row) (*store.KnownError, int64, error) {
+	var seq int64
+	var kind, retry *int64
+	if err := row.Scan(&seq, &kind, &retry); err != nil {
+		return nil, 0, err
+	}
+	known := &store.KnownError{}
+	if kind != nil {
+		known.End = &message.End{Kind: message.Kind(*kind), RetryAfter: time.Duration(*retry) * time.Millisecond}
+	}
+	return known, seq, nil
+}
+
 // queueKnown asks whose the id of a take is.
 func (b *base) queueKnown(batch *pgx.Batch, r *group.Record, result *error) {
-	batch.Queue(`SELECT i.seq, a.kind, a.retry FROM ident i LEFT JOIN answer a ON a.seq = i.seq WHERE i.id = $1::text`, r.Message.ID).QueryRow(func(row pgx.Row) error {
-		var seq int64
-		var kind, retry *int64
-		if err := row.Scan(&seq, &kind, &retry); err != nil {
+	batch.Queue(knownID, r.Message.ID).QueryRow(func(row pgx.Row) error {
+		known, seq, err := scanKnown(row)
+		if err != nil {
 			return err
 		}
 		*result = nil
 		if seq != int64(r.Message.Seq) {
-			known := &store.KnownError{}
-			if kind != nil {
-				known.End = &message.End{Kind: message.Kind(*kind), RetryAfter: time.Duration(*retry) * time.Millisecond}
-			}
 			*result = known
 		}
 		return nil
 	})
 }
 
+// Find implements [group.Finder].
+func (b *base) Find(ids []string) ([]error, error) {
+	results := make([]error, len(ids))
+	batch := &pgx.Batch{}
+	for i, id := range ids {
+		batch.Queue(knownID, id).Query(func(rows pgx.Rows) error {
+			for rows.Next() {
+				known, _, err := scanKnown(rows)
+				if err != nil {
+					return err
+				}
+				results[i] = known
+			}
+			return rows.Err()
+		})
+	}
+	ctx, cancel := context.WithTimeout(b.life, statementTime)
+	defer cancel()
+	if err := b.pool.SendBatch(ctx, batch).Close(); err != nil {
+		return nil, err
+	}
+	return results, nil
+}
+
 func notNil(b []byte) []byte {
 	if b == nil {
 		return []byte{}
--- a/internal/store/postgres/postgres_test.go
+++ b/internal/store/postgres/postgres_test.go
@@ -41,6 +41,11 @@
 	server *pgserver.Server
 }
 
+// Find implements [store.Finder].
+func (w whole) Find(ctx context.Context, id string) error {
+	return w.Store.(store.Finder).Find(ctx, id)
+}
+
 func (w whole) Close() error { return errors.Join(w.Store.Close(), w.server.Close()) }
 
 // The suite; a crash takes the node and the server with it.
--- a/internal/store/sqlite/writer.go
+++ b/internal/store/sqlite/writer.go
@@ -15,10 +15,10 @@
 
 // statements are prepared once.
 type statements struct {
-	take, answered, inBucket, past, drop, dropPast, answer, told, call, endpoint, meta *sqlite3.Stmt
-	segment, bucket, keptLess, dropSegment, dropBuckets                                *sqlite3.Stmt
-	oldAnswers, dropAnswer, oldCalls, oldEndpoints                                     *sqlite3.Stmt
-	all                                                                                []*sqlite3.Stmt
+	take, answered, running, inBucket, past, drop, dropPast, answer, told, call, endpoint, meta *sqlite3.Stmt
+	segment, bucket, keptLess, dropSegment, dropBuckets                                         *sqlite3.Stmt
+	oldAnswers, dropAnswer, oldCalls, oldEndpoints                                              *sqlite3.Stmt
+	all                                                                                         []*sqlite3.Stmt
 }
 
 func (st *statements) prepare(c *sqlite3.Conn) error {
@@ -28,6 +28,7 @@
 	}{
 		{&st.take, `INSERT INTO message VALUES (?1, ?2, ?3, ?4, ?5, ?6, ?7, ?8) ON CONFLICT (id) DO NOTHING`},
 		{&st.answered, `SELECT id, kind, retry FROM answer WHERE seq = ?1`},
+		{&st.running, `SELECT 1 FROM message WHERE id = ?1`},
 		{&st.inBucket, `SELECT entries FROM bucket WHERE segment = ?1 AND n = ?2`},
 		{&st.past, `INSERT INTO past SELECT ?1, ?2, ?3, ?4, ?5 WHERE EXISTS (SELECT 1 FROM message WHERE seq = ?1)
 			ON CONFLICT (seq) DO UPDATE SET attempts = ?2, flags = ?3, ran = ?4, zone = ?5`},
@@ -467,3 +468,36 @@
 	r.Rebase(message.FromMicros(latest), time.Now())
 	return r, policy.MessageID(last), nil
 }
+
+// Find implements [group.Finder].
+func (s *file) Find(ids []string) ([]error, error) {
+	results := make([]error, len(ids))
+	for i, id := range ids {
+		kind, retry, ok, err := s.answered(id)
+		if err != nil {
+			return nil, err
+		}
+		if ok {
+			results[i] = &store.KnownError{End: &message.End{Kind: message.Kind(kind), RetryAfter: time.Duration(retry) * time.Millisecond}}
+			continue
+		}
+		running, err := s.running(id)
+		if err != nil {
+			return nil, err
+		}
+		if running {
+			results[i] = &store.KnownError{}
+		}
+	}
+	return results, nil
+}
+
+// running tells whether a message without an answer has an id.
+func (s *file) running(id string) (bool, error) {
+	st := s.st.running
+	if err := bind(st, id); err != nil {
+		return false, err
+	}
+	found := st.Step()
+	return found, st.Reset()
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -181,6 +181,14 @@
 	OnLate(func(*message.Message))
 }
 
+// Finder is a store that can be asked whether an id is on record, without a record of its own.
+type Finder interface {
+	// Find returns a [KnownError] where the id of a message is on record, as [Store.Take] would, and nil
+	// where it is not and no earlier Take of it can put it there any more. Any other error says that
+	// this is not known.
+	Find(ctx context.Context, id string) error
+}
+
 // Shared is a store that several nodes use. Each owns its messages by a lease; what a node
 // leaves whose lease has run out goes to the others, while they run.
 type Shared interface {
--- a/internal/store/storetest/storetest.go
+++ b/internal/store/storetest/storetest.go
@@ -141,6 +141,7 @@
 	if err := s.Take(ctx, NewMessage("fresh", 10)); !errors.As(err, &known) || known.End != nil {
 		t.Errorf("a second copy: %v, want that it runs", err)
 	}
+	m.finds(t, s, "before any answer", "fresh")
 	must(t, s.Attempt(ctx, attempt(at, 1, tried, out)))
 	must(t, s.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.TimedOut, Endpoint: "e1", At: at.Add(time.Second)}))
 	must(t, s.Attempt(ctx, attempt(at.Add(time.Second), 0, tried)))
@@ -152,6 +153,7 @@
 	if refused.End == nil || refused.End.Kind != message.Refused {
 		t.Error("End left the message as it was")
 	}
+	m.finds(t, s, "with an answer", "refused")
 	must(t, s.End(ctx, store.Ending{Message: refused, End: message.End{Kind: message.Failed}}))
 	if refused.End.Kind != message.Refused {
 		t.Error("a second answer replaced the first")
@@ -242,6 +244,24 @@
 	told bool
 }
 
+// finds asks a store for an id that is on record, which must hear what a take of it hears, and for one that
+// is not on record.
+func (m Maker) finds(t *testing.T, s store.Store, when, id string) {
+	t.Helper()
+	f, ok := s.(store.Finder)
+	if !ok {
+		t.Fatal("the store can't be asked for an id")
+	}
+	var taken, found *store.KnownError
+	if err := s.Take(ctx, NewMessage(id, 1)); !errors.As(err, &taken) {
+		t.Fatalf("%s: taking an id on record: %v", when, err)
+	}
+	if err := f.Find(ctx, id); !errors.As(err, &found) || found.Error() != taken.Error() {
+		t.Errorf("%s: asked for an id on record: %v, and taking it: %v", when, err, taken)
+	}
+	must(t, f.Find(ctx, "never handed in"))
+}
+
 // world is the model: messages by id, and their order.
 type world struct {
 	order []string
