--- a/internal/store/journal/inspect.go
+++ b/internal/store/journal/inspect.go
@@ -11,11 +11,8 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"time"
 
-	"wingmount/internal/message"
 	"wingmount/internal/store"
-	"wingmount/policy"
 )
 
 // inspectTries is how often a folder is read again that a node cleans meanwhile.
@@ -83,7 +80,7 @@
 	}
 	return []store.Figure{{Name: "segments", Value: len(j.segments)}, {Name: "bytes", Value: j.diskSize()}, {Name: "last attempt or telling", Value: last},
 		{Name: "running", Value: running}, {Name: "attempts at running", Value: attempts}, {Name: "answers owed", Value: owed},
-		{Name: "answers kept", Value: len(j.answers)}, {Name: "torn tails", Value: j.torn}}, nil
+		{Name: "answers kept", Value: len(j.answers)}, {Name: "torn tails", Value: j.tornTails}}, nil
 }
 
 // Entries implements [store.Inspector]. Of what was told the journal has only the answer; those come
@@ -161,61 +158,3 @@
 
 // Close implements [store.Inspector].
 func (i *Inspector) Close() error { return nil }
-
-// openSegments opens the segments in a folder, in order. What a node removes later can be read
-// still; it fails with os.ErrNotExist where one is removed in this moment.
-func openSegments(dir string) (files []*os.File, err error) {
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return nil, err
-	}
-	for _, e := range entries {
-		if _, ok := segmentNumber(e.Name()); !ok {
-			continue
-		}
-		f, err := os.Open(filepath.Join(dir, e.Name()))
-		if err != nil {
-			closeAll(files)
-			return nil, err
-		}
-		files = append(files, f)
-	}
-	return files, nil
-}
-
-func closeAll(files []*os.File) {
-	for _, f := range files {
-		_ = f.Close() // was only read
-	}
-}
-
-// segmentNumber reads the number out of the name of a segment's file.
-func segmentNumber(name string) (n uint64, ok bool) {
-	_, err := fmt.Sscanf(name, "journal-%016d", &n)
-	return n, err == nil && filepath.Base(segmentPath("", n)) == name
-}
-
-// newJournal returns a journal that has read nothing.
-func newJournal(c Config, log *slog.Logger) *Journal {
-	return &Journal{dir: c.Dir, limit: c.MaxBytes, tell: c.TellDelivered, log: log, next: 1, segSize: max(c.MaxBytes/24, message.MaxBody+4<<10),
-		live: map[policy.MessageID]*message.Message{}, ids: map[string]*message.Message{}, answers: map[string]answer{},
-		home: map[policy.MessageID]uint64{}, memories: map[string]*store.Memory{}, latest: time.Time{}}
-}
-
-// replayAll reads all segments of the folder.
-func (j *Journal) replayAll() error {
-	files, err := openSegments(j.dir)
-	if err != nil {
-		return fmt.Errorf("opening the journal: %w", err)
-	}
-	defer closeAll(files)
-	for _, f := range files {
-		n, _ := segmentNumber(filepath.Base(f.Name()))
-		data, err := io.ReadAll(f)
-		if err != nil {
-			return fmt.Errorf("replaying the journal: %w", err)
-		}
-		j.replay(n, data)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/store/journal/replay.go
@@ -0,0 +1,186 @@
+package journal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"path/filepath"
+	"time"
+
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/policy"
+)
+
+// replay applies the records of one segment up to its end or its torn tail.
+func (j *Journal) replay(n uint64, data []byte) {
+	j.segments = append(j.segments, segment{number: n, size: int64(len(data))})
+	for at := 0; at < len(data); {
+		rest := data[at:]
+		if len(rest) < recordHead {
+			j.tornTails++
+			j.log.Warn("journal: torn tail", "segment", n, "at", at)
+			return
+		}
+		size := int64(binary.LittleEndian.Uint32(rest))
+		if size > int64(len(rest)-recordHead) {
+			j.tornTails++
+			j.log.Warn("journal: torn tail", "segment", n, "at", at)
+			return
+		}
+		payload := rest[recordHead : recordHead+size]
+		if crc32.Checksum(payload, crcTable) != binary.LittleEndian.Uint32(rest[4:]) {
+			j.faults = append(j.faults, fmt.Sprintf("segment %d, byte %d: bad checksum, the rest of the segment is passed over", n, at))
+			j.log.Warn("journal: bad checksum, the rest of the segment is passed over", "segment", n, "at", at)
+			return
+		}
+		if err := j.apply(n, payload); err != nil {
+			j.faults = append(j.faults, fmt.Sprintf("segment %d, byte %d: an unreadable record: %v", n, at, err))
+			j.log.Warn("journal: unreadable record", "segment", n, "at", at, "err", err)
+		}
+		at += recordHead + int(size)
+	}
+}
+
+// apply takes one record into the state. A record of an unknown kind, or one that is cut short,
+// is an error.
+func (j *Journal) apply(segment uint64, payload []byte) error {
+	r := reader{b: payload}
+	kind, seq := r.u8(), policy.MessageID(r.uvarint())
+	j.next = max(j.next, seq+1)
+	m := j.live[seq]
+	switch kind {
+	case recordAccepted:
+		j.applyAccepted(&r, segment, seq)
+	case recordAttempt:
+		j.applyAttempt(&r, m)
+	case recordOutcome:
+		j.applyOutcome(&r, m)
+	case recordEnded:
+		applyEnded(&r, m)
+	case recordClosed:
+		j.applyClosed(&r, m)
+	default:
+		return fmt.Errorf("unknown kind %d", kind)
+	}
+	if r.bad {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// applyAccepted replaces whatever is known of a message by the record of it.
+func (j *Journal) applyAccepted(r *reader, segment uint64, seq policy.MessageID) {
+	m := &message.Message{Seq: seq}
+	m.ID, m.Key = string(r.bytes()), string(r.bytes())
+	m.Class, m.Dest = int(r.uvarint()), int(r.uvarint())
+	m.Deadline = r.time()
+	m.Past.Attempts, m.Past.RanZone = int(r.uvarint()), int(r.uvarint())
+	flags := r.u8()
+	m.Past.SetFlags(int64(flags))
+	if at := r.time(); m.Past.MayRun {
+		m.Past.RanAt = at
+	}
+	if flags&flagHasEnd != 0 {
+		m.End = r.end()
+	}
+	m.Body = append([]byte(nil), r.bytes()...)
+	if r.bad {
+		return
+	}
+	j.live[seq], j.segmentOf[seq] = m, segment
+}
+
+// applyAttempt counts an attempt. The message is nil where no record of it is left.
+func (j *Journal) applyAttempt(r *reader, m *message.Message) {
+	name, zone, at := string(r.bytes()), int(r.uvarint()), r.time()
+	if r.bad {
+		return
+	}
+	j.noteTime(at)
+	if e := j.remember(name); len(e.Sent) == 0 || !e.Sent[len(e.Sent)-1].Equal(at) {
+		e.Sent = append(e.Sent, at)
+	}
+	if m != nil {
+		m.Past.Attempt(zone, at)
+	}
+}
+
+// applyOutcome notes how an attempt ended, for its message and for its endpoint.
+func (j *Journal) applyOutcome(r *reader, m *message.Message) {
+	outcome, name, at := policy.Outcome(r.u8()), string(r.bytes()), r.time()
+	if r.bad {
+		return
+	}
+	j.noteTime(at)
+	if m != nil {
+		m.Past.Outcome(outcome)
+		if outcome == policy.Delivered { // where clients are notified of deliveries
+			m.End = &message.End{Kind: message.Delivered}
+		}
+	}
+	switch outcome {
+	case policy.Delivered:
+		if e := j.memories[name]; e != nil && e.BackAt.IsZero() {
+			e.BackAt = at
+		}
+	case policy.Failed, policy.TimedOut, policy.Unreachable, policy.Reset:
+		e := j.remember(name)
+		e.FailedAt, e.BackAt = at, time.Time{}
+	}
+}
+
+// applyEnded notes the final response of a message; the first one stands.
+func applyEnded(r *reader, m *message.Message) {
+	if e := r.end(); m != nil && !r.bad && m.End == nil {
+		m.End = e
+	}
+}
+
+// applyClosed lets go of a message for which nothing is pending any more.
+func (j *Journal) applyClosed(r *reader, m *message.Message) {
+	name, at := string(r.bytes()), r.time()
+	if !r.bad {
+		j.noteTime(at)
+		if e := j.remember(name); name != "" && e.BackAt.IsZero() {
+			e.BackAt = at
+		}
+	}
+	if m != nil {
+		j.evict(m, name)
+	}
+}
+
+// noteTime keeps the latest time on record.
+func (j *Journal) noteTime(at time.Time) {
+	if at.After(j.latest) {
+		j.latest = at
+	}
+}
+
+// remember returns what is known of an endpoint, which is empty where it was never called.
+func (j *Journal) remember(endpoint string) *store.Memory {
+	if j.memories[endpoint] == nil {
+		j.memories[endpoint] = &store.Memory{}
+	}
+	return j.memories[endpoint]
+}
+
+// replayAll reads all segments of the folder.
+func (j *Journal) replayAll() error {
+	files, err := openSegments(j.dir)
+	if err != nil {
+		return fmt.Errorf("opening the journal: %w", err)
+	}
+	defer closeAll(files)
+	for _, f := range files {
+		n, _ := segmentNumber(filepath.Base(f.Name()))
+		data, err := io.ReadAll(f)
+		if err != nil {
+			return fmt.Errorf("replaying the journal: %w", err)
+		}
+		j.replay(n, data)
+	}
+	return nil
+}
