What staticcheck finds: unused test fields, an error's place, the end of an error's text

admission_test.go had a type and a field that nothing uses (U1000); a closure returned its error first (ST1008); an error ended with dots (ST1005). Tests of the packages pass.

--- a/cmd/wingmount/fleet.go
+++ b/cmd/wingmount/fleet.go
@@ -20,7 +20,7 @@
 		return err
 	}
 	if set.NArg() == 0 {
-		return errors.New("which logs? wingmount fleet [--span 1s] [--endpoints] LOG...")
+		return errors.New("which logs? wingmount fleet [--span 1s] [--endpoints] LOG [LOG...]")
 	}
 	if *span <= 0 {
 		return fmt.Errorf("--span is %v: a time above 0 is needed", *span)
--- a/decide/admission/admission_test.go
+++ b/decide/admission/admission_test.go
@@ -26,7 +26,6 @@
 
 	offered, taken, turned, delivered, refused map[int]int
 	by                                         map[int]int // delivered, by class
-	promises                                   []promise
 }
 
 type item struct {
@@ -34,11 +33,6 @@
 	over  Time
 }
 
-type promise struct {
-	at          Time
-	dest, class int
-}
-
 const step = 5 * time.Millisecond
 
 func newWorld(places int, worths ...float64) *world {
--- a/internal/store/postgres/postgres_test.go
+++ b/internal/store/postgres/postgres_test.go
@@ -143,17 +143,17 @@
 			s.OnLate(func(m *message.Message) { late <- m })
 			testkit.Must(t, s.Take(ctx, storetest.NewMessage("first", 10)))
 			srv.Inject(pgserver.Fault{At: at, Silent: true})
-			take := func(id string) (error, time.Duration) {
+			take := func(id string) (time.Duration, error) {
 				within, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 				defer cancel()
 				began := time.Now()
 				err := s.Take(within, storetest.NewMessage(id, 10))
-				return err, time.Since(began)
+				return time.Since(began), err
 			}
-			if err, took := take("under way"); !errors.Is(err, store.ErrUndecided) || took > time.Second {
+			if took, err := take("under way"); !errors.Is(err, store.ErrUndecided) || took > time.Second {
 				t.Errorf("under way: %v after %v", err, took)
 			}
-			if err, took := take("behind it"); !errors.Is(err, store.ErrUnavailable) || took > time.Second {
+			if took, err := take("behind it"); !errors.Is(err, store.ErrUnavailable) || took > time.Second {
 				t.Errorf("behind it: %v after %v", err, took)
 			}
 			testkit.Must(t, s.End(ctx)) // all is found out
