--- a/internal/store/group/find.go
+++ b/internal/store/group/find.go
@@ -15,15 +15,15 @@
 
 // Find implements [store.Finder], where the backend is a [Finder]. The writer's goroutine answers
 // between two transactions: by then it is decided what became of every take that was claimed.
-func (s *Queue) Find(ctx context.Context, id string) error {
+func (q *Queue) Find(ctx context.Context, id string) error {
 	f := find{id: id, done: make(chan error, 1)}
-	if err := s.addFind(f); err != nil {
+	if err := q.addFind(f); err != nil {
 		return err
 	}
 	select {
 	case err := <-f.done:
 		return err
-	case <-s.done:
+	case <-q.done:
 		return errClosed
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
@@ -31,29 +31,29 @@
 }
 
 // addFind queues an id that somebody asks for.
-func (s *Queue) addFind(f find) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.gone(); err != nil {
+func (q *Queue) addFind(f find) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err := q.gone(); err != nil {
 		return err
 	}
-	if len(s.finds) >= findMax {
+	if len(q.finds) >= findMax {
 		return fmt.Errorf("%w: too many ids are asked for", store.ErrUnavailable)
 	}
-	s.finds = append(s.finds, f)
+	q.finds = append(q.finds, f)
 	select {
-	case s.wake <- struct{}{}:
+	case q.wake <- struct{}{}:
 	default:
 	}
 	return nil
 }
 
 // answerFinds answers everybody who asks for an id. It belongs to the writer's goroutine.
-func (s *Queue) answerFinds() {
-	s.mu.Lock()
-	finds := s.finds
-	s.finds = nil
-	s.mu.Unlock()
+func (q *Queue) answerFinds() {
+	q.mu.Lock()
+	finds := q.finds
+	q.finds = nil
+	q.mu.Unlock()
 	if len(finds) == 0 {
 		return
 	}
@@ -61,10 +61,10 @@
 	for i, f := range finds {
 		ids[i] = f.id
 	}
-	results, err := s.findAll(ids)
+	results, err := q.findAll(ids)
 	for i, f := range finds {
 		if err != nil {
-			f.done <- s.refusal(err)
+			f.done <- q.refusal(err)
 			continue
 		}
 		f.done <- results[i]
@@ -72,8 +72,8 @@
 }
 
 // findAll asks the backend.
-func (s *Queue) findAll(ids []string) ([]error, error) {
-	finder, ok := s.backend.(Finder)
+func (q *Queue) findAll(ids []string) ([]error, error) {
+	finder, ok := q.backend.(Finder)
 	if !ok {
 		return nil, fmt.Errorf("%w: it can't be asked for an id", store.ErrUnavailable)
 	}
