--- a/internal/store/postgres/takeover.go
+++ b/internal/store/postgres/takeover.go
@@ -80,7 +80,7 @@
 	}
 	room = min(room, takeMax)
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(b.life, statementTime)
+	ctx, cancel := context.WithTimeout(b.closed, statementTime)
 	defer cancel()
 	var node string
 	switch err := b.pool.QueryRow(ctx, b.abandoned(), b.cfg.Node, before, at.UnixMicro(), at.Add(answerOnly).UnixMicro()).Scan(&node); {
@@ -116,7 +116,7 @@
 	switch {
 	case errors.Is(err, errNothing):
 		return store.Recovered{}, nil
-	case state(err) == "23502":
+	case state(err) == stateNotNull:
 		return store.Recovered{}, fmt.Errorf("%w: %w", store.ErrFenced, err)
 	case err != nil && state(err) == "" && counted:
 		// Its COMMIT may have been made.
@@ -187,68 +187,3 @@
 	r.Owed = slices.Concat(running, answers)
 	return nil
 }
-
-// querier is a pool or a transaction.
-type querier interface {
-	Query(ctx context.Context, sql string, args ...any) (pgx.Rows, error)
-}
-
-// readRunning reads messages that run, and the latest time on record of any.
-func readRunning(ctx context.Context, q querier, where string, args ...any) (owed []*message.Message, latest int64, err error) {
-	rows, err := q.Query(ctx, `SELECT m.seq, id, key, class, dest, deadline, taken, body, attempts, flags, ran, zone
-		FROM message m LEFT JOIN past p ON p.seq = m.seq WHERE `+where, args...)
-	if err != nil {
-		return nil, 0, err
-	}
-	owed, err = pgx.CollectRows(rows, func(row pgx.CollectableRow) (*message.Message, error) {
-		m := &message.Message{}
-		var seq, class, dest, deadline, taken int64
-		var attempts, flags, ran, zone *int64
-		if err := row.Scan(&seq, &m.ID, &m.Key, &class, &dest, &deadline, &taken, &m.Body, &attempts, &flags, &ran, &zone); err != nil {
-			return nil, err
-		}
-		m.Seq, m.Class, m.Dest, m.Deadline = messageID(seq), int(class), int(dest), time.UnixMicro(deadline)
-		latest = max(latest, taken)
-		if attempts != nil {
-			m.Past = message.Past{Attempts: int(*attempts), RanAt: message.FromMicros(*ran), RanZone: int(*zone)}
-			m.Past.SetFlags(*flags)
-			latest = max(latest, *ran)
-		}
-		m.Past.Interrupt()
-		return m, nil
-	})
-	return owed, latest, err
-}
-
-// readAnswers reads answers that are owed.
-func readAnswers(ctx context.Context, q querier, where string, args ...any) ([]*message.Message, error) {
-	rows, err := q.Query(ctx, "SELECT seq, id, dest, kind, retry FROM answer WHERE "+where, args...)
-	if err != nil {
-		return nil, err
-	}
-	return pgx.CollectRows(rows, func(row pgx.CollectableRow) (*message.Message, error) {
-		var seq, dest, kind, retry int64
-		m := &message.Message{}
-		if err := row.Scan(&seq, &m.ID, &dest, &kind, &retry); err != nil {
-			return nil, err
-		}
-		m.Seq, m.Dest = messageID(seq), int(dest)
-		m.End = &message.End{Kind: message.Kind(kind), RetryAfter: time.Duration(retry) * time.Millisecond}
-		return m, nil
-	})
-}
-
-// readEndpoints reads which endpoints a node saw fail, and be back.
-func readEndpoints(ctx context.Context, q querier, node string, into map[string]*store.Memory) error {
-	rows, err := q.Query(ctx, "SELECT name, failed, back FROM endpoint WHERE node = $1::text", node)
-	if err != nil {
-		return err
-	}
-	var name string
-	var failed, back int64
-	_, err = pgx.ForEachRow(rows, []any{&name, &failed, &back}, func() error {
-		into[name] = &store.Memory{FailedAt: message.FromMicros(failed), BackAt: message.FromMicros(back)}
-		return nil
-	})
-	return err
-}
