--- /dev/null
+++ b/internal/rig/client.go
@@ -0,0 +1,123 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Message is one message as its client sees it.
+type Message struct {
+	ID, Class string
+	Dest      int
+	Born      time.Time
+	Deadline  time.Time
+	Taken     bool // acknowledged
+	TakenAt   time.Time
+	Known     bool // its client heard, resending it, that it is on record
+	Refused   bool // turned away, and not on record as far as its client knows
+
+	Key, Body string // of its client; those that the rig gives where Body is empty
+	// Repeats says that it may be dropped as the repeat of another by its partner.
+	Repeats bool
+}
+
+// Message is a copy of what a client knows of the message that it handed in last under an id.
+func (r *Rig) Message(id string) Message {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return *r.messages[id]
+}
+
+// Hand hands a message in as a client does: it waits 400 ms for the answer, and resends the
+// same id when none came, at the next node where several share a database, until the message's time
+// is up.
+func (r *Rig) Hand(ctx context.Context, id, class string, dest int) error {
+	return r.HandThis(ctx, Message{ID: id, Class: class, Dest: dest})
+}
+
+// HandThis is [Rig.Hand] for a message with a key and a body of its own.
+func (r *Rig) HandThis(ctx context.Context, given Message) error {
+	m, id := &given, given.ID
+	m.Born = time.Now()
+	m.Deadline = m.Born.Add(r.cfg.Deadline)
+	r.mu.Lock()
+	r.messages[id] = m
+	r.order = append(r.order, id)
+	node := r.next % len(r.nodes)
+	r.next++
+	r.mu.Unlock()
+	unsure := false // an earlier try may have been taken: a refusal then tells of the later one alone
+	for {
+		left := time.Until(m.Deadline)
+		if left <= 0 || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		asked := time.Now()
+		status, err := r.post(ctx, node, m, left)
+		refused := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+		if err != nil || status == http.StatusGatewayTimeout { // not known yet: asked again by the same id
+			unsure = true
+		} else if !unsure || !refused {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			switch {
+			case status == http.StatusAccepted:
+				m.Taken = true
+			case status == http.StatusOK || status == http.StatusGone || status == statusRecorded:
+				m.Known = true
+			case refused:
+				m.Refused = true
+				r.refusals = append(r.refusals, time.Since(asked))
+			default:
+				return fmt.Errorf("handing in %s: answered %d", id, status)
+			}
+			return nil
+		}
+		if r.Postgres != nil { // only nodes that share a database know each other's messages
+			node = (node + 1) % len(r.nodes)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(clientPause):
+		}
+	}
+}
+
+// statusRecorded stands for a refusal that is the message's recorded answer.
+const statusRecorded = -1
+
+func (r *Rig) post(ctx context.Context, node int, m *Message, left time.Duration) (int, error) {
+	key, body := m.Key, m.Body
+	if body == "" {
+		body = "body of " + m.ID + strings.Repeat(".", r.cfg.Body)
+		if m.Class == Keyed {
+			key = "key-" + m.ID
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.nodes[node].listen+"/"+m.Class, strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("X-Request-ID", m.ID)
+	req.Header.Set("X-Priority-Class", m.Class)
+	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	req.Header.Set("X-Route-To", "dest="+strconv.Itoa(m.Dest))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body) // for reuse only
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Final") != "" {
+		return statusRecorded, nil
+	}
+	return resp.StatusCode, nil
+}
