Membership: small files, short functions, and the terms of SWIM and memberlist

Packets, settings, probes, broadcasts, sending and receiving are files of their own; Tick, Receive and the merge of an update are cut into steps. A rumour is a pending update that is broadcast, Word is Gossip, one that makes no sense is invalid. Packets and their order are the same: the seeded model tests and those of decide/gossip and internal/gossip pass; names in tests follow.

--- a/decide/gossip/gossip_test.go
+++ b/decide/gossip/gossip_test.go
@@ -226,7 +226,7 @@
 				for _, liar := range []membership.Peer{1, 2} {
 					for _, id := range ids {
 						e := suspicion.Evidence{Endpoint: id, Building: here, From: w.now - 10*ms, To: w.now, Calls: 50, Failed: 50 * failed}
-						w.carry(p, w.nodes[p].Receive(w.now, liar, Packet{Packet: membership.Packet{Kind: membership.Word}, Evidence: []suspicion.Evidence{e}}))
+						w.carry(p, w.nodes[p].Receive(w.now, liar, Packet{Packet: membership.Packet{Kind: membership.Gossip}, Evidence: []suspicion.Evidence{e}}))
 					}
 				}
 			}
--- /dev/null
+++ b/decide/membership/broadcast.go
@@ -0,0 +1,81 @@
+package membership
+
+import "math"
+
+// pendingUpdate is an update that is still to be broadcast.
+type pendingUpdate struct {
+	Update
+	sent int
+}
+
+// sentLessOften orders pending updates by how often they were sent.
+func sentLessOften(a, b *pendingUpdate) bool {
+	return a.sent < b.sent || a.sent == b.sent && a.Member < b.Member
+}
+
+// broadcast queues an update for all others, in place of an older one of the same member.
+func (n *Node) broadcast(u Update) {
+	n.withdraw(u.Member)
+	n.broadcasts[u.Member] = &pendingUpdate{Update: u}
+	n.queue.ReplaceOrInsert(n.broadcasts[u.Member])
+}
+
+// withdraw removes the pending update of a member, if there is one.
+func (n *Node) withdraw(p Peer) {
+	if r := n.broadcasts[p]; r != nil {
+		n.queue.Delete(r)
+		delete(n.broadcasts, p)
+	}
+}
+
+// piggyback are the updates for a packet: first what the addressee itself is suspected of, then what was sent
+// least often, then, for one that has another view, a part of this node's view.
+func (n *Node) piggyback(to Peer, differs bool) []Update {
+	var all []Update
+	if m := n.members[to]; m != nil && m.Status != Alive {
+		all = append(all, m.Update)
+	}
+	most := int(math.Ceil(n.settings.Spread * logSize(n.size())))
+	for _, r := range n.nextBroadcasts(MaxUpdates-len(all), to) {
+		all = append(all, r.Update)
+		n.transmitted(r, most)
+	}
+	if !differs {
+		return all
+	}
+	known := n.all
+	all = append(all, Update{Member: n.settings.Self, Status: n.ownStatus(), Incarnation: n.incarnation})
+	for range len(known) {
+		if len(all) >= MaxUpdates {
+			break
+		}
+		n.syncCursor = (n.syncCursor + 1) % len(known)
+		if u := n.members[known[n.syncCursor]].Update; u.Member != to {
+			all = append(all, u)
+		}
+	}
+	return all[:min(len(all), MaxUpdates)]
+}
+
+// nextBroadcasts are the pending updates that were sent least often, most of them at most, without those
+// of one peer.
+func (n *Node) nextBroadcasts(most int, without Peer) []*pendingUpdate {
+	first := make([]*pendingUpdate, 0, MaxUpdates)
+	n.queue.Ascend(func(r *pendingUpdate) bool {
+		if len(first) < most && r.Member != without {
+			first = append(first, r)
+		}
+		return len(first) < most
+	})
+	return first
+}
+
+// transmitted notes that an update was sent once more, and removes it after the last time.
+func (n *Node) transmitted(r *pendingUpdate, most int) {
+	n.queue.Delete(r)
+	if r.sent++; r.sent >= most {
+		delete(n.broadcasts, r.Member)
+		return
+	}
+	n.queue.ReplaceOrInsert(r)
+}
--- a/decide/membership/membership_test.go
+++ b/decide/membership/membership_test.go
@@ -412,8 +412,8 @@
 			if slow.sum != n.sum || fmt.Sprint(slow.all, slow.present, slow.suspect, slow.dead) != fmt.Sprint(n.all, n.present, n.view.suspect, n.dead) {
 				t.Fatalf("%+v kept, %+v found", n.view, slow)
 			}
-			if known > 5 || len(n.rumours) > 6 || n.queue.Len() != len(n.rumours) || len(n.relays) > 4*s.Datagrams {
-				t.Fatalf("%d members, %d rumours, %d relays", known, len(n.rumours), len(n.relays))
+			if known > 5 || len(n.broadcasts) > 6 || n.queue.Len() != len(n.broadcasts) || len(n.relays) > 4*s.Datagrams {
+				t.Fatalf("%d members, %d broadcasts, %d relays", known, len(n.broadcasts), len(n.relays))
 			}
 			for _, o := range out {
 				if len(o.Updates) > MaxUpdates || o.To == s.Self {
--- a/decide/membership/view.go
+++ b/decide/membership/view.go
@@ -37,7 +37,7 @@
 func (v *view) lists(m *member, change func([]Peer, Peer) []Peer) {
 	if m.Status <= Suspect {
 		v.present = change(v.present, m.Member)
-		v.sum ^= mix(m.Member, Alive, m.Incarnation) // a suspicion comes and goes
+		v.sum ^= hashBelief(m.Member, Alive, m.Incarnation) // a suspicion comes and goes
 	}
 	switch m.Status {
 	case Suspect:
@@ -59,3 +59,22 @@
 	}
 	return slices.Delete(all, at, at+1)
 }
+
+// digest is of all that is believed, whatever the order.
+func (n *Node) digest() uint64 {
+	sum := hashBelief(n.settings.Self, Alive, n.incarnation)
+	if n.leaving {
+		sum = hashBelief(n.settings.Self, Left, n.incarnation)
+	}
+	return sum ^ n.sum
+}
+
+// hashBelief spreads a belief over 64 bits, by the finalizer of SplitMix64.
+func hashBelief(p Peer, s Status, inc uint64) uint64 {
+	x := uint64(p)<<32 ^ uint64(s)<<24 ^ inc*0x9e3779b97f4a7c15
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/internal/gossip/gate.go
+++ b/internal/gossip/gate.go
@@ -95,7 +95,7 @@
 	case h.to != g.self:
 		return nil, noAddressee
 	// One that does not know this life of the node yet may make itself known, and tell nothing else.
-	case h.toIncarnation == 0 && (h.items > 0 || h.kind == membership.Word),
+	case h.toIncarnation == 0 && (h.items > 0 || h.kind == membership.Gossip),
 		h.toIncarnation != 0 && h.toIncarnation-uint32(g.first) > uint32(g.inc-g.first):
 		return nil, noAddressee
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -136,7 +136,7 @@
 		{func(h *header) { h.toIncarnation = 104 }, noAddressee},
 		{func(h *header) { h.toIncarnation = 100 }, ""},
 		{func(h *header) { h.toIncarnation, h.kind = 0, membership.Ping }, ""},
-		{func(h *header) { h.toIncarnation, h.kind = 0, membership.Word }, noAddressee},
+		{func(h *header) { h.toIncarnation, h.kind = 0, membership.Gossip }, noAddressee},
 		{func(h *header) { h.toIncarnation, h.items = 0, 1 }, noAddressee},
 		{func(h *header) { h.sent -= 2001 }, noTime},
 		{func(h *header) { h.sent += 2001 }, noTime},
@@ -314,7 +314,7 @@
 		e := suspicion.Evidence{Endpoint: 2, Building: buildingID("ops"), From: now - ms, To: now, Calls: 9, Failed: 9}
 		b, err := encode(header{cluster: n.gate.cluster, from: PeerID("n0"), to: PeerID("n3"), key: keyID(public(0)), incarnation: n.gate.inc,
 			toIncarnation: uint32(n.gate.senders[PeerID("n3")].inc), counter: counter, sent: time.Now().UnixMilli()},
-			gossip.Packet{Packet: membership.Packet{Kind: membership.Word}, Evidence: []suspicion.Evidence{e}}, now, keyFor(0))
+			gossip.Packet{Packet: membership.Packet{Kind: membership.Gossip}, Evidence: []suspicion.Evidence{e}}, now, keyFor(0))
 		testkit.Must(t, err)
 		return b
 	}
