--- a/decide/handover/handover.go
+++ b/decide/handover/handover.go
@@ -1,10 +1,10 @@
-// Package handover keeps the books of a change of rules while messages are under way. It does no I/O
-// and reads no clock.
+// Package handover decides which messages have to wait while the rule set changes and older messages are
+// in flight. It does no I/O and reads no clock.
 //
-// A message leaves a [Mark]: its key, where a promise hangs on it. While rules change, a new message
-// whose mark is another than the rules before would have given it may only be taken once no older
-// message with that older mark counts any more. [Ledger] says when: it promises that it never clears a mark
-// which counts, and that each mark is cleared in the end.
+// A message whose class makes promises about keys has a [KeyHash]. While rules change, a new message whose
+// hash is another than the older rules would have given it may only be accepted once no older message with
+// that older hash counts any more. [Ledger] says when: it promises that a hash which counts is never
+// cleared, and that each one is cleared in the end.
 //
 // A Ledger is not safe for concurrent use.
 package handover
@@ -15,171 +15,133 @@
 	"wingmount/internal/index"
 )
 
-// Mark names the key of a message whose class makes promises about keys. The zero Mark is none.
-type Mark uint64
-
-// Sort tells marks apart by what kind of promise hangs on them. A change concerns some sorts, and lasts
-// no longer than marks of these.
-type Sort uint8
-
-// Sorts is how many there may be.
-const Sorts = 8
-
-// Claim is a message's mark, and how long it counts after the message has ended. A mark has one sort.
-type Claim struct {
-	Mark Mark
-	Keep time.Duration
-	Sort Sort // below Sorts
-}
-
 // Answer is what a ledger says of a message.
 type Answer int
 
 // The answers.
 const (
-	Clear   Answer = iota // it may be taken, and is in the books from now on
-	Known                 // its id is in the books already: it is being taken, or runs
-	Counts                // an older message with its older mark counts
-	Unknown               // an older message with that mark may count: a mark was forgotten, or is of an earlier life
-	Full                  // there is no room in the books
-)
-
-// generation counts changes of rules.
-type generation uint64
-
-// entry is a message that has not ended.
-type entry struct {
-	Claim
-	gen generation
-}
-
-// line is what counts of one mark.
-type line struct {
-	mark  Mark
-	sort  Sort
-	open  [2]int           // messages that have not ended: of older generations, of this one
-	until [2]time.Duration // when the last that has ended ceases to count
-	due   index.Item[*line]
-}
-
-const (
-	older = iota
-	present
+	Clear   Answer = iota // it may be accepted, and is in the ledger from now on
+	Known                 // its id is in the ledger already: it is being accepted, or in flight
+	Counts                // an older message with its older hash counts
+	Unknown               // an older message with that hash may count: a hash was evicted, or is of an earlier process
+	Full                  // there is no room in the ledger
 )
 
-// Ledger knows the marks that count. Times are from any fixed origin, and do not go back.
+// Ledger knows the keys that count. Times are from any fixed origin, and do not go back.
 type Ledger struct {
-	max     int
-	gen     generation
-	entries map[string]entry
-	lines   map[Mark]*line
-	ended   index.Heap[*line]    // lines without an open message, by when they cease to count
-	olders  int                  // messages with older marks, of these sorts, that have not ended
-	latest  time.Duration        // when the last such mark of a message that has ended ceases to count
-	early   [Sorts]time.Duration // until then the longest-kept mark of an earlier life may count
-	concern [Sorts]bool          // the sorts that the change under way concerns
-	blind   time.Duration        // until then a mark that was forgotten may count
-	blinded time.Duration        // the same for older ones
-	running bool                 // a change is under way
-}
+	limit      int
+	generation generation
+	entries    map[string]entry
+	keys       map[KeyHash]*keyState
+	expiring   index.Heap[*keyState] // keys without an open message, by when they cease to count
+	olderOpen  int                   // messages with older hashes, of these kinds, that have not ended
+	olderUntil time.Duration         // when the last such hash of a message that has ended ceases to count
+	recovered  [Kinds]time.Duration  // until then the longest-kept hash of an earlier process may count
+	concerned  [Kinds]bool           // the kinds that the change under way concerns
+	running    bool                  // a change is under way
 
-// New returns a ledger with room for so many messages and as many marks. Marks of an earlier life that
-// ended before time 0 may count for as long as they were kept, which was no longer than early, by sort.
-func New(most int, early [Sorts]time.Duration) *Ledger {
-	return &Ledger{max: max(1, most), entries: map[string]entry{}, lines: map[Mark]*line{}, early: early}
+	forgottenUntil      time.Duration // until then a hash that was evicted may count
+	olderForgottenUntil time.Duration // the same for older ones
 }
 
-// tidy drops what counts no more.
-func (l *Ledger) tidy(now time.Duration) {
-	l.ended.PopUntil(int64(now), func(n *line) { l.drop(n) })
+// New returns a ledger with room for so many messages and as many keys. Hashes of an earlier process whose
+// messages ended before time 0 may count for as long as they were kept, which was no longer than recovered,
+// by kind.
+func New(limit int, recovered [Kinds]time.Duration) *Ledger {
+	return &Ledger{limit: max(1, limit), entries: map[string]entry{}, keys: map[KeyHash]*keyState{}, recovered: recovered}
 }
 
-func (l *Ledger) drop(n *line) {
-	l.ended.Remove(&n.due)
-	delete(l.lines, n.mark)
+// expire drops the keys that count no more.
+func (l *Ledger) expire(now time.Duration) {
+	l.expiring.PopUntil(int64(now), func(n *keyState) { l.drop(n) })
 }
 
-// counts tells whether a mark of a generation counts.
-func (n *line) counts(gen int, now time.Duration) bool { return n.open[gen] > 0 || n.until[gen] > now }
+// drop removes a key.
+func (l *Ledger) drop(n *keyState) {
+	l.expiring.Remove(&n.due)
+	delete(l.keys, n.hash)
+}
 
-// at is the line of a mark, made where there is none. Where there is no room the ended mark that
-// ceases to count first is forgotten, and the ledger is blind until then; all open ones have room.
-func (l *Ledger) at(m Mark, sort Sort) *line {
-	if n := l.lines[m]; n != nil {
+// state is the state of a key, made where there is none. Where there is no room the ended key that
+// ceases to count first is evicted, and until then the ledger can't clear any; all open ones have room.
+func (l *Ledger) state(hash KeyHash, kind Kind) *keyState {
+	if n := l.keys[hash]; n != nil {
 		return n
 	}
-	for len(l.lines) >= l.max {
-		first, until := l.ended.Min()
+	for len(l.keys) >= l.limit {
+		first, until := l.expiring.Min()
 		if first == nil {
 			break
 		}
-		l.blind = max(l.blind, time.Duration(until))
+		l.forgottenUntil = max(l.forgottenUntil, time.Duration(until))
 		if l.running {
-			l.blinded = max(l.blinded, first.Value.until[older])
+			l.olderForgottenUntil = max(l.olderForgottenUntil, first.Value.until[older])
 		}
 		l.drop(first.Value)
 	}
-	n := &line{mark: m, sort: sort}
+	n := &keyState{hash: hash, kind: kind}
 	n.due.Value = n
-	l.lines[m] = n
+	l.keys[hash] = n
 	return n
 }
 
-// Admit asks whether a message may be taken that the present rules give one claim, and the rules before
+// Admit asks whether a message may be accepted that the present rules give one claim, and the rules before
 // another; with no change under way the older one means nothing. The time is how long its client should
 // stay away at least, 0 with Clear and Known.
 func (l *Ledger) Admit(now time.Duration, id string, claim, before Claim) (Answer, time.Duration) {
-	l.tidy(now)
+	l.expire(now)
 	if _, known := l.entries[id]; known {
 		return Known, 0
 	}
-	if len(l.entries) >= l.max {
+	if len(l.entries) >= l.limit {
 		return Full, time.Second
 	}
-	if l.Running(now) && before.Mark != 0 && before.Mark != claim.Mark {
-		if n := l.lines[before.Mark]; n != nil && n.counts(older, now) {
+	if l.Running(now) && before.KeyHash != 0 && before.KeyHash != claim.KeyHash {
+		if n := l.keys[before.KeyHash]; n != nil && n.counts(older, now) {
 			if n.open[older] > 0 {
 				return Counts, time.Second // when it ends is not known
 			}
 			return Counts, n.until[older] - now
 		}
-		if until := max(l.blinded, min(l.early[before.Sort], before.Keep)); until > now {
+		if until := max(l.olderForgottenUntil, min(l.recovered[before.Kind], before.Keep)); until > now {
 			return Unknown, until - now
 		}
 	}
-	l.enter(id, entry{claim, l.gen})
+	l.add(id, entry{claim, l.generation})
 	return Clear, 0
 }
 
-// Adopt puts a message into the books that is on record already, of this life or another. It counts
+// Adopt puts a message into the ledger that is on record already, of this process or another. It counts
 // as an older one while a change is under way.
 func (l *Ledger) Adopt(now time.Duration, id string, claim Claim) {
-	l.tidy(now)
+	l.expire(now)
 	if _, known := l.entries[id]; known {
 		return
 	}
-	gen := l.gen
-	if l.running && gen > 0 {
-		gen--
+	of := l.generation
+	if l.running && of > 0 {
+		of--
 	}
-	l.enter(id, entry{claim, gen})
+	l.add(id, entry{claim, of})
 }
 
-func (l *Ledger) enter(id string, e entry) {
+// add puts a message into the ledger.
+func (l *Ledger) add(id string, e entry) {
 	l.entries[id] = e
-	if e.Mark != 0 {
-		n := l.at(e.Mark, e.Sort)
-		side := l.side(e)
-		n.open[side]++
-		if side == older && l.concern[n.sort] {
-			l.olders++
-		}
-		l.ended.Remove(&n.due)
+	if e.KeyHash == 0 {
+		return
+	}
+	n, side := l.state(e.KeyHash, e.Kind), l.side(e)
+	n.open[side]++
+	if side == older && l.concerned[n.kind] {
+		l.olderOpen++
 	}
+	l.expiring.Remove(&n.due)
 }
 
+// side tells whether a message is an older one or of the present rules.
 func (l *Ledger) side(e entry) int {
-	if e.gen < l.gen {
+	if e.generation < l.generation {
 		return older
 	}
 	return present
@@ -188,93 +150,94 @@
 // End tells that a message has ended, and that its key counts from now on for as long as was told.
 func (l *Ledger) End(now time.Duration, id string) {
 	if e, ok := l.entries[id]; ok {
-		l.leave(now, id, now+e.Keep)
+		l.remove(now, id, now+e.Keep)
 	}
 }
 
-// Drop tells that a message was not taken.
-func (l *Ledger) Drop(now time.Duration, id string) { l.leave(now, id, 0) }
+// Drop tells that a message was not accepted.
+func (l *Ledger) Drop(now time.Duration, id string) { l.remove(now, id, 0) }
 
-// Doubt tells that it is not known whether a message was taken. If it was, and is adopted, it is in the
-// books again; otherwise its mark counts until its time is up, and as long after as any other's.
+// Doubt tells that it is not known whether a message was accepted. If it was, and is adopted, it is in the
+// ledger again; otherwise its key counts until its deadline, and as long after it as any other's.
 func (l *Ledger) Doubt(now time.Duration, id string, deadline time.Duration) {
 	if e, ok := l.entries[id]; ok {
-		l.leave(now, id, deadline+e.Keep)
+		l.remove(now, id, deadline+e.Keep)
 	}
 }
 
-func (l *Ledger) leave(now time.Duration, id string, until time.Duration) {
+// remove takes a message out of the ledger. Its key counts until a time.
+func (l *Ledger) remove(now time.Duration, id string, until time.Duration) {
 	e, ok := l.entries[id]
 	if !ok {
 		return
 	}
 	delete(l.entries, id)
-	if e.Mark == 0 {
+	if e.KeyHash == 0 {
 		return
 	}
-	n, side := l.lines[e.Mark], l.side(e)
+	n, side := l.keys[e.KeyHash], l.side(e)
 	n.open[side]--
 	n.until[side] = max(n.until[side], until)
-	if side == older && l.concern[n.sort] {
-		l.olders--
-		l.latest = max(l.latest, until)
+	if side == older && l.concerned[n.kind] {
+		l.olderOpen--
+		l.olderUntil = max(l.olderUntil, until)
 	}
 	if n.open[older]+n.open[present] > 0 {
 		return
 	}
 	if last := max(n.until[older], n.until[present]); last > now {
-		l.ended.Set(&n.due, int64(last))
+		l.expiring.Set(&n.due, int64(last))
 		return
 	}
 	l.drop(n)
 }
 
-// Begin tells that rules change from now on: what is in the books becomes older. Only for messages
-// whose older marks are of the sorts named will Admit be asked with a mark before that is another. It
+// Begin tells that rules change from now on: what is in the ledger becomes older. Only for messages
+// whose older hashes are of the kinds named will Admit be asked with another hash before. It
 // returns false, and changes nothing, while a change is under way.
-func (l *Ledger) Begin(now time.Duration, sorts ...Sort) bool {
-	l.tidy(now)
+func (l *Ledger) Begin(now time.Duration, kinds ...Kind) bool {
+	l.expire(now)
 	if l.Running(now) {
 		return false
 	}
-	l.gen++
-	l.running, l.blinded, l.olders, l.latest, l.concern = true, l.blind, 0, 0, [Sorts]bool{}
-	for _, s := range sorts {
-		l.concern[s] = true
+	l.generation++
+	l.running, l.olderForgottenUntil, l.olderOpen, l.olderUntil, l.concerned = true, l.forgottenUntil, 0, 0, [Kinds]bool{}
+	for _, kind := range kinds {
+		l.concerned[kind] = true
 	}
-	for _, n := range l.lines {
+	for _, n := range l.keys {
 		n.open = [2]int{older: n.open[older] + n.open[present]}
 		n.until = [2]time.Duration{older: max(n.until[older], n.until[present])}
-		if l.concern[n.sort] {
-			l.olders += n.open[older]
-			l.latest = max(l.latest, n.until[older])
+		if l.concerned[n.kind] {
+			l.olderOpen += n.open[older]
+			l.olderUntil = max(l.olderUntil, n.until[older])
 		}
 	}
 	return true
 }
 
-// Running tells whether a change is under way: an older mark counts, or may.
+// Running tells whether a change is under way: an older hash counts, or may.
 func (l *Ledger) Running(now time.Duration) bool {
-	l.running = l.running && (l.olders > 0 || l.last() > now)
+	l.running = l.running && (l.olderOpen > 0 || l.last() > now)
 	return l.running
 }
 
-// last is when the last mark that the change concerns, and that has no open message, ceases to count.
+// last is when the last key that the change concerns, and that has no open message, ceases to count.
 func (l *Ledger) last() time.Duration {
-	last := max(l.latest, l.blinded)
-	for s, early := range l.early {
-		if l.concern[s] {
-			last = max(last, early)
+	last := max(l.olderUntil, l.olderForgottenUntil)
+	for kind, until := range l.recovered {
+		if l.concerned[kind] {
+			last = max(last, until)
 		}
 	}
 	return last
 }
 
-// Left is how many messages with older marks have not ended, and when the marks of all others cease
-// to count at the latest, for those who look.
+// Left is how many messages with older hashes have not ended, and when the hashes of all others cease
+// to count at the latest.
 func (l *Ledger) Left() (open int, until time.Duration) {
-	return l.olders, l.last()
+	return l.olderOpen, l.last()
 }
 
-// Size is how many messages and marks are in the books.
-func (l *Ledger) Size() (messages, marks int) { return len(l.entries), len(l.lines) }
+// Size is how many messages and keys are in the ledger.
+func (l *Ledger) Size() (messages, keys int) { return len(l.entries), len(l.keys) }
--- a/decide/handover/handover_test.go
+++ b/decide/handover/handover_test.go
@@ -10,14 +10,14 @@
 
 const second = time.Second
 
-var none [Sorts]time.Duration
+var none [Kinds]time.Duration
 
-// claim is of sort 0, as that of most tests.
-func claim(m Mark, keep time.Duration) Claim { return Claim{Mark: m, Keep: keep} }
+// claim is of kind 0, as that of most tests.
+func claim(m KeyHash, keep time.Duration) Claim { return Claim{KeyHash: m, Keep: keep} }
 
-func admit(t *testing.T, l *Ledger, now time.Duration, id string, mark, before Mark, want Answer, wantWait time.Duration) {
+func admit(t *testing.T, l *Ledger, now time.Duration, id string, hash, before KeyHash, want Answer, wantWait time.Duration) {
 	t.Helper()
-	if got, wait := l.Admit(now, id, claim(mark, 12*second), claim(before, 12*second)); got != want || wait != wantWait {
+	if got, wait := l.Admit(now, id, claim(hash, 12*second), claim(before, 12*second)); got != want || wait != wantWait {
 		t.Errorf("%s at %v: %d with %v, want %d with %v", id, now, got, wait, want, wantWait)
 	}
 }
@@ -45,15 +45,15 @@
 	}
 }
 
-// Marks of an earlier life, and those that were forgotten, may count until their time is over.
-func TestUnknownMarksMayCount(t *testing.T) {
-	l := New(2, [Sorts]time.Duration{12 * second})
+// Hashes of an earlier process, and those that were forgotten, may count until their time is over.
+func TestUnknownKeysMayCount(t *testing.T) {
+	l := New(2, [Kinds]time.Duration{12 * second})
 	l.Begin(0, 0)
 	admit(t, l, 2*second, "a", 2, 1, Unknown, 10*second)
 	admit(t, l, 2*second, "same", 1, 1, Clear, 0)
 	l.Drop(2*second, "same")
 	if got, _ := l.Admit(2*second, "short", claim(2, 0), claim(1, second)); got != Clear {
-		t.Errorf("a mark that was kept for a second, two after the start: %d", got)
+		t.Errorf("a hash that was kept for a second, two after the start: %d", got)
 	}
 	l.Drop(2*second, "short")
 	admit(t, l, 12*second, "a", 2, 1, Clear, 0)
@@ -61,9 +61,9 @@
 	admit(t, l, 12*second, "c", 4, 0, Full, second)
 	l.End(13*second, "a")
 	l.End(14*second, "b")
-	admit(t, l, 14*second, "c", 4, 0, Clear, 0) // no room for a third mark: the first is forgotten
-	if messages, marks := l.Size(); messages != 1 || marks != 2 {
-		t.Errorf("%d messages and %d marks in the books", messages, marks)
+	admit(t, l, 14*second, "c", 4, 0, Clear, 0) // no room for a third hash: the first is forgotten
+	if messages, keys := l.Size(); messages != 1 || keys != 2 {
+		t.Errorf("%d messages and %d keys in the ledger", messages, keys)
 	}
 	l.Begin(15*second, 0)
 	admit(t, l, 15*second, "d", 9, 8, Unknown, 10*second)
@@ -84,7 +84,7 @@
 	admit(t, l, 32*second, "b", 2, 1, Clear, 0)
 }
 
-// A mark that was forgotten while a change is under way may count for as long as it would have; one that
+// A hash that was forgotten while a change is under way may count for as long as it would have; one that
 // is not taken takes nothing from what ended before.
 func TestForgottenDuringAChange(t *testing.T) {
 	l := New(2, none)
@@ -104,9 +104,9 @@
 	admit(t, l, 2*second, "c", 3, 1, Counts, 10*second)
 }
 
-// A change lasts no longer than marks of the sorts that it concerns, and all sorts count in the next.
-func TestSorts(t *testing.T) {
-	l := New(10, [Sorts]time.Duration{1: 20 * second})
+// A change lasts no longer than keys of the kinds that it concerns, and all kinds count in the next.
+func TestKinds(t *testing.T) {
+	l := New(10, [Kinds]time.Duration{1: 20 * second})
 	l.Admit(0, "a", Claim{1, 12 * second, 1}, Claim{})
 	l.Admit(0, "b", Claim{2, second, 2}, Claim{})
 	if !l.Begin(0, 2) || !l.Running(0) {
@@ -114,7 +114,7 @@
 	}
 	l.End(0, "b")
 	if l.Running(second) {
-		t.Error("the change waits for a mark that it does not concern")
+		t.Error("the change waits for a hash that it does not concern")
 	}
 	l.End(2*second, "a")
 	l.Begin(2*second, 1)
@@ -134,15 +134,15 @@
 
 type past struct {
 	id          string
-	mark        Mark
+	hash        KeyHash
 	keep, until time.Duration
 	gen         int
 	open        bool
 }
 
-func (o *oracle) counts(m Mark, now time.Duration) bool {
+func (o *oracle) counts(m KeyHash, now time.Duration) bool {
 	for _, p := range o.all {
-		if p.mark == m && p.gen < o.gen && (p.open || p.until > now) {
+		if p.hash == m && p.gen < o.gen && (p.open || p.until > now) {
 			return true
 		}
 	}
@@ -151,7 +151,7 @@
 
 func (o *oracle) running(now time.Duration) bool {
 	for _, p := range o.all {
-		if p.mark != 0 && p.gen < o.gen && (p.open || p.until > now) {
+		if p.hash != 0 && p.gen < o.gen && (p.open || p.until > now) {
 			return true
 		}
 	}
@@ -167,7 +167,7 @@
 	return nil
 }
 
-// Against the oracle: a mark that counts is never cleared; with room for all, nothing else waits, and a
+// Against the oracle: a hash that counts is never cleared; with room for all, nothing else waits, and a
 // change ends as soon as nothing older counts.
 func TestLedgerAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -176,28 +176,28 @@
 		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 3).Draw(t, "pause")) * second
 			id := fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "id"))
-			mark := Mark(rapid.IntRange(0, 4).Draw(t, "mark"))
+			hash := KeyHash(rapid.IntRange(0, 4).Draw(t, "hash"))
 			keep := time.Duration(rapid.IntRange(0, 5).Draw(t, "keep")) * second
 			switch op := rapid.SampledFrom([]string{"admit", "admit", "admit", "end", "drop", "doubt", "begin"}).Draw(t, "op"); op {
 			case "admit":
-				before := Mark(rapid.IntRange(0, 4).Draw(t, "before"))
-				got, wait := l.Admit(now, id, claim(mark, keep), claim(before, keep))
-				counts := before != 0 && before != mark && o.running(now) && o.counts(before, now)
+				before := KeyHash(rapid.IntRange(0, 4).Draw(t, "before"))
+				got, wait := l.Admit(now, id, claim(hash, keep), claim(before, keep))
+				counts := before != 0 && before != hash && o.running(now) && o.counts(before, now)
 				switch {
 				case o.find(id) != nil:
 					if got != Known {
-						t.Fatalf("step %d: %d for an id in the books", i, got)
+						t.Fatalf("step %d: %d for an id in the ledger", i, got)
 					}
 				case counts && got == Clear:
-					t.Fatalf("step %d: mark %d was cleared, and counts", i, before)
+					t.Fatalf("step %d: hash %d was cleared, and counts", i, before)
 				case !counts && got != Clear && room == 1000:
-					t.Fatalf("step %d: mark %d does not count: %d", i, before, got)
+					t.Fatalf("step %d: hash %d does not count: %d", i, before, got)
 				case got == Counts || got == Unknown || got == Full:
 					if wait <= 0 {
 						t.Fatalf("step %d: %d with a wait of %v", i, got, wait)
 					}
 				case got == Clear:
-					o.all = append(o.all, &past{id: id, mark: mark, keep: keep, gen: o.gen, open: true})
+					o.all = append(o.all, &past{id: id, hash: hash, keep: keep, gen: o.gen, open: true})
 				}
 			case "begin":
 				running := o.running(now)
@@ -226,8 +226,8 @@
 					}
 				}
 			}
-			if messages, marks := l.Size(); messages > room || marks > room {
-				t.Fatalf("step %d: %d messages and %d marks, room for %d", i, messages, marks, room)
+			if messages, keys := l.Size(); messages > room || keys > room {
+				t.Fatalf("step %d: %d messages and %d keys, room for %d", i, messages, keys, room)
 			}
 		}
 		for _, p := range o.all {
--- a/internal/ruling/ruling_test.go
+++ b/internal/ruling/ruling_test.go
@@ -75,7 +75,7 @@
 	r, err := k.Judge(in)
 	var wait *WaitError
 	switch {
-	case key == "" && (!errors.As(err, &wait) || wait.After < lookEvery || wait.After > longestStay):
+	case key == "" && (!errors.As(err, &wait) || wait.After < checkInterval || wait.After > retryAfterMax):
 		t.Errorf("%s: %+v, %v, want a wait", in.ID, r, err)
 	case key != "" && (err != nil || r.Key != key || r.Class != "line"):
 		t.Errorf("%s: %+v, %v, want the key %q", in.ID, r, err, key)
@@ -105,14 +105,14 @@
 		b.file = next
 		testkit.Must(t, k.Reload())
 	}
-	testkit.Must(t, k.look())
+	testkit.Must(t, k.advance())
 	wants(t, k, input("2", "x", "q"), "")
 	ended(k, "1")
-	testkit.Must(t, k.look())
+	testkit.Must(t, k.advance())
 	wants(t, k, input("5", "x", "q"), "") // judged by the newest already, and "4" has q
 	ended(k, "3")
 	ended(k, "4")
-	testkit.Must(t, k.look())
+	testkit.Must(t, k.advance())
 	wants(t, k, input("5", "x", "q"), "xq")
 	if texts, err := readRecord(b.record); err != nil || k.Changing() || len(texts) != 1 || texts[0] != b.file {
 		t.Errorf("on record: %q, %v; a change is under way: %t", texts, err, k.Changing())
@@ -129,7 +129,7 @@
 	wants(t, k, input("1", "x", "p"), "x") // its key counts for an hour
 	b.file = "body.b"
 	testkit.Must(t, k.Reload())
-	testkit.Must(t, k.look())
+	testkit.Must(t, k.advance())
 	if !k.Changing() {
 		t.Error("the change is over, and an older key counts")
 	}
@@ -142,7 +142,7 @@
 	}
 	b.file = "body.a"
 	testkit.Must(t, k.Reload())
-	testkit.Must(t, k.look())
+	testkit.Must(t, k.advance())
 	if k.Changing() {
 		t.Error("the change waits for a class whose rules are as they were")
 	}
@@ -242,13 +242,13 @@
 		return a
 	}
 	k.cfg.Log = slog.New(slog.NewTextHandler(&out, &slog.HandlerOptions{ReplaceAttr: noTime}))
-	told := k.tell(Counts{})
+	told := k.logCounts(Counts{})
 	if _, err := k.Judge(rules.Input{ID: "1", Class: "plain", Body: []byte(`{"a":"secret","b":77}`)}); err == nil {
 		t.Error("it fits")
 	}
 	wants(t, k, input("2", "x", "p"), "x")
 	wants(t, k, input("2", "x", "p"), "")
-	told = k.tell(told)
+	told = k.logCounts(told)
 	for _, want := range []string{"misfits=1 judged=3 last_place=body.b", "waits=1 judged=3"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is not in %q", want, out.String())
@@ -258,7 +258,7 @@
 		t.Errorf("the log has what the message says: %q", out.String())
 	}
 	out.Reset()
-	if k.tell(told); out.Len() > 0 {
+	if k.logCounts(told); out.Len() > 0 {
 		t.Errorf("told again: %q", out.String())
 	}
 }
@@ -315,11 +315,11 @@
 	for i := range 20 {
 		b.file = []string{"body.a", "body.b"}[i%2]
 		testkit.Must(t, k.Reload())
-		testkit.Must(t, k.look())
+		testkit.Must(t, k.advance())
 	}
 	work.Wait()
-	testkit.Must(t, k.look())
-	testkit.Must(t, k.look())
+	testkit.Must(t, k.advance())
+	testkit.Must(t, k.advance())
 	if k.Changing() {
 		t.Error("a change is under way, and nothing is open")
 	}
@@ -392,7 +392,7 @@
 					t.Fatal(err)
 				}
 			case "look":
-				if err := k.look(); err != nil {
+				if err := k.advance(); err != nil {
 					t.Fatal(err)
 				}
 			case "life":
