--- a/internal/store/journal/record.go
+++ b/internal/store/journal/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"hash/crc32"
 	"time"
 
 	"wingmount/internal/message"
@@ -18,15 +17,10 @@
 	recordClosed   = 5 // nothing is pending any more; delivered where it names an endpoint
 )
 
-// recordHead is the length and the checksum before each record.
-const recordHead = 8
-
 // flagHasEnd is set in the flags of a recordAccepted that holds a final response, beside those
 // of [message.Past].
 const flagHasEnd = 8
 
-var crcTable = crc32.MakeTable(crc32.Castagnoli)
-
 // record begins a record of a message.
 func record(kind byte, seq policy.MessageID) []byte {
 	return binary.AppendUvarint([]byte{kind}, uint64(seq))
--- a/internal/store/journal/replay.go
+++ b/internal/store/journal/replay.go
@@ -1,36 +1,31 @@
 package journal
 
 import (
-	"encoding/binary"
+	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"path/filepath"
 	"time"
 
 	"wingmount/internal/message"
 	"wingmount/internal/store"
+	"wingmount/internal/store/frame"
 	"wingmount/policy"
 )
 
 // replay applies the records of one segment up to its end or its torn tail.
 func (j *Journal) replay(n uint64, data []byte) {
 	j.segments = append(j.segments, segment{number: n, size: int64(len(data))})
-	for at := 0; at < len(data); {
-		rest := data[at:]
-		if len(rest) < recordHead {
+	rest := data
+	for len(rest) > 0 {
+		at := len(data) - len(rest)
+		payload, after, err := frame.Next(rest)
+		if errors.Is(err, frame.ErrTorn) {
 			j.tornTails++
 			j.log.Warn("journal: torn tail", "segment", n, "at", at)
 			return
 		}
-		size := int64(binary.LittleEndian.Uint32(rest))
-		if size > int64(len(rest)-recordHead) {
-			j.tornTails++
-			j.log.Warn("journal: torn tail", "segment", n, "at", at)
-			return
-		}
-		payload := rest[recordHead : recordHead+size]
-		if crc32.Checksum(payload, crcTable) != binary.LittleEndian.Uint32(rest[4:]) {
+		if err != nil {
 			j.faults = append(j.faults, fmt.Sprintf("segment %d, byte %d: bad checksum, the rest of the segment is passed over", n, at))
 			j.log.Warn("journal: bad checksum, the rest of the segment is passed over", "segment", n, "at", at)
 			return
@@ -39,7 +34,7 @@
 			j.faults = append(j.faults, fmt.Sprintf("segment %d, byte %d: an unreadable record: %v", n, at, err))
 			j.log.Warn("journal: unreadable record", "segment", n, "at", at, "err", err)
 		}
-		at += recordHead + int(size)
+		rest = after
 	}
 }
 
--- a/internal/store/journal/segment.go
+++ b/internal/store/journal/segment.go
@@ -1,10 +1,8 @@
 package journal
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"os"
 	"path/filepath"
 	"sort"
@@ -12,6 +10,7 @@
 	"wingmount/internal/fail"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
+	"wingmount/internal/store/frame"
 )
 
 // Where a crash matters: between all changes to the folder.
@@ -39,7 +38,7 @@
 // append writes one record, after making room for it. Accepted is the message that the record
 // holds whole, nil for all other records.
 func (j *Journal) append(payload []byte, accepted *message.Message) error {
-	size := int64(len(payload) + recordHead)
+	size := int64(len(payload) + frame.HeadSize)
 	if err := j.makeRoom(size); err != nil {
 		return err
 	}
@@ -48,16 +47,14 @@
 
 // write writes one record to the newest segment, or to a new one where it does not fit.
 func (j *Journal) write(payload []byte, accepted *message.Message) error {
-	size := int64(len(payload) + recordHead)
+	size := int64(len(payload) + frame.HeadSize)
 	if last := &j.segments[len(j.segments)-1]; last.size > 0 && last.size+size > j.segSize {
 		if err := j.roll(); err != nil {
 			return err
 		}
 	}
 	last := &j.segments[len(j.segments)-1]
-	j.buf = binary.LittleEndian.AppendUint32(j.buf[:0], uint32(len(payload)))
-	j.buf = binary.LittleEndian.AppendUint32(j.buf, crc32.Checksum(payload, crcTable))
-	j.buf = append(j.buf, payload...)
+	j.buf = frame.Append(j.buf[:0], payload)
 	if err := atWrite.At(); err != nil {
 		return fmt.Errorf("writing the journal: %w", err)
 	}
