SQLite store: small files; recorded responses and running messages are read in one place

Six places made a final response of a kind and milliseconds (message.RecordedEnd now), two chose the messages without one (Recovered.Running).

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -87,6 +87,11 @@
 	p.Settled, p.Out, p.MayRun = flags&1 != 0, flags&2 != 0, flags&4 != 0
 }
 
+// RecordedEnd is a final response as stores keep it: its kind, and its time to retry in milliseconds.
+func RecordedEnd(kind, retryMs int64) *End {
+	return &End{Kind: Kind(kind), RetryAfter: time.Duration(retryMs) * time.Millisecond}
+}
+
 // Micros is a time as stores keep it: Unix microseconds, 0 for the zero time.
 func Micros(t time.Time) int64 {
 	if t.IsZero() {
--- a/internal/store/postgres/postgres.go
+++ b/internal/store/postgres/postgres.go
@@ -26,7 +26,6 @@
 	"github.com/jackc/pgx/v5/pgxpool"
 
 	"wingmount/internal/fail"
-	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/internal/store/group"
 	"wingmount/policy"
@@ -128,13 +127,7 @@
 	if err != nil {
 		return nil, none, fmt.Errorf("reading the unfinished messages: %w", err)
 	}
-	var live []*message.Message
-	for _, m := range r.Owed {
-		if m.End == nil {
-			live = append(live, m)
-		}
-	}
-	q := group.New(group.Config{TellDelivered: c.TellDelivered, Next: policy.MessageID(incarnation << incarnationBits), Live: live, Memories: r.Memories}, b, log)
+	q := group.New(group.Config{TellDelivered: c.TellDelivered, Next: policy.MessageID(incarnation << incarnationBits), Live: r.Running(), Memories: r.Memories}, b, log)
 	return &Store{q, b}, r, nil
 }
 
--- a/internal/store/postgres/recover.go
+++ b/internal/store/postgres/recover.go
@@ -100,7 +100,7 @@
 			return nil, err
 		}
 		m.Seq, m.Dest = messageID(seq), int(dest)
-		m.End = &message.End{Kind: message.Kind(kind), RetryAfter: time.Duration(retry) * time.Millisecond}
+		m.End = message.RecordedEnd(kind, retry)
 		return m, nil
 	})
 }
--- a/internal/store/postgres/statements.go
+++ b/internal/store/postgres/statements.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/jackc/pgx/v5"
 
@@ -83,7 +82,7 @@
 	}
 	known := &store.KnownError{}
 	if kind != nil {
-		known.End = &message.End{Kind: message.Kind(*kind), RetryAfter: time.Duration(*retry) * time.Millisecond}
+		known.End = message.RecordedEnd(*kind, *retry)
 	}
 	return known, seq, nil
 }
--- a/internal/store/sqlite/ids.go
+++ b/internal/store/sqlite/ids.go
@@ -10,6 +10,7 @@
 	"github.com/ncruces/go-sqlite3"
 
 	"wingmount/internal/fail"
+	"wingmount/internal/message"
 	"wingmount/policy"
 )
 
@@ -225,10 +226,24 @@
 	return nil
 }
 
-// answered finds the answer of an id. It reports false where there is none on record.
-func (s *file) answered(id string) (kind int, retry int64, ok bool, err error) {
+// answered finds the final response of an id, nil where there is none on record.
+func (s *file) answered(id string) (*message.End, error) {
+	seqs, err := s.withHash(s.ids.hash(id))
+	if err != nil {
+		return nil, err
+	}
+	for _, seq := range seqs {
+		end, err := s.answerOf(seq, id)
+		if err != nil || end != nil {
+			return end, err
+		}
+	}
+	return nil, nil
+}
+
+// withHash finds the numbers of the messages with answers whose ids have a hash.
+func (s *file) withHash(h uint64) ([]int64, error) {
 	x := &s.ids
-	h := x.hash(id)
 	seqs := x.recent.find(h, x.fresh.find(h, nil))
 	x.may = x.filter.find(h, x.may[:0])
 	for _, g := range x.sealed {
@@ -237,7 +252,7 @@
 		}
 		st := s.st.inBucket
 		if err := bind(st, g.n, int64(h>>(64-bucketBits))); err != nil {
-			return 0, 0, false, err
+			return nil, err
 		}
 		if st.Step() {
 			for b := st.ColumnRawBlob(0); len(b) >= entrySize; b = b[entrySize:] {
@@ -247,22 +262,23 @@
 			}
 		}
 		if err := st.Reset(); err != nil {
-			return 0, 0, false, err
+			return nil, err
 		}
 	}
-	for _, seq := range seqs {
-		st := s.st.answered
-		if err := bind(st, seq); err != nil {
-			return 0, 0, false, err
-		}
-		if st.Step() && st.ColumnText(0) == id {
-			kind, retry, ok = st.ColumnInt(1), st.ColumnInt64(2), true
-		}
-		if err := st.Reset(); err != nil || ok {
-			return kind, retry, ok, err
-		}
+	return seqs, nil
+}
+
+// answerOf is the final response of a message, nil where it has none or another id.
+func (s *file) answerOf(seq int64, id string) (*message.End, error) {
+	st := s.st.answered
+	if err := bind(st, seq); err != nil {
+		return nil, err
+	}
+	var end *message.End
+	if st.Step() && st.ColumnText(0) == id {
+		end = message.RecordedEnd(st.ColumnInt64(1), st.ColumnInt64(2))
 	}
-	return 0, 0, false, nil
+	return end, st.Reset()
 }
 
 // old is an answer that a sweep deletes.
--- /dev/null
+++ b/internal/store/sqlite/recover.go
@@ -0,0 +1,92 @@
+package sqlite
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/ncruces/go-sqlite3"
+
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/policy"
+)
+
+// names reads the names on record, and puts new ones on record before their numbers are used.
+func (s *file) names() (_ store.Names, err error) {
+	var have store.Names
+	lists := have.Lists()
+	if err := s.rows("SELECT kind, name FROM name ORDER BY kind, n", func(st *sqlite3.Stmt) {
+		if kind := st.ColumnInt(0); kind >= 0 && kind < len(lists) {
+			*lists[kind] = append(*lists[kind], st.ColumnText(1))
+		}
+	}); err != nil {
+		return have, err
+	}
+	all := have.With(s.cfg.Names)
+	tx, err := s.conn.BeginImmediate()
+	if err != nil {
+		return have, err
+	}
+	defer tx.End(&err)
+	st, _, err := s.conn.Prepare("INSERT INTO name VALUES (?1, ?2, ?3)")
+	if err != nil {
+		return have, err
+	}
+	defer st.Close()
+	for kind, list := range all.Lists() {
+		for n := len(*lists[kind]); n < len(*list); n++ {
+			if err := exec(st, kind, n, (*list)[n]); err != nil {
+				return have, err
+			}
+		}
+	}
+	return all, nil
+}
+
+// recover reads the unfinished messages. It runs before the writer does.
+func (s *file) recover() (store.Recovered, policy.MessageID, error) {
+	r := store.Recovered{Memories: map[string]*store.Memory{}}
+	var latest, last int64
+	err := errors.Join(
+		s.rows(`SELECT m.seq, id, key, class, dest, deadline, body, coalesce(attempts, 0), coalesce(flags, 0), coalesce(ran, 0), coalesce(zone, 0),
+				-1, 0 FROM message m LEFT JOIN past p ON p.seq = m.seq
+			UNION ALL SELECT seq, id, '', 0, dest, 0, x'', attempts, 0, 0, 0, kind, retry FROM answer WHERE told IS NULL
+			ORDER BY 1`, func(st *sqlite3.Stmt) {
+			m := &message.Message{Seq: policy.MessageID(st.ColumnInt64(0)), ID: st.ColumnText(1), Key: st.ColumnText(2),
+				Class: st.ColumnInt(3), Dest: st.ColumnInt(4), Deadline: time.UnixMicro(st.ColumnInt64(5)), Body: st.ColumnBlob(6, nil)}
+			m.Past = message.Past{Attempts: st.ColumnInt(7), RanAt: message.FromMicros(st.ColumnInt64(9)), RanZone: st.ColumnInt(10)}
+			m.Past.SetFlags(st.ColumnInt64(8))
+			m.Past.Interrupt()
+			if kind := st.ColumnInt64(11); kind >= 0 {
+				m.End = message.RecordedEnd(kind, st.ColumnInt64(12))
+			}
+			r.Owed = append(r.Owed, m)
+		}),
+		s.rows(`SELECT name, failed, back FROM endpoint`, func(st *sqlite3.Stmt) {
+			e := store.Memory{FailedAt: message.FromMicros(st.ColumnInt64(1)), BackAt: message.FromMicros(st.ColumnInt64(2))}
+			r.Memories[st.ColumnText(0)] = &e
+		}),
+		s.rows(`SELECT endpoint, at FROM call ORDER BY n`, func(st *sqlite3.Stmt) {
+			name := st.ColumnText(0)
+			if r.Memories[name] == nil {
+				r.Memories[name] = &store.Memory{}
+			}
+			r.Memories[name].Sent = append(r.Memories[name].Sent, time.UnixMicro(st.ColumnInt64(1)))
+		}),
+		s.rows(`SELECT latest FROM meta`, func(st *sqlite3.Stmt) { latest = st.ColumnInt64(0) }),
+		// A number is never given twice, also when the message that had it is gone.
+		s.rows(`SELECT max(coalesce((SELECT seq FROM sqlite_sequence WHERE name = 'message'), 0), coalesce((SELECT max(seq) FROM answer), 0))`,
+			func(st *sqlite3.Stmt) { last = st.ColumnInt64(0) }))
+	if err == nil {
+		err = s.loadIDs()
+	}
+	if err == nil {
+		r.Names, err = s.names()
+	}
+	if err != nil {
+		return store.Recovered{}, 0, fmt.Errorf("reading the unfinished messages: %w", err)
+	}
+	r.Rebase(message.FromMicros(latest), time.Now())
+	return r, policy.MessageID(last), nil
+}
--- a/internal/store/sqlite/sqlite.go
+++ b/internal/store/sqlite/sqlite.go
@@ -19,7 +19,6 @@
 	"github.com/ncruces/go-sqlite3"
 
 	"wingmount/internal/fail"
-	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/internal/store/group"
 	"wingmount/policy"
@@ -42,11 +41,13 @@
 	// sweepMax is how many rows of each table one look for what is too old deletes: a slice
 	// that stalls nobody.
 	sweepMax = 2500
-	// callsKept is how long calls are kept for the windows of the next life.
+	// sweepGap is between two sweeps that find no old answers.
+	sweepGap = 10 * time.Second
+	// callsKept is how long calls are kept for the windows of the next process.
 	callsKept = 5 * time.Minute
 	// endpointsKept is how long failures of endpoints are kept.
 	endpointsKept = time.Hour
-	// reservePages are kept free of takes, for the ends of what is held.
+	// reservePages are kept free of takes, for the final responses of messages in flight.
 	reservePages = 256
 	minBytes     = 4 << 20
 	// overwritePause is between two tries to find out what a failed commit has left.
@@ -127,13 +128,7 @@
 	if err != nil {
 		return nil, none, err
 	}
-	var live []*message.Message
-	for _, m := range r.Owed {
-		if m.End == nil {
-			live = append(live, m)
-		}
-	}
-	q := group.New(group.Config{TellDelivered: cfg.TellDelivered, Next: last, Live: live, Memories: r.Memories}, s, log)
+	q := group.New(group.Config{TellDelivered: cfg.TellDelivered, Next: last, Live: r.Running(), Memories: r.Memories}, s, log)
 	return &Store{q}, r, nil
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -121,6 +121,17 @@
 	Names Names
 }
 
+// Running are the recovered messages without a final response.
+func (r *Recovered) Running() []*message.Message {
+	var running []*message.Message
+	for _, m := range r.Owed {
+		if m.End == nil {
+			running = append(running, m)
+		}
+	}
+	return running
+}
+
 // Entry is what is on record of one message, for those who look.
 type Entry struct {
 	Seq        int64      `json:"seq,omitempty"` // 0 where it is not on record
