Rename internal/hold to internal/inflight: registry, reservation, update batch, verdicts

The package speaks the field's words: Registry, Reserve, Accept, Release, Adopt, Observe; verdicts Reserved, InProgress, Duplicate, NoCapacity, TooLate, ShuttingDown. The text of the 503 is "the node has no capacity for it". Nothing else changes.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -46,9 +46,9 @@
 
 // Admission hears what becomes of messages, and which destinations there are. Neither call waits.
 type Admission interface {
-	// Seen tells what was sent and what has ended since it was last called, in order. The
+	// Observe tells what was sent and what has ended since it was last called, in order. The
 	// slice is the admission's from then on.
-	Seen(seen []admission.Seen)
+	Observe(observations []admission.Seen)
 	// SetDestinations tells the destinations that there are, and whether the directory has
 	// told of them in this life of the node. The map is the admission's from then on.
 	SetDestinations(dests map[int]bool, told bool)
@@ -601,7 +601,7 @@
 // tell tells the admission what was seen since it was last told.
 func (l *Engine) tell() {
 	if len(l.seen) > 0 {
-		l.Admission.Seen(l.seen)
+		l.Admission.Observe(l.seen)
 		l.seen = nil
 	}
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -41,7 +41,7 @@
 }
 func (f *fakes) Add(m *message.Message) { f.told <- m }
 
-func (f *fakes) Seen(seen []admission.Seen) {
+func (f *fakes) Observe(seen []admission.Seen) {
 	for _, s := range seen {
 		if s.Kind == admission.Ended {
 			f.ended = append(f.ended, s.ID)
--- a/internal/front/http/clients_test.go
+++ b/internal/front/http/clients_test.go
@@ -152,7 +152,7 @@
 			if n := bytes.Count(all, []byte("HTTP/1.1 ")); n > 1 || bytes.Contains(all, []byte("HTTP/1.1 2")) {
 				t.Errorf("answered %q, want one error or a close", all)
 			}
-			if n := in.hold.Count(); n != 0 {
+			if n := in.registry.Count(); n != 0 {
 				t.Errorf("%d messages were taken", n)
 			}
 		})
@@ -182,12 +182,12 @@
 func TestRefusalKeepsTheConnection(t *testing.T) {
 	var accepted []*message.Message
 	in := newIntakeOf(t, 1, &accepted)
-	in.hold.Adopt("another", 7, 0)
+	in.registry.Adopt("another", 7, 0)
 	c := dialClient(t, clientRig(t, in, 8))
 	if got := askNote(t, c, "a"); got != http.StatusServiceUnavailable {
-		t.Fatalf("answered %d by a full hold", got)
+		t.Fatalf("answered %d by a node without capacity", got)
 	}
-	in.hold.Seen([]admission.Seen{{Kind: admission.Ended, ID: "another"}})
+	in.registry.Observe([]admission.Seen{{Kind: admission.Ended, ID: "another"}})
 	if got := askNote(t, c, "b"); got != http.StatusAccepted {
 		t.Errorf("answered %d on the same connection", got)
 	}
@@ -221,12 +221,12 @@
 		"a day":           {"5000", "86400000", true, http.StatusBadRequest},
 		"negative number": {"dest=7", "dest=-7", true, http.StatusBadRequest},
 	} {
-		in.hold.SetDestinations(map[int]bool{7: true}, c.told)
+		in.registry.SetDestinations(map[int]bool{7: true}, c.told)
 		if got := ask(strings.ReplaceAll(name, " ", "-"), c.from, c.to); got != c.want {
 			t.Errorf("%s: answered %d, want %d", name, got, c.want)
 		}
 	}
-	if n := in.hold.Count(); n != 2 {
+	if n := in.registry.Count(); n != 2 {
 		t.Errorf("%d messages are held, want the two good ones", n)
 	}
 }
@@ -241,7 +241,7 @@
 		told  bool
 		want  int
 	}{{nil, false, 503}, {map[int]bool{7: true}, false, 200}, {nil, true, 200}} {
-		in.hold.SetDestinations(c.dests, c.told)
+		in.registry.SetDestinations(c.dests, c.told)
 		resp, err := http.Get("http://" + l.Addr().String() + "/healthz")
 		testkit.Must(t, err)
 		_ = resp.Body.Close()
--- a/internal/front/http/endings_test.go
+++ b/internal/front/http/endings_test.go
@@ -275,7 +275,7 @@
 			read.close()
 			sendNote(t, c, "second")
 			read.wait(t)
-			in.hold.Close(true)
+			in.registry.Close(true)
 			stopped := stopping(stop)
 			eventually(t, l, "the stop has begun", func() bool { return l.stopping })
 			read.release()
@@ -286,7 +286,7 @@
 				t.Errorf("the connection goes on: %v", err)
 			}
 			testkit.Must(t, <-stopped)
-			if n := in.hold.Count(); first && n != 1 || !first && n != 0 {
+			if n := in.registry.Count(); first && n != 1 || !first && n != 0 {
 				t.Errorf("%d messages are held", n)
 			}
 		})
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -16,7 +16,7 @@
 
 	"wingmount/decide/rules"
 	"wingmount/internal/fail"
-	"wingmount/internal/hold"
+	"wingmount/internal/inflight"
 	"wingmount/internal/message"
 	"wingmount/internal/ruling"
 	"wingmount/internal/store"
@@ -41,21 +41,21 @@
 // Intake takes messages from clients. A message is on record before it is
 // answered, and from then on the node owes its end.
 type Intake struct {
-	classes map[string]int
-	names   map[int]string // of classes
-	rules   []policy.Class
-	store   store.Store
-	log     *slog.Logger
-	hold    *hold.Hold
-	keeper  *ruling.Keeper // nil where there are no rules
-	accept  func(*message.Message)
+	classes  map[string]int
+	names    map[int]string // of classes
+	rules    []policy.Class
+	store    store.Store
+	log      *slog.Logger
+	registry *inflight.Registry
+	keeper   *ruling.Keeper // nil where there are no rules
+	accept   func(*message.Message)
 }
 
 // Config is what an intake is told.
 type Config struct {
-	Classes map[string]int // names of the classes, as indices into Rules
-	Rules   []policy.Class
-	Hold    *hold.Hold // what the node holds, by all fronts
+	Classes  map[string]int // names of the classes, as indices into Rules
+	Rules    []policy.Class
+	Registry *inflight.Registry // the messages in flight, by all fronts
 	// Keeper judges which class and key a message has; nil where it has what its client says.
 	Keeper *ruling.Keeper
 }
@@ -67,7 +67,7 @@
 	for name, class := range c.Classes {
 		names[class] = name
 	}
-	return &Intake{classes: c.Classes, names: names, rules: c.Rules, hold: c.Hold, keeper: c.Keeper, store: s, accept: accept, log: log}
+	return &Intake{classes: c.Classes, names: names, rules: c.Rules, registry: c.Registry, keeper: c.Keeper, store: s, accept: accept, log: log}
 }
 
 // Where a crash matters: between a message's record, its start, and the client's answer.
@@ -86,7 +86,7 @@
 
 // ServeHTTP answers a client.
 func (in *Intake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if in.hold.Closing() {
+	if in.registry.Closing() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/healthz" {
@@ -95,11 +95,11 @@
 			http.Error(w, "GET only", http.StatusMethodNotAllowed)
 			return
 		}
-		if in.hold.Refusing() {
+		if in.registry.ShuttingDown() {
 			in.turnAway(w, "stopping", fullRetry)
 			return
 		}
-		if !in.hold.Informed() {
+		if !in.registry.DestinationsKnown() {
 			in.turnAway(w, "no endpoints are known yet", fullRetry)
 			return
 		}
@@ -111,15 +111,15 @@
 		in.reject(w, r, err)
 		return
 	}
-	if there, sure := in.hold.Knows(m.Dest); !there {
-		if sure {
+	if exists, certain := in.registry.HasDestination(m.Dest); !exists {
+		if certain {
 			in.reject(w, r, badRequest{http.StatusNotFound, "no such destination"})
 		} else {
 			in.turnAway(w, "the destination is not known yet", fullRetry)
 		}
 		return
 	}
-	if in.keeper != nil && in.hold.Running(m.ID) { // whatever the rules say of it now
+	if in.keeper != nil && in.registry.Accepted(m.ID) { // whatever the rules say of it now
 		w.WriteHeader(http.StatusAccepted)
 		return
 	}
@@ -171,20 +171,20 @@
 func (in *Intake) reserve(w http.ResponseWriter, r *http.Request, m *message.Message) bool {
 	// A context that has ended may mean a client that has only closed its sending
 	// side and waits for the answer, so it is not asked here.
-	verdict, retry := in.hold.Reserve(m.ID, m.Dest, m.Class, time.Until(m.Deadline))
+	verdict, retry := in.registry.Reserve(m.ID, m.Dest, m.Class, time.Until(m.Deadline))
 	switch verdict {
-	case hold.Reserved:
-	case hold.Running: // sent once more by a client that did not hear the answer
+	case inflight.Reserved:
+	case inflight.InProgress: // sent once more by a client that did not hear the answer
 		w.WriteHeader(http.StatusAccepted)
 		return false
-	case hold.Twin:
+	case inflight.Duplicate:
 		in.turnAway(w, "the message is being taken", fullRetry)
 		return false
-	case hold.TooLate:
+	case inflight.TooLate:
 		in.turnAway(w, "it would not be delivered in time", retry)
 		return false
 	default:
-		in.turnAway(w, "the hold is full", retry)
+		in.turnAway(w, "the node has no capacity for it", retry)
 		return false
 	}
 	if err := in.take(r.Context(), m); err != nil {
@@ -192,12 +192,12 @@
 		if undecided && in.keeper != nil {
 			in.keeper.Doubt(m.ID, m.Deadline)
 		}
-		in.hold.Drop(m.ID)
+		in.registry.Release(m.ID)
 		in.notTaken(w, m, err)
 		return undecided
 	}
 	_ = atTaken.At() // it is on record, whatever an error says
-	in.hold.Taken(m.ID)
+	in.registry.Accept(m.ID)
 	in.accept(m)
 	_ = atAccepted.At()
 	w.WriteHeader(http.StatusAccepted)
@@ -251,7 +251,7 @@
 	if in.keeper != nil {
 		in.keeper.Adopt(m)
 	}
-	in.hold.Adopt(m.ID, m.Dest, m.Class)
+	in.registry.Adopt(m.ID, m.Dest, m.Class)
 	in.accept(m)
 }
 
--- a/internal/front/http/intake_test.go
+++ b/internal/front/http/intake_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"wingmount/internal/hold"
+	"wingmount/internal/inflight"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/internal/store/journal"
@@ -29,11 +29,11 @@
 	j, _, err := journal.Open(journal.Config{Dir: t.TempDir(), MaxBytes: journal.MinDisk}, testkit.QuietLog())
 	testkit.Must(t, err)
 	t.Cleanup(func() { _ = j.Close() })
-	h := hold.New(hold.Config{Max: room})
-	in := New(Config{Classes: map[string]int{"note": 0}, Hold: h,
+	r := inflight.New(inflight.Config{Max: room})
+	in := New(Config{Classes: map[string]int{"note": 0}, Registry: r,
 		Rules: []policy.Class{{Repeat: policy.Deduplicated, Deadline: 28 * time.Second}}}, j,
 		func(m *message.Message) { *accepted = append(*accepted, m) }, testkit.QuietLog())
-	h.SetDestinations(map[int]bool{7: true}, true)
+	r.SetDestinations(map[int]bool{7: true}, true)
 	return in
 }
 
@@ -72,8 +72,8 @@
 			t.Errorf("%s: answered %d, want 503 with Retry-After", id, w.Code)
 		}
 	}
-	if len(accepted) != 0 || in.hold.Count() != 0 {
-		t.Errorf("%d messages accepted and %d places held, want none", len(accepted), in.hold.Count())
+	if len(accepted) != 0 || in.registry.Count() != 0 {
+		t.Errorf("%d messages accepted and %d places held, want none", len(accepted), in.registry.Count())
 	}
 }
 
@@ -106,9 +106,9 @@
 			in.store = knowing{in.store, c.err}
 			w := httptest.NewRecorder()
 			in.ServeHTTP(w, noteRequest(context.Background(), "a"))
-			if w.Code != c.want || w.Header().Get("X-Final") != c.final || len(accepted) != 0 || in.hold.Count() != 0 {
+			if w.Code != c.want || w.Header().Get("X-Final") != c.final || len(accepted) != 0 || in.registry.Count() != 0 {
 				t.Errorf("answered %d, final %q, with %d taken and %d held; want %d, %q", w.Code, w.Header().Get("X-Final"),
-					len(accepted), in.hold.Count(), c.want, c.final)
+					len(accepted), in.registry.Count(), c.want, c.final)
 			}
 			if again := w.Header().Get("Retry-After"); (again != "") != (c.want == http.StatusServiceUnavailable) {
 				t.Errorf("Retry-After %q", again)
--- a/internal/front/http/rules_test.go
+++ b/internal/front/http/rules_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"wingmount/decide/rules"
-	"wingmount/internal/hold"
+	"wingmount/internal/inflight"
 	"wingmount/internal/message"
 	"wingmount/internal/ruling"
 	"wingmount/internal/store/journal"
@@ -37,12 +37,12 @@
 	keeper, err := ruling.Open(ruling.Config{Load: load, Record: filepath.Join(t.TempDir(), "active"), Classes: classes,
 		Names: []string{"note", "line", "loose"}, Fresh: true, Log: testkit.QuietLog()})
 	testkit.Must(t, err)
-	h := hold.New(hold.Config{Max: 20})
+	r := inflight.New(inflight.Config{Max: 20})
 	var accepted []*message.Message
-	in := New(Config{Classes: map[string]int{"note": 0, "line": 1, "loose": 2}, Hold: h, Keeper: keeper, Rules: []policy.Class{
+	in := New(Config{Classes: map[string]int{"note": 0, "line": 1, "loose": 2}, Registry: r, Keeper: keeper, Rules: []policy.Class{
 		{Repeat: policy.Deduplicated, Deadline: 28 * time.Second}, {Repeat: policy.Deduplicated, Ordered: true, Deadline: time.Second}, {Deadline: time.Second}}},
 		j, func(m *message.Message) { accepted = append(accepted, m) }, testkit.QuietLog())
-	h.SetDestinations(map[int]bool{7: true}, true)
+	r.SetDestinations(map[int]bool{7: true}, true)
 	hand := func(class, id, own, body string) *httptest.ResponseRecorder {
 		r := httptest.NewRequest(http.MethodPost, "/"+class, strings.NewReader(body))
 		r.Header.Set("Content-Length", "1") // the front reads the length that net/http has found
@@ -103,7 +103,7 @@
 		t.Errorf("a message whose old key nobody has: %d %q", w.Code, w.Body)
 	}
 	// One that is not taken leaves the books.
-	h.Close(true)
+	r.Close(true)
 	hand("note", "11", "k", `{"a":"u"}`)
 	if w := hand("note", "11", "k", `{"a":"u"}`); strings.Contains(w.Body.String(), "being taken") {
 		t.Errorf("it is in the books still: %q", w.Body)
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -17,7 +17,7 @@
 	"wingmount/internal/directory"
 	"wingmount/internal/engine"
 	httpfront "wingmount/internal/front/http"
-	"wingmount/internal/hold"
+	"wingmount/internal/inflight"
 	"wingmount/internal/message"
 	"wingmount/internal/ruling"
 	"wingmount/internal/store"
@@ -40,7 +40,7 @@
 	store                 store.Store
 	recovered             store.Recovered
 	teller                engine.Teller
-	admission             *admission.Controller // nil where only the hold bounds what is taken on
+	admission             *admission.Controller // nil where only the registry bounds what is accepted
 	linesStay             bool                  // see http1.Config
 	keeper                *ruling.Keeper        // nil where there are no rules for keys and classes
 	endForeign            bool                  // see settleForeign
@@ -52,7 +52,7 @@
 	parts
 	listener    *httpfront.Listener
 	engine      *engine.Engine
-	hold        *hold.Hold
+	registry    *inflight.Registry
 	intake      *httpfront.Intake
 	calls       *http1.Carrier
 	engineParts engine.Parts
@@ -70,9 +70,9 @@
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
 	n := &node{parts: p, listener: httpfront.NewListener(listener, clientSockets(p.sockets)),
-		hold:   hold.New(hold.Config{Max: p.settings.MaxHeld, Admission: p.admission}),
-		engine: engine.New(engine.Config{Settings: p.settings, Seed: p.seed, Kinds: p.kinds, Zones: p.zones, AnswerTime: p.answerTime})}
-	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, Hold: n.hold, Keeper: p.keeper},
+		registry: inflight.New(inflight.Config{Max: p.settings.MaxHeld, Admission: p.admission}),
+		engine:   engine.New(engine.Config{Settings: p.settings, Seed: p.seed, Kinds: p.kinds, Zones: p.zones, AnswerTime: p.answerTime})}
+	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, Registry: n.registry, Keeper: p.keeper},
 		p.store, func(m *message.Message) { n.engine.Post(m) }, p.log)
 	if l, ok := p.store.(store.Late); ok {
 		l.OnLate(n.intake.Adopt)
@@ -84,9 +84,9 @@
 	}
 	n.calls = http1.New(http1.Config{ConnectTimeout: p.settings.ConnectTimeout, IdleClose: p.idleClose,
 		MaxIdle: idleSockets(p.sockets, p.settings.Slots), IdleEach: p.idleEach, LinesStay: p.linesStay}, &carrier.Recorder{Store: p.store, Log: p.log, Tell: n.event}, p.log)
-	var heard engine.Admission = n.hold
+	var heard engine.Admission = n.registry
 	if p.keeper != nil {
-		heard = witness{n.hold, p.keeper}
+		heard = witness{n.registry, p.keeper}
 	}
 	n.engineParts = engine.Parts{Store: p.store, Carrier: n.calls, Admission: heard, Teller: p.teller,
 		Memories: p.recovered.Memories, Log: p.log}
@@ -130,15 +130,15 @@
 	return nil
 }
 
-// witness tells the rules as well what the hold hears.
+// witness tells the rules as well what the registry observes.
 type witness struct {
-	*hold.Hold
+	*inflight.Registry
 	keeper *ruling.Keeper
 }
 
-func (w witness) Seen(seen []admission.Seen) {
+func (w witness) Observe(seen []admission.Seen) {
 	w.keeper.Seen(seen)
-	w.Hold.Seen(seen)
+	w.Registry.Observe(seen)
 }
 
 func (n *node) event(e policy.Event) { n.engine.Post(e) }
@@ -180,7 +180,7 @@
 	end()
 	running.Wait()
 	n.calls.Wait() // their outcomes go on record before the store closes
-	n.log.Info("stopped", "owed", n.hold.Count())
+	n.log.Info("stopped", "owed", n.registry.Count())
 	return errors.Join(err, n.store.Close())
 }
 
@@ -188,17 +188,17 @@
 func (n *node) tellTurnedAway(life context.Context) {
 	ticker := time.NewTicker(turnedAwayEvery)
 	defer ticker.Stop()
-	var before hold.Counts
+	var before inflight.Counts
 	for {
 		select {
 		case <-life.Done():
 			return
 		case <-ticker.C:
 		}
-		c := n.hold.Counts()
-		if full, late := c[hold.Full]-before[hold.Full], c[hold.TooLate]-before[hold.TooLate]; full+late > 0 {
+		c := n.registry.Counts()
+		if full, late := c[inflight.NoCapacity]-before[inflight.NoCapacity], c[inflight.TooLate]-before[inflight.TooLate]; full+late > 0 {
 			n.log.Warn("intake: messages were turned away", "no_place", full, "too_late", late,
-				"taken", c[hold.Reserved]-before[hold.Reserved], "held", n.hold.Count(), "within", turnedAwayEvery)
+				"taken", c[inflight.Reserved]-before[inflight.Reserved], "held", n.registry.Count(), "within", turnedAwayEvery)
 		}
 		before = c
 	}
@@ -209,7 +209,7 @@
 	if n.settings.MaxHeld <= 0 {
 		return math.MaxInt
 	}
-	return n.settings.MaxHeld - n.hold.Count()
+	return n.settings.MaxHeld - n.registry.Count()
 }
 
 // owe takes on what is owed already: of an earlier life, or what another node left.
@@ -232,10 +232,10 @@
 // after that waits in the store for the next start.
 func (n *node) stop(server *httpfront.Server, quiet chan<- struct{}) {
 	start := time.Now()
-	n.log.Info("stopping", "owed", n.hold.Count())
-	n.hold.Close(false)
+	n.log.Info("stopping", "owed", n.registry.Count())
+	n.registry.Close(false)
 	time.Sleep(stopTaking)
-	n.hold.Close(true)
+	n.registry.Close(true)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(stopWaiting))
 	defer cancel()
 	clients := make(chan error, 1)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -138,7 +138,7 @@
 	return sqlite.Migrate(sqlite.Config{Path: f.Store.Path})
 }
 
-// admitter decides what is taken on, nil where the file says that only the hold does. It leaves
+// admitter decides what is accepted, nil where the file says that only the registry does. It leaves
 // the module the places that it keeps free: with them it has nothing to turn away for room.
 func admitter(f *config.File, s policy.Settings) *admission.Controller {
 	if f.Limits.Admission != nil && !*f.Limits.Admission {
