--- a/internal/carrier/http1/calls.go
+++ b/internal/carrier/http1/calls.go
@@ -93,8 +93,8 @@
 // CloseIdle closes the idle connections to an endpoint.
 func (c *Carrier) CloseIdle(e *carrier.Endpoint) { c.pool.closeIdle(time.Time{}, e) }
 
-// Tidy closes what has been idle for too long. It is called about once a second.
-func (c *Carrier) Tidy(now time.Time) {
+// EvictIdle closes what has been idle for too long. It is called about once a second.
+func (c *Carrier) EvictIdle(now time.Time) {
 	c.pool.closeIdle(now.Add(-c.idle), nil)
 	if n := c.spoilt.Swap(0); n > 0 {
 		c.log.Info("calls: answers that could not be read", "count", n)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,7 +1,6 @@
-// Package engine owns the decision module: it hands in what has come, in the order in
-// which it came, and carries out what the module wants. Nothing in it waits for a network
-// or a disk: calls run in a carrier's goroutines, and final answers go on record and are
-// told by a goroutine of its own.
+// Package engine owns the decision module: it hands in events in the order of their arrival, and carries
+// out the actions that the module wants. Nothing in it waits for a network or a disk: calls run in a
+// carrier's goroutines, and outcomes go on record and are announced by a goroutine of their own.
 package engine
 
 import (
@@ -22,16 +21,16 @@
 // clockStart keeps the module's clock away from zero, which means 'never' to it.
 const clockStart = time.Hour
 
-// destinationTime is how long a destination without any endpoint stays one: its
-// messages are held, and given up in their own time.
-const destinationTime = 10 * time.Minute
+// destinationRetention is how long a destination without any endpoint is kept: its
+// messages wait, and are given up when their own time is up.
+const destinationRetention = 10 * time.Minute
 
-// memoryTime is how long an endpoint of an earlier life may take to be listed again.
+// memoryRetention is how long an endpoint known to an earlier process may take to be listed again.
 // What was known of it is too old to count then.
-const memoryTime = time.Minute
+const memoryRetention = time.Minute
 
-// eventRoom is how many events may wait for the engine; who has one more waits.
-const eventRoom = 4096
+// eventCapacity is how many events may wait for the engine; a sender of one more waits.
+const eventCapacity = 4096
 
 // Carrier makes calls. Each part of a call that is started gets one policy.Ended by
 // [Engine.Post], whenever that is.
@@ -40,287 +39,301 @@
 	Start(ctx context.Context, k *carrier.Call)
 	// CloseIdle closes the idle connections to an endpoint.
 	CloseIdle(e *carrier.Endpoint)
-	// Tidy is called about once a second.
-	Tidy(now time.Time)
+	// EvictIdle closes expired connections. It is called about once a second.
+	EvictIdle(now time.Time)
 }
 
-// Admission hears what becomes of messages, and which destinations there are. Neither call waits.
+// Admission observes what becomes of messages, and which destinations there are. Neither call waits.
 type Admission interface {
-	// Observe tells what was sent and what has ended since it was last called, in order. The
+	// Observe reports what was sent and what has ended since the last call, in order. The
 	// slice is the admission's from then on.
 	Observe(observations []admission.Seen)
-	// SetDestinations tells the destinations that there are, and whether the directory has
-	// told of them in this life of the node. The map is the admission's from then on.
-	SetDestinations(dests map[int]bool, told bool)
+	// SetDestinations sets which destinations there are, and whether the directory has
+	// listed them all since this process started. The map is the admission's from then on.
+	SetDestinations(destinations map[int]bool, complete bool)
 }
 
-// Teller tells final answers that are on record. Add does not wait.
-type Teller interface{ Add(m *message.Message) }
+// Notifier announces outcomes that are on record. Add does not wait.
+type Notifier interface{ Add(m *message.Message) }
 
-// Recorder is told each step of the module. Step does not wait, and keeps nothing of the slices.
+// Recorder records each step of the module. Step does not wait, and keeps nothing of the slices.
 type Recorder interface {
 	Step(now policy.Time, events []policy.Event, actions []policy.Action)
 }
 
-// Notes sends notes to the other nodes. Send does not wait.
-type Notes interface{ Send(policy.Tell) }
+// PeerMessenger sends messages to the other nodes. Send does not wait.
+type PeerMessenger interface{ Send(policy.Tell) }
 
-// Peers hear what this node sees of endpoints, to share it. Neither call waits.
+// Peers are given what this node observes of endpoints, to share it. Neither call waits.
 type Peers interface {
-	// SetEndpoints tells the endpoints that the directory has, by their names. The map is theirs from then on.
+	// SetEndpoints sets the endpoints that the directory has, by their names. The map is theirs from then on.
 	SetEndpoints(all map[policy.EndpointID]string)
-	// Saw tells how a call ended that took so long: answered, or failed.
+	// Saw reports how a call ended that took so long: answered, or failed.
 	Saw(id policy.EndpointID, took time.Duration, answered bool)
 }
 
-// Config is what an engine is told.
+// Config is the configuration of an engine.
 type Config struct {
 	Settings     policy.Settings
 	Seed         uint64
 	Kinds, Zones map[string]int // the directory's words, as the module's numbers
-	// AnswerTime is how long before its time is up a message is answered at the latest, beyond a
-	// tick: for the record of its answer and the telling.
+	// AnswerTime is how long before its deadline a message has its outcome at the latest, beyond a
+	// tick: time to record and announce it.
 	AnswerTime time.Duration
 }
 
-// Parts is what an engine works with. Notes, Peers and Steps may be nil.
+// Parts are the collaborators of an engine. PeerMessages, Peers and Steps may be nil.
 type Parts struct {
-	Store     store.Store
-	Carrier   Carrier
-	Admission Admission
-	Teller    Teller
-	Notes     Notes
-	Peers     Peers
-	Steps     Recorder
-	Memories  Memories // of earlier lives
-	Log       *slog.Logger
+	Store        store.Store
+	Carrier      Carrier
+	Admission    Admission
+	Notifier     Notifier
+	PeerMessages PeerMessenger
+	Peers        Peers
+	Steps        Recorder
+	Memories     Memories // of earlier processes
+	Log          *slog.Logger
 }
 
-// endpoint is one address of a destination, and what the engine knows of it.
-type endpoint struct {
+// trackedEndpoint is one address of a destination, and what the engine knows of it.
+type trackedEndpoint struct {
 	carrier.Endpoint
-	addr  string
-	out   int       // sends without an outcome
-	gone  bool      // the directory has it no more
-	heard time.Time // when the last outcome came
+	addr        string
+	inFlight    int       // sends without an outcome
+	delisted    bool      // the directory has it no more
+	lastOutcome time.Time // when the last outcome came
 }
 
-// destination is what the engine knows of a destination. One without any endpoint stays for
-// destinationTime, and until a wait that was told is over.
-type destination struct {
-	present int // its endpoints
-	listed  int // those of them that the directory has
-	waits   *carrier.Gate
-	since   time.Time // from when on none was listed
+// trackedDestination is what the engine knows of a destination. One without any endpoint is kept for
+// destinationRetention, and until a wait that it asked for is over.
+type trackedDestination struct {
+	endpoints int // that the engine tracks
+	listed    int // those of them that the directory has
+	waits     *carrier.Gate
+	since     time.Time // from when on none was listed
 }
 
-// Memories are what another node, or an earlier life, saw of endpoints, by their names. They
-// are an event of [Engine.Post]; of an endpoint that this node has heard from since, or that is
-// not listed, nothing is taken.
+// Memories are what another node, or an earlier process, observed of endpoints, by their names. They
+// are an event of [Engine.Post]; of an endpoint that this node has had outcomes from since, or that is
+// not listed, nothing is used.
 type Memories map[string]*store.Memory
 
-// Engine owns the module: it hands in what has come, once a tick, and carries out what
-// the module wants, in order. It waits for nothing else.
+// Engine owns the module: it hands in the events, once a tick, and carries out its actions in order. It
+// waits for nothing else.
 type Engine struct {
 	Parts
-	sender    *policy.Sender
-	answers   time.Duration // Config.AnswerTime
-	settings  policy.Settings
-	kinds     map[string]int
-	zones     map[string]int
-	origin    time.Time
-	events    chan any      // policy.Event, directory.List, Memories or *message.Message
-	done      chan struct{} // closed when the engine has ended
-	quieted   chan struct{} // closed when no call is started any more
-	held      map[policy.MessageID]*message.Message
-	endpoints map[policy.EndpointID]*endpoint
-	leaving   map[policy.EndpointID]*endpoint // those that are gone, until no call is out to them
-	dests     map[int]*destination
-	vacant    map[int]*destination // those without an endpoint that the directory has
-	debug     bool                 // the log takes what is of each message and call
-	told      bool                 // the directory has told the whole list
-	changed   bool                 // the admission has not heard of all that told and dests say
-	batch     []policy.Event
-	seen      []admission.Seen // for the admission, at the end of the step
-	actions   []policy.Action
-	quiet     bool // no call is started any more
-	scribe    *scribe
+	sender       *policy.Sender
+	answerTime   time.Duration // Config.AnswerTime
+	settings     policy.Settings
+	kinds        map[string]int
+	zones        map[string]int
+	origin       time.Time
+	events       chan any      // policy.Event, directory.List, Memories or *message.Message
+	done         chan struct{} // closed when the engine has ended
+	quiesced     chan struct{} // closed when no call is started any more
+	messages     map[policy.MessageID]*message.Message
+	endpoints    map[policy.EndpointID]*trackedEndpoint
+	departing    map[policy.EndpointID]*trackedEndpoint // delisted ones, until no call is in flight to them
+	destinations map[int]*trackedDestination
+	vacant       map[int]*trackedDestination // those without an endpoint that the directory has
+	debug        bool                        // the log takes what is of each message and call
+	listComplete bool                        // the directory has sent the whole list
+	// destinationsChanged is set while the admission has not been given all that listComplete and destinations say.
+	destinationsChanged bool
+	batch               []policy.Event
+	observations        []admission.Seen // for the admission, at the end of the step
+	actions             []policy.Action
+	quiet               bool // no call is started any more
+	outcomes            *outcomeWriter
 }
 
 // New returns an engine. Its parts are to be set by Use before Run.
 func New(c Config) *Engine {
-	return &Engine{sender: policy.New(c.Settings, c.Seed), answers: c.AnswerTime, settings: c.Settings, kinds: c.Kinds, zones: c.Zones,
-		origin: time.Now(), events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
-		held: map[policy.MessageID]*message.Message{}, endpoints: map[policy.EndpointID]*endpoint{},
-		leaving: map[policy.EndpointID]*endpoint{}, dests: map[int]*destination{}, vacant: map[int]*destination{}}
+	return &Engine{
+		sender:       policy.New(c.Settings, c.Seed),
+		answerTime:   c.AnswerTime,
+		settings:     c.Settings,
+		kinds:        c.Kinds,
+		zones:        c.Zones,
+		origin:       time.Now(),
+		events:       make(chan any, eventCapacity),
+		done:         make(chan struct{}),
+		quiesced:     make(chan struct{}),
+		messages:     map[policy.MessageID]*message.Message{},
+		endpoints:    map[policy.EndpointID]*trackedEndpoint{},
+		departing:    map[policy.EndpointID]*trackedEndpoint{},
+		destinations: map[int]*trackedDestination{},
+		vacant:       map[int]*trackedDestination{},
+	}
 }
 
 // Use sets the parts of an engine, which know its Post.
-func (l *Engine) Use(p Parts) {
-	l.Parts = p
-	if l.debug = p.Log.Enabled(context.Background(), slog.LevelDebug); l.debug {
-		l.Log.Debug("settings", "settings", fmt.Sprintf("%+v", l.settings))
+func (e *Engine) Use(p Parts) {
+	e.Parts = p
+	if e.debug = p.Log.Enabled(context.Background(), slog.LevelDebug); e.debug {
+		e.Log.Debug("settings", "settings", fmt.Sprintf("%+v", e.settings))
 	}
-	l.scribe = newScribe(p.Store, p.Teller, p.Log)
+	e.outcomes = newOutcomeWriter(p.Store, p.Notifier, p.Log)
 }
 
-func (l *Engine) now() policy.Time { return clockStart + time.Since(l.origin) }
+func (e *Engine) now() policy.Time { return clockStart + time.Since(e.origin) }
 
 // Post hands in an event: a policy.Event, a directory.List, Memories, or a *message.Message that
 // the store has. It waits while too many are there, and does nothing once the engine has ended.
-func (l *Engine) Post(e any) {
+func (e *Engine) Post(event any) {
 	select {
-	case l.events <- e:
-	case <-l.done:
+	case e.events <- event:
+	case <-e.done:
 	}
 }
 
-// Quieted is closed when no call is started any more.
-func (l *Engine) Quieted() <-chan struct{} { return l.quieted }
+// Quiesced is closed when no call is started any more.
+func (e *Engine) Quiesced() <-chan struct{} { return e.quiesced }
 
 // Run steps the module until the context ends. Once quiet ends no new call is
-// started; outcomes are still taken in. When Run returns, the answers that the module
-// gave are on record.
-func (l *Engine) Run(ctx context.Context, quiet <-chan struct{}) {
-	defer l.scribe.start()()
-	defer close(l.done)
+// started; outcomes of calls are still handled. When Run returns, the outcomes that the module
+// decided are on record.
+func (e *Engine) Run(ctx context.Context, quiet <-chan struct{}) {
+	defer e.outcomes.start()()
+	defer close(e.done)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	reaper := time.NewTicker(time.Second)
-	defer reaper.Stop()
+	evictions := time.NewTicker(time.Second)
+	defer evictions.Stop()
 	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-quiet:
-			l.quiet, quiet = true, nil
-			close(l.quieted)
+			e.quiet, quiet = true, nil
+			close(e.quiesced)
 			continue
-		case now := <-reaper.C:
-			l.Carrier.Tidy(now)
-			l.letGo(now)
+		case now := <-evictions.C:
+			e.Carrier.EvictIdle(now)
+			e.evict(now)
 			continue
-		case e := <-l.events:
-			l.take(e)
+		case event := <-e.events:
+			e.handle(event)
 		case <-timer.C:
-			l.batch = append(l.batch, policy.Woken{})
+			e.batch = append(e.batch, policy.Woken{})
 		}
-		// What comes within a tick is taken together.
-		if rest := l.settings.Tick - time.Since(last); rest > 0 {
+		// Events within a tick are handled together.
+		if rest := e.settings.Tick - time.Since(last); rest > 0 {
 			time.Sleep(rest)
 		}
 		for more := true; more; {
 			select {
-			case e := <-l.events:
-				l.take(e)
+			case event := <-e.events:
+				e.handle(event)
 			default:
 				more = false
 			}
 		}
 		last = time.Now()
-		if l.quiet {
-			l.batch = l.batch[:0]
-			l.tell()
+		if e.quiet {
+			e.batch = e.batch[:0]
+			e.reportObservations()
 			continue
 		}
-		if wake := l.step(ctx); wake > 0 {
-			timer.Reset(wake - l.now())
+		if wake := e.step(ctx); wake > 0 {
+			timer.Reset(wake - e.now())
 		}
 	}
 }
 
-// take turns what has come into an event of the module.
-func (l *Engine) take(e any) {
-	switch e := e.(type) {
+// handle turns an event of the engine into one of the module.
+func (e *Engine) handle(event any) {
+	switch event := event.(type) {
 	case *message.Message:
-		l.held[e.Seq] = e
-		if l.debug {
-			l.Log.Debug("taken", "n", e.Seq, "dest", e.Dest, "left", time.Until(e.Deadline))
+		e.messages[event.Seq] = event
+		if e.debug {
+			e.Log.Debug("taken", "n", event.Seq, "dest", event.Dest, "left", time.Until(event.Deadline))
 		}
-		l.batch = append(l.batch, l.arrived(e))
+		e.batch = append(e.batch, e.arrival(event))
 	case directory.List:
-		l.batch = append(l.batch, l.listed(e))
-		if e.Fresh && !l.told {
-			l.told, l.changed = true, true
+		e.batch = append(e.batch, e.applyList(event))
+		if event.Fresh && !e.listComplete {
+			e.listComplete, e.destinationsChanged = true, true
 		}
-		l.publish()
-		l.remind(l.Memories)
-		l.share()
+		e.publishDestinations()
+		e.restore(e.Memories)
+		e.publishEndpoints()
 	case Memories:
-		for name, m := range e {
-			if o := l.endpoints[policy.EndpointID(hash(name))]; o != nil && !o.heard.Before(m.FailedAt) {
-				delete(e, name)
+		for name, m := range event {
+			if endpoint := e.endpoints[policy.EndpointID(hash(name))]; endpoint != nil && !endpoint.lastOutcome.Before(m.FailedAt) {
+				delete(event, name)
 			}
 		}
-		l.remind(e)
+		e.restore(event)
 	case policy.Ended:
-		o := l.endpoints[e.Endpoint]
-		if l.debug && o != nil {
-			l.Log.Debug("outcome", "n", e.Message, "dest", o.Dest, "endpoint", o.Name, "outcome", e.Outcome, "wait", e.Wait, "took", e.Took)
+		endpoint := e.endpoints[event.Endpoint]
+		if e.debug && endpoint != nil {
+			e.Log.Debug("outcome", "n", event.Message, "dest", endpoint.Dest, "endpoint", endpoint.Name, "outcome", event.Outcome, "wait", event.Wait, "took", event.Took)
 		}
-		if o != nil {
-			o.out--
-			o.heard = time.Now()
+		if endpoint != nil {
+			endpoint.inFlight--
+			endpoint.lastOutcome = time.Now()
 		}
-		m := l.held[e.Message]
-		if o != nil {
-			l.seen = append(l.seen, admission.Seen{Kind: admission.Outcome, Dest: o.Dest, Outcome: e.Outcome, Wait: e.Wait, Took: e.Took})
-			l.saw(e)
+		m := e.messages[event.Message]
+		if endpoint != nil {
+			e.observations = append(e.observations, admission.Seen{Kind: admission.Outcome, Dest: endpoint.Dest, Outcome: event.Outcome, Wait: event.Wait, Took: event.Took})
+			e.reportCall(event)
 		}
-		if e.Final {
+		if event.Final {
 			if m != nil {
-				l.forget(m, e.Outcome == policy.Delivered)
-				if m.End != nil && !m.End.Implied { // set by the store, where deliveries are told
-					l.Teller.Add(m)
+				e.remove(m, event.Outcome == policy.Delivered)
+				if m.End != nil && !m.End.Implied { // set by the store, where deliveries are announced
+					e.Notifier.Add(m)
 				}
 			}
 		}
-		l.batch = append(l.batch, e)
+		e.batch = append(e.batch, event)
 	case policy.Event:
-		l.batch = append(l.batch, e)
+		e.batch = append(e.batch, event)
 	}
 }
 
-// share tells peers which endpoints there are.
-func (l *Engine) share() {
-	if l.Peers == nil {
+// publishEndpoints tells peers which endpoints there are.
+func (e *Engine) publishEndpoints() {
+	if e.Peers == nil {
 		return
 	}
-	all := make(map[policy.EndpointID]string, len(l.endpoints))
-	for id, e := range l.endpoints {
-		if !e.gone {
-			all[id] = e.Name
+	all := make(map[policy.EndpointID]string, len(e.endpoints))
+	for id, endpoint := range e.endpoints {
+		if !endpoint.delisted {
+			all[id] = endpoint.Name
 		}
 	}
-	l.Peers.SetEndpoints(all)
+	e.Peers.SetEndpoints(all)
 }
 
-// saw tells peers how a call ended, where that says something of the endpoint. One that was turned away as
+// reportCall tells peers how a call ended, where that says something of the endpoint. One that was turned away as
 // full, called off or never sent says nothing, and neither does a kept connection that broke.
-func (l *Engine) saw(e policy.Ended) {
-	if l.Peers == nil {
+func (e *Engine) reportCall(ended policy.Ended) {
+	if e.Peers == nil {
 		return
 	}
-	switch e.Outcome {
+	switch ended.Outcome {
 	case policy.Delivered:
-		l.Peers.Saw(e.Endpoint, e.Took, true)
+		e.Peers.Saw(ended.Endpoint, ended.Took, true)
 	case policy.Failed, policy.TimedOut, policy.Unreachable:
-		l.Peers.Saw(e.Endpoint, e.Took, false)
+		e.Peers.Saw(ended.Endpoint, ended.Took, false)
 	case policy.Reset:
-		if !e.Stale {
-			l.Peers.Saw(e.Endpoint, e.Took, false)
+		if !ended.Stale {
+			e.Peers.Saw(ended.Endpoint, ended.Took, false)
 		}
 	}
 }
 
-func (l *Engine) arrived(m *message.Message) policy.Arrived {
-	now, class := l.now(), l.settings.Classes[m.Class]
-	a := policy.Arrived{Message: m.Seq, Destination: m.Dest, Class: m.Class, GiveUpAt: now + time.Until(m.Deadline) - l.answers}
+// arrival is the module's event for a message that the store has.
+func (e *Engine) arrival(m *message.Message) policy.Arrived {
+	now, class := e.now(), e.settings.Classes[m.Class]
+	a := policy.Arrived{Message: m.Seq, Destination: m.Dest, Class: m.Class, GiveUpAt: now + time.Until(m.Deadline) - e.answerTime}
 	if p := m.Past; p.Attempts > 0 {
 		a.Past = policy.Past{Attempts: p.Attempts, MayRun: p.MayRun, RanZone: p.RanZone}
 		if p.MayRun {
-			a.Past.RanAt = l.past(p.RanAt)
+			a.Past.RanAt = e.moduleTime(p.RanAt)
 		}
 	}
 	if class.Repeat == policy.Deduplicated {
@@ -338,14 +351,14 @@
 	return h.Sum64()
 }
 
-// listed keeps the node's own table of endpoints and tells the module of it.
-func (l *Engine) listed(in directory.List) policy.Listed {
+// applyList updates the node's own table of endpoints and returns the module's event for it.
+func (e *Engine) applyList(in directory.List) policy.Listed {
 	out := policy.Listed{Whole: in.Complete}
 	named := map[policy.EndpointID]bool{}
 	for _, m := range in.Members {
 		// The same at all nodes, so that they can tell each other of it.
 		id := policy.EndpointID(hash(m.ID))
-		e := l.endpoints[id]
+		endpoint := e.endpoints[id]
 		var state policy.EndpointState
 		switch m.Phase {
 		case directory.Active:
@@ -355,253 +368,254 @@
 		case directory.Left:
 			state = policy.Gone
 		default:
-			l.Log.Warn("discovery: unknown phase, nothing changes", "id", m.ID, "phase", m.Phase)
-			if e != nil {
+			e.Log.Warn("discovery: unknown phase, nothing changes", "id", m.ID, "phase", m.Phase)
+			if endpoint != nil {
 				// The module takes what a whole list leaves out for gone.
 				state = policy.Ready
-				if e.Leaves.Closing() {
+				if endpoint.Leaves.Closing() {
 					state = policy.Draining
 				}
 				named[id] = true
-				out.Entries = append(out.Entries, l.entry(e, m, state))
+				out.Entries = append(out.Entries, e.entry(endpoint, m, state))
 			}
 			continue
 		}
-		if e == nil {
+		if endpoint == nil {
 			if state != policy.Ready {
-				// An earlier life may have been told that it drains, and the grace
+				// An earlier process may have been told that it drains, and the grace
 				// may be over: one that is first heard of as leaving gets nothing.
 				continue
 			}
-			kind, okKind := l.kinds[m.Flavor]
-			zone, okZone := l.zones[m.Locality]
+			kind, okKind := e.kinds[m.Flavor]
+			zone, okZone := e.zones[m.Locality]
 			if !okKind || !okZone || m.ID == "" || m.Cell < 0 {
-				l.Log.Warn("discovery: an endpoint that makes no sense", "id", m.ID, "flavor", m.Flavor, "locality", m.Locality)
+				e.Log.Warn("discovery: an endpoint that makes no sense", "id", m.ID, "flavor", m.Flavor, "locality", m.Locality)
 				continue
 			}
-			e = &endpoint{Endpoint: carrier.Endpoint{ID: id, Name: m.ID, Dest: m.Cell, Kind: kind, Zone: zone,
+			endpoint = &trackedEndpoint{Endpoint: carrier.Endpoint{ID: id, Name: m.ID, Dest: m.Cell, Kind: kind, Zone: zone,
 				Leaves: &carrier.Gate{}, Waits: &carrier.Gate{}}}
-			d := l.destination(m.Cell)
-			if kind >= len(l.settings.Kinds) || !l.settings.Kinds[kind].RoutesApart {
-				e.Waits = d.waits
+			d := e.trackDestination(m.Cell)
+			if kind >= len(e.settings.Kinds) || !e.settings.Kinds[kind].RoutesApart {
+				endpoint.Waits = d.waits
 			}
-			d.present++
-			e.gone, l.endpoints[id], l.leaving[id] = true, e, e
+			d.endpoints++
+			endpoint.delisted, e.endpoints[id], e.departing[id] = true, endpoint, endpoint
 		}
-		if l.debug {
-			l.Log.Debug("listed", "dest", e.Dest, "endpoint", e.Name, "kind", e.Kind, "zone", e.Zone, "phase", m.Phase, "rate", m.Size)
+		if e.debug {
+			e.Log.Debug("listed", "dest", endpoint.Dest, "endpoint", endpoint.Name, "kind", endpoint.Kind, "zone", endpoint.Zone, "phase", m.Phase, "rate", m.Size)
 		}
 		if state != policy.Gone {
-			e.addr = m.HostPort
+			endpoint.addr = m.HostPort
 		}
 		named[id] = true
-		l.setLeaving(e, state != policy.Ready)
-		l.setGone(e, state == policy.Gone)
-		out.Entries = append(out.Entries, l.entry(e, m, state))
+		e.setLeaving(endpoint, state != policy.Ready)
+		e.setDelisted(endpoint, state == policy.Gone)
+		out.Entries = append(out.Entries, e.entry(endpoint, m, state))
 	}
 	if in.Complete {
-		for id, e := range l.endpoints {
+		for id, endpoint := range e.endpoints {
 			if !named[id] {
-				l.setLeaving(e, true)
-				l.setGone(e, true)
+				e.setLeaving(endpoint, true)
+				e.setDelisted(endpoint, true)
 			}
 		}
 	}
 	return out
 }
 
-func (l *Engine) entry(e *endpoint, m directory.Member, state policy.EndpointState) policy.Entry {
-	return policy.Entry{Endpoint: e.ID, Destination: e.Dest, Kind: e.Kind, Zone: e.Zone, State: state, Rate: m.Size}
+func (e *Engine) entry(endpoint *trackedEndpoint, m directory.Member, state policy.EndpointState) policy.Entry {
+	return policy.Entry{Endpoint: endpoint.ID, Destination: endpoint.Dest, Kind: endpoint.Kind, Zone: endpoint.Zone, State: state, Rate: m.Size}
 }
 
-// remind tells the module what an earlier life saw of the endpoints that it has
-// just been given: its backlog must not go to one that is out or cold, and the
-// calls of late count for the limits still. What it tells is removed.
-func (l *Engine) remind(memories Memories) {
+// restore tells the module what an earlier process observed of the endpoints that have just
+// been listed: its backlog must not go to one that is unhealthy or in slow start, and
+// recent calls still count for the limits. What was restored is removed from memories.
+func (e *Engine) restore(memories Memories) {
 	for name, m := range memories {
 		id := policy.EndpointID(hash(name))
-		if l.endpoints[id] == nil {
+		if e.endpoints[id] == nil {
 			continue
 		}
 		r := policy.Remembered{Endpoint: id}
 		for _, at := range m.Sent {
-			r.Sent = append(r.Sent, l.past(at))
+			r.Sent = append(r.Sent, e.moduleTime(at))
 		}
 		if !m.FailedAt.IsZero() {
-			r.Failed, r.FailedAt = true, l.past(m.FailedAt)
+			r.Failed, r.FailedAt = true, e.moduleTime(m.FailedAt)
 			if !m.BackAt.IsZero() {
-				r.Back, r.BackAt = true, l.past(m.BackAt)
+				r.Back, r.BackAt = true, e.moduleTime(m.BackAt)
 			}
 		}
-		l.batch = append(l.batch, r)
+		e.batch = append(e.batch, r)
 		delete(memories, name)
 	}
 }
 
-// past turns a time of the wall clock into one of the module's.
-func (l *Engine) past(t time.Time) policy.Time { return min(l.now(), l.now()-time.Since(t)) }
+// moduleTime turns a time of the wall clock into one of the module's.
+func (e *Engine) moduleTime(t time.Time) policy.Time { return min(e.now(), e.now()-time.Since(t)) }
 
-// destination finds or makes the entry of a destination.
-func (l *Engine) destination(number int) *destination {
-	d := l.dests[number]
+// trackDestination finds or makes the entry of a destination.
+func (e *Engine) trackDestination(number int) *trackedDestination {
+	d := e.destinations[number]
 	if d == nil {
-		d = &destination{waits: &carrier.Gate{}, since: time.Now()}
-		l.dests[number], l.vacant[number], l.changed = d, d, true
+		d = &trackedDestination{waits: &carrier.Gate{}, since: time.Now()}
+		e.destinations[number], e.vacant[number], e.destinationsChanged = d, d, true
 	}
 	return d
 }
 
-// setGone notes whether the directory has an endpoint.
-func (l *Engine) setGone(e *endpoint, gone bool) {
-	if e.gone == gone {
+// setDelisted notes whether the directory has an endpoint no more.
+func (e *Engine) setDelisted(endpoint *trackedEndpoint, delisted bool) {
+	if endpoint.delisted == delisted {
 		return
 	}
-	e.gone = gone
-	d := l.dests[e.Dest]
-	if !gone {
-		delete(l.leaving, e.ID)
-		delete(l.vacant, e.Dest)
+	endpoint.delisted = delisted
+	d := e.destinations[endpoint.Dest]
+	if !delisted {
+		delete(e.departing, endpoint.ID)
+		delete(e.vacant, endpoint.Dest)
 		d.listed++
 		return
 	}
-	l.leaving[e.ID] = e
+	e.departing[endpoint.ID] = endpoint
 	if d.listed--; d.listed == 0 {
 		d.since = time.Now()
-		l.vacant[e.Dest] = d
+		e.vacant[endpoint.Dest] = d
 	}
 }
 
-// publish tells the admission which destinations there are, if that has changed: those that
+// publishDestinations tells the admission which destinations there are, if that has changed: those that
 // have an endpoint, or had one of late, since one may have none for a while.
-func (l *Engine) publish() {
-	if !l.changed {
+func (e *Engine) publishDestinations() {
+	if !e.destinationsChanged {
 		return
 	}
-	l.changed = false
-	known := make(map[int]bool, len(l.dests))
-	for d := range l.dests {
+	e.destinationsChanged = false
+	known := make(map[int]bool, len(e.destinations))
+	for d := range e.destinations {
 		known[d] = true
 	}
-	l.Admission.SetDestinations(known, l.told)
+	e.Admission.SetDestinations(known, e.listComplete)
 }
 
-// letGo forgets the endpoints that are gone, with their connections, once no call is
-// out to them; destinations without an endpoint, in time; and what an earlier life knew of
-// endpoints that did not come back. It looks at what is gone alone.
-func (l *Engine) letGo(now time.Time) {
-	for id, e := range l.leaving {
-		if e.out == 0 {
-			l.Carrier.CloseIdle(&e.Endpoint)
-			delete(l.endpoints, id)
-			delete(l.leaving, id)
-			l.dests[e.Dest].present--
+// evict removes delisted endpoints, with their connections, once no call is in flight
+// to them; destinations without an endpoint, in time; and what an earlier process knew of
+// endpoints that did not come back. Its cost follows the number of delisted endpoints.
+func (e *Engine) evict(now time.Time) {
+	for id, endpoint := range e.departing {
+		if endpoint.inFlight == 0 {
+			e.Carrier.CloseIdle(&endpoint.Endpoint)
+			delete(e.endpoints, id)
+			delete(e.departing, id)
+			e.destinations[endpoint.Dest].endpoints--
 		}
 	}
-	for number, d := range l.vacant {
-		if d.present == 0 && now.Sub(d.since) > destinationTime && d.waits.Open(now) {
-			delete(l.dests, number)
-			delete(l.vacant, number)
-			l.changed = true
+	for number, d := range e.vacant {
+		if d.endpoints == 0 && now.Sub(d.since) > destinationRetention && d.waits.Open(now) {
+			delete(e.destinations, number)
+			delete(e.vacant, number)
+			e.destinationsChanged = true
 		}
 	}
-	l.publish()
-	if now.Sub(l.origin) > memoryTime {
-		clear(l.Memories)
+	e.publishDestinations()
+	if now.Sub(e.origin) > memoryRetention {
+		clear(e.Memories)
 	}
 }
 
 // setLeaving closes an endpoint's gate within the grace after it was first told to
 // drain or to be gone, and after the module has ceased to send to it.
-func (l *Engine) setLeaving(e *endpoint, leaves bool) {
+func (e *Engine) setLeaving(endpoint *trackedEndpoint, leaves bool) {
 	if !leaves {
-		e.Leaves.Reopen()
+		endpoint.Leaves.Reopen()
 	} else {
-		e.Leaves.CloseFrom(time.Now().Add(l.settings.DrainGrace * 3 / 4))
+		endpoint.Leaves.CloseFrom(time.Now().Add(e.settings.DrainGrace * 3 / 4))
 	}
 }
 
 // step hands the batch to the module and carries out what it wants. It returns
 // when the module wants to be woken, or 0.
-func (l *Engine) step(ctx context.Context) (wake policy.Time) {
-	now := l.now()
-	l.actions = l.sender.Step(now, l.batch, l.actions[:0])
-	if l.Steps != nil {
-		l.Steps.Step(now, l.batch, l.actions)
+func (e *Engine) step(ctx context.Context) (wake policy.Time) {
+	now := e.now()
+	e.actions = e.sender.Step(now, e.batch, e.actions[:0])
+	if e.Steps != nil {
+		e.Steps.Step(now, e.batch, e.actions)
 	}
-	clear(l.batch)
-	l.batch = l.batch[:0]
+	clear(e.batch)
+	e.batch = e.batch[:0]
 	var calls []*carrier.Call
 	open := map[policy.EndpointID]*carrier.Call{}
-	for _, a := range l.actions {
+	for _, a := range e.actions {
 		switch a := a.(type) {
 		case policy.Send:
 			// Sends of one step to one endpoint travel as one call.
-			m, e := l.held[a.Message], l.endpoints[a.Endpoint]
+			m, endpoint := e.messages[a.Message], e.endpoints[a.Endpoint]
 			k := open[a.Endpoint]
-			if k == nil || len(k.Parts) >= l.bundleMax(e) {
-				k = &carrier.Call{Endpoint: &e.Endpoint, Addr: e.addr, Started: time.Now()}
+			if k == nil || len(k.Parts) >= e.bundleMax(endpoint) {
+				k = &carrier.Call{Endpoint: &endpoint.Endpoint, Addr: endpoint.addr, Started: time.Now()}
 				open[a.Endpoint] = k
 				calls = append(calls, k)
 			}
-			e.out++
-			l.seen = append(l.seen, admission.Seen{Kind: admission.Sent, Dest: e.Dest})
+			endpoint.inFlight++
+			e.observations = append(e.observations, admission.Seen{Kind: admission.Sent, Dest: endpoint.Dest})
 			k.Add(m, a.Timeout)
 		case policy.Refuse:
-			l.end(a.Message, message.Refused, a.Wait)
+			e.complete(a.Message, message.Refused, a.Wait)
 		case policy.Fail:
-			l.end(a.Message, message.Failed, 0)
+			e.complete(a.Message, message.Failed, 0)
 		case policy.CloseIdle:
-			if e := l.endpoints[a.Endpoint]; e != nil {
-				l.Carrier.CloseIdle(&e.Endpoint)
+			if endpoint := e.endpoints[a.Endpoint]; endpoint != nil {
+				e.Carrier.CloseIdle(&endpoint.Endpoint)
 			}
 		case policy.Tell:
-			if l.Notes != nil {
-				if l.debug {
-					l.Log.Debug("note", "tag", a.Tag, "news", a.News)
+			if e.PeerMessages != nil {
+				if e.debug {
+					e.Log.Debug("note", "tag", a.Tag, "news", a.News)
 				}
-				l.Notes.Send(a)
+				e.PeerMessages.Send(a)
 			}
 		case policy.Wake:
 			wake = a.At
 		}
 	}
 	for _, k := range calls {
-		if l.debug {
-			l.Log.Debug("call", "dest", k.Endpoint.Dest, "endpoint", k.Endpoint.Name, "messages", len(k.Parts))
+		if e.debug {
+			e.Log.Debug("call", "dest", k.Endpoint.Dest, "endpoint", k.Endpoint.Name, "messages", len(k.Parts))
 		}
-		l.Carrier.Start(ctx, k)
+		e.Carrier.Start(ctx, k)
 	}
-	l.tell()
+	e.reportObservations()
 	return wake
 }
 
-func (l *Engine) bundleMax(e *endpoint) int {
-	if e.Kind < len(l.settings.Kinds) {
-		return l.settings.Kinds[e.Kind].BundleMax
+func (e *Engine) bundleMax(endpoint *trackedEndpoint) int {
+	if endpoint.Kind < len(e.settings.Kinds) {
+		return e.settings.Kinds[endpoint.Kind].BundleMax
 	}
 	return 1
 }
 
-// end gives a message its final answer: first on record, then to who tells it.
-func (l *Engine) end(id policy.MessageID, kind message.Kind, wait time.Duration) {
-	m := l.held[id]
+// complete gives a message its outcome: first on record, then to the notifier.
+func (e *Engine) complete(id policy.MessageID, kind message.Kind, wait time.Duration) {
+	m := e.messages[id]
 	if m == nil {
 		return
 	}
-	l.Log.Debug("ended", "id", m.ID, "n", m.Seq, "dest", m.Dest, "outcome", kind, "left", time.Until(m.Deadline))
-	l.forget(m, false)
-	l.scribe.add(store.Ending{Message: m, End: message.End{Kind: kind, RetryAfter: wait}})
+	e.Log.Debug("ended", "id", m.ID, "n", m.Seq, "dest", m.Dest, "outcome", kind, "left", time.Until(m.Deadline))
+	e.remove(m, false)
+	e.outcomes.add(store.Ending{Message: m, End: message.End{Kind: kind, RetryAfter: wait}})
 }
 
-func (l *Engine) forget(m *message.Message, delivered bool) {
-	delete(l.held, m.Seq)
-	l.seen = append(l.seen, admission.Seen{Kind: admission.Ended, Dest: m.Dest, Class: m.Class, ID: m.ID, Delivered: delivered})
+// remove removes a message that has its outcome.
+func (e *Engine) remove(m *message.Message, delivered bool) {
+	delete(e.messages, m.Seq)
+	e.observations = append(e.observations, admission.Seen{Kind: admission.Ended, Dest: m.Dest, Class: m.Class, ID: m.ID, Delivered: delivered})
 }
 
-// tell tells the admission what was seen since it was last told.
-func (l *Engine) tell() {
-	if len(l.seen) > 0 {
-		l.Admission.Observe(l.seen)
-		l.seen = nil
+// reportObservations hands the admission what was observed since the last time.
+func (e *Engine) reportObservations() {
+	if len(e.observations) > 0 {
+		e.Admission.Observe(e.observations)
+		e.observations = nil
 	}
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -23,21 +23,21 @@
 
 // fakes are parts that note what they are told.
 type fakes struct {
-	calls []*carrier.Call
-	idle  []*carrier.Endpoint // whose idle connections were to be closed
-	ended []string
-	dests map[int]bool
-	// toldDests is how often they were told.
-	toldDests int
-	told      chan *message.Message
-	ends      func(...store.Ending) error
+	calls        []*carrier.Call
+	idle         []*carrier.Endpoint // whose idle connections were to be closed
+	ended        []string
+	destinations map[int]bool
+	// destinationUpdates is how often they were told.
+	destinationUpdates int
+	told               chan *message.Message
+	ends               func(...store.Ending) error
 }
 
 func (f *fakes) Start(_ context.Context, k *carrier.Call) { f.calls = append(f.calls, k) }
 func (f *fakes) CloseIdle(e *carrier.Endpoint)            { f.idle = append(f.idle, e) }
-func (f *fakes) Tidy(time.Time)                           {}
-func (f *fakes) SetDestinations(dests map[int]bool, _ bool) {
-	f.dests, f.toldDests = dests, f.toldDests+1
+func (f *fakes) EvictIdle(time.Time)                      {}
+func (f *fakes) SetDestinations(destinations map[int]bool, _ bool) {
+	f.destinations, f.destinationUpdates = destinations, f.destinationUpdates+1
 }
 func (f *fakes) Add(m *message.Message) { f.told <- m }
 
@@ -58,16 +58,16 @@
 func (s fakeStore) End(_ context.Context, ends ...store.Ending) error { return s.f.ends(ends...) }
 
 func newEngine(settings policy.Settings) (*Engine, *fakes) {
-	l := New(Config{Settings: settings, Seed: 1, Kinds: map[string]int{"general": 0}, Zones: map[string]int{"a": 0}})
+	e := New(Config{Settings: settings, Seed: 1, Kinds: map[string]int{"general": 0}, Zones: map[string]int{"a": 0}})
 	f := &fakes{told: make(chan *message.Message, 16)}
 	f.ends = func(ends ...store.Ending) error {
-		for _, e := range ends {
-			e.Message.End = &e.End
+		for _, ending := range ends {
+			ending.Message.End = &ending.End
 		}
 		return nil
 	}
-	l.Use(Parts{Store: fakeStore{f: f}, Carrier: f, Admission: f, Teller: f, Memories: map[string]*store.Memory{}, Log: testkit.QuietLog()})
-	return l, f
+	e.Use(Parts{Store: fakeStore{f: f}, Carrier: f, Admission: f, Notifier: f, Memories: map[string]*store.Memory{}, Log: testkit.QuietLog()})
+	return e, f
 }
 
 func member(id string, cell int, phase string) directory.Member {
@@ -81,11 +81,11 @@
 
 // A message is given up early enough for the record and the telling of its answer.
 func TestAnswerTime(t *testing.T) {
-	l, _ := newEngine(keyed)
+	e, _ := newEngine(keyed)
 	m := &message.Message{Seq: 1, ID: "a", Dest: 7, Deadline: time.Now().Add(20 * time.Second)}
-	without := l.arrived(m).GiveUpAt
-	l.answers = 5 * time.Second
-	if with := l.arrived(m).GiveUpAt; with > without-4900*time.Millisecond || with < without-5100*time.Millisecond {
+	without := e.arrival(m).GiveUpAt
+	e.answerTime = 5 * time.Second
+	if with := e.arrival(m).GiveUpAt; with > without-4900*time.Millisecond || with < without-5100*time.Millisecond {
 		t.Errorf("given up at %v, and at %v with 5 s to answer", without, with)
 	}
 }
@@ -93,19 +93,19 @@
 // Sends of one step to one endpoint travel as one call, up to what its kind takes. It ends before the
 // first of them has no time left.
 func TestSendsOfOneStepTravelTogether(t *testing.T) {
-	l, f := newEngine(keyed)
-	l.take(directory.List{Complete: true, Members: []directory.Member{member("s1", 7, directory.Active)}})
+	e, f := newEngine(keyed)
+	e.handle(directory.List{Complete: true, Members: []directory.Member{member("s1", 7, directory.Active)}})
 	for i := range 5 {
-		l.take(&message.Message{Seq: policy.MessageID(i + 1), ID: fmt.Sprint("m", i), Dest: 7, Deadline: time.Now().Add(time.Duration(20*(i+1)) * 50 * time.Millisecond)})
+		e.handle(&message.Message{Seq: policy.MessageID(i + 1), ID: fmt.Sprint("m", i), Dest: 7, Deadline: time.Now().Add(time.Duration(20*(i+1)) * 50 * time.Millisecond)})
 	}
-	l.step(context.Background())
+	e.step(context.Background())
 	if len(f.calls) != 1 || len(f.calls[0].Parts) != 5 || f.calls[0].Endpoint.Name != "s1" || f.calls[0].Addr != "127.0.0.1:1" {
 		t.Fatalf("calls %+v, want one of five messages", f.calls)
 	}
 	if limit := f.calls[0].Limit; limit <= 0 || limit > time.Second {
 		t.Errorf("a call of %v, and its first message has 1 s", limit)
 	}
-	if n := l.endpoints[f.calls[0].Endpoint.ID].out; n != 5 {
+	if n := e.endpoints[f.calls[0].Endpoint.ID].inFlight; n != 5 {
 		t.Errorf("%d sends count as out, want 5", n)
 	}
 }
@@ -114,23 +114,23 @@
 // record failed; never one whose message was delivered meanwhile. What was given before
 // the engine ends is on record when it has ended.
 func TestAnswersAreToldOnceOnRecord(t *testing.T) {
-	l, f := newEngine(keyed)
+	e, f := newEngine(keyed)
 	entered, release := make(chan int, 16), make(chan error)
 	f.ends = func(ends ...store.Ending) error {
 		entered <- len(ends)
 		err := <-release
-		for _, e := range ends {
-			if e.Message.ID != "delivered" {
-				e.Message.End = &e.End
+		for _, ending := range ends {
+			if ending.Message.ID != "delivered" {
+				ending.Message.End = &ending.End
 			}
 		}
 		return err
 	}
-	stop := l.scribe.start()
+	stop := e.outcomes.start()
 	give := func(id string) {
 		m := &message.Message{Seq: policy.MessageID(len(f.ended) + 1), ID: id}
-		l.held[m.Seq] = m
-		l.end(m.Seq, message.Refused, time.Second)
+		e.messages[m.Seq] = m
+		e.complete(m.Seq, message.Refused, time.Second)
 	}
 	give("a")
 	if n := <-entered; n != 1 {
@@ -152,7 +152,7 @@
 	release <- errors.New("no disk")
 	<-stopped
 	close(f.told)
-	l.tell()
+	e.reportObservations()
 	var told []string
 	for m := range f.told {
 		told = append(told, m.ID)
@@ -169,50 +169,50 @@
 // that comes back as leaving brings no new grace; and a new endpoint gets none of the
 // old one's waits.
 func TestEndpointsThatAreGoneAreForgotten(t *testing.T) {
-	l, f := newEngine(policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: time.Second})
+	e, f := newEngine(policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: time.Second})
 	entry := func(id string, cell int, phase string) directory.List {
 		return directory.List{Members: []directory.Member{member(id, cell, phase)}}
 	}
-	l.Memories["of an earlier life"] = &store.Memory{}
+	e.Memories["of an earlier life"] = &store.Memory{}
 	now := time.Now()
 	for i := range 500 {
 		name := fmt.Sprint("s", i)
-		l.take(entry(name, i%5, directory.Active))
-		e := l.endpoints[policy.EndpointID(hash(name))]
-		e.out++
-		l.take(entry(name, i%5, directory.Left))
-		l.letGo(now)
-		if l.endpoints[e.ID] == nil {
+		e.handle(entry(name, i%5, directory.Active))
+		endpoint := e.endpoints[policy.EndpointID(hash(name))]
+		endpoint.inFlight++
+		e.handle(entry(name, i%5, directory.Left))
+		e.evict(now)
+		if e.endpoints[endpoint.ID] == nil {
 			t.Fatal("forgotten with a call out")
 		}
-		l.take(policy.Ended{Endpoint: e.ID})
-		l.letGo(now)
-		if len(f.idle) != i+1 || f.idle[i] != &e.Endpoint {
+		e.handle(policy.Ended{Endpoint: endpoint.ID})
+		e.evict(now)
+		if len(f.idle) != i+1 || f.idle[i] != &endpoint.Endpoint {
 			t.Fatal("the connections of an endpoint that is gone were kept")
 		}
-		before := len(l.batch)
-		l.take(entry(name, i%5, directory.Leaving))
-		if l.endpoints[e.ID] != nil || len(l.batch[before].(policy.Listed).Entries) != 0 {
+		before := len(e.batch)
+		e.handle(entry(name, i%5, directory.Leaving))
+		if e.endpoints[endpoint.ID] != nil || len(e.batch[before].(policy.Listed).Entries) != 0 {
 			t.Fatal("an endpoint that was gone got a new grace")
 		}
-		l.batch = l.batch[:0]
+		e.batch = e.batch[:0]
 	}
-	l.dests[4].waits.Wait(now.Add(destinationTime + 2*time.Minute))
-	told := f.toldDests
-	l.letGo(now.Add(30 * time.Second))
-	if len(l.endpoints)+len(l.leaving) != 0 || len(l.dests) != 5 || len(l.Memories) != 1 || f.toldDests != told {
+	e.destinations[4].waits.Wait(now.Add(destinationRetention + 2*time.Minute))
+	told := f.destinationUpdates
+	e.evict(now.Add(30 * time.Second))
+	if len(e.endpoints)+len(e.departing) != 0 || len(e.destinations) != 5 || len(e.Memories) != 1 || f.destinationUpdates != told {
 		t.Errorf("kept: %d endpoints, %d destinations, %d memories, and %d told; want 0, 5, 1, 0",
-			len(l.endpoints), len(l.dests), len(l.Memories), f.toldDests-told)
+			len(e.endpoints), len(e.destinations), len(e.Memories), f.destinationUpdates-told)
 	}
-	if !f.dests[3] {
+	if !f.destinations[3] {
 		t.Error("a destination without endpoints just now is not known any more")
 	}
-	l.letGo(now.Add(destinationTime + time.Minute))
-	if f.dests[3] || !f.dests[4] || len(l.dests) != 1 || len(l.Memories) != 0 {
-		t.Errorf("%d destinations are known still, %d memories; want the one that waits", len(l.dests), len(l.Memories))
+	e.evict(now.Add(destinationRetention + time.Minute))
+	if f.destinations[3] || !f.destinations[4] || len(e.destinations) != 1 || len(e.Memories) != 0 {
+		t.Errorf("%d destinations are known still, %d memories; want the one that waits", len(e.destinations), len(e.Memories))
 	}
-	l.letGo(now.Add(destinationTime + 3*time.Minute))
-	if f.dests[4] || len(l.dests)+len(l.vacant) != 0 {
+	e.evict(now.Add(destinationRetention + 3*time.Minute))
+	if f.destinations[4] || len(e.destinations)+len(e.vacant) != 0 {
 		t.Error("a destination without endpoints for long is known still")
 	}
 }
@@ -220,20 +220,20 @@
 // What the directory says that makes no sense changes nothing, and an endpoint that is
 // told to drain closes to calls that still dial.
 func TestListsThatMakeNoSense(t *testing.T) {
-	l, _ := newEngine(policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: 1})
+	e, _ := newEngine(policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: 1})
 	strange := member("s3", 3, directory.Active)
 	strange.Flavor = "unheard of"
-	got := l.listed(directory.List{Complete: true, Members: []directory.Member{member("s1", 3, directory.Active),
+	got := e.applyList(directory.List{Complete: true, Members: []directory.Member{member("s1", 3, directory.Active),
 		member("s2", 3, directory.Active), strange, member("s4", 3, directory.Left), member("s5", 3, "sleeping"),
 		member("s6", 3, directory.Leaving)}})
 	if len(got.Entries) != 2 || !got.Whole {
 		t.Fatalf("entries %+v, want s1 and s2", got.Entries)
 	}
-	got = l.listed(directory.List{Complete: true, Members: []directory.Member{member("s1", 3, "sleeping"), member("s2", 3, directory.Leaving)}})
+	got = e.applyList(directory.List{Complete: true, Members: []directory.Member{member("s1", 3, "sleeping"), member("s2", 3, directory.Leaving)}})
 	if len(got.Entries) != 2 || got.Entries[0].State != policy.Ready || got.Entries[1].State != policy.Draining {
 		t.Errorf("entries %+v, want s1 ready still and s2 draining", got.Entries)
 	}
-	s1, s2 := l.endpoints[policy.EndpointID(hash("s1"))], l.endpoints[policy.EndpointID(hash("s2"))]
+	s1, s2 := e.endpoints[policy.EndpointID(hash("s1"))], e.endpoints[policy.EndpointID(hash("s2"))]
 	if s1.Leaves.Closing() || !s2.Leaves.Closing() {
 		t.Error("the gate of s1 must be open and that of s2 must close")
 	}
@@ -244,34 +244,34 @@
 
 // What another node knew of endpoints counts where this one has not heard from them since.
 func TestMemoriesOfAnotherNode(t *testing.T) {
-	l, _ := newEngine(keyed)
-	l.take(directory.List{Complete: true, Fresh: true, Members: []directory.Member{
+	e, _ := newEngine(keyed)
+	e.handle(directory.List{Complete: true, Fresh: true, Members: []directory.Member{
 		member("known", 1, directory.Active), member("unheard", 1, directory.Active)}})
-	if len(l.endpoints) != 2 {
-		t.Fatalf("%d endpoints", len(l.endpoints))
+	if len(e.endpoints) != 2 {
+		t.Fatalf("%d endpoints", len(e.endpoints))
 	}
 	failed := time.Now()
-	l.take(policy.Ended{Endpoint: policy.EndpointID(hash("known")), Outcome: policy.Delivered})
-	l.batch = nil
-	l.take(Memories{"known": {FailedAt: failed}, "unheard": {FailedAt: failed}, "unlisted": {FailedAt: failed}})
-	if len(l.batch) != 1 || l.batch[0].(policy.Remembered).Endpoint != policy.EndpointID(hash("unheard")) || !l.batch[0].(policy.Remembered).Failed {
-		t.Errorf("the module hears %+v", l.batch)
+	e.handle(policy.Ended{Endpoint: policy.EndpointID(hash("known")), Outcome: policy.Delivered})
+	e.batch = nil
+	e.handle(Memories{"known": {FailedAt: failed}, "unheard": {FailedAt: failed}, "unlisted": {FailedAt: failed}})
+	if len(e.batch) != 1 || e.batch[0].(policy.Remembered).Endpoint != policy.EndpointID(hash("unheard")) || !e.batch[0].(policy.Remembered).Failed {
+		t.Errorf("the module hears %+v", e.batch)
 	}
 }
 
 // What is done each second follows what has changed, not how much there is: nothing is gone.
-func BenchmarkLetGo(b *testing.B) {
+func BenchmarkEvict(b *testing.B) {
 	for _, n := range []int{100, 100_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			l, _ := newEngine(policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: time.Second})
+			e, _ := newEngine(policy.Settings{Kinds: []policy.Kind{{BundleMax: 1}}, DrainGrace: time.Second})
 			list := directory.List{Complete: true}
 			for i := range n {
 				list.Members = append(list.Members, member(fmt.Sprint("s", i), i/2, directory.Active))
 			}
-			l.take(list)
+			e.handle(list)
 			now := time.Now()
 			for b.Loop() {
-				l.letGo(now)
+				e.evict(now)
 			}
 		})
 	}
@@ -280,23 +280,23 @@
 // A list may name an endpoint twice, or hold an entry that can't be read: the last word on an endpoint counts,
 // and of one that can't be read nothing changes, also in a whole list.
 func TestOddLists(t *testing.T) {
-	l, _ := newEngine(keyed)
+	e, _ := newEngine(keyed)
 	twice := member("s1", 7, directory.Active)
 	twice.HostPort = "127.0.0.1:2"
-	l.take(directory.List{Complete: true, Members: []directory.Member{member("s1", 7, directory.Active), twice, member("s2", 7, directory.Active)}})
-	s1, s2 := l.endpoints[policy.EndpointID(hash("s1"))], l.endpoints[policy.EndpointID(hash("s2"))]
-	if len(l.endpoints) != 2 || s1.addr != "127.0.0.1:2" || l.dests[7].present != 2 || l.dests[7].listed != 2 {
-		t.Fatalf("endpoints %v, destination %+v", l.endpoints, l.dests[7])
+	e.handle(directory.List{Complete: true, Members: []directory.Member{member("s1", 7, directory.Active), twice, member("s2", 7, directory.Active)}})
+	s1, s2 := e.endpoints[policy.EndpointID(hash("s1"))], e.endpoints[policy.EndpointID(hash("s2"))]
+	if len(e.endpoints) != 2 || s1.addr != "127.0.0.1:2" || e.destinations[7].endpoints != 2 || e.destinations[7].listed != 2 {
+		t.Fatalf("endpoints %v, destination %+v", e.endpoints, e.destinations[7])
 	}
-	l.take(directory.List{Complete: true, Members: []directory.Member{{ID: "s1", Phase: directory.Unreadable},
+	e.handle(directory.List{Complete: true, Members: []directory.Member{{ID: "s1", Phase: directory.Unreadable},
 		{ID: "entry 1 of the list", Phase: directory.Unreadable}, member("s2", 7, directory.Active), member("s2", 7, directory.Leaving)}})
-	if s1.gone || s1.Leaves.Closing() || s1.addr != "127.0.0.1:2" {
+	if s1.delisted || s1.Leaves.Closing() || s1.addr != "127.0.0.1:2" {
 		t.Errorf("of an entry that can't be read something changed: %+v", s1)
 	}
-	if !s2.Leaves.Closing() || len(l.endpoints) != 2 {
+	if !s2.Leaves.Closing() || len(e.endpoints) != 2 {
 		t.Errorf("the last word was that it leaves: %+v", s2)
 	}
-	l.step(context.Background())
+	e.step(context.Background())
 }
 
 // What is kept of endpoints is in proportion to those that there are: 1,100 cost a small part of what a
@@ -310,27 +310,27 @@
 	}
 	for _, n := range []int{3, 350, 1100} {
 		before := heap()
-		l, _ := newEngine(keyed)
+		e, _ := newEngine(keyed)
 		all := directory.List{Complete: true}
 		for i := range n {
 			all.Members = append(all.Members, member(fmt.Sprint("s", i), i%40, directory.Active))
 		}
-		l.take(all)
-		l.step(context.Background())
+		e.handle(all)
+		e.step(context.Background())
 		took := heap() - before
 		t.Logf("%d endpoints: %d KB", n, took>>10)
 		if most := int64(2<<20 + n*8<<10); took > most {
 			t.Errorf("%d endpoints take %d bytes, want %d at most", n, took, most)
 		}
-		if len(l.endpoints) != n {
-			t.Fatalf("%d endpoints of %d", len(l.endpoints), n)
+		if len(e.endpoints) != n {
+			t.Fatalf("%d endpoints of %d", len(e.endpoints), n)
 		}
-		l.take(directory.List{Complete: true})
-		l.step(context.Background())
-		l.letGo(time.Now())
-		if len(l.endpoints) != 0 {
-			t.Errorf("%d endpoints are kept that are gone", len(l.endpoints))
+		e.handle(directory.List{Complete: true})
+		e.step(context.Background())
+		e.evict(time.Now())
+		if len(e.endpoints) != 0 {
+			t.Errorf("%d endpoints are kept that are gone", len(e.endpoints))
 		}
-		runtime.KeepAlive(l)
+		runtime.KeepAlive(e)
 	}
 }
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -39,7 +39,7 @@
 	classes, kinds, zones map[string]int
 	store                 store.Store
 	recovered             store.Recovered
-	teller                engine.Teller
+	teller                engine.Notifier
 	admission             *admission.Controller // nil where only the registry bounds what is accepted
 	linesStay             bool                  // see http1.Config
 	keeper                *ruling.Keeper        // nil where there are no rules for keys and classes
@@ -88,7 +88,7 @@
 	if p.keeper != nil {
 		heard = witness{n.registry, p.keeper}
 	}
-	n.engineParts = engine.Parts{Store: p.store, Carrier: n.calls, Admission: heard, Teller: p.teller,
+	n.engineParts = engine.Parts{Store: p.store, Carrier: n.calls, Admission: heard, Notifier: p.teller,
 		Memories: p.recovered.Memories, Log: p.log}
 	return n, nil
 }
@@ -241,7 +241,7 @@
 	clients := make(chan error, 1)
 	go func() { clients <- server.Stop(ctx) }()
 	close(quiet) // a client that never says its request whole is not to cost the calls their time
-	<-n.engine.Quieted()
+	<-n.engine.Quiesced()
 	calls := make(chan struct{})
 	go func() {
 		n.calls.Wait()
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -201,7 +201,7 @@
 		return errors.Join(err, records.Close())
 	}
 	settings, words := f.Settings(recovered.Names.Classes, recovered.Names.Zones)
-	var teller engine.Teller = nobody{records, log}
+	var teller engine.Notifier = nobody{records, log}
 	tell := func(context.Context) {}
 	if f.Answers.URL != "" {
 		answers := platform.NewTeller(f.Answers.URL, newAnswer, records, log)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,7 @@
 		if err != nil {
 			return errors.Join(err, n.listener.Close(), records.Close())
 		}
-		n.engineParts.Notes = peers
+		n.engineParts.PeerMessages = peers
 		n.beside(peers.Run)
 	}
 	follower := platform.NewDiscovery(c.Discovery, platform.NewSpacing(c.Settings, rand.New(rand.NewPCG(c.Seed, directorySeed))),
