Destinations outside the platform have 32-bit numbers; forms that end at 65,535 say so

config.MaxDestination was 1<<16-1 and the front parsed dest= with 16 bits: "169999 is not between 0 and 65535". Both take 32 bits outside the platform now. On the platform the front's answer and the log line of a list's entry tell the highest number and the place. Stores (varint, INTEGER, BIGINT) and records of steps (gob) had room for them already, so no form on disk changes: the conformance suite and the inspectors' tests now use 4,294,967,295.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/url"
 	"os"
@@ -234,8 +235,8 @@
 	}
 }
 
-// MaxDestination is the highest number of a destination.
-const MaxDestination = 1<<16 - 1
+// MaxDestination is the highest number of a destination outside the platform.
+const MaxDestination = math.MaxUint32
 
 func (f *File) check() error {
 	var errs []error
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -83,7 +83,7 @@
 		"address":        {`"127.0.0.1:9102"`, `"nowhere"`, `"billing-2").address`},
 		"no building":    {`building = "annex"`, `building = ""`, "building"},
 		"answers":        {`"http://127.0.0.1:9000/answers"`, `"ftp://x"`, "answers.url"},
-		"number":         {"number = 7", "number = 70000", "number"},
+		"number":         {"number = 7", "number = 4294967296", "destination 1 (\"billing partner\").number: 4294967296 is not between 0 and 4294967295"},
 		"drain":          {`drain = "1s"`, `drain = "1ms"`, "partners.drain: 1ms is not between"},
 		"cold share":     {"cold_share = 0.2", "cold_share = 1.5", "partners.cold_share: 1.5 is not between"},
 		"cold nan":       {"cold_share = 0.2", "cold_share = nan", "partners.cold_share"},
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 )
 
 // List is the endpoints, or what has changed of them.
@@ -34,6 +35,23 @@
 	Size     float64 `json:"size"` // listed rate in calls a second, see policy.Settings.Listing
 }
 
+// PlatformDestinations is the highest number of a destination in the platform's list.
+const PlatformDestinations = math.MaxUint16
+
+// Restrict marks each entry whose destination's number is not between 0 and highest as [Unreadable], and
+// returns an error for each of them, with its place.
+func (l *List) Restrict(highest int) (errs []error) {
+	for i := range l.Members {
+		m := &l.Members[i]
+		if m.Cell >= 0 && m.Cell <= highest {
+			continue
+		}
+		errs = append(errs, fmt.Errorf("entry %d of the list (%.80q): cell %d is not between 0 and %d", i, m.ID, m.Cell, highest))
+		*m = Member{ID: m.ID, Phase: Unreadable}
+	}
+	return errs
+}
+
 // Unreadable is the phase of an entry that could not be read: of it nothing changes.
 const Unreadable = "unreadable"
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -25,6 +25,20 @@
 	}
 }
 
+// A number beyond a form costs nothing but its entry, and the error tells its place.
+func TestRestrict(t *testing.T) {
+	l := List{Members: []Member{{ID: "a", Phase: Active, Cell: PlatformDestinations}, {ID: "b", Phase: Active, Cell: PlatformDestinations + 1},
+		{ID: "c", Phase: Leaving, Cell: -1}}}
+	errs := l.Restrict(PlatformDestinations)
+	want := List{Members: []Member{{ID: "a", Phase: Active, Cell: PlatformDestinations}, {ID: "b", Phase: Unreadable}, {ID: "c", Phase: Unreadable}}}
+	if !reflect.DeepEqual(l, want) {
+		t.Errorf("the list is %+v, want %+v", l, want)
+	}
+	if len(errs) != 2 || errs[0].Error() != `entry 1 of the list ("b"): cell 65536 is not between 0 and 65535` {
+		t.Errorf("errors %q", errs)
+	}
+}
+
 func FuzzList(f *testing.F) {
 	f.Add([]byte(`{"revision":1,"complete":true,"members":[{"id":"a","phase":"left"},{"id":7}]}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
--- a/internal/front/http/clients_test.go
+++ b/internal/front/http/clients_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 	"time"
 
 	"wingmount/decide/admission"
+	"wingmount/internal/directory"
 	"wingmount/internal/message"
 	"wingmount/internal/testkit"
 )
@@ -220,6 +222,7 @@
 		"known of old":    {"", "", false, http.StatusAccepted},
 		"a day":           {"5000", "86400000", true, http.StatusBadRequest},
 		"negative number": {"dest=7", "dest=-7", true, http.StatusBadRequest},
+		"beyond the form": {"dest=7", "dest=65536", true, http.StatusBadRequest},
 	} {
 		in.registry.SetDestinations(map[int]bool{7: true}, c.told)
 		if got := ask(strings.ReplaceAll(name, " ", "-"), c.from, c.to); got != c.want {
@@ -231,6 +234,28 @@
 	}
 }
 
+// Where the front takes 32 bits a number beyond 65,535 is one of a destination; an error tells the highest.
+func TestWideDestinations(t *testing.T) {
+	for text, c := range map[string]struct {
+		highest uint64
+		want    int
+		err     string
+	}{
+		"dest=65535":                {directory.PlatformDestinations, 65535, ""},
+		"dest=65536":                {directory.PlatformDestinations, 0, "dest=65536 is not between 0 and 65535"},
+		"dest=169999":               {math.MaxUint32, 169999, ""},
+		"dest=4294967295":           {math.MaxUint32, math.MaxUint32, ""},
+		"dest=4294967296":           {math.MaxUint32, 0, "dest=4294967296 is not between 0 and 4294967295"},
+		"dest=99999999999999999999": {math.MaxUint32, 0, "dest=99999999999999999999 is not between 0 and 4294967295"},
+		"dest=-1":                   {math.MaxUint32, 0, "dest=-1 is not between 0 and 4294967295"},
+	} {
+		got, err := destination(text, c.highest)
+		if got != c.want || (err == nil) != (c.err == "") || err != nil && err.Error() != c.err {
+			t.Errorf("%s of %d: %d, %v; want %d, %q", text, c.highest, got, err, c.want, c.err)
+		}
+	}
+}
+
 // A node that knows of no endpoint is not ready; one that knows an old list is.
 func TestReadyWhenEndpointsAreKnown(t *testing.T) {
 	var accepted []*message.Message
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -4,6 +4,7 @@
 package httpfront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"time"
 
 	"wingmount/decide/rules"
+	"wingmount/internal/directory"
 	"wingmount/internal/fail"
 	"wingmount/internal/inflight"
 	"wingmount/internal/message"
@@ -49,6 +51,8 @@
 	registry *inflight.Registry
 	keeper   *ruling.Keeper // nil where there are no rules
 	accept   func(*message.Message)
+	// maxDestination is the highest number of a destination.
+	maxDestination uint64
 }
 
 // Config is what an intake is told.
@@ -56,6 +60,8 @@
 	Classes  map[string]int // names of the classes, as indices into Rules
 	Rules    []policy.Class
 	Registry *inflight.Registry // the messages in flight, by all fronts
+	// MaxDestination is the highest number of a destination; [directory.PlatformDestinations] where it is 0.
+	MaxDestination uint64
 	// Keeper judges which class and key a message has; nil where it has what its client says.
 	Keeper *ruling.Keeper
 }
@@ -67,7 +73,17 @@
 	for name, class := range c.Classes {
 		names[class] = name
 	}
-	return &Intake{classes: c.Classes, names: names, rules: c.Rules, registry: c.Registry, keeper: c.Keeper, store: s, accept: accept, log: log}
+	return &Intake{
+		classes:        c.Classes,
+		names:          names,
+		rules:          c.Rules,
+		store:          s,
+		log:            log,
+		registry:       c.Registry,
+		keeper:         c.Keeper,
+		accept:         accept,
+		maxDestination: cmp.Or(c.MaxDestination, directory.PlatformDestinations),
+	}
 }
 
 // Where a crash matters: between a message's record, its start, and the client's answer.
@@ -326,7 +342,7 @@
 		return nil, bad("X-Timeout-Ms is missing or malformed")
 	}
 	m.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
-	if m.Dest, err = destination(r.Header.Get("X-Route-To")); err != nil {
+	if m.Dest, err = destination(r.Header.Get("X-Route-To"), in.maxDestination); err != nil {
 		return nil, bad("X-Route-To: %v", err)
 	}
 	if r.ContentLength < 0 || r.Header.Get("Content-Length") == "" {
@@ -347,13 +363,13 @@
 	return s != "" && len(s) <= message.MaxWord && strings.IndexFunc(s, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
 }
 
-// destination reads 'dest=7', among other fields or alone.
-func destination(s string) (int, error) {
+// destination reads 'dest=7', among other fields or alone, up to the highest number that there may be.
+func destination(s string, highest uint64) (int, error) {
 	for _, field := range strings.FieldsFunc(s, func(c rune) bool { return c == ',' || c == ';' || c == ' ' }) {
 		if v, ok := strings.CutPrefix(field, "dest="); ok {
-			n, err := strconv.ParseUint(v, 10, 16)
-			if err != nil {
-				return 0, errors.New("dest is no number of a destination")
+			n, err := strconv.ParseUint(v, 10, 64)
+			if err != nil || n > highest {
+				return 0, fmt.Errorf("dest=%.20s is not between 0 and %d", v, highest)
 			}
 			return int(n), nil
 		}
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -37,6 +37,7 @@
 	settings              policy.Settings
 	seed                  uint64
 	classes, kinds, zones map[string]int
+	maxDestination        uint64 // see httpfront.Config
 	store                 store.Store
 	recovered             store.Recovered
 	teller                engine.Notifier
@@ -72,7 +73,7 @@
 	n := &node{parts: p, listener: httpfront.NewListener(listener, clientSockets(p.sockets)),
 		registry: inflight.New(inflight.Config{Max: p.settings.MaxHeld, Admission: p.admission}),
 		engine:   engine.New(engine.Config{Settings: p.settings, Seed: p.seed, Kinds: p.kinds, Zones: p.zones, AnswerTime: p.answerTime})}
-	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, Registry: n.registry, Keeper: p.keeper},
+	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, Registry: n.registry, Keeper: p.keeper, MaxDestination: p.maxDestination},
 		p.store, func(m *message.Message) { n.engine.Post(m) }, p.log)
 	if l, ok := p.store.(store.Late); ok {
 		l.OnLate(n.intake.Adopt)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -209,7 +209,7 @@
 	}
 	seed := rand.Uint64()
 	n, err := build(parts{name: f.Name, listen: f.Listen, sockets: f.Limits.Sockets, idleClose: idleClose, idleEach: f.Limits.Slots, answerTime: answerTime, settings: settings,
-		seed: seed, classes: words.Classes, kinds: words.Kinds, zones: words.Zones, store: records, recovered: recovered,
+		seed: seed, maxDestination: config.MaxDestination, classes: words.Classes, kinds: words.Kinds, zones: words.Zones, store: records, recovered: recovered,
 		teller: teller, admission: admitter(f, settings), keeper: keeper, linesStay: true, log: log})
 	if err != nil {
 		return errors.Join(err, records.Close())
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -174,5 +174,8 @@
 	if err := json.Unmarshal(data, &l); err != nil {
 		return directory.List{}, fmt.Errorf("unreadable list: %w", err)
 	}
+	for _, err := range l.Restrict(directory.PlatformDestinations) {
+		d.log.Warn("discovery: a number beyond the platform's form, nothing changes", "err", err)
+	}
 	return l, nil
 }
--- a/internal/steps/steps_test.go
+++ b/internal/steps/steps_test.go
@@ -42,19 +42,22 @@
 	FallWindow: time.Second, Kinds: []policy.Kind{{BundleMax: 1}},
 	Classes: []policy.Class{{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.5}}}
 
+// dayDestinations are those of a day: one is beyond 16 bits, and the last has no endpoint.
+var dayDestinations = []int{1, 169_999, 3}
+
 // day runs a sender for so many steps, with calls that end as drawn, and records it.
 func day(r *Recorder, seed uint64, n int) {
 	s, rng := policy.New(settings, seed), rand.New(rand.NewPCG(seed, 1))
 	now := policy.Time(time.Hour)
 	events := []policy.Event{policy.Listed{Whole: true, Entries: []policy.Entry{
-		{Endpoint: 1, Destination: 1, State: policy.Ready}, {Endpoint: 2, Destination: 2, State: policy.Ready}}}}
+		{Endpoint: 1, Destination: 1, State: policy.Ready}, {Endpoint: 2, Destination: dayDestinations[1], State: policy.Ready}}}}
 	var id policy.MessageID
 	var out []policy.Send
 	tries := map[policy.MessageID]int{}
 	for range n {
 		for range rng.IntN(4) {
 			id++
-			events = append(events, policy.Arrived{Message: id, Destination: 1 + rng.IntN(3), GiveUpAt: now + 3*time.Second})
+			events = append(events, policy.Arrived{Message: id, Destination: dayDestinations[rng.IntN(3)], GiveUpAt: now + 3*time.Second})
 		}
 		for len(out) > 0 && rng.IntN(3) > 0 {
 			o := policy.Outcome(rng.IntN(3))
--- a/internal/store/journal/inspect_test.go
+++ b/internal/store/journal/inspect_test.go
@@ -25,6 +25,7 @@
 	var ms []*message.Message
 	for i := range 4 {
 		ms = append(ms, storetest.NewMessage(fmt.Sprint("m", i), 100))
+		ms[i].Dest = storetest.WideDestination - i
 		testkit.Must(t, j.Take(ctx, ms[i]))
 	}
 	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: ms[:2]}))
@@ -38,12 +39,12 @@
 		testkit.Must(t, i.Check(ctx))
 		var got []string
 		testkit.Must(t, i.Entries(ctx, "", func(e store.Entry) error {
-			got = append(got, fmt.Sprint(e.ID, " ", e.State, " ", e.Outcome, " ", e.Attempts, " ", e.Out))
+			got = append(got, fmt.Sprint(e.ID, " ", e.State, " ", e.Outcome, " ", e.Attempts, " ", e.Out, " ", e.Dest))
 			return nil
 		}))
 		return fmt.Sprintf("%q", got)
 	}
-	const want = `["m0 told delivered 0 false" "m1 running  1 true" "m2 owed refused 0 false" "m3 running  0 false"]`
+	const want = `["m0 told delivered 0 false 0" "m1 running  1 true 4294967294" "m2 owed refused 0 false 4294967293" "m3 running  0 false 4294967292"]`
 	if got := list(dir); got != want {
 		t.Errorf("entries %s, want %s", got, want)
 	}
--- a/internal/store/postgres/inspect_test.go
+++ b/internal/store/postgres/inspect_test.go
@@ -10,6 +10,7 @@
 
 	"wingmount/internal/message"
 	"wingmount/internal/store"
+	"wingmount/internal/store/storetest"
 	"wingmount/internal/testkit"
 	"wingmount/policy"
 )
@@ -27,6 +28,7 @@
 	var ms []*message.Message
 	for i := range 4 {
 		ms = append(ms, newMessage(fmt.Sprint("m", i), time.Minute))
+		ms[i].Dest = storetest.WideDestination - i
 		testkit.Must(t, s.Take(ctx, ms[i]))
 	}
 	attempt(t, s, ms[0], time.Now())
@@ -39,10 +41,10 @@
 	testkit.Must(t, i.Check(ctx))
 	var got []string
 	testkit.Must(t, i.Entries(ctx, "", func(e store.Entry) error {
-		got = append(got, fmt.Sprint(e.Node, " ", e.ID, " ", e.State, " ", e.Outcome, " ", e.Attempts, " ", e.Out))
+		got = append(got, fmt.Sprint(e.Node, " ", e.ID, " ", e.State, " ", e.Outcome, " ", e.Attempts, " ", e.Out, " ", e.Dest))
 		return nil
 	}))
-	const want = `["n1 m0 told delivered 1 false" "n1 m1 running  1 true" "n1 m2 owed refused 0 false" "n1 m3 running  0 false"]`
+	const want = `["n1 m0 told delivered 1 false 4294967295" "n1 m1 running  1 true 4294967294" "n1 m2 owed refused 0 false 4294967293" "n1 m3 running  0 false 4294967292"]`
 	if fmt.Sprintf("%q", got) != want {
 		t.Errorf("entries %q, want %s", got, want)
 	}
--- a/internal/store/sqlite/inspect_test.go
+++ b/internal/store/sqlite/inspect_test.go
@@ -28,6 +28,7 @@
 	var ms []*message.Message
 	for i := range 5 {
 		m := storetest.NewMessage(fmt.Sprint("m", i), 100)
+		m.Dest = storetest.WideDestination - i
 		testkit.Must(t, s.Take(ctx, m))
 		ms = append(ms, m)
 	}
@@ -56,10 +57,10 @@
 	}
 	var got []string
 	testkit.Must(t, i.Entries(ctx, "", func(e store.Entry) error {
-		got = append(got, fmt.Sprint(e.ID, " ", e.State, " ", e.Outcome, " ", e.Attempts, " ", e.Out))
+		got = append(got, fmt.Sprint(e.ID, " ", e.State, " ", e.Outcome, " ", e.Attempts, " ", e.Out, " ", e.Dest))
 		return nil
 	}))
-	want := []string{"m0 told delivered 1 false", "m1 running  1 true", "m2 owed refused 0 false", "m3 running  0 false", "m4 running  0 false"}
+	want := []string{"m0 told delivered 1 false 4294967295", "m1 running  1 true 4294967294", "m2 owed refused 0 false 4294967293", "m3 running  0 false 4294967292", "m4 running  0 false 4294967291"}
 	if fmt.Sprint(got) != fmt.Sprint(want) {
 		t.Errorf("entries %q, want %q", got, want)
 	}
--- a/internal/store/storetest/storetest.go
+++ b/internal/store/storetest/storetest.go
@@ -8,6 +8,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -104,13 +105,20 @@
 	return s, r
 }
 
-// NewMessage is a message as a front hands it in.
+// WideDestination is the highest number of a destination outside the platform. Each store must keep it.
+const WideDestination = math.MaxUint32
+
+// NewMessage is a message as a front hands it in. Each second length of an ID gives it a wide destination.
 func NewMessage(id string, size int) *message.Message {
+	destination := 7
+	if len(id)%2 == 1 {
+		destination = WideDestination
+	}
 	body := make([]byte, size)
 	for i := range body {
 		body[i] = byte(i * 7)
 	}
-	return &message.Message{ID: id, Key: "k-" + id, Class: 1, Dest: 7, Body: body,
+	return &message.Message{ID: id, Key: "k-" + id, Class: 1, Dest: destination, Body: body,
 		Deadline: time.Now().Add(20 * time.Second).Truncate(time.Microsecond)}
 }
 
@@ -193,7 +201,7 @@
 		t.Fatalf("owed %v, want %v", ids, want)
 	}
 	f := got["fresh"]
-	if f.Key != "k-fresh" || f.Class != 1 || f.Dest != 7 || !f.Deadline.Equal(fresh.Deadline) || string(f.Body) != string(fresh.Body) ||
+	if f.Key != "k-fresh" || f.Class != 1 || f.Dest != WideDestination || !f.Deadline.Equal(fresh.Deadline) || string(f.Body) != string(fresh.Body) ||
 		f.Past != (message.Past{}) || f.End != nil || f.Seq != fresh.Seq {
 		t.Errorf("fresh came back as %+v", f)
 	}
@@ -203,6 +211,9 @@
 	if p := got["out"].Past; p.Attempts != 1 || !p.MayRun || !p.Settled || p.Out {
 		t.Errorf("out came back with %+v: an attempt without an outcome may have run", p)
 	}
+	if d := got["refused"].Dest; d != WideDestination {
+		t.Errorf("refused came back for destination %d, want %d", d, WideDestination)
+	}
 	if e := got["refused"].End; e == nil || e.Kind != message.Refused || e.RetryAfter != 500*time.Millisecond {
 		t.Errorf("refused came back with %+v", e)
 	}
