--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -15,8 +15,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"wingmount/internal/standin/partner"
 )
 
 // Return says what a client does that is turned away.
@@ -298,10 +296,7 @@
 
 // Flow counts the messages of a load whose ids have its prefix.
 func (r *Rig) Flow(rep Report, prefix string) Flow {
-	ledgers := map[int]partner.Ledger{}
-	for _, d := range r.Destinations {
-		ledgers[d.Number] = d.System.Ledger()
-	}
+	ledgers := r.ledgers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f := Flow{ByDest: map[int]int{}}
@@ -312,7 +307,7 @@
 			continue
 		}
 		m := r.messages[id]
-		if ledgers[m.Dest].Calls[id] > 1 {
+		if r.ledger(ledgers, m.Dest).Calls[id] > 1 {
 			f.SentTwice++
 		}
 		told := r.Answers.Of(id)
@@ -327,7 +322,7 @@
 		switch told[0].Outcome {
 		case "delivered":
 			f.Delivered++
-			at := ledgers[m.Dest].Ran[id]
+			at := r.ledger(ledgers, m.Dest).Ran[id]
 			waits = append(waits, at.Sub(m.Born))
 			if at.Before(rep.To) {
 				within++
@@ -370,12 +365,18 @@
 }
 
 // PeakMemory is the most bytes of memory that the process has had resident.
-func (p *Process) PeakMemory() (int64, error) {
+func (p *Process) PeakMemory() (int64, error) { return p.memory("VmHWM:") }
+
+// Memory is how many bytes of memory the process has resident.
+func (p *Process) Memory() (int64, error) { return p.memory("VmRSS:") }
+
+// memory is a field of /proc/PID/status (proc(5)), in bytes.
+func (p *Process) memory(field string) (int64, error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
 		return 0, fmt.Errorf("reading a node's memory: %w", err)
 	}
-	_, rest, ok := strings.Cut(string(status), "VmHWM:")
+	_, rest, ok := strings.Cut(string(status), field)
 	if f := strings.Fields(rest); ok && len(f) > 0 {
 		kb, err := strconv.ParseInt(f[0], 10, 64)
 		return kb << 10, err
--- /dev/null
+++ b/internal/rig/partners.go
@@ -0,0 +1,74 @@
+package rig
+
+import (
+	"fmt"
+	"time"
+
+	"wingmount/internal/standin/partner"
+)
+
+// dedupeWindow is how long the partner systems drop repeats of a key.
+const dedupeWindow = 12 * time.Second
+
+// partnerBuildings are where each partner system has an endpoint.
+var partnerBuildings = []string{"ops-building", "annex"}
+
+// newDestinations starts the partner systems, and names a destination for each, or more.
+func (r *Rig) newDestinations() error {
+	systems := r.cfg.Systems
+	if systems == 0 {
+		systems = r.cfg.Destinations
+	}
+	var addresses [][]string // by system and building
+	for range min(systems, r.cfg.Destinations) {
+		s := partner.New(dedupeWindow, r.cfg.Takes)
+		r.systems = append(r.systems, s)
+		var of []string
+		for _, building := range partnerBuildings {
+			address, err := s.Listen(building)
+			if err != nil {
+				return err
+			}
+			of = append(of, address)
+		}
+		addresses = append(addresses, of)
+	}
+	for i := range r.cfg.Destinations {
+		system := i % len(r.systems)
+		d := &Destination{Number: i + 1, Name: fmt.Sprint("partner-", i+1), Rate: r.cfg.Rate, System: r.systems[system]}
+		if mode, ok := r.cfg.Modes[d.Number]; ok {
+			d.System.Set(mode)
+		}
+		for b, building := range partnerBuildings {
+			d.entries = append(d.entries, fmt.Sprintf("  [[destination.endpoint]]\n  name = %q\n  address = %q\n  building = %q\n",
+				fmt.Sprint(d.Name, "-", building), addresses[system][b], building))
+		}
+		r.Destinations = append(r.Destinations, d)
+	}
+	return nil
+}
+
+// ledgers are what the partner systems saw.
+func (r *Rig) ledgers() map[*partner.System]partner.Ledger {
+	ledgers := map[*partner.System]partner.Ledger{}
+	for _, s := range r.systems {
+		ledgers[s] = s.Ledger()
+	}
+	return ledgers
+}
+
+// ledger is what the partner system of a destination saw: nothing where there is no such destination.
+func (r *Rig) ledger(ledgers map[*partner.System]partner.Ledger, destination int) partner.Ledger {
+	if destination < 1 || destination > len(r.Destinations) {
+		return partner.Ledger{}
+	}
+	return ledgers[r.Destinations[destination-1].System]
+}
+
+// socketsLine is the line of the nodes' files that bounds their sockets, empty where the default counts.
+func (r *Rig) socketsLine() string {
+	if r.cfg.Sockets == 0 {
+		return ""
+	}
+	return fmt.Sprintf("sockets = %d\n", r.cfg.Sockets)
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -86,6 +86,8 @@
 	Modes        map[int]partner.Mode // of destinations from the start, sound where none is said
 	Gossip       bool                 // nodes share what they see of partners
 	Partners     string               // lines of [partners] in the nodes' files
+	Systems      int                  // partner systems that the destinations share in turn; one each where it is 0
+	Sockets      int                  // limits.sockets of the nodes, the default where it is 0
 }
 
 // Rig is one installation: its nodes, its partners, and who is told answers.
@@ -97,6 +99,7 @@
 	nodes        []place
 	ports        loopback.Ports
 	client       *http.Client
+	systems      []*partner.System // of the destinations, each once
 
 	mu       sync.Mutex
 	messages map[string]*Message
@@ -169,18 +172,8 @@
 			return nil, errors.Join(err, r.Close())
 		}
 	}
-	for i := range c.Destinations {
-		d := &Destination{Number: i + 1, Name: fmt.Sprint("partner-", i+1), Rate: c.Rate, System: partner.New(12*time.Second, c.Takes)}
-		d.System.Set(c.Modes[i+1])
-		for _, building := range []string{"ops-building", "annex"} {
-			addr, err := d.System.Listen(building)
-			if err != nil {
-				return nil, errors.Join(err, r.Close())
-			}
-			d.entries = append(d.entries, fmt.Sprintf("  [[destination.endpoint]]\n  name = %q\n  address = %q\n  building = %q\n",
-				fmt.Sprint(d.Name, "-", building), addr, building))
-		}
-		r.Destinations = append(r.Destinations, d)
+	if err := r.newDestinations(); err != nil {
+		return nil, errors.Join(err, r.Close())
 	}
 	for i := range max(1, c.Nodes) {
 		p := place{name: fmt.Sprint("rig-", i+1), file: filepath.Join(c.Dir, fmt.Sprint("gateway-", i+1, ".toml"))}
@@ -252,8 +245,8 @@
 			fmt.Fprintf(&b, "lease = %q\n", r.cfg.Lease)
 		}
 	}
-	fmt.Fprintf(&b, "path = %q\ndurability = \"process\"\nmax_mb = %d\n[answers]\nurl = %q\n[limits]\nheld = %d\nslots = %d\nnodes = %d\nadmission = %t\n",
-		r.storePath(node), r.cfg.MaxMB, r.Answers.URL(), r.cfg.Held, r.cfg.Slots, max(1, r.cfg.Nodes), !r.cfg.NoAdmission)
+	fmt.Fprintf(&b, "path = %q\ndurability = \"process\"\nmax_mb = %d\n[answers]\nurl = %q\n[limits]\nheld = %d\nslots = %d\nnodes = %d\nadmission = %t\n%s",
+		r.storePath(node), r.cfg.MaxMB, r.Answers.URL(), r.cfg.Held, r.cfg.Slots, max(1, r.cfg.Nodes), !r.cfg.NoAdmission, r.socketsLine())
 	for _, class := range []string{Keyed, Idempotent, Unsafe} {
 		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\nwanted = %q\ndeadline = %q\nlate_worth = 0.5\n", class, class, min(time.Second, r.cfg.Deadline), r.cfg.Deadline)
 		if class == Keyed {
@@ -286,8 +279,8 @@
 	if r.Postgres != nil {
 		errs = append(errs, r.Postgres.Close())
 	}
-	for _, d := range r.Destinations {
-		errs = append(errs, d.System.Close())
+	for _, s := range r.systems {
+		errs = append(errs, s.Close())
 	}
 	return errors.Join(errs...)
 }
@@ -616,10 +609,8 @@
 		sorted := slices.Sorted(slices.Values(r.refusals))
 		t.RefusalP99 = float64(sorted[(n*99-1)/100].Microseconds()) / 1000
 	}
-	ledgers := map[int]partner.Ledger{}
-	for _, d := range r.Destinations {
-		l := d.System.Ledger()
-		ledgers[d.Number] = l
+	ledgers := r.ledgers()
+	for _, l := range ledgers {
 		t.TwoOut += l.TwoOut
 		t.EarlyCalls += l.Early
 	}
@@ -627,7 +618,7 @@
 		m := r.messages[id]
 		t.Handed++
 		told := r.Answers.Of(id)
-		effects := ledgers[m.Dest].Effects[id]
+		effects := r.ledger(ledgers, m.Dest).Effects[id]
 		if m.Class != Idempotent && effects > 1 {
 			t.RanTwice++
 		}
