Admission sees the engine's lag: a node that is saturated refuses before it accepts

Admission judged each destination by its own rate alone: with 1,000 destinations none of which was slow nothing was foreseen, while the engine that all share did not keep up; 14,693 of 24,000 were accepted and then refused. The engine tells the registry when a round begins and ends, without a lock; the registry measures the lag and the part of the time at work; the controller turns away what would wait for longer than half of its time at the rate at which the saturated node delivers, and all while a round has gone on for half a second.

--- a/decide/admission/admission.go
+++ b/decide/admission/admission.go
@@ -18,6 +18,10 @@
 // long again; but a few messages are held for a destination at any time, so that there is one to
 // find out with that it is back.
 //
+// Messages of all destinations share the engine that decides on them. While it is saturated, see [EngineLoad],
+// the same holds for the node as a whole: what waits for destinations that answer, over the rate at which the
+// node delivers while it is saturated. One whose engine stands still takes on nothing.
+//
 // The rate is what was delivered while messages waited; it is not known before, and then nothing
 // is turned away for it: until [SampleTime] has passed and three messages were delivered.
 package admission
@@ -82,12 +86,15 @@
 
 // The reasons.
 const (
-	Admitted Reason = iota
-	NoPlace         // the destination has its part of the hold
-	TooLate         // it would not come to its turn in time
+	Admitted  Reason = iota
+	NoPlace          // the destination has its part of the hold
+	TooLate          // it would not come to its turn in time
+	Saturated        // the engine does not keep up with what the node has accepted
 )
 
-func (r Reason) String() string { return [...]string{"admitted", "no place", "too late"}[r] }
+func (r Reason) String() string {
+	return [...]string{"admitted", "no place", "too late", "saturated"}[r]
+}
 
 // Decision is the answer to one message.
 type Decision struct {
@@ -128,6 +135,7 @@
 	total  int
 	dests  map[int]*dest
 	swept  Time
+	engine engine
 }
 
 // dest is what is known of a destination.
@@ -207,6 +215,9 @@
 func (c *Controller) Admit(now Time, dest, class int, left time.Duration) Decision {
 	c.sweep(now)
 	d := c.dest(now, dest)
+	if wait, most := c.engine.wait(now, c.total), WaitShare*float64(left); float64(wait) > most {
+		return Decision{Saturated, c.engine.promise(now, wait-time.Duration(most))}
+	}
 	if c.places > 0 {
 		limit := c.alpha[class] * float64(c.places-c.total)
 		if over := float64(d.total) + 1 - limit; c.total >= c.places || over > 0 {
@@ -233,6 +244,7 @@
 func (c *Controller) take(now Time, d *dest, class int) {
 	c.total++
 	d.total++
+	c.engine.hold(d, 1)
 	d.held[class]++
 	d.flow[class].rate(now)
 	d.flow[class].n++
@@ -246,6 +258,7 @@
 func (c *Controller) release(d *dest, class int) {
 	c.total--
 	d.total--
+	c.engine.hold(d, -1)
 	d.held[class]--
 }
 
@@ -263,7 +276,8 @@
 			if d.failing && now-d.failingFrom >= outageAfter { // an outage tells nothing of the rate
 				d.from, d.done = now, 0
 			}
-			d.failing = false
+			c.engine.setFailing(d, false)
+			c.engine.delivered(now)
 			if d.took == 0 {
 				d.took = s.Took
 			}
@@ -272,7 +286,8 @@
 		case policy.Moot, policy.Cancelled: // tell nothing of the destination
 		default:
 			if !d.failing {
-				d.failing, d.failingFrom = true, now
+				c.engine.setFailing(d, true)
+				d.failingFrom = now
 			}
 		}
 		if s.Wait > 0 {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -52,6 +52,10 @@
 	// SetDestinations sets which destinations there are, and whether the directory has
 	// listed them all since this process started. The map is the admission's from then on.
 	SetDestinations(destinations map[int]bool, complete bool)
+	// RoundBegan and RoundEnded enclose each round of the engine, in which it takes in all events that have
+	// come, steps the module, and carries out its actions.
+	RoundBegan()
+	RoundEnded()
 }
 
 // Notifier announces outcomes that are on record. Add does not wait.
@@ -229,26 +233,40 @@
 		if rest := e.settings.Tick - time.Since(last); rest > 0 {
 			time.Sleep(rest)
 		}
-		for more := true; more; {
-			select {
-			case event := <-e.events:
-				e.handle(event)
-			default:
-				more = false
-			}
-		}
+		e.Admission.RoundBegan()
+		e.drain()
 		last = time.Now()
-		if e.quiet {
-			e.batch = e.batch[:0]
-			e.reportObservations()
-			continue
-		}
-		if wake := e.step(ctx); wake > 0 {
+		wake := e.react(ctx)
+		e.Admission.RoundEnded()
+		if wake > 0 {
 			timer.Reset(wake - e.now())
 		}
 	}
 }
 
+// drain handles all events that are there.
+func (e *Engine) drain() {
+	for {
+		select {
+		case event := <-e.events:
+			e.handle(event)
+		default:
+			return
+		}
+	}
+}
+
+// react steps the module with what was handled, unless no call is started any more. It returns when the
+// module wants to be woken, or 0.
+func (e *Engine) react(ctx context.Context) (wake policy.Time) {
+	if e.quiet {
+		e.batch = e.batch[:0]
+		e.reportObservations()
+		return 0
+	}
+	return e.step(ctx)
+}
+
 // handle turns an event of the engine into one of the module.
 func (e *Engine) handle(event any) {
 	switch event := event.(type) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -35,6 +35,8 @@
 
 func (f *fakes) Start(_ context.Context, k *carrier.Call) { f.calls = append(f.calls, k) }
 func (f *fakes) CloseIdle(e *carrier.Endpoint)            { f.idle = append(f.idle, e) }
+func (f *fakes) RoundBegan()                              {}
+func (f *fakes) RoundEnded()                              {}
 func (f *fakes) EvictIdle(time.Time)                      {}
 func (f *fakes) SetDestinations(destinations map[int]bool, _ bool) {
 	f.destinations, f.destinationUpdates = destinations, f.destinationUpdates+1
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -199,6 +199,9 @@
 	case inflight.TooLate:
 		in.turnAway(w, "it would not be delivered in time", retry)
 		return false
+	case inflight.Saturated:
+		in.turnAway(w, "the node is saturated", retry)
+		return false
 	default:
 		in.turnAway(w, "the node has no capacity for it", retry)
 		return false
--- a/internal/inflight/registry.go
+++ b/internal/inflight/registry.go
@@ -38,6 +38,7 @@
 	Duplicate                   // another request with the same ID is being accepted
 	NoCapacity                  // there is no place
 	TooLate                     // its turn would come too late
+	Saturated                   // the engine does not keep up
 	ShuttingDown                // no message is accepted any more
 )
 
@@ -66,6 +67,7 @@
 	origin time.Time
 	// updates are the batches that are not applied yet, the newest first.
 	updates atomic.Pointer[updateBatch]
+	rounds  engineRounds
 
 	mu           sync.Mutex
 	admission    *admission.Controller
@@ -85,7 +87,11 @@
 // lock takes the lock and applies the engine's updates. It returns the time for the controller.
 func (r *Registry) lock() time.Duration {
 	r.mu.Lock()
-	return r.applyUpdates()
+	now := r.applyUpdates()
+	if r.admission != nil {
+		r.admission.SetEngineLoad(now, r.rounds.load(now))
+	}
+	return now
 }
 
 // applyUpdates applies the queued batches, the oldest first. The caller holds the lock.
@@ -183,6 +189,8 @@
 			return NoCapacity, d.Retry
 		case admission.TooLate:
 			return TooLate, d.Retry
+		case admission.Saturated:
+			return Saturated, d.Retry
 		}
 	}
 	r.messages[id] = reservation{destination: destination, class: class}
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -197,8 +197,9 @@
 		case <-ticker.C:
 		}
 		c := n.registry.Counts()
-		if full, late := c[inflight.NoCapacity]-before[inflight.NoCapacity], c[inflight.TooLate]-before[inflight.TooLate]; full+late > 0 {
-			n.log.Warn("intake: messages were turned away", "no_place", full, "too_late", late,
+		full, late := c[inflight.NoCapacity]-before[inflight.NoCapacity], c[inflight.TooLate]-before[inflight.TooLate]
+		if saturated := c[inflight.Saturated] - before[inflight.Saturated]; full+late+saturated > 0 {
+			n.log.Warn("intake: messages were turned away", "no_place", full, "too_late", late, "saturated", saturated,
 				"taken", c[inflight.Reserved]-before[inflight.Reserved], "held", n.registry.Count(), "within", turnedAwayEvery)
 		}
 		before = c
