A pause does not send twice: attempts outside the platform have half a second at least

A time-out was the latency and deviations, 8 times the mean at least (policy.go, timeout): with partners that answer at once some ten milliseconds, which the pause of a busy machine passes; the answer under way was thrown away and the message sent again. Settings.LeastTimeout is the least time-out, 0 on the platform, whose decisions stay. TestPauseSendsNothingTwice, with partners that pause for 150 ms, fails without it (64 of 500 sent twice).

--- a/cmd/wingmount/load_test.go
+++ b/cmd/wingmount/load_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -134,6 +135,41 @@
 	}
 }
 
+// Partners that answer at once, and a pause of 150 ms now and then: answers that come late are waited for, and
+// nothing is sent twice. What a call takes otherwise, a few milliseconds, is no measure for a pause.
+func TestPauseSendsNothingTwice(t *testing.T) {
+	const pauses, between, pause = 6, 250 * time.Millisecond, 150 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	r, err := rig.New(rig.Config{Dir: t.TempDir(), Store: "sqlite", Command: []string{os.Args[0]}, Env: []string{"WINGMOUNT_TEST_NODE=1", "GORACE=atexit_sleep_ms=0"},
+		Deadline: 6 * time.Second, Destinations: 4, Held: 4000, Slots: 64, Rate: 10000, Slack: 3 * time.Second})
+	testkit.Must(t, err)
+	defer func() { testkit.Must(t, r.Close()) }()
+	p, err := r.Start(ctx, "")
+	testkit.Must(t, err)
+	defer p.Kill()
+	var pausing sync.WaitGroup
+	pausing.Go(func() {
+		time.Sleep(time.Second) // latencies are known by then
+		for range pauses {
+			for _, d := range r.Destinations {
+				d.System.Stall(pause)
+			}
+			time.Sleep(between)
+		}
+	})
+	report, err := r.Load(ctx, rig.Load{Prefix: "m", Rate: 200, Over: time.Second + pauses*between, Clients: 16, Class: rig.Keyed})
+	pausing.Wait()
+	testkit.Must(t, err)
+	r.Settle(ctx)
+	if broken := r.Tally().Broken(); len(broken) > 0 {
+		t.Errorf("promises were broken: %v", broken)
+	}
+	if f := r.Flow(report, "m"); f.SentTwice > 0 || f.Delivered != f.Taken || f.Taken != report.Offered {
+		t.Errorf("of %d offered: %+v", report.Offered, f)
+	}
+}
+
 // A burst of ten times the rate for 300 ms, and then calm: all of it is taken and delivered.
 func TestBurstIsTaken(t *testing.T) {
 	cfg := rig.Config{Deadline: 12 * time.Second, Destinations: 4, Takes: 10 * time.Millisecond, Held: 4000, Slots: 32, Rate: 1000, Slack: 3 * time.Second}
--- a/decide/terms/terms.go
+++ b/decide/terms/terms.go
@@ -66,7 +66,10 @@
 	AdviseWait  bool          // clients are told how long to wait
 	// ConnectTimeout is when an attempt without a connection is Unreachable.
 	ConnectTimeout time.Duration
-	Tick           time.Duration // how often the sender is called at most
+	// LeastTimeout is the least time-out of an attempt: no pause of this machine, of the network or of a
+	// partner that is shorter makes a message be sent twice.
+	LeastTimeout time.Duration
+	Tick         time.Duration // how often the sender is called at most
 
 	DrainGrace   time.Duration // sends to a draining endpoint must cease within this time
 	ColdShare    float64       // the share of its capacity that a destination has after an outage
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -235,6 +235,10 @@
 	}
 }
 
+// leastTimeout is the least time-out of an attempt. Partners that answer within a millisecond would have one of
+// some ten milliseconds, which a pause of either machine passes.
+const leastTimeout = 500 * time.Millisecond
+
 // MaxDestination is the highest number of a destination outside the platform.
 const MaxDestination = math.MaxUint32
 
@@ -418,7 +422,7 @@
 func (f *File) Settings(classes, zones []string) (policy.Settings, Words) {
 	w := Words{map[string]int{}, map[string]int{}, map[string]int{}}
 	s := policy.Settings{Senders: f.Limits.Nodes, Slots: f.Limits.Slots, MaxHeld: f.Limits.Held, MaxAttempts: f.Limits.Attempts,
-		AdviseWait: true, MaxWait: 30 * time.Second, ConnectTimeout: time.Second, Tick: time.Millisecond,
+		AdviseWait: true, MaxWait: 30 * time.Second, ConnectTimeout: time.Second, LeastTimeout: leastTimeout, Tick: time.Millisecond,
 		DrainGrace: time.Duration(f.Partners.Drain), ColdShare: f.Partners.ColdShare, WarmUp: time.Duration(f.Partners.WarmUp),
 		FallMultiple: f.Partners.FallsAt, FallWindow: time.Duration(f.Partners.FallsIn)}
 	for range classes {
--- a/internal/rig/nodetable_test.go
+++ b/internal/rig/nodetable_test.go
@@ -19,6 +19,8 @@
 	// secondsVariable is for how many seconds messages are offered for a row of the node table.
 	secondsVariable = "WINGMOUNT_NODE_SECONDS"
 	defaultSeconds  = 10
+	// recordVariable names a file that the node records its decisions in, for 'wingmount replay'.
+	recordVariable = "WINGMOUNT_NODE_RECORD"
 )
 
 const (
@@ -49,6 +51,7 @@
 	return Config{
 		Dir: b.TempDir(), Command: []string{program(b)}, Store: "sqlite", Deadline: tableDeadline, Destinations: destinations,
 		MaxMB: tableStoreMB, Body: tableBody, Held: tableHeld, Slots: tableSlots, Rate: listedRate, Systems: min(destinations, tableSystems),
+		Record: os.Getenv(recordVariable),
 	}
 }
 
--- a/internal/standin/partner/partner.go
+++ b/internal/standin/partner/partner.go
@@ -41,6 +41,7 @@
 
 	mu      sync.Mutex
 	mode    Mode
+	stalled time.Time                       // no call is answered before it
 	until   time.Time                       // Waits: calls before it break the wait
 	keys    map[string]map[string]time.Time // by building and key: when the window began
 	effects map[string]int                  // by id: what had an effect
@@ -93,6 +94,21 @@
 	s.mode = m
 }
 
+// Stall holds all answers back for a time, as a pause of the partner's machine does: calls that come meanwhile
+// have their effect.
+func (s *System) Stall(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stalled = time.Now().Add(d)
+}
+
+// takes is how long a call takes that comes now.
+func (s *System) takes() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.Takes, time.Until(s.stalled))
+}
+
 // Ledger is what a system saw.
 type Ledger struct {
 	Calls, Effects map[string]int       // by id
@@ -164,7 +180,7 @@
 	case Cut:
 		panic(http.ErrAbortHandler)
 	default:
-		pause(r.Context(), s.Takes)
+		pause(r.Context(), s.takes())
 		if mode == Fails {
 			w.WriteHeader(http.StatusInternalServerError)
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -667,7 +667,7 @@
 	if e.warming {
 		t /= s.warmth(e.warmFrom)
 	}
-	first := max(min(minTimeout, timeoutLatencies*e.path.latency.Mean), time.Duration(t))
+	first := max(min(minTimeout, timeoutLatencies*e.path.latency.Mean), time.Duration(t), s.set.LeastTimeout)
 	d := min(first<<min(e.timeouts, 4), max(first, (m.class.Deadline-m.class.Aim)/4))
 	if m.class.Repeat == AtMostOnce {
 		// A time-out is its end: it can be neither resent nor refused. That no
