--- /dev/null
+++ b/decide/placement/validate.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// InputError says what is wrong in an Input and where.
+type InputError struct {
+	// Place is the element and field at fault, such as `nodes[3] ("n3"): weight`.
+	Place string
+	// Reason says what is wrong with it.
+	Reason string
+}
+
+// Error implements error.
+func (e *InputError) Error() string { return "placement: " + e.Place + ": " + e.Reason }
+
+// normalize checks the input and returns it with nodes and destinations in ascending order of their IDs. The
+// caller's slices are not changed.
+func normalize(input Input) (Input, error) {
+	if input.LoadBound == 0 {
+		input.LoadBound = DefaultLoadBound
+	}
+	if !(input.LoadBound > 1 && input.LoadBound <= MaxLoadBound) {
+		return Input{}, inputError("load bound", "%v is not over 1 and at most %d", input.LoadBound, MaxLoadBound)
+	}
+	if err := checkNodes(input.Nodes); err != nil {
+		return Input{}, err
+	}
+	if err := checkDestinations(input.Destinations); err != nil {
+		return Input{}, err
+	}
+	input.Nodes = sorted(input.Nodes, func(left, right Node) int { return cmp.Compare(left.ID, right.ID) })
+	input.Destinations = sorted(input.Destinations, func(left, right Destination) int {
+		return cmp.Compare(left.ID, right.ID)
+	})
+	for i := 1; i < len(input.Nodes); i++ {
+		if input.Nodes[i].ID == input.Nodes[i-1].ID {
+			return Input{}, inputError("nodes", "id %q is listed twice", input.Nodes[i].ID)
+		}
+	}
+	for i := 1; i < len(input.Destinations); i++ {
+		if input.Destinations[i].ID == input.Destinations[i-1].ID {
+			return Input{}, inputError("destinations", "id %d is listed twice", input.Destinations[i].ID)
+		}
+	}
+	return input, nil
+}
+
+// sorted returns the items in order: the slice itself when it is in order already, or else a sorted copy.
+func sorted[T any](items []T, compare func(left, right T) int) []T {
+	if slices.IsSortedFunc(items, compare) {
+		return items
+	}
+	items = slices.Clone(items)
+	slices.SortFunc(items, compare)
+	return items
+}
+
+func checkNodes(nodes []Node) error {
+	if len(nodes) > MaxNodes {
+		return inputError("nodes", "%d are more than %d", len(nodes), MaxNodes)
+	}
+	for i, node := range nodes {
+		if field, reason := nodeFault(node); reason != "" {
+			return inputError(fmt.Sprintf("nodes[%d] (%q): %s", i, node.ID, field), "%s", reason)
+		}
+	}
+	return nil
+}
+
+// nodeFault returns the field at fault and the reason, both empty for a valid node.
+func nodeFault(node Node) (field, reason string) {
+	switch {
+	case node.ID == "":
+		return "id", "is empty"
+	case node.Region == "":
+		return "region", "is empty"
+	case node.Zone == "":
+		return "zone", "is empty"
+	case !(node.Weight >= MinWeight && node.Weight <= MaxWeight):
+		return "weight", fmt.Sprintf("%v is not between %v and %v", node.Weight, MinWeight, MaxWeight)
+	}
+	return "", ""
+}
+
+func checkDestinations(destinations []Destination) error {
+	if len(destinations) > MaxDestinations {
+		return inputError("destinations", "%d are more than %d", len(destinations), MaxDestinations)
+	}
+	for i := range destinations {
+		if field, reason := destinationFault(&destinations[i]); reason != "" {
+			return inputError(fmt.Sprintf("destinations[%d] (%d): %s", i, destinations[i].ID, field), "%s", reason)
+		}
+	}
+	return nil
+}
+
+// destinationFault returns the field at fault and the reason, both empty for a valid destination.
+func destinationFault(destination *Destination) (field, reason string) {
+	switch {
+	case math.IsNaN(destination.Rate) || destination.Rate <= 0 || destination.Rate > MaxRate:
+		return "rate", fmt.Sprintf("%v is not over 0 and at most %v", destination.Rate, MaxRate)
+	case destination.Owners < 1 || destination.Owners > MaxOwners:
+		return "owners", fmt.Sprintf("%d is not between 1 and %d", destination.Owners, MaxOwners)
+	}
+	return "", ""
+}
+
+func inputError(place, format string, arguments ...any) *InputError {
+	return &InputError{Place: place, Reason: fmt.Sprintf(format, arguments...)}
+}
