--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -112,10 +112,20 @@
 	mu sync.Mutex
 }
 
+// ErrNoShare says that this node may not call the destination for now: its lease has run out, or it has no
+// share of the destination's limit.
+var ErrNoShare = fmt.Errorf("%w: this node has no share of its limit", ErrClosed)
+
+// Permit tells whether this node may call a destination now, where destinations are assigned to nodes. It
+// is asked before each call's first byte, is cheap, and is safe for concurrent use.
+type Permit interface{ MayCall(destination int) bool }
+
 // Recorder puts on record what becomes of calls and tells it. It is safe for
 // concurrent use.
 type Recorder struct {
 	Store store.Store
+	// Permit is asked as well; nil allows all calls.
+	Permit Permit
 	Log   *slog.Logger
 	Tell  func(policy.Event) // never called twice for one part
 }
@@ -164,8 +174,8 @@
 // May tells whether bytes of a call whose attempts are on record may go out now: nil,
 // [ErrClosed], or [store.ErrFenced] in a process that was paused for longer than its lease.
 func (r *Recorder) May(k *Call, now time.Time) error {
-	if !k.Open(now) {
-		return ErrClosed
+	if err := r.allowed(k, now); err != nil {
+		return err
 	}
 	if s, ok := r.Store.(store.Shared); ok && !s.Owned() {
 		return fmt.Errorf("the lease has run out: %w", store.ErrFenced)
@@ -173,14 +183,25 @@
 	return nil
 }
 
+// allowed tells whether the endpoint's gates and the permit let a call go out now.
+func (r *Recorder) allowed(k *Call, now time.Time) error {
+	if !k.Open(now) {
+		return ErrClosed
+	}
+	if r.Permit != nil && !r.Permit.MayCall(k.Endpoint.Dest) {
+		return ErrNoShare
+	}
+	return nil
+}
+
 // Begin puts the attempts of a call on record, within [RecordTime], by which it makes the
 // call's time longer, as far as its messages have time. Only when it
 // returns nil may the first byte go out, and at once. It fails with [ErrClosed] when the call
 // may not be sent any more, also when that was told while the store was at it.
 func (r *Recorder) Begin(ctx context.Context, k *Call) error {
 	now := time.Now()
-	if !k.Open(now) {
-		return ErrClosed
+	if err := r.allowed(k, now); err != nil {
+		return err
 	}
 	ms := make([]*message.Message, len(k.Parts))
 	for i, p := range k.Parts {
--- /dev/null
+++ b/internal/config/assignment_test.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// An installation with [assignment], up to its lines.
+const assigned = `name = "n"
+listen = "127.0.0.1:0"
+[store]
+kind = "sqlite"
+path = "db"
+[assignment]
+`
+
+const assignedRest = `
+[[class]]
+name = "c"
+repeat = "idempotent"
+wanted = "1s"
+deadline = "2s"
+[[destination]]
+number = 1
+rate = 2.0
+[[destination.endpoint]]
+name = "e"
+address = "127.0.0.1:1"
+building = "b"
+`
+
+func TestAssignment(t *testing.T) {
+	f, err := Parse([]byte(assigned + `control = ["127.0.0.1:1", "127.0.0.1:2"]` + assignedRest))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Assignment{Control: []string{"127.0.0.1:1", "127.0.0.1:2"}, State: "assignment.state", RegionShare: 1,
+		OwnersKeptFor: Duration(5 * time.Second), OwnersMax: 10_000}
+	if got := *f.Assignment; got.State != want.State || got.RegionShare != want.RegionShare || got.OwnersKeptFor != want.OwnersKeptFor ||
+		got.OwnersMax != want.OwnersMax || len(got.Control) != len(want.Control) {
+		t.Errorf("defaults: %+v, want %+v", got, want)
+	}
+}
+
+// Without the section it is off: no node takes part by accident.
+func TestNoAssignment(t *testing.T) {
+	f, err := Parse([]byte(strings.Replace(assigned, "[assignment]\n", "", 1) + assignedRest))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Assignment != nil {
+		t.Errorf("without [assignment] there is one: %+v", f.Assignment)
+	}
+}
+
+func TestAssignmentRefused(t *testing.T) {
+	for lines, want := range map[string]string{
+		"":                       "assignment.control: is missing",
+		`control = []`:           "assignment.control: is missing",
+		`control = ["nowhere"]`:  `assignment.control[0]: "nowhere" is no HOST:PORT`,
+		`region_share = 1.5`:     "assignment.region_share: 1.5 is not above 0 and up to 1",
+		`region_share = -0.5`:    "assignment.region_share: -0.5 is not above 0 and up to 1",
+		`owners_kept_for = "1h"`: "assignment.owners_kept_for",
+		`owners_max = -1`:        "assignment.owners_max: -1 is not between 1 and 1048576",
+		`region = "north"`:       "line 7, column 1: unknown key assignment.region",
+		"control = [\"h:1\"]\n[limits]\nnodes = 2": "limits.nodes: 2: with [assignment]",
+	} {
+		if _, err := Parse([]byte(assigned + lines + assignedRest)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", lines, err, want)
+		}
+	}
+	shared := strings.Replace(assigned, "kind = \"sqlite\"\npath = \"db\"", "kind = \"postgres\"\nurl = \"postgres://u:p@h:1/d\"", 1)
+	if _, err := Parse([]byte(shared + `control = ["h:1"]` + assignedRest)); err == nil || !strings.Contains(err.Error(), "store of their own") {
+		t.Errorf("nodes that share a database: %v", err)
+	}
+}
+
+func TestControl(t *testing.T) {
+	c, err := ParseControl([]byte("listen = \"127.0.0.1:7950\"\nworld = \"w\"\nstate = \"s\""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := (Control{Listen: "127.0.0.1:7950", World: "w", State: "s", Lease: Duration(10 * time.Second), MaxDrift: 0.01,
+		MaxSessions: 2000, LoadBound: 1.25, Debounce: Duration(500 * time.Millisecond)}); *c != want {
+		t.Errorf("defaults: %+v, want %+v", *c, want)
+	}
+	for text, want := range map[string]string{
+		"":                      "listen: \"\" is no HOST:PORT\nworld: is missing\nstate: is missing",
+		`lease = "10ms"`:        "lease: 10ms is not between 1s and 1h0m0s",
+		`max_drift = 0.9`:       "max_drift: 0.9 is not above 0 and up to 0.5",
+		`max_sessions = -3`:     "max_sessions: -3 is not between 1 and 65536",
+		`load_bound = 1.0`:      "load_bound: 1 is not above 1 and up to 10",
+		`debounce = "2h"`:       "debounce",
+		`quorum = 3`:            "line 1, column 1: unknown key quorum",
+		`[[node]]` + "\nname=3": "unknown key node",
+	} {
+		if _, err := ParseControl([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
+
+// The files under deploy are good, and name each key.
+func TestDeployedAssignment(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/assignment.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ParseControl(text); err != nil {
+		t.Error(err)
+	}
+	for _, key := range []string{"listen", "world", "state", "lease", "max_drift", "max_sessions", "load_bound", "debounce"} {
+		if !strings.Contains(string(text), "\n"+key+" = ") {
+			t.Errorf("deploy/assignment.toml has no %s", key)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,7 @@
 	Answers      Answers       `toml:"answers"`
 	Rules        Rules         `toml:"rules"`
 	Gossip       Gossip        `toml:"gossip"`
+	Assignment   *Assignment   `toml:"assignment"` // nil where nothing is assigned
 	Limits       Limits        `toml:"limits"`
 	Partners     Partners      `toml:"partners"`
 	Classes      []Class       `toml:"class"`
@@ -136,7 +137,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	for _, p := range []*string{&f.Store.Path, &f.Rules.File, &f.Rules.Record, &f.Gossip.Key, &f.Gossip.State} {
+	paths := []*string{&f.Store.Path, &f.Rules.File, &f.Rules.Record, &f.Gossip.Key, &f.Gossip.State}
+	if f.Assignment != nil {
+		paths = append(paths, &f.Assignment.State)
+	}
+	for _, p := range paths {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
 		}
@@ -219,6 +224,7 @@
 		f.Gossip.State = cmp.Or(f.Gossip.State, "gossip.state")
 		set(&f.Gossip.Datagrams, gossip.DefaultDatagrams)
 	}
+	f.Assignment.defaults()
 	for i := range f.Classes {
 		c := &f.Classes[i]
 		if c.Worth == nil {
@@ -321,6 +327,7 @@
 		bad("partners.falls_in", "%v is not between 100ms and 1m", time.Duration(w))
 	}
 	f.Gossip.check(f.Name, bad)
+	f.Assignment.check(f, bad)
 	if len(f.Classes) == 0 {
 		bad("class", "there is none")
 	}
--- /dev/null
+++ b/internal/node/assignment.go
@@ -0,0 +1,266 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"wingmount/decide/lease"
+	"wingmount/decide/placement"
+	"wingmount/internal/config"
+	"wingmount/internal/control"
+	"wingmount/internal/engine"
+	httpfront "wingmount/internal/front/http"
+	"wingmount/internal/inflight"
+	"wingmount/internal/store"
+)
+
+const (
+	// releaseEvery is how often the node looks whether a destination that it only finishes is empty.
+	releaseEvery = 100 * time.Millisecond
+	// shareWindow is the time in which partners count calls against their limits. A share that has
+	// shrunk is confirmed so long after, when what was sent under the larger one has left the count.
+	shareWindow = time.Second
+)
+
+// The errors of a destination that can't be located.
+var (
+	errNoLease = errors.New("this node has no lease")
+	errNoOwner = errors.New("no other node owns the destination")
+)
+
+// agent is what the node needs of a [control.Agent].
+type agent interface {
+	Run(ctx context.Context) error
+	InForce() bool
+	Assignment(destination placement.DestinationID) (lease.Assignment, bool)
+	Unfinished(destinations ...placement.DestinationID)
+	Released(destination placement.DestinationID) bool
+	Locate(ctx context.Context, destination placement.DestinationID) ([]control.Owner, error)
+}
+
+// shareSetter is what the node needs of its engine.
+type shareSetter interface {
+	SetShares(shares map[int]float64)
+	SetLeased(leased bool)
+}
+
+// assignment is a node's side of the assignment of destinations: it puts the node's shares in force, tells the
+// front what is accepted and the carrier what may be sent, and reports what is finished.
+type assignment struct {
+	node        placement.NodeID
+	regionShare float64
+	log         *slog.Logger
+	agent       agent
+	engine      shareSetter
+	registry    *inflight.Registry
+
+	mu     sync.Mutex
+	shares map[int]float64 // of the limits, those above 0
+	// finishing are destinations that messages are not accepted for any more, and that are not released.
+	finishing map[placement.DestinationID]struct{}
+
+	running  sync.WaitGroup
+	stopping chan struct{} // closed by stop
+}
+
+// newAssignment returns the node's side of the section [assignment]; nil where there is none. The engine and the
+// registry are to be set before start.
+func newAssignment(f *config.File, log *slog.Logger) (*assignment, error) {
+	section := f.Assignment
+	if section == nil {
+		return nil, nil
+	}
+	a := &assignment{node: placement.NodeID(f.Name), regionShare: section.RegionShare, log: log,
+		shares: map[int]float64{}, finishing: map[placement.DestinationID]struct{}{}, stopping: make(chan struct{})}
+	agent, err := control.NewAgent(control.AgentConfig{Node: a.node, Addresses: section.Control, StateFile: section.State,
+		Apply: a.apply, LeaseChanged: a.leaseChanged, LocateFor: time.Duration(section.OwnersKeptFor), LocateMax: section.OwnersMax, Log: log})
+	if err != nil {
+		return nil, fmt.Errorf("taking part in the assignment: %w", err)
+	}
+	a.agent = agent
+	return a, nil
+}
+
+// recovered tells the agent of which destinations there are accepted messages of an earlier process.
+func (a *assignment) recovered(r store.Recovered) {
+	unfinished := map[placement.DestinationID]struct{}{}
+	for _, m := range r.Owed {
+		if m.End == nil {
+			unfinished[placement.DestinationID(m.Dest)] = struct{}{}
+		}
+	}
+	for destination := range unfinished {
+		a.agent.Unfinished(destination)
+		a.finishing[destination] = struct{}{}
+	}
+}
+
+// start takes part until stop.
+func (a *assignment) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.running.Go(func() {
+		<-a.stopping
+		cancel()
+	})
+	a.running.Go(func() {
+		if err := a.agent.Run(ctx); err != nil && ctx.Err() == nil {
+			a.log.Error("assignment: the agent has ended", "err", err)
+		}
+	})
+	a.running.Go(func() { a.releaseFinished(ctx) })
+}
+
+// stop gives the lease back. No call may be made any more.
+func (a *assignment) stop() {
+	close(a.stopping)
+	a.running.Wait()
+}
+
+// apply puts changed assignments in force. When it returns, calls follow the new shares, and no call
+// under a larger one counts at a partner any more.
+func (a *assignment) apply(update lease.Update) {
+	changed := make(map[int]float64, len(update.Assignments))
+	shrunk := false
+	a.mu.Lock()
+	for _, assigned := range update.Assignments {
+		destination := int(assigned.Destination)
+		share := assigned.Share
+		if assigned.Gone {
+			share = 0
+		}
+		shrunk = shrunk || share < a.shares[destination]
+		a.keepShare(destination, share)
+		a.keepFinishing(assigned)
+		changed[destination] = share * a.regionShare
+	}
+	a.mu.Unlock()
+	a.log.Info("assignment: changed", "destinations", len(changed), "complete", update.Complete)
+	a.engine.SetShares(changed)
+	if shrunk {
+		a.pause(shareWindow)
+	}
+}
+
+// pause waits, or until the node stops.
+func (a *assignment) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-a.stopping:
+	}
+}
+
+func (a *assignment) keepShare(destination int, share float64) {
+	if share > 0 {
+		a.shares[destination] = share
+		return
+	}
+	delete(a.shares, destination)
+}
+
+// keepFinishing notes whether a destination is to be released once it is empty. One that is gone may have
+// messages that were accepted before the lease ended.
+func (a *assignment) keepFinishing(assigned lease.Assignment) {
+	if assigned.Accepting {
+		delete(a.finishing, assigned.Destination)
+		return
+	}
+	a.finishing[assigned.Destination] = struct{}{}
+}
+
+// leaseChanged tells the engine that calls may be made, or that none may.
+func (a *assignment) leaseChanged(inForce bool) {
+	a.log.Info("assignment: lease", "in_force", inForce)
+	a.engine.SetLeased(inForce)
+}
+
+// releaseFinished reports destinations that are finished, until the context ends.
+func (a *assignment) releaseFinished(ctx context.Context) {
+	ticker := time.NewTicker(releaseEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		a.release()
+	}
+}
+
+// release reports the destinations that are finished, and those that are not though they have no assignment. No
+// message is accepted for them: the front looks once more after each reservation, which counts as unfinished.
+func (a *assignment) release() {
+	for _, destination := range a.toFinish() {
+		if a.registry.Unfinished(int(destination)) > 0 {
+			a.agent.Unfinished(destination)
+			continue
+		}
+		a.agent.Released(destination)
+		a.finished(destination)
+	}
+}
+
+// toFinish are the destinations that are not released.
+func (a *assignment) toFinish() []placement.DestinationID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Collect(maps.Keys(a.finishing))
+}
+
+// finished notes that a destination is released, unless messages are accepted for it again.
+func (a *assignment) finished(destination placement.DestinationID) {
+	if assigned, ok := a.agent.Assignment(destination); ok && assigned.Share > 0 && !assigned.Accepting {
+		return // assigned once more meanwhile: released at the next look
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.finishing, destination)
+}
+
+// MayCall implements [carrier.Permit].
+func (a *assignment) MayCall(destination int) bool {
+	if !a.agent.InForce() {
+		return false
+	}
+	assigned, ok := a.agent.Assignment(placement.DestinationID(destination))
+	return ok && assigned.Share > 0
+}
+
+// Accepts implements [httpfront.Ownership].
+func (a *assignment) Accepts(destination int) bool {
+	if !a.agent.InForce() {
+		return false
+	}
+	assigned, ok := a.agent.Assignment(placement.DestinationID(destination))
+	return ok && assigned.Accepting
+}
+
+// Locate implements [httpfront.Ownership]. Of several owners each message goes to one at random.
+func (a *assignment) Locate(ctx context.Context, destination int) (string, error) {
+	if !a.agent.InForce() {
+		return "", errNoLease
+	}
+	owners, err := a.agent.Locate(ctx, placement.DestinationID(destination))
+	if err != nil {
+		return "", err
+	}
+	var others []string
+	for _, owner := range owners {
+		if owner.Node != a.node && httpfront.ValidOwner(owner.Address) {
+			others = append(others, owner.Address)
+		}
+	}
+	if len(others) == 0 {
+		return "", errNoOwner
+	}
+	return others[rand.IntN(len(others))], nil
+}
