--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -126,8 +126,8 @@
 	Store store.Store
 	// Permit is asked as well; nil allows all calls.
 	Permit Permit
-	Log   *slog.Logger
-	Tell  func(policy.Event) // never called twice for one part
+	Log    *slog.Logger
+	Tell   func(policy.Event) // never called twice for one part
 }
 
 // Over is when the first message of a call has no time left, whatever the call's limit.
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -86,6 +86,7 @@
 	Modes        map[int]partner.Mode // of destinations from the start, sound where none is said
 	Gossip       bool                 // nodes share what they see of partners
 	Partners     string               // lines of [partners] in the nodes' files
+	Assignment   *Assignment          // of destinations to nodes; none where it is nil
 }
 
 // Rig is one installation: its nodes, its partners, and who is told answers.
@@ -97,6 +98,7 @@
 	nodes        []place
 	ports        loopback.Ports
 	client       *http.Client
+	control      *control // nil without Config.Assignment
 
 	mu       sync.Mutex
 	messages map[string]*Message
@@ -163,7 +165,8 @@
 		return nil, err
 	}
 	r := &Rig{cfg: c, Answers: sink, messages: map[string]*Message{},
-		client: &http.Client{Timeout: clientPatience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+		client: &http.Client{Timeout: clientPatience, Transport: &http.Transport{MaxIdleConnsPerHost: 64},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 	if c.Store == "postgres" {
 		if r.Postgres, err = pgserver.New(pgserver.Config{Path: filepath.Join(c.Dir, "pg.db"), User: "wing", Password: "mount"}); err != nil {
 			return nil, errors.Join(err, r.Close())
@@ -200,6 +203,11 @@
 		}
 		r.nodes = append(r.nodes, p)
 	}
+	if c.Assignment != nil {
+		if err := r.newControl(); err != nil {
+			return nil, errors.Join(err, r.Close())
+		}
+	}
 	for i, p := range r.nodes {
 		if err := os.WriteFile(p.file, []byte(r.text(i)), 0o600); err != nil {
 			return nil, errors.Join(err, r.Close())
@@ -239,6 +247,14 @@
 	return filepath.Join(r.cfg.Dir, fmt.Sprint("store-", node+1))
 }
 
+// sharing is how many nodes share the rate of each destination as far as a node's file says.
+func (r *Rig) sharing() int {
+	if r.control != nil {
+		return 1
+	}
+	return max(1, r.cfg.Nodes)
+}
+
 func (r *Rig) text(node int) string {
 	var b strings.Builder
 	p := r.nodes[node]
@@ -253,7 +269,7 @@
 		}
 	}
 	fmt.Fprintf(&b, "path = %q\ndurability = \"process\"\nmax_mb = %d\n[answers]\nurl = %q\n[limits]\nheld = %d\nslots = %d\nnodes = %d\nadmission = %t\n",
-		r.storePath(node), r.cfg.MaxMB, r.Answers.URL(), r.cfg.Held, r.cfg.Slots, max(1, r.cfg.Nodes), !r.cfg.NoAdmission)
+		r.storePath(node), r.cfg.MaxMB, r.Answers.URL(), r.cfg.Held, r.cfg.Slots, r.sharing(), !r.cfg.NoAdmission)
 	for _, class := range []string{Keyed, Idempotent, Unsafe} {
 		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\nwanted = %q\ndeadline = %q\nlate_worth = 0.5\n", class, class, min(time.Second, r.cfg.Deadline), r.cfg.Deadline)
 		if class == Keyed {
@@ -267,6 +283,9 @@
 	if r.cfg.Partners != "" {
 		fmt.Fprintf(&b, "[partners]\n%s\n", r.cfg.Partners)
 	}
+	if r.control != nil {
+		b.WriteString(r.assignmentText(node))
+	}
 	if r.cfg.Gossip {
 		fmt.Fprintf(&b, "[gossip]\nlisten = %q\ncluster = %q\nbuilding = \"ops-building\"\nkey = %q\nstate = %q\n", p.gossip, gossipCluster, p.key(), p.state())
 		for _, q := range r.nodes {
@@ -286,6 +305,9 @@
 	if r.Postgres != nil {
 		errs = append(errs, r.Postgres.Close())
 	}
+	if r.control != nil {
+		errs = append(errs, r.control.close())
+	}
 	for _, d := range r.Destinations {
 		errs = append(errs, d.System.Close())
 	}
@@ -442,9 +464,9 @@
 	r.mu.Lock()
 	r.messages[id] = m
 	r.order = append(r.order, id)
-	node := r.next % len(r.nodes)
-	r.next++
+	node := r.first(m.Dest)
 	r.mu.Unlock()
+	target, redirects := "/"+m.Class, 0
 	unsure := false // an earlier try may have been taken: a refusal then tells of the later one alone
 	for {
 		left := time.Until(m.Deadline)
@@ -452,11 +474,28 @@
 			return ctx.Err()
 		}
 		asked := time.Now()
-		status, err := r.post(ctx, node, m, left)
+		status, location, err := r.post(ctx, node, target, m, left)
+		if status == http.StatusTemporaryRedirect {
+			// The node has not accepted it, and can't have before.
+			unsure = false
+			if owner, path, ok := r.redirect(location); ok && redirects < maxRedirects {
+				r.learn(m.Dest, owner, true)
+				node, target = owner, path
+				redirects++
+				continue
+			}
+			status = http.StatusServiceUnavailable
+		}
+		target, redirects = "/"+m.Class, 0
+		if r.control != nil && !unsure && notDialled(err) {
+			r.learn(m.Dest, node, false)
+			node, err = r.nextInRegion(node), nil
+			status = 0
+		}
 		refused := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 		if err != nil || status == http.StatusGatewayTimeout { // not known yet: asked again by the same id
 			unsure = true
-		} else if !unsure || !refused {
+		} else if status != 0 && (!unsure || !refused) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			switch {
@@ -466,6 +505,7 @@
 				m.Known = true
 			case refused:
 				m.Refused = true
+				r.learn(m.Dest, node, false)
 				r.refusals = append(r.refusals, time.Since(asked))
 			default:
 				return fmt.Errorf("handing in %s: answered %d", id, status)
@@ -485,7 +525,8 @@
 // statusRecorded stands for a refusal that is the message's recorded answer.
 const statusRecorded = -1
 
-func (r *Rig) post(ctx context.Context, node int, m *Message, left time.Duration) (int, error) {
+// post hands a message in once. It returns the status, and where a redirect leads.
+func (r *Rig) post(ctx context.Context, node int, target string, m *Message, left time.Duration) (status int, location string, err error) {
 	key, body := m.Key, m.Body
 	if body == "" {
 		body = "body of " + m.ID + strings.Repeat(".", r.cfg.Body)
@@ -493,9 +534,9 @@
 			key = "key-" + m.ID
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.nodes[node].listen+"/"+m.Class, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.nodes[node].listen+target, strings.NewReader(body))
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	req.Header.Set("X-Request-ID", m.ID)
 	req.Header.Set("X-Priority-Class", m.Class)
@@ -506,14 +547,14 @@
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	defer resp.Body.Close()
 	_, _ = io.Copy(io.Discard, resp.Body) // for reuse only
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Final") != "" {
-		return statusRecorded, nil
+		return statusRecorded, "", nil
 	}
-	return resp.StatusCode, nil
+	return resp.StatusCode, resp.Header.Get("Location"), nil
 }
 
 // Settle waits until every message that was taken has its answer, or its time and the slack
--- a/internal/standin/partner/partner.go
+++ b/internal/standin/partner/partner.go
@@ -49,6 +49,7 @@
 	keyOf   map[string]string               // by id: the key of its last call
 	out     map[string]int                  // by id: calls on open connections
 	twoOut  int
+	limiter limiter
 	early   int // calls during a wait that was told, beyond its grace
 	servers []*http.Server
 	running sync.WaitGroup
@@ -124,6 +125,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	s.calls[id]++
+	s.limiter.count(now)
 	s.keyOf[id] = key
 	s.out[id]++
 	if s.out[id] > 1 {
