--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -81,6 +81,9 @@
 	// AnswerTime is how long before its time is up a message is answered at the latest, beyond a
 	// tick: for the record of its answer and the telling.
 	AnswerTime time.Duration
+	// Assigned says that destinations are assigned to nodes: this one makes no call without a share of the
+	// destination's limit, see [Engine.SetShares].
+	Assigned bool
 }
 
 // Parts is what an engine works with. Notes, Peers and Steps may be nil.
@@ -103,6 +106,7 @@
 	out   int       // sends without an outcome
 	gone  bool      // the directory has it no more
 	heard time.Time // when the last outcome came
+	rate  float64   // listed
 }
 
 // destination is what the engine knows of a destination. One without any endpoint stays for
@@ -112,6 +116,8 @@
 	listed  int // those of them that the directory has
 	waits   *carrier.Gate
 	since   time.Time // from when on none was listed
+	// endpoints are those that are present, where destinations are assigned to nodes.
+	endpoints []*endpoint
 }
 
 // Memories are what another node, or an earlier life, saw of endpoints, by their names. They
@@ -129,7 +135,7 @@
 	kinds     map[string]int
 	zones     map[string]int
 	origin    time.Time
-	events    chan any      // policy.Event, directory.List, Memories or *message.Message
+	events    chan any      // policy.Event, directory.List, Memories, shareUpdate or *message.Message
 	done      chan struct{} // closed when the engine has ended
 	quieted   chan struct{} // closed when no call is started any more
 	held      map[policy.MessageID]*message.Message
@@ -143,6 +149,7 @@
 	batch     []policy.Event
 	seen      []admission.Seen // for the admission, at the end of the step
 	actions   []policy.Action
+	shares    shares
 	quiet     bool // no call is started any more
 	scribe    *scribe
 }
@@ -152,7 +159,7 @@
 	return &Engine{sender: policy.New(c.Settings, c.Seed), answers: c.AnswerTime, settings: c.Settings, kinds: c.Kinds, zones: c.Zones,
 		origin: time.Now(), events: make(chan any, eventRoom), done: make(chan struct{}), quieted: make(chan struct{}),
 		held: map[policy.MessageID]*message.Message{}, endpoints: map[policy.EndpointID]*endpoint{},
-		leaving: map[policy.EndpointID]*endpoint{}, dests: map[int]*destination{}, vacant: map[int]*destination{}}
+		leaving: map[policy.EndpointID]*endpoint{}, dests: map[int]*destination{}, vacant: map[int]*destination{}, shares: newShares(c.Assigned)}
 }
 
 // Use sets the parts of an engine, which know its Post.
@@ -222,6 +229,7 @@
 		if l.quiet {
 			l.batch = l.batch[:0]
 			l.tell()
+			l.shares.followed()
 			continue
 		}
 		if wake := l.step(ctx); wake > 0 {
@@ -254,6 +262,8 @@
 			}
 		}
 		l.remind(e)
+	case shareUpdate:
+		l.applyShares(e)
 	case policy.Ended:
 		o := l.endpoints[e.Endpoint]
 		if l.debug && o != nil {
@@ -363,7 +373,8 @@
 					state = policy.Draining
 				}
 				named[id] = true
-				out.Entries = append(out.Entries, l.entry(e, m, state))
+				e.rate = m.Size
+				out.Entries = append(out.Entries, l.entry(e, state))
 			}
 			continue
 		}
@@ -386,18 +397,20 @@
 				e.Waits = d.waits
 			}
 			d.present++
+			l.shares.attach(d, e)
 			e.gone, l.endpoints[id], l.leaving[id] = true, e, e
 		}
 		if l.debug {
 			l.Log.Debug("listed", "dest", e.Dest, "endpoint", e.Name, "kind", e.Kind, "zone", e.Zone, "phase", m.Phase, "rate", m.Size)
 		}
+		e.rate = m.Size
 		if state != policy.Gone {
 			e.addr = m.HostPort
 		}
 		named[id] = true
 		l.setLeaving(e, state != policy.Ready)
 		l.setGone(e, state == policy.Gone)
-		out.Entries = append(out.Entries, l.entry(e, m, state))
+		out.Entries = append(out.Entries, l.entry(e, state))
 	}
 	if in.Complete {
 		for id, e := range l.endpoints {
@@ -410,8 +423,9 @@
 	return out
 }
 
-func (l *Engine) entry(e *endpoint, m directory.Member, state policy.EndpointState) policy.Entry {
-	return policy.Entry{Endpoint: e.ID, Destination: e.Dest, Kind: e.Kind, Zone: e.Zone, State: state, Rate: m.Size}
+func (l *Engine) entry(e *endpoint, state policy.EndpointState) policy.Entry {
+	return policy.Entry{Endpoint: e.ID, Destination: e.Dest, Kind: e.Kind, Zone: e.Zone, State: state, Rate: e.rate,
+		Limit: l.shares.limit(e.Dest, e.rate)}
 }
 
 // remind tells the module what an earlier life saw of the endpoints that it has
@@ -495,6 +509,7 @@
 			delete(l.endpoints, id)
 			delete(l.leaving, id)
 			l.dests[e.Dest].present--
+			l.shares.detach(l.dests[e.Dest], e)
 		}
 	}
 	for number, d := range l.vacant {
@@ -572,6 +587,7 @@
 		l.Carrier.Start(ctx, k)
 	}
 	l.tell()
+	l.shares.followed()
 	return wake
 }
 
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -48,7 +48,9 @@
 	log      *slog.Logger
 	registry *inflight.Registry
 	keeper   *ruling.Keeper // nil where there are no rules
-	accept   func(*message.Message)
+	// ownership is nil where this node accepts messages for all destinations.
+	ownership Ownership
+	accept    func(*message.Message)
 }
 
 // Config is what an intake is told.
@@ -58,6 +60,8 @@
 	Registry *inflight.Registry // the messages in flight, by all fronts
 	// Keeper judges which class and key a message has; nil where it has what its client says.
 	Keeper *ruling.Keeper
+	// Ownership tells which destinations are this node's; nil where all are.
+	Ownership Ownership
 }
 
 // New returns an intake. It hands each message that the store has taken to accept, which
@@ -67,7 +71,8 @@
 	for name, class := range c.Classes {
 		names[class] = name
 	}
-	return &Intake{classes: c.Classes, names: names, rules: c.Rules, registry: c.Registry, keeper: c.Keeper, store: s, accept: accept, log: log}
+	return &Intake{classes: c.Classes, names: names, rules: c.Rules, registry: c.Registry, keeper: c.Keeper,
+		ownership: c.Ownership, store: s, accept: accept, log: log}
 }
 
 // Where a crash matters: between a message's record, its start, and the client's answer.
@@ -119,6 +124,10 @@
 		}
 		return
 	}
+	if !in.accepts(m.Dest) {
+		in.redirect(w, r, m)
+		return
+	}
 	if in.keeper != nil && in.registry.Accepted(m.ID) { // whatever the rules say of it now
 		w.WriteHeader(http.StatusAccepted)
 		return
@@ -187,6 +196,12 @@
 		in.turnAway(w, "the node has no capacity for it", retry)
 		return false
 	}
+	// From the reservation on the destination counts as unfinished here. It may have moved just before.
+	if !in.accepts(m.Dest) {
+		in.registry.Release(m.ID)
+		in.redirect(w, r, m)
+		return false
+	}
 	if err := in.take(r.Context(), m); err != nil {
 		undecided := errors.Is(err, store.ErrUndecided)
 		if undecided && in.keeper != nil {
--- a/internal/front/http/redirect_test.go
+++ b/internal/front/http/redirect_test.go
@@ -53,7 +53,7 @@
 	store.Store
 	mu       sync.Mutex
 	accepted []string
-	known    map[string]error
+	onRecord map[string]error
 	onTake   func()
 }
 
@@ -70,7 +70,7 @@
 func (s *records) Find(_ context.Context, id string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.known[id]
+	return s.onRecord[id]
 }
 
 // assignedNode is a front of a node that owns destination 7 of 7 and 8.
@@ -82,7 +82,7 @@
 }
 
 func newAssignedNode(owner string) *assignedNode {
-	n := &assignedNode{owners: &owners{accepts: map[int]bool{7: true}, owner: owner}, records: &records{known: map[string]error{}},
+	n := &assignedNode{owners: &owners{accepts: map[int]bool{7: true}, owner: owner}, records: &records{onRecord: map[string]error{}},
 		registry: inflight.New(inflight.Config{Max: 10})}
 	n.registry.SetDestinations(map[int]bool{7: true, 8: true}, true)
 	n.Intake = New(Config{Classes: map[string]int{"c": 0}, Rules: []policy.Class{{Repeat: policy.Idempotent, Deadline: 5 * time.Second}},
@@ -155,10 +155,10 @@
 func TestKnownIDIsNotRedirected(t *testing.T) {
 	n := newAssignedNode("127.0.0.1:99")
 	n.owners.set(7, false)
-	n.known["delivered"] = &store.KnownError{End: &message.End{Kind: message.Delivered}}
-	n.known["failed"] = &store.KnownError{End: &message.End{Kind: message.Failed}}
-	n.known["open"] = &store.KnownError{}
-	n.known["unclear"] = store.ErrUnavailable
+	n.onRecord["delivered"] = &store.KnownError{End: &message.End{Kind: message.Delivered}}
+	n.onRecord["failed"] = &store.KnownError{End: &message.End{Kind: message.Failed}}
+	n.onRecord["open"] = &store.KnownError{}
+	n.onRecord["unclear"] = store.ErrUnavailable
 	n.registry.Reserve("reserved", 7, 0, time.Second)
 	for id, want := range map[string]int{"in-progress": 202, "delivered": 200, "failed": 410, "open": 202, "unclear": 504, "reserved": 503, "new": 307} {
 		if id == "in-progress" {
--- a/internal/inflight/registry.go
+++ b/internal/inflight/registry.go
@@ -68,6 +68,7 @@
 	mu           sync.Mutex
 	admission    *admission.Controller
 	messages     map[string]reservation // by message ID
+	unfinished   map[int]int            // messages by destination, where there are some
 	destinations map[int]bool
 	complete     bool // the directory has listed all destinations since this process started
 	closing      bool
@@ -77,7 +78,7 @@
 
 // New returns a registry without messages.
 func New(c Config) *Registry {
-	return &Registry{max: c.Max, admission: c.Admission, origin: time.Now(), messages: map[string]reservation{}}
+	return &Registry{max: c.Max, admission: c.Admission, origin: time.Now(), messages: map[string]reservation{}, unfinished: map[int]int{}}
 }
 
 // lock takes the lock and applies the engine's updates. It returns the time for the controller.
@@ -109,7 +110,7 @@
 			if !ok {
 				continue
 			}
-			delete(r.messages, o.ID)
+			r.remove(o.ID, at)
 			o.Dest, o.Class = at.destination, at.class
 		}
 		if r.admission != nil {
@@ -176,10 +177,39 @@
 			return TooLate, d.Retry
 		}
 	}
-	r.messages[id] = reservation{destination: destination, class: class}
+	r.add(id, reservation{destination: destination, class: class})
 	return Reserved, 0
 }
 
+// add registers a message, which is not there. The caller holds the lock.
+func (r *Registry) add(id string, at reservation) {
+	r.messages[id] = at
+	r.unfinished[at.destination]++
+}
+
+// remove forgets a message, which is there. The caller holds the lock.
+func (r *Registry) remove(id string, at reservation) {
+	delete(r.messages, id)
+	if r.unfinished[at.destination]--; r.unfinished[at.destination] == 0 {
+		delete(r.unfinished, at.destination)
+	}
+}
+
+// Unfinished is the number of messages of a destination that are in flight, with or without a record yet.
+func (r *Registry) Unfinished(destination int) int {
+	r.lock()
+	defer r.mu.Unlock()
+	return r.unfinished[destination]
+}
+
+// Lookup tells whether a message is in flight and on record, or has a reservation only.
+func (r *Registry) Lookup(id string) (accepted, reserved bool) {
+	r.lock()
+	defer r.mu.Unlock()
+	at, ok := r.messages[id]
+	return at.accepted, ok && !at.accepted
+}
+
 // Accepted tells whether a message is in flight and on record.
 func (r *Registry) Accepted(id string) bool {
 	r.lock()
@@ -202,10 +232,12 @@
 func (r *Registry) Adopt(id string, destination, class int) {
 	now := r.lock()
 	defer r.mu.Unlock()
-	if _, ok := r.messages[id]; !ok && r.admission != nil {
+	if at, ok := r.messages[id]; ok {
+		r.remove(id, at)
+	} else if r.admission != nil {
 		r.admission.Adopt(now, destination, class)
 	}
-	r.messages[id] = reservation{destination: destination, class: class, accepted: true}
+	r.add(id, reservation{destination: destination, class: class, accepted: true})
 }
 
 // Release gives back the reservation of a message, unless the message is on record: one that went there
@@ -214,7 +246,7 @@
 	now := r.lock()
 	defer r.mu.Unlock()
 	if at, ok := r.messages[id]; ok && !at.accepted {
-		delete(r.messages, id)
+		r.remove(id, at)
 		if r.admission != nil {
 			r.admission.Drop(now, at.destination, at.class)
 		}
--- a/internal/inflight/registry_test.go
+++ b/internal/inflight/registry_test.go
@@ -135,3 +135,39 @@
 		t.Errorf("%d are held, %d counted, want none", r.Count(), c.Held())
 	}
 }
+
+// A message is unfinished from its reservation to its outcome, for its destination alone, and is counted once.
+func TestUnfinished(t *testing.T) {
+	r := New(Config{})
+	unfinished := func(when string, want int) {
+		t.Helper()
+		if got := r.Unfinished(7); got != want {
+			t.Errorf("%s: %d unfinished, want %d", when, got, want)
+		}
+	}
+	unfinished("at the start", 0)
+	r.Reserve("a", 7, 0, time.Second)
+	r.Reserve("a", 7, 0, time.Second)
+	r.Reserve("b", 7, 0, time.Second)
+	r.Reserve("c", 8, 0, time.Second)
+	unfinished("with two reservations", 2)
+	if accepted, reserved := r.Lookup("a"); accepted || !reserved {
+		t.Error("a reservation is not found as one")
+	}
+	r.Release("b")
+	unfinished("with one released", 1)
+	r.Accept("a")
+	r.Adopt("a", 7, 0)
+	r.Release("a")
+	unfinished("with one accepted", 1)
+	if accepted, reserved := r.Lookup("a"); !accepted || reserved {
+		t.Error("an accepted message is not found as one")
+	}
+	r.Adopt("d", 7, 0)
+	unfinished("with one adopted", 2)
+	r.Observe([]admission.Seen{{Kind: admission.Ended, ID: "a"}, {Kind: admission.Ended, ID: "d"}, {Kind: admission.Ended, ID: "d"}})
+	unfinished("with all ended", 0)
+	if accepted, reserved := r.Lookup("a"); accepted || reserved {
+		t.Error("a message that has ended is in flight")
+	}
+}
