A sender's own share of a limit, known and kept by the two sliding windows

Entry.Limit tells a sender its own share in calls a second; NoCalls that it has none for now. The share is never passed, refusals below it cut as before and it grows back to it. Windows hold a whole number of calls and are stretched to it, without chance. A share that shrinks counts the calls in the logs; the wide window follows evenly.

--- a/decide/share/share.go
+++ b/decide/share/share.go
@@ -1,5 +1,5 @@
-// Package share decides how much of a limit each of many senders uses, when none of them is told
-// the limit. It does no I/O and reads no clock.
+// Package share decides how much of a limit a sender uses: its part of one that many share and none of
+// them is told, or a share that it holds alone. It does no I/O and reads no clock.
 //
 // Of eighty senders each makes a call in some seconds: what one learns by refusals of its own comes
 // too late, and cuts and growth by those alone balance only where a quarter of all calls is refused,
@@ -12,6 +12,9 @@
 // of a few calls a second lets refusals come seldom. The level falls by a factor of e^Weight in
 // a second, and once by e^Burst more, at most: neither refusals that come together nor a sender that
 // tells nonsense closes what answers, and it comes back within seconds once they end.
+//
+// A share that a sender holds alone ([Hold]) is known: its level starts at 1 and never grows over it.
+// Refusals below it cut the level as above, by the sender's own calls alone, and it grows back.
 package share
 
 import (
@@ -40,14 +43,28 @@
 	most = 2.0
 	// memory is in what time the level of late, for the wide window, follows one that fell.
 	memory = 6 * time.Second
+	// longMemory is in what time it follows evenly where the share is held: the mean over a wide window of
+	// what was in order then, so that a share that shrinks stops nobody for longer than the narrow one does.
+	longMemory = 12 * time.Second
+	// unknownRate is what a share is taken for that is closed and never was open, in calls a second.
+	unknownRate = 1.0
+	// leastClosed is for how long a part that was just closed is taken to stay so.
+	leastClosed = 2 * time.Second
+	// rounding is by how much a slice may be over a whole number and count as that.
+	rounding = 1e-9
 )
 
 // Part is one sender's part of a limit. All senders that hear the same have the same level.
 type Part struct {
 	fair    float64 // calls a second of one sender at level 1
 	senders float64
+	top     float64       // the most that the level may be
+	alone   bool          // it is a share that this sender holds alone
+	closed  bool          // of which it may use nothing for now
+	since   time.Duration // when it was closed
 	level   float64
 	late    float64 // the level of late: at least the level, and falls after it
+	forget  float64 // so much a second, where the share is held
 	budget  float64 // how much of a cut may come now
 	at      time.Duration
 	refused time.Duration // the last refusal
@@ -57,7 +74,73 @@
 // New returns a part of a rate in calls a second for all of so many senders.
 func New(now time.Duration, rate float64, senders int) *Part {
 	n := float64(max(1, senders))
-	return &Part{fair: rate / n, senders: n, level: 1, late: 1, budget: Burst, at: now, refused: now, bound: now - fresh}
+	return &Part{fair: rate / n, senders: n, top: most * n, level: 1, late: 1, budget: Burst,
+		at: now, refused: now, bound: now - fresh}
+}
+
+// Hold returns the part of a sender that holds a share of its own from now on, in calls a second: p, which
+// may be nil, changed to it at once. A negative share closes the part; 0 gives it up.
+func (p *Part) Hold(now time.Duration, limit float64) *Part {
+	if limit == 0 {
+		return nil
+	}
+	if !p.Alone() {
+		p = New(now, unknownRate, 1)
+		p.alone, p.top = true, 1
+		if limit > 0 {
+			p.fair = limit
+		}
+	}
+	p.move(now)
+	if limit < 0 {
+		if !p.closed {
+			p.closed, p.since = true, now
+		}
+		return p
+	}
+	// What was in order before a share shrank stays so for the wide window.
+	p.late = max(p.level, p.late*p.fair/limit)
+	p.fair, p.closed = limit, false
+	p.forget = (p.late - p.level) / longMemory.Seconds()
+	return p
+}
+
+// Alone tells that it is a share that the sender holds alone. A nil Part is none.
+func (p *Part) Alone() bool { return p != nil && p.alone }
+
+// ClosedFor is for how long the sender has had no share, and leastClosed at least: 0 where it has one.
+// A nil Part is open.
+func (p *Part) ClosedFor(now time.Duration) time.Duration {
+	if p == nil || !p.closed {
+		return 0
+	}
+	return max(leastClosed, now-p.since)
+}
+
+// Cap is a rate, at most the share where one is held. A nil Part bounds nothing.
+func (p *Part) Cap(rate float64) float64 {
+	if p.Alone() {
+		return min(rate, p.fair)
+	}
+	return rate
+}
+
+// Whole is how many calls a window may hold that is to hold so many in the mean, one at least. A window
+// of a share that is held is stretched until that is a whole number, so that none of the share is lost.
+func (p *Part) Whole(slice float64) float64 {
+	if p.Alone() {
+		slice = math.Ceil(slice - rounding)
+	}
+	return max(1, slice)
+}
+
+// Stretch is how much longer a window is for that. Windows of what many share have lengths drawn apart,
+// by a phase of about 1, or senders that were refused together come back together.
+func (p *Part) Stretch(slice, phase float64) float64 {
+	if p.Alone() {
+		return p.Whole(slice) / slice
+	}
+	return phase / min(1, slice)
 }
 
 // Rate is how many calls a second this sender may make, and made of late.
@@ -66,10 +149,12 @@
 	return p.fair * p.level, p.fair * p.late
 }
 
-// Bound takes in that a message waits for this sender's part.
+// Bound takes in that a message waits for this sender's part. A nil Part does not mind.
 func (p *Part) Bound(now time.Duration) {
-	p.move(now)
-	p.bound = now
+	if p != nil {
+		p.move(now)
+		p.bound = now
+	}
 }
 
 // Refused takes in that a call was refused: of this sender, or of another that told so. Where
@@ -85,6 +170,7 @@
 	p.budget -= cut
 	p.level = max(least, p.level*math.Exp(-cut))
 	p.refused = now
+	p.forget = max(p.forget, (p.late-p.level)/longMemory.Seconds())
 }
 
 // Restore takes back what refusals of late have cost, to the level of late: they came of an outage and
@@ -92,7 +178,7 @@
 func (p *Part) Restore(now time.Duration) {
 	if p != nil {
 		p.move(now)
-		p.level = p.late
+		p.level = min(p.late, p.top)
 	}
 }
 
@@ -111,8 +197,12 @@
 	p.budget = min(Burst, p.budget+Weight*since)
 	if until := min(now, p.bound+fresh); until > p.at {
 		quiet := float64(until-p.refused) / float64(probe)
-		p.level = min(most*p.senders, p.level*math.Exp(min(mostGrowth, growth*(1+quiet*quiet))*(until-p.at).Seconds()))
+		p.level = min(p.top, p.level*math.Exp(min(mostGrowth, growth*(1+quiet*quiet))*(until-p.at).Seconds()))
+	}
+	if p.alone {
+		p.late = max(p.level, p.late-p.forget*since)
+	} else {
+		p.late = max(p.level, p.late*math.Exp(-since/memory.Seconds()))
 	}
-	p.late = max(p.level, p.late*math.Exp(-since/memory.Seconds()))
 	p.at = now
 }
--- a/decide/terms/terms.go
+++ b/decide/terms/terms.go
@@ -47,6 +47,17 @@
 	RateRough                   // rates are up to half too high or too low
 )
 
+// roughOver is how many times the true rate a rough one is at most.
+const roughOver = 1.5
+
+// Sure is the least that a listed rate may mean.
+func (l Listing) Sure(rate float64) float64 {
+	if l == RateRough {
+		return rate / roughOver
+	}
+	return rate
+}
+
 // Settings is what a sender knows when it starts.
 type Settings struct {
 	Senders int // how many senders there are
@@ -97,8 +108,17 @@
 	Zone        int
 	State       EndpointState
 	Rate        float64 // see Settings.Listing: calls a second from all senders together
+	// Limit is how many calls a second this sender may make at most to what shares a limit with the
+	// endpoint: its own share, which no other sender uses. It holds from the step that brings it, for all
+	// endpoints of the destination unless its routes are apart, and what the logs count then counts
+	// against it. 0 means that none is known, so that the sender has to learn it by refusals; NoCalls
+	// that the sender has no share for now. An entry that is Gone changes no limit.
+	Limit float64
 }
 
+// NoCalls is the Entry.Limit of a sender that may make no call for now: messages wait.
+const NoCalls = -1.0
+
 // Outcome says how an attempt ended.
 type Outcome int
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -89,7 +89,6 @@
 	// Any destination is taken to bear so many calls a second from all senders when
 	// warm. The settings don't tell; with less small ones would hardly be tried.
 	leastRate = 6
-	roughOver = 1.5 // a rough rate is up to half over the true one
 
 	// Backoff between attempts at one message, doubled each time.
 	backoffBase, backoffMax = 200 * time.Millisecond, 4 * time.Second
@@ -194,13 +193,10 @@
 		narrow: index.Window{Span: narrowWindow}, wide: index.Window{Span: wideWindow},
 		taken: estimate.Rate{Window: index.Window{Span: narrowWindow}}, most: 1,
 		latency: estimate.Latency{Mean: firstLatency}}
-	if s.set.Listing != RateUnlisted && entry.Rate > 0 {
+	if s.set.Listing != RateUnlisted && entry.Rate > 0 && entry.Limit == 0 {
 		p.listed = entry.Rate / float64(s.set.Senders)
 		p.slice = max(1, p.listed*narrowWindow.Seconds())
-		p.sureRate = p.listed
-		if s.set.Listing == RateRough {
-			p.sureRate /= roughOver
-		}
+		p.sureRate = s.set.Listing.Sure(p.listed)
 		if s.set.Senders >= manySenders {
 			p.part = share.New(s.now, entry.Rate, s.set.Senders)
 			s.follow(p)
@@ -213,6 +209,18 @@
 	return p
 }
 
+// hold takes in the share of a limit that this sender has alone, or that it has none for now. Without
+// one any more, a path goes on from the slice that it has.
+func (s *Sender) hold(p *path, entry Entry) {
+	if entry.State == Gone || entry.Limit == 0 && !p.part.Alone() {
+		return
+	}
+	if p.part = p.part.Hold(s.now, entry.Limit); entry.Limit > 0 {
+		p.sureRate = s.set.Listing.Sure(entry.Limit)
+		s.follow(p)
+	}
+}
+
 // due is when the pace of a path allows the next call.
 func (s *Sender) due(p *path) Time {
 	if p.slice <= 1 || math.IsInf(p.slice, 1) {
@@ -226,18 +234,16 @@
 	if p.part != nil {
 		s.follow(p)
 	}
-	slice := max(1, p.slice)
-	if s.now < p.closedUntil {
+	slice := p.part.Whole(p.slice)
+	if s.now < p.closedUntil || p.part.ClosedFor(s.now) > 0 {
 		return false
 	}
-	if _, out := p.outSince(); out && p.part != nil {
+	if _, out := p.outSince(); out && p.part != nil && !p.part.Alone() {
 		return p.inFlight < s.bound(p) // trials have spaces of their own; stretched logs would hold them back
 	}
 	if s.now < s.due(p) || float64(p.narrow.Count(s.now)) > slice-1 ||
 		float64(p.wide.Count(s.now)) > slice*float64(wideWindow/narrowWindow)-1 {
-		if p.part != nil {
-			p.part.Bound(s.now)
-		}
+		p.part.Bound(s.now)
 		return false
 	}
 	return p.inFlight < s.bound(p)
@@ -248,7 +254,7 @@
 func (s *Sender) follow(p *path) {
 	rate, late := p.part.Rate(s.now)
 	p.slice = rate * narrowWindow.Seconds()
-	stretch := p.phase / min(1, p.slice)
+	stretch := p.part.Stretch(p.slice, p.phase)
 	p.narrow.Span = time.Duration(stretch * float64(narrowWindow))
 	p.wide.Span = time.Duration(stretch * float64(wideWindow) * rate / late)
 }
@@ -283,7 +289,7 @@
 // time, and closes the logs for the told wait.
 func (s *Sender) full(p *path, e *endpoint, sent Time, wait time.Duration) {
 	if p.part != nil {
-		s.refused(e, !s.tell(e, Jam) || !s.notesCome())
+		s.refused(e, !p.part.Alone() && (!s.tell(e, Jam) || !s.notesCome()))
 		e.fullRun++
 	} else if sent >= e.fullAt { // calls that were out together count as one refusal
 		if math.IsInf(p.slice, 1) {
@@ -305,10 +311,7 @@
 	if p.part == nil && p.slice <= 1 && s.set.MayTell && s.jam(p) {
 		s.tell(e, Jam)
 	}
-	pause := wait
-	if wait == 0 {
-		pause = min(maxFullPause, fullPause<<min(e.fullRun, 6))
-	}
+	pause := cmp.Or(wait, min(maxFullPause, fullPause<<min(e.fullRun, 6)))
 	p.closedUntil = max(p.closedUntil, s.now+pause+estimate.Jitter(s.rng, waitJitter))
 }
 
@@ -467,9 +470,8 @@
 func (s *Sender) drain(d *destination) time.Duration {
 	rate, outage := 0.0, time.Duration(math.MaxInt64)
 	for _, p := range d.paths {
-		r, o := s.rate(p), s.outage(p)
-		rate += r
-		outage = min(outage, o)
+		rate += s.rate(p)
+		outage = min(outage, s.outage(p))
 	}
 	if len(d.paths) == 0 {
 		return narrowWindow
@@ -489,7 +491,7 @@
 // outage guesses how long a path stays closed: an outage that has lasted for
 // some time lasts as long again.
 func (s *Sender) outage(p *path) time.Duration {
-	wait := max(0, p.closedUntil-s.now)
+	wait := max(p.part.ClosedFor(s.now), p.closedUntil-s.now)
 	if from, out := p.outSince(); out {
 		wait = max(wait, s.now-from, s.set.FallWindow)
 	}
@@ -709,7 +711,9 @@
 }
 
 // ownRate is how many calls a second a path took from this sender: all senders' sum to what it took.
-func (s *Sender) ownRate(p *path) float64 { return p.taken.Own(s.now-s.started, s.set.Senders) }
+func (s *Sender) ownRate(p *path) float64 {
+	return p.part.Cap(p.taken.Own(s.now-s.started, s.set.Senders))
+}
 
 // coldBudget is how many calls in a fall window a path may get from this sender
 // while it may be cold: the larger of its part of what the path surely takes and one call
@@ -859,7 +863,7 @@
 	}
 	s.heardAt = s.now
 	switch {
-	case e == nil:
+	case e == nil || n.News == Jam && e.path.part.Alone(): // others have shares of their own
 	case n.News == Jam:
 		if p := e.path; p.part != nil {
 			s.refused(e, false)
--- a/policy/state.go
+++ b/policy/state.go
@@ -127,7 +127,7 @@
 	narrow, wide index.Window
 	taken        estimate.Rate // its successes
 	most         int           // the most endpoints that were ready at a time
-	part         *share.Part   // of a limit that many senders share, or nil
+	part         *share.Part   // of a limit that many senders share, or that this one holds, or nil
 	phase        float64       // drawn with each call: how long a stretched window is, about 1
 	slice        float64       // calls in a narrow window; infinite while unbound
 	beforeRun    float64       // the slice before the fulls in a row of late, or 0
@@ -309,6 +309,7 @@
 		}
 		if e != nil {
 			s.setState(e, entry.State)
+			s.hold(e.path, entry)
 		}
 	}
 	if !l.Whole {
