--- a/policy/policy.go
+++ b/policy/policy.go
@@ -711,9 +711,7 @@
 }
 
 // ownRate is how many calls a second a path took from this sender: all senders' sum to what it took.
-func (s *Sender) ownRate(p *path) float64 {
-	return p.part.Cap(p.taken.Own(s.now-s.started, s.set.Senders))
-}
+func (s *Sender) ownRate(p *path) float64 { return p.taken.Own(s.now-s.started, s.set.Senders) }
 
 // coldBudget is how many calls in a fall window a path may get from this sender
 // while it may be cold: the larger of its part of what the path surely takes and one call
@@ -723,7 +721,7 @@
 	sure := max(e.path.sureRate, leastRate/float64(s.set.Senders))
 	gathered := min(s.longest, max(s.set.FallWindow, s.now-e.troubled)).Seconds()
 	bears := coldMargin * s.set.FallMultiple * warmth * s.set.FallWindow.Seconds()
-	return bears * max(sure, s.ownRate(e.path), 1/gathered)
+	return bears * max(sure, e.path.part.Cap(s.ownRate(e.path)), 1/gathered)
 }
 
 // coldRoom tells whether an endpoint that may be cold may be sent a call: its part
