--- /dev/null
+++ b/decide/lease/exhaustive_test.go
@@ -0,0 +1,150 @@
+package lease
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"wingmount/decide/placement"
+)
+
+// exhaustiveSteps bounds the length of the plays of TestAllShortPlays, and inFlight the messages under way.
+const (
+	exhaustiveSteps = 4
+	inFlight        = 2
+)
+
+// ownerSets are those of the only destination.
+var ownerSets = [][]placement.NodeID{{"n0"}, {"n1"}, {"n0", "n1"}}
+
+// exhaustiveActions are all that can happen in the small model. One that can't happen now changes nothing.
+var exhaustiveActions = []func(m *model){
+	func(m *model) { m.renewBounded(0) },
+	func(m *model) { m.renewBounded(1) },
+	func(m *model) { m.deliverIf(0, false) },
+	func(m *model) { m.deliverIf(1, false) },
+	func(m *model) { m.deliverIf(0, true) },
+	func(m *model) { m.dropIf(0) },
+	func(m *model) { m.pass(modelDuration / 2) },
+	func(m *model) { m.grantor.SetOwners(m.now, 0, ownerSets[0]) },
+	func(m *model) { m.grantor.SetOwners(m.now, 0, ownerSets[1]) },
+	func(m *model) { m.grantor.SetOwners(m.now, 0, ownerSets[2]) },
+	func(m *model) { m.releaseIf(0) },
+	func(m *model) { m.releaseIf(1) },
+}
+
+func (m *model) renewBounded(process int) {
+	if len(m.network) < inFlight {
+		m.renew(m.processes[process])
+	}
+}
+
+func (m *model) deliverIf(at int, again bool) {
+	if at < len(m.network) && !(again && len(m.network) >= inFlight) {
+		m.deliver(at, again)
+	}
+}
+
+func (m *model) dropIf(at int) {
+	if at < len(m.network) {
+		m.network = append(m.network[:at:at], m.network[at+1:]...)
+	}
+}
+
+func (m *model) releaseIf(process int) {
+	holder := m.processes[process].holder
+	if assignment, ok := holder.Assignment(0); ok && !assignment.Accepting {
+		holder.Released(0)
+	}
+}
+
+// state is a text that is the same for states which differ in nothing that can happen later, but the numbers of
+// epochs and requests.
+func (m *model) state() string {
+	var text strings.Builder
+	for _, process := range m.processes {
+		h := process.holder
+		fmt.Fprintf(&text, "%v %v %v %v %v %v %v|", h.leased, h.ends-process.clock, h.pending.sequence, h.pending.sent-process.clock,
+			h.session, h.applied, h.assignments)
+		fmt.Fprintf(&text, "%v %v %v|", h.released, h.unfinished, h.sequence)
+	}
+	for _, n := range m.network {
+		fmt.Fprintf(&text, "%v %v %v|", n.process.id, n.request, n.reply)
+	}
+	g := m.grantor
+	for _, id := range []placement.NodeID{"n0", "n1"} {
+		if n := g.nodes[id]; n != nil {
+			for _, s := range n.sessions {
+				fmt.Fprintf(&text, "%v %v %v %v %v|", s.id, s.expires-m.now, s.version, s.applied, s.sequence)
+			}
+		}
+	}
+	if a := g.allotments[0]; a != nil {
+		fmt.Fprintf(&text, "%v:", a.owners)
+		for _, held := range a.grants {
+			fmt.Fprintf(&text, "%v %v %v %v|", held.session.id, held.assignment(), held.reserved, held.version)
+		}
+	}
+	return text.String()
+}
+
+// explore plays all actions up to some length, each state once, and returns how many states there are and the
+// first error of the checker.
+func explore(steps int, injected faults) (int, error) {
+	seen := map[string]struct{}{}
+	paths := [][]byte{nil}
+	for range steps {
+		var longer [][]byte
+		for _, path := range paths {
+			for action := range exhaustiveActions {
+				next := append(path[:len(path):len(path)], byte(action))
+				m, err := replay(next, injected)
+				if err != nil {
+					return len(seen), fmt.Errorf("after %v: %w", next, err)
+				}
+				state := m.state()
+				if _, known := seen[state]; !known {
+					seen[state] = struct{}{}
+					longer = append(longer, next)
+				}
+			}
+		}
+		paths = longer
+	}
+	return len(seen), nil
+}
+
+// replay plays actions from the beginning, where both nodes have a lease and own the destination.
+func replay(path []byte, injected faults) (*model, error) {
+	m := newModel(2, 1, injected)
+	m.grantor.SetOwners(m.now, 0, ownerSets[2])
+	for range 3 {
+		for _, process := range m.processes {
+			if err := m.exchange(process); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for _, action := range path {
+		exhaustiveActions[action](m)
+		if err := m.checkAll(); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func TestAllShortPlays(t *testing.T) {
+	steps := exhaustiveSteps
+	if testing.Short() {
+		steps = 4
+	}
+	states, err := explore(steps, faults{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d states by up to %d steps", states, steps)
+	if _, err := explore(steps, faults{ignoreConfirmation: true}); err == nil {
+		t.Fatal("a lowered share taken as confirmed is not found")
+	}
+}
--- /dev/null
+++ b/decide/lease/model_test.go
@@ -0,0 +1,272 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"wingmount/decide/placement"
+)
+
+// The lease of the model, in seconds.
+const (
+	modelDuration = 9 * time.Second
+	modelDrift    = 0.1
+)
+
+func modelConfig() Config {
+	return Config{Duration: modelDuration, MaxDrift: modelDrift, Slack: time.Second, MaxSessions: 64, MaxUnfinished: 16}
+}
+
+// modelProcess is a process of a node: a holder with a clock of its own.
+type modelProcess struct {
+	holder *Holder
+	node   placement.NodeID
+	id     ProcessID
+	rate   float64 // of its clock
+	clock  time.Duration
+	dead   bool
+	paused bool
+	inbox  []Reply // arrived during a pause
+}
+
+// message is under way from or to a process.
+type message struct {
+	process *modelProcess
+	request *Request // nil for a reply
+	reply   Reply
+}
+
+// model is a control process, nodes, and a network that loses, delays and repeats messages.
+type model struct {
+	now          time.Duration
+	grantor      *Grantor
+	older        []*Grantor // lives before, which still answer nodes that know of a newer one
+	incarnation  Incarnation
+	faults       faults
+	processes    []*modelProcess
+	nextProcess  ProcessID
+	destinations []placement.DestinationID
+	nodes        []placement.NodeID
+	network      []message
+	calm         bool // no pauses, jumps and restarts
+}
+
+func newModel(nodes, destinations int, injected faults) *model {
+	m := &model{faults: injected}
+	for i := range nodes {
+		m.nodes = append(m.nodes, placement.NodeID(fmt.Sprintf("n%d", i)))
+	}
+	for i := range destinations {
+		m.destinations = append(m.destinations, placement.DestinationID(i))
+	}
+	m.restartControl(true)
+	for _, node := range m.nodes {
+		m.start(node, 0, 1)
+	}
+	return m
+}
+
+// restartControl begins the next life of the control process. The one before answers no request any more,
+// except to nodes that have heard of the newer one.
+func (m *model) restartControl(fresh bool) {
+	if m.grantor != nil {
+		m.older = append(m.older, m.grantor)
+	}
+	m.incarnation++
+	config := modelConfig()
+	config.Fresh = fresh
+	m.grantor = NewGrantor(m.now, m.incarnation, config)
+	m.grantor.faults = m.faults
+}
+
+// start begins a process of a node.
+func (m *model) start(node placement.NodeID, replaces ProcessID, rate float64) *modelProcess {
+	m.nextProcess++
+	process := &modelProcess{
+		holder: NewHolder(HolderConfig{Node: node, Process: m.nextProcess, Replaces: replaces}),
+		node:   node, id: m.nextProcess, rate: rate,
+	}
+	m.processes = append(m.processes, process)
+	return process
+}
+
+// kill ends a process; what it sent may still arrive.
+func (m *model) kill(process *modelProcess) {
+	process.dead = true
+	m.processes = slices.DeleteFunc(m.processes, func(other *modelProcess) bool { return other == process })
+}
+
+// pass lets time go by.
+func (m *model) pass(elapsed time.Duration) {
+	m.now += elapsed
+	for _, process := range m.processes {
+		process.clock += time.Duration(float64(elapsed) * process.rate)
+	}
+}
+
+// renew sends a request of a process.
+func (m *model) renew(process *modelProcess) {
+	if process.paused {
+		return
+	}
+	request := process.holder.Renew(process.clock)
+	m.network = append(m.network, message{process: process, request: &request})
+}
+
+// deliver hands over a message, and takes it from the network unless it comes again.
+func (m *model) deliver(at int, again bool) {
+	message := m.network[at]
+	if !again {
+		m.network = slices.Delete(m.network, at, at+1)
+	}
+	if message.request == nil {
+		m.receiveReply(message.process, message.reply)
+		return
+	}
+	m.receiveRequest(message.process, *message.request)
+}
+
+func (m *model) receiveReply(process *modelProcess, reply Reply) {
+	switch {
+	case process.dead:
+	case process.paused:
+		process.inbox = append(process.inbox, reply)
+	default:
+		_, _ = process.holder.Receive(process.clock, reply)
+	}
+}
+
+// receiveRequest has a request answered, and by the older lives where the node has heard of a newer one.
+func (m *model) receiveRequest(process *modelProcess, request Request) {
+	m.answer(m.grantor, process, request)
+	for _, older := range m.older {
+		if request.Incarnation > older.incarnation {
+			m.answer(older, process, request)
+		}
+	}
+}
+
+func (m *model) answer(grantor *Grantor, process *modelProcess, request Request) {
+	session, err := grantor.Receive(m.now, request)
+	if err == ErrClaimsWanted {
+		reply := Reply{Incarnation: grantor.Incarnation(), Sequence: request.Sequence, ClaimsWanted: true}
+		m.network = append(m.network, message{process: process, reply: reply})
+		return
+	}
+	if err != nil || session == 0 {
+		return
+	}
+	reply, err := grantor.Answer(m.now, session, request)
+	if err == nil {
+		m.network = append(m.network, message{process: process, reply: reply})
+	}
+}
+
+// wake ends a pause: the process looks at its clock, and then finds what arrived.
+func (m *model) wake(process *modelProcess) {
+	process.paused = false
+	inbox := process.inbox
+	process.inbox = nil
+	for _, reply := range inbox {
+		m.receiveReply(process, reply)
+	}
+}
+
+// check tells whether more of a destination's limit is in force than there is.
+func (m *model) check() error {
+	for _, destination := range m.destinations {
+		sum := 0.0
+		for _, process := range m.processes {
+			sum += process.holder.Share(process.clock, destination)
+		}
+		if sum > 1 {
+			return fmt.Errorf("at %v destination %d has shares of %v in force", m.now, destination, sum)
+		}
+	}
+	return nil
+}
+
+// checkBooks tells whether a grantor has reserved more than there is, or its lists are broken.
+func checkBooks(g *Grantor) error {
+	grants := 0
+	for destination, a := range g.allotments {
+		if a.free() < 0 {
+			return fmt.Errorf("destination %d: %v too much is reserved", destination, -a.free())
+		}
+		for _, held := range a.grants {
+			if held.share > held.reserved {
+				return fmt.Errorf("destination %d: %v is granted and %v reserved", destination, held.share, held.reserved)
+			}
+			if g.sessions[held.session.id] != held.session {
+				return fmt.Errorf("destination %d: a grant of a session that has ended", destination)
+			}
+			grants++
+		}
+	}
+	listed := 0
+	for _, s := range g.sessions {
+		version, count := Version(0), 0
+		for held := s.oldest; held != nil; held = held.next {
+			if held.version <= version {
+				return fmt.Errorf("session %d: version %d after %d", s.id, held.version, version)
+			}
+			version = held.version
+			count++
+		}
+		if count != s.grants {
+			return fmt.Errorf("session %d: %d grants listed, %d counted", s.id, count, s.grants)
+		}
+		listed += count
+	}
+	if listed != grants {
+		return fmt.Errorf("%d grants by destination, %d by session", grants, listed)
+	}
+	return nil
+}
+
+// exchange lets a process renew over a network that works.
+func (m *model) exchange(process *modelProcess) error {
+	for range 2 {
+		request := process.holder.Renew(process.clock)
+		session, err := m.grantor.Receive(m.now, request)
+		var reply Reply
+		if err == ErrClaimsWanted {
+			reply = Reply{Incarnation: m.grantor.Incarnation(), Sequence: request.Sequence, ClaimsWanted: true}
+		} else if err != nil {
+			return err
+		} else if reply, err = m.grantor.Answer(m.now, session, request); err != nil {
+			return err
+		}
+		if _, err = process.holder.Receive(process.clock, reply); err != ErrClaimsWanted {
+			return err
+		}
+	}
+	return nil
+}
+
+// settle lets all processes renew until nothing changes, and release what they do not accept for.
+func (m *model) settle(t interface {
+	Helper()
+	Fatal(...any)
+}) {
+	t.Helper()
+	m.network = nil
+	for range 30 {
+		m.pass(modelDuration / 4)
+		for _, process := range m.processes {
+			if process.paused {
+				m.wake(process)
+			}
+			for _, destination := range m.destinations {
+				if assignment, ok := process.holder.Assignment(destination); ok && !assignment.Accepting {
+					process.holder.Released(destination)
+				}
+			}
+			_ = m.exchange(process)
+			if err := m.check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/decide/lease/property_test.go
@@ -0,0 +1,231 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wingmount/decide/placement"
+)
+
+// chooser draws what happens next: from rapid, or from a generator.
+type chooser interface {
+	below(n int, label string) int
+}
+
+type rapidChooser struct{ t *rapid.T }
+
+func (c rapidChooser) below(n int, label string) int { return rapid.IntRange(0, n-1).Draw(c.t, label) }
+
+type randomChooser struct{ rng *rand.Rand }
+
+func (c randomChooser) below(n int, _ string) int { return c.rng.IntN(n) }
+
+// step lets one thing happen.
+func (m *model) step(c chooser) {
+	process := m.processes[c.below(len(m.processes), "process")]
+	destination := m.destinations[c.below(len(m.destinations), "destination")]
+	actions := 20
+	if m.calm {
+		actions = 16
+	}
+	switch c.below(actions, "action") {
+	case 0, 1, 2, 3:
+		m.renew(process)
+	case 4, 5, 6, 7, 8:
+		if len(m.network) > 0 {
+			m.deliver(c.below(len(m.network), "message"), c.below(4, "again") == 0)
+		}
+	case 9:
+		if len(m.network) > 0 {
+			m.network = m.network[1:]
+		}
+	case 10, 11:
+		m.pass(time.Duration(1+c.below(30, "tenths")) * modelDuration / 30)
+	case 12:
+		m.setOwners(c, destination)
+	case 13:
+		m.grantor.Advance(m.now)
+	case 14:
+		if assignment, ok := process.holder.Assignment(destination); ok && !assignment.Accepting {
+			process.holder.Released(destination)
+		}
+	case 15:
+		process.holder.Unfinished(destination)
+	case 16:
+		m.pauseOrWake(process)
+	case 17:
+		m.jump(c, process)
+	case 18:
+		m.restartNode(c, process)
+	case 19:
+		if c.below(3, "control") == 0 {
+			m.restartControl(false)
+		}
+	}
+}
+
+func (m *model) setOwners(c chooser, destination placement.DestinationID) {
+	var owners []placement.NodeID
+	set := c.below(1<<len(m.nodes), "owners")
+	for i, node := range m.nodes {
+		if set&(1<<i) != 0 {
+			owners = append(owners, node)
+		}
+	}
+	m.grantor.SetOwners(m.now, destination, owners)
+}
+
+func (m *model) pauseOrWake(process *modelProcess) {
+	if process.paused {
+		m.wake(process)
+	} else {
+		process.paused = true
+	}
+}
+
+// jump steps a clock. The holder looks at its clock then: one that does not go back in between is its caller's part.
+func (m *model) jump(c chooser, process *modelProcess) {
+	process.clock += time.Duration(c.below(61, "jump")-30) * time.Second
+	process.holder.InForce(process.clock)
+}
+
+// restartNode replaces a process: killed, by one that knows it; killed, by one that knows nothing; left; or still alive.
+func (m *model) restartNode(c chooser, process *modelProcess) {
+	rate := 1 - modelDrift + 2*modelDrift*float64(c.below(5, "rate"))/4
+	replaces := ProcessID(0)
+	switch c.below(4, "restart") {
+	case 0:
+		m.kill(process)
+		replaces = process.id
+	case 1:
+		m.kill(process)
+	case 2:
+		request := process.holder.Leave(process.clock)
+		m.kill(process)
+		m.network = append(m.network, message{process: process, request: &request})
+	case 3:
+		if len(m.processes) > 6 {
+			m.kill(process)
+		}
+	}
+	m.start(process.node, replaces, rate)
+}
+
+func (m *model) checkAll() error {
+	if err := m.check(); err != nil {
+		return err
+	}
+	return checkBooks(m.grantor)
+}
+
+func TestSumOfSharesNeverExceedsOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(3, 2, faults{})
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+			m.step(rapidChooser{t})
+			if err := m.checkAll(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// play plays random steps and returns the first error of the checker.
+func play(seed uint64, steps int, injected faults) error {
+	m := newModel(3, 2, injected)
+	m.calm = seed%2 == 1
+	c := randomChooser{rand.New(rand.NewPCG(seed, 35))}
+	for range steps {
+		m.step(c)
+		if err := m.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestCheckerFindsSeededFaults(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		injected faults
+	}{
+		{"a lease granted early", faults{grantEarly: true}},
+		{"a lowered share taken as confirmed", faults{ignoreConfirmation: true}},
+		{"an epoch not checked", faults{ignoreEpoch: true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			const plays, steps = 300, 400
+			found := 0
+			for seed := range uint64(plays) {
+				if play(seed, steps, test.injected) != nil {
+					found++
+				}
+			}
+			t.Logf("found in %d of %d plays of %d steps", found, plays, steps)
+			if found == 0 {
+				t.Fatal("the checker finds nothing")
+			}
+		})
+	}
+	for seed := range uint64(300) {
+		if err := play(seed, 400, faults{}); err != nil {
+			t.Fatalf("without a fault, seed %d: %v", seed, err)
+		}
+	}
+}
+
+func TestAllIsGrantedOnceThingsAreQuiet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(3, 2, faults{})
+		for range rapid.IntRange(0, 150).Draw(t, "steps") {
+			m.step(rapidChooser{t})
+		}
+		owners := map[placement.DestinationID][]placement.NodeID{
+			0: {"n0", "n1"},
+			1: {"n2"},
+		}
+		m.settleQuietly(t)
+		for destination, nodes := range owners {
+			m.grantor.SetOwners(m.now, destination, nodes)
+		}
+		m.grantor.Settle(m.now)
+		m.settleQuietly(t)
+		for destination, nodes := range owners {
+			m.expectOwners(t, destination, nodes)
+		}
+	})
+}
+
+// settleQuietly ends the second processes of nodes, and settles.
+func (m *model) settleQuietly(t *rapid.T) {
+	first := map[placement.NodeID]*modelProcess{}
+	for _, process := range append([]*modelProcess(nil), m.processes...) {
+		if first[process.node] != nil {
+			m.kill(process)
+			continue
+		}
+		first[process.node] = process
+	}
+	m.settle(t)
+}
+
+// expectOwners checks that the owners have all of a destination by equal parts, and nobody else has a part.
+func (m *model) expectOwners(t *rapid.T, destination placement.DestinationID, nodes []placement.NodeID) {
+	want := (whole / units(len(nodes))).float()
+	for _, process := range m.processes {
+		owner := false
+		for _, node := range nodes {
+			owner = owner || node == process.node
+		}
+		share := process.holder.Share(process.clock, destination)
+		if owner && share != want {
+			t.Fatalf("destination %d: owner %s has %v, not %v", destination, process.node, share, want)
+		}
+		if assignment, ok := process.holder.Assignment(destination); !owner && ok {
+			t.Fatalf("destination %d: %s has %+v", destination, process.node, assignment)
+		}
+	}
+}
