--- a/internal/engine/shares.go
+++ b/internal/engine/shares.go
@@ -17,20 +17,20 @@
 // SetShares sets the shares of destinations' limits that this node may use while it has a lease, where
 // destinations are assigned to nodes; those that are not among them stay. It returns when the module follows
 // them, or the engine has ended.
-func (l *Engine) SetShares(shares map[int]float64) {
-	l.postAndWait(shareUpdate{shares: shares, done: make(chan struct{})})
+func (e *Engine) SetShares(shares map[int]float64) {
+	e.postAndWait(shareUpdate{shares: shares, done: make(chan struct{})})
 }
 
-// SetLeased tells whether this node has a lease. Without one it makes no call. It returns as SetShares does.
-func (l *Engine) SetLeased(leased bool) {
-	l.postAndWait(shareUpdate{leased: &leased, done: make(chan struct{})})
+// SetLeased tells whether this node has a lease. Without one it makes no cale. It returns as SetShares does.
+func (e *Engine) SetLeased(leased bool) {
+	e.postAndWait(shareUpdate{leased: &leased, done: make(chan struct{})})
 }
 
-func (l *Engine) postAndWait(u shareUpdate) {
-	l.Post(u)
+func (e *Engine) postAndWait(u shareUpdate) {
+	e.Post(u)
 	select {
 	case <-u.done:
-	case <-l.done:
+	case <-e.done:
 	}
 }
 
@@ -66,16 +66,16 @@
 }
 
 // attach notes a destination's endpoint, whose limit changes with the destination's share.
-func (s *shares) attach(d *destination, e *endpoint) {
+func (s *shares) attach(d *trackedDestination, endpoint *trackedEndpoint) {
 	if s.assigned {
-		d.endpoints = append(d.endpoints, e)
+		d.assigned = append(d.assigned, endpoint)
 	}
 }
 
 // detach forgets an endpoint.
-func (s *shares) detach(d *destination, e *endpoint) {
-	if i := slices.Index(d.endpoints, e); i >= 0 {
-		d.endpoints = slices.Delete(d.endpoints, i, i+1)
+func (s *shares) detach(d *trackedDestination, endpoint *trackedEndpoint) {
+	if i := slices.Index(d.assigned, endpoint); i >= 0 {
+		d.assigned = slices.Delete(d.assigned, i, i+1)
 	}
 }
 
@@ -89,41 +89,41 @@
 }
 
 // applyShares takes in an update, and tells the module of the endpoints whose limits it changes.
-func (l *Engine) applyShares(u shareUpdate) {
+func (e *Engine) applyShares(u shareUpdate) {
 	changed := make([]int, 0, len(u.shares))
 	for destination, share := range u.shares {
-		l.shares.set(destination, share)
+		e.shares.set(destination, share)
 		changed = append(changed, destination)
 	}
-	if u.leased != nil && *u.leased != l.shares.leased {
-		l.shares.leased = *u.leased
-		for destination := range l.shares.of {
+	if u.leased != nil && *u.leased != e.shares.leased {
+		e.shares.leased = *u.leased
+		for destination := range e.shares.of {
 			changed = append(changed, destination)
 		}
 	}
-	if listed := l.relisted(changed); len(listed.Entries) > 0 {
-		l.batch = append(l.batch, listed)
+	if listed := e.relisted(changed); len(listed.Entries) > 0 {
+		e.batch = append(e.batch, listed)
 	}
-	l.shares.following = append(l.shares.following, u.done)
+	e.shares.following = append(e.shares.following, u.done)
 }
 
 // relisted are the entries of destinations' endpoints that are listed, as they are now.
-func (l *Engine) relisted(destinations []int) policy.Listed {
+func (e *Engine) relisted(destinations []int) policy.Listed {
 	var listed policy.Listed
 	for _, number := range destinations {
-		d := l.dests[number]
+		d := e.destinations[number]
 		if d == nil {
 			continue
 		}
-		for _, e := range d.endpoints {
-			if e.gone {
+		for _, endpoint := range d.assigned {
+			if endpoint.delisted {
 				continue
 			}
 			state := policy.Ready
-			if e.Leaves.Closing() {
+			if endpoint.Leaves.Closing() {
 				state = policy.Draining
 			}
-			listed.Entries = append(listed.Entries, l.entry(e, state))
+			listed.Entries = append(listed.Entries, e.entry(endpoint, state))
 		}
 	}
 	return listed
