--- a/internal/engine/shares.go
+++ b/internal/engine/shares.go
@@ -21,7 +21,7 @@
 	e.postAndWait(shareUpdate{shares: shares, done: make(chan struct{})})
 }
 
-// SetLeased tells whether this node has a lease. Without one it makes no cale. It returns as SetShares does.
+// SetLeased tells whether this node has a lease. Without one it makes no call. It returns as SetShares does.
 func (e *Engine) SetLeased(leased bool) {
 	e.postAndWait(shareUpdate{leased: &leased, done: make(chan struct{})})
 }
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -44,6 +44,7 @@
 	linesStay             bool                  // see http1.Config
 	keeper                *ruling.Keeper        // nil where there are no rules for keys and classes
 	endForeign            bool                  // see settleForeign
+	assignment            *assignment           // nil where destinations are not assigned to nodes
 	log                   *slog.Logger
 }
 
@@ -71,11 +72,18 @@
 	}
 	n := &node{parts: p, listener: httpfront.NewListener(listener, clientSockets(p.sockets)),
 		registry: inflight.New(inflight.Config{Max: p.settings.MaxHeld, Admission: p.admission}),
-		engine:   engine.New(engine.Config{Settings: p.settings, Seed: p.seed, Kinds: p.kinds, Zones: p.zones, AnswerTime: p.answerTime})}
-	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, Registry: n.registry, Keeper: p.keeper},
-		p.store, func(m *message.Message) { n.engine.Post(m) }, p.log)
+		engine: engine.New(engine.Config{Settings: p.settings, Seed: p.seed, Kinds: p.kinds, Zones: p.zones, AnswerTime: p.answerTime,
+			Assigned: p.assignment != nil})}
+	var ownership httpfront.Ownership
+	var permit carrier.Permit
+	if p.assignment != nil {
+		p.assignment.join(n.engine, n.registry)
+		ownership, permit = p.assignment, p.assignment
+	}
+	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, Registry: n.registry, Keeper: p.keeper,
+		Ownership: ownership}, p.store, func(m *message.Message) { n.engine.Post(m) }, p.log)
 	if l, ok := p.store.(store.Late); ok {
-		l.OnLate(n.intake.Adopt)
+		l.OnLate(n.adoptLate)
 	}
 	if s, ok := p.store.(store.Shared); ok {
 		s.OnTakeover(n.room, n.owe)
@@ -83,7 +91,7 @@
 		n.lost = s.Lost()
 	}
 	n.calls = http1.New(http1.Config{ConnectTimeout: p.settings.ConnectTimeout, IdleClose: p.idleClose,
-		MaxIdle: idleSockets(p.sockets, p.settings.Slots), IdleEach: p.idleEach, LinesStay: p.linesStay}, &carrier.Recorder{Store: p.store, Log: p.log, Tell: n.event}, p.log)
+		MaxIdle: idleSockets(p.sockets, p.settings.Slots), IdleEach: p.idleEach, LinesStay: p.linesStay}, &carrier.Recorder{Store: p.store, Permit: permit, Log: p.log, Tell: n.event}, p.log)
 	var heard engine.Admission = n.registry
 	if p.keeper != nil {
 		heard = witness{n.registry, p.keeper}
@@ -161,6 +169,9 @@
 		running.Go(func() { run(life) })
 	}
 	n.owe(store.Recovered{Owed: n.recovered.Owed})
+	if n.assignment != nil {
+		n.assignment.start()
+	}
 	server := httpfront.NewServer(n.listener, n.intake, n.log)
 	served := make(chan error, 1)
 	running.Go(func() { served <- server.Serve() })
@@ -180,6 +191,9 @@
 	end()
 	running.Wait()
 	n.calls.Wait() // their outcomes go on record before the store closes
+	if n.assignment != nil {
+		n.assignment.stop() // nothing is sent any more
+	}
 	n.log.Info("stopped", "owed", n.registry.Count())
 	return errors.Join(err, n.store.Close())
 }
@@ -226,6 +240,14 @@
 	}
 }
 
+// adoptLate adopts a message that went on record after its client was told that this is not known.
+func (n *node) adoptLate(m *message.Message) {
+	n.intake.Adopt(m)
+	if n.assignment != nil {
+		n.assignment.adopted(m.Dest)
+	}
+}
+
 // stop takes messages and makes calls for a while, as its clients go on sending on the connections that they
 // have; each answer ends its connection. Then it refuses, ends what rests, waits for the answers to
 // what it has read, and for the outcomes of the calls that are out. What is still owed
--- a/internal/node/assignment.go
+++ b/internal/node/assignment.go
@@ -15,7 +15,6 @@
 	"wingmount/decide/placement"
 	"wingmount/internal/config"
 	"wingmount/internal/control"
-	"wingmount/internal/engine"
 	httpfront "wingmount/internal/front/http"
 	"wingmount/internal/inflight"
 	"wingmount/internal/store"
@@ -88,6 +87,21 @@
 	return a, nil
 }
 
+// join sets the parts of the node that follow the assignment.
+func (a *assignment) join(engine shareSetter, registry *inflight.Registry) {
+	a.engine, a.registry = engine, registry
+}
+
+// adopted notes that a message was adopted. Its destination may have moved since its client handed it in.
+func (a *assignment) adopted(destination int) {
+	if a.Accepts(destination) {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.finishing[placement.DestinationID(destination)] = struct{}{}
+}
+
 // recovered tells the agent of which destinations there are accepted messages of an earlier process.
 func (a *assignment) recovered(r store.Recovered) {
 	unfinished := map[placement.DestinationID]struct{}{}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -208,9 +208,16 @@
 		teller, tell = answers, answers.Run
 	}
 	seed := rand.Uint64()
+	assigned, err := newAssignment(f, log)
+	if err != nil {
+		return errors.Join(err, records.Close())
+	}
+	if assigned != nil {
+		assigned.recovered(recovered)
+	}
 	n, err := build(parts{name: f.Name, listen: f.Listen, sockets: f.Limits.Sockets, idleClose: idleClose, idleEach: f.Limits.Slots, answerTime: answerTime, settings: settings,
 		seed: seed, classes: words.Classes, kinds: words.Kinds, zones: words.Zones, store: records, recovered: recovered,
-		teller: teller, admission: admitter(f, settings), keeper: keeper, linesStay: true, log: log})
+		teller: teller, admission: admitter(f, settings), keeper: keeper, linesStay: true, assignment: assigned, log: log})
 	if err != nil {
 		return errors.Join(err, records.Close())
 	}
