--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -31,6 +31,9 @@
   wingmount peers key FILE        makes a node's key in a new file, and prints the public one
   wingmount peers show --config FILE [--json]
                                   what a node knows of its peers, see docs/operate/gossip.md
+  wingmount control --config FILE assigns destinations to nodes, see docs/operate/assignment.md
+  wingmount assignment show|drain NODE|explain DESTINATION --config FILE
+                                  looks at the assignment of destinations, and drains a node
   wingmount replay RECORD         plays what 'run --record RECORD' recorded of decisions, and reports
   wingmount fleet [--span 1s] [--endpoints] LOG...
                                   counts over nodes' logs (WINGMOUNT_DEBUG=1) what went to each destination
@@ -92,6 +95,10 @@
 		return rulesCommand(args[1:], os.Stdin, out)
 	case "peers":
 		return peersCommand(args[1:], out)
+	case "control":
+		return controlCommand(ctx, args[1:], reload, out, log)
+	case "assignment":
+		return assignmentCommand(ctx, args[1:], out)
 	case "replay":
 		return replay(args[1:], out)
 	case "fleet":
--- a/cmd/wingmount/rules.go
+++ b/cmd/wingmount/rules.go
@@ -9,8 +9,6 @@
 	"os"
 	"text/tabwriter"
 
-	"github.com/alecthomas/kong"
-
 	"wingmount/decide/rules"
 	"wingmount/internal/config"
 	"wingmount/internal/message"
@@ -38,19 +36,9 @@
 // rulesCommand runs what follows 'rules' on the command line.
 func rulesCommand(args []string, in io.Reader, out io.Writer) error {
 	var a rulesArgs
-	// Asked for help the parser would end the process: the error goes to the caller instead.
-	var asked error
-	k, err := kong.New(&a, kong.Name("wingmount rules"), kong.Description("Looks at rules for keys and classes, see docs/operate/rules.md."),
-		kong.Writers(out, out), kong.Exit(func(int) { asked = errHelped }))
-	if err != nil {
-		return err
-	}
-	parsed, err := k.Parse(args)
-	if asked != nil {
-		return nil
-	}
+	command, err := parseArgs("wingmount rules", "Looks at rules for keys and classes, see docs/operate/rules.md.", &a, args, out)
 	if err != nil {
-		return err
+		return ignoreHelp(err)
 	}
 	f, err := config.Load(a.Config)
 	if err != nil {
@@ -68,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	switch parsed.Command() {
+	switch command {
 	case "check":
 		return tellRules(path, set, out)
 	case "try <body>":
--- a/internal/config/assignment.go
+++ b/internal/config/assignment.go
@@ -17,13 +17,19 @@
 	maxControlAddresses = 16
 	maxOwnersKept       = 1 << 20
 	maxControlSessions  = 1 << 16
-	minControlLease     = time.Second
+	minControlLease     = 2 * ShareWindow // a node may confirm a share a ShareWindow late, and renews after it
 	maxClockDrift       = 0.5
 	maxLoadBound        = 10
 	maxDebounce         = time.Minute
 	maxOwnersKeptFor    = 10 * time.Minute
+	maxSlack            = time.Minute
+	maxRestartGrace     = time.Hour
 )
 
+// ShareWindow is the time in which the decision module, and partners with it, count calls against a limit. A
+// share passes on to another node so long after its last call.
+const ShareWindow = 2 * time.Second
+
 // Defaults of [assignment] and of the file of a control process.
 const (
 	defaultAssignmentState = "assignment.state"
@@ -34,6 +40,8 @@
 	defaultMaxSessions     = 2000
 	defaultLoadBound       = 1.25
 	defaultDebounce        = 500 * time.Millisecond
+	defaultSlack           = ShareWindow + 250*time.Millisecond
+	defaultRestartGrace    = time.Minute
 )
 
 // Assignment says which control processes assign destinations to this node. Without the section every node
@@ -120,6 +128,11 @@
 	MaxSessions int      `toml:"max_sessions"`
 	LoadBound   float64  `toml:"load_bound"`
 	Debounce    Duration `toml:"debounce"`
+	// Slack is how long a share is kept back once its lease has ended: the calls under it still count at
+	// partners.
+	Slack Duration `toml:"slack"`
+	// RestartGrace is how long a node that has left keeps its destinations.
+	RestartGrace Duration `toml:"restart_grace"`
 }
 
 // LoadControl reads the file of a control process and checks it whole. Paths in it are relative to the file.
@@ -169,6 +182,12 @@
 	if c.Debounce == 0 {
 		c.Debounce = Duration(defaultDebounce)
 	}
+	if c.Slack == 0 {
+		c.Slack = Duration(defaultSlack)
+	}
+	if c.RestartGrace == 0 {
+		c.RestartGrace = Duration(defaultRestartGrace)
+	}
 }
 
 func (c *Control) check() error {
@@ -200,5 +219,11 @@
 	if c.Debounce < 0 || c.Debounce > Duration(maxDebounce) {
 		bad("debounce", "%v is not between 0 and %v", time.Duration(c.Debounce), maxDebounce)
 	}
+	if c.Slack < Duration(ShareWindow) || c.Slack > Duration(maxSlack) {
+		bad("slack", "%v is not between %v and %v", time.Duration(c.Slack), ShareWindow, maxSlack)
+	}
+	if c.RestartGrace < 0 || c.RestartGrace > Duration(maxRestartGrace) {
+		bad("restart_grace", "%v is not between 0 and %v", time.Duration(c.RestartGrace), maxRestartGrace)
+	}
 	return errors.Join(errs...)
 }
--- a/internal/node/assignment.go
+++ b/internal/node/assignment.go
@@ -20,13 +20,8 @@
 	"wingmount/internal/store"
 )
 
-const (
-	// releaseEvery is how often the node looks whether a destination that it only finishes is empty.
-	releaseEvery = 100 * time.Millisecond
-	// shareWindow is the time in which partners count calls against their limits. A share that has
-	// shrunk is confirmed so long after, when what was sent under the larger one has left the count.
-	shareWindow = time.Second
-)
+// releaseEvery is how often the node looks whether a destination that it only finishes is empty.
+const releaseEvery = 100 * time.Millisecond
 
 // The errors of a destination that can't be located.
 var (
@@ -62,8 +57,9 @@
 
 	mu     sync.Mutex
 	shares map[int]float64 // of the limits, those above 0
-	// finishing are destinations that messages are not accepted for any more, and that are not released.
-	finishing map[placement.DestinationID]struct{}
+	// finishing are destinations that messages are not accepted for any more, and that are not released. True
+	// is that it was reported that one has unfinished messages and no assignment.
+	finishing map[placement.DestinationID]bool
 
 	running  sync.WaitGroup
 	stopping chan struct{} // closed by stop
@@ -77,7 +73,7 @@
 		return nil, nil
 	}
 	a := &assignment{node: placement.NodeID(f.Name), regionShare: section.RegionShare, log: log,
-		shares: map[int]float64{}, finishing: map[placement.DestinationID]struct{}{}, stopping: make(chan struct{})}
+		shares: map[int]float64{}, finishing: map[placement.DestinationID]bool{}, stopping: make(chan struct{})}
 	agent, err := control.NewAgent(control.AgentConfig{Node: a.node, Addresses: section.Control, StateFile: section.State,
 		Apply: a.apply, LeaseChanged: a.leaseChanged, LocateFor: time.Duration(section.OwnersKeptFor), LocateMax: section.OwnersMax, Log: log})
 	if err != nil {
@@ -99,7 +95,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.finishing[placement.DestinationID(destination)] = struct{}{}
+	a.finishing[placement.DestinationID(destination)] = false
 }
 
 // recovered tells the agent of which destinations there are accepted messages of an earlier process.
@@ -112,7 +108,7 @@
 	}
 	for destination := range unfinished {
 		a.agent.Unfinished(destination)
-		a.finishing[destination] = struct{}{}
+		a.finishing[destination] = true
 	}
 }
 
@@ -131,8 +127,11 @@
 	a.running.Go(func() { a.releaseFinished(ctx) })
 }
 
-// stop gives the lease back. No call may be made any more.
+// stop gives the lease back, once what was sent counts at partners no more. No call may be made any more.
 func (a *assignment) stop() {
+	if a.agent.InForce() {
+		time.Sleep(config.ShareWindow)
+	}
 	close(a.stopping)
 	a.running.Wait()
 }
@@ -158,7 +157,7 @@
 	a.log.Info("assignment: changed", "destinations", len(changed), "complete", update.Complete)
 	a.engine.SetShares(changed)
 	if shrunk {
-		a.pause(shareWindow)
+		a.pause(config.ShareWindow)
 	}
 }
 
@@ -187,7 +186,7 @@
 		delete(a.finishing, assigned.Destination)
 		return
 	}
-	a.finishing[assigned.Destination] = struct{}{}
+	a.finishing[assigned.Destination] = false
 }
 
 // leaseChanged tells the engine that calls may be made, or that none may.
@@ -215,7 +214,7 @@
 func (a *assignment) release() {
 	for _, destination := range a.toFinish() {
 		if a.registry.Unfinished(int(destination)) > 0 {
-			a.agent.Unfinished(destination)
+			a.reportUnfinished(destination)
 			continue
 		}
 		a.agent.Released(destination)
@@ -223,6 +222,23 @@
 	}
 }
 
+// reportUnfinished asks for a share of a destination that has unfinished messages, unless there is one or it was
+// asked for.
+func (a *assignment) reportUnfinished(destination placement.DestinationID) {
+	if _, assigned := a.agent.Assignment(destination); assigned {
+		return
+	}
+	a.mu.Lock()
+	reported, finishing := a.finishing[destination]
+	if finishing {
+		a.finishing[destination] = true
+	}
+	a.mu.Unlock()
+	if finishing && !reported {
+		a.agent.Unfinished(destination)
+	}
+}
+
 // toFinish are the destinations that are not released.
 func (a *assignment) toFinish() []placement.DestinationID {
 	a.mu.Lock()
--- a/internal/rig/assignment.go
+++ b/internal/rig/assignment.go
@@ -27,6 +27,8 @@
 	Regions int           // with a control process each, which has its own part of each limit
 	Owners  int           // of a destination in each region
 	Lease   time.Duration // of the nodes
+	// RestartGrace is how long a node that has left keeps its destinations.
+	RestartGrace time.Duration
 }
 
 // region is the control process of one region, and the paths to it.
@@ -73,7 +75,7 @@
 				return err
 			}
 		}
-		text := fmt.Sprintf("listen = %q\nworld = %q\nstate = %q\nlease = %q\ndebounce = \"100ms\"\n", g.listen, g.world, g.state, r.cfg.Assignment.Lease)
+		text := fmt.Sprintf("listen = %q\nworld = %q\nstate = %q\nlease = %q\ndebounce = \"100ms\"\nrestart_grace = %q\n", g.listen, g.world, g.state, r.cfg.Assignment.Lease, r.cfg.Assignment.RestartGrace)
 		if err := errors.Join(os.WriteFile(g.file, []byte(text), 0o600), os.WriteFile(g.world, []byte(r.worldText(i)), 0o600)); err != nil {
 			return err
 		}
@@ -132,10 +134,14 @@
 	err   error
 }
 
-// StartControl starts the control process of a region, counted from 0, and waits until it listens.
-func (r *Rig) StartControl(ctx context.Context, region int) (*Control, error) {
+// StartControl starts the control process of a region, counted from 0, and waits until it listens. A fresh one is
+// the first of all.
+func (r *Rig) StartControl(ctx context.Context, region int, fresh bool) (*Control, error) {
 	g := r.control.regions[region]
 	args := append(append([]string(nil), r.cfg.Command[1:]...), "control", "--config", g.file)
+	if fresh {
+		args = append(args, "--fresh")
+	}
 	c := &Control{cmd: exec.Command(r.cfg.Command[0], args...), ended: make(chan struct{})}
 	c.cmd.Env = append(os.Environ(), r.cfg.Env...)
 	c.cmd.Stderr = &c.log
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -236,6 +236,9 @@
 // File is the configuration of a node, counted from 0.
 func (r *Rig) File(node int) string { return r.nodes[node].file }
 
+// Listen is where a node, counted from 0, listens for clients.
+func (r *Rig) Listen(node int) string { return r.nodes[node].listen }
+
 // StorePath is where the first node's store lies.
 func (r *Rig) StorePath() string { return r.storePath(0) }
 
