Control: server, agent, long polls, placement and owners' addresses

Tests over loopback: shares, death, leaving, drain, restart of control, restored backup, kill with a state file, unfinished messages, locating, reload.

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,460 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wingmount/decide/lease"
+	"wingmount/decide/placement"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// The times of the tests: a lease is short, so that one that ends is not waited for long.
+const (
+	testLease    = 1500 * time.Millisecond
+	testDebounce = 20 * time.Millisecond
+	testPatience = 15 * time.Second
+)
+
+// testWorld has nodes n1, n2, ... in a zone each, and destinations with two owners.
+func testWorld(nodes, destinations int) *World {
+	world := &World{}
+	for i := 1; i <= nodes; i++ {
+		world.Nodes = append(world.Nodes, Node{
+			Name: fmt.Sprintf("n%d", i), Region: "north", Zone: fmt.Sprintf("z%d", i%3), Weight: 1,
+			Address: fmt.Sprintf("127.0.0.1:%d", 9000+i),
+		})
+	}
+	for i := 1; i <= destinations; i++ {
+		world.Destinations = append(world.Destinations, Destination{Number: placement.DestinationID(i), Rate: 10, Owners: 2})
+	}
+	return world
+}
+
+// running is a server or an agent that runs until stop.
+type running struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+func run(t *testing.T, serve func(context.Context) error) *running {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(r.done)
+		r.err = serve(ctx)
+	}()
+	t.Cleanup(func() { r.stop(t) })
+	return r
+}
+
+func (r *running) stop(t *testing.T) {
+	t.Helper()
+	r.cancel()
+	<-r.done
+	if r.err != nil {
+		t.Error(r.err)
+	}
+}
+
+func testServerConfig(t *testing.T, world *World) ServerConfig {
+	return ServerConfig{
+		Listen: "127.0.0.1:0", World: world, StateDir: t.TempDir(), Fresh: true,
+		Lease: testLease, Slack: time.Millisecond, Debounce: testDebounce, RestartGrace: testDebounce,
+	}
+}
+
+func startServer(t *testing.T, config ServerConfig) (*Server, *running) {
+	t.Helper()
+	server, err := NewServer(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return server, run(t, server.Run)
+}
+
+// testNode is an agent, and what it was told.
+type testNode struct {
+	*Agent
+	*running
+	mu      sync.Mutex
+	updates []lease.Update
+	leased  []bool
+}
+
+func startNode(t *testing.T, config AgentConfig) *testNode {
+	t.Helper()
+	n := &testNode{}
+	config.Apply = func(update lease.Update) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.updates = append(n.updates, update)
+	}
+	config.LeaseChanged = func(inForce bool) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.leased = append(n.leased, inForce)
+	}
+	agent, err := NewAgent(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Agent = agent
+	n.running = run(t, agent.Run)
+	return n
+}
+
+// transport has a transport of its own for a test, whose connections end with it.
+func transport(t *testing.T) *http.Transport {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return transport
+}
+
+func startNodes(t *testing.T, server *Server, names ...placement.NodeID) []*testNode {
+	t.Helper()
+	var nodes []*testNode
+	for _, name := range names {
+		nodes = append(nodes, startNode(t, AgentConfig{Node: name, Addresses: []string{server.Addr()}}))
+	}
+	return nodes
+}
+
+// eventually waits until something is so.
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testPatience); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if is() {
+			return
+		}
+	}
+	t.Fatalf("after %v it is not so that %s", testPatience, what)
+}
+
+// sum is what all nodes together may use of a destination.
+func sum(nodes []*testNode, destination placement.DestinationID) float64 {
+	total := 0.0
+	for _, n := range nodes {
+		total += n.Share(destination)
+	}
+	return total
+}
+
+// allGranted tells whether all of each destination is shared.
+func allGranted(nodes []*testNode, destinations int) bool {
+	for i := 1; i <= destinations; i++ {
+		if sum(nodes, placement.DestinationID(i)) < 0.999 {
+			return false
+		}
+	}
+	return true
+}
+
+// watchSums checks until the test ends that no sum of shares exceeds 1.
+func watchSums(t *testing.T, nodes func() []*testNode, destinations int) {
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+			for i := 1; i <= destinations; i++ {
+				if total := sum(nodes(), placement.DestinationID(i)); total > 1 {
+					t.Errorf("destination %d: shares of %v are in force", i, total)
+					return
+				}
+			}
+		}
+	}()
+	t.Cleanup(func() { close(stop); <-done })
+}
+
+func fixed(nodes []*testNode) func() []*testNode { return func() []*testNode { return nodes } }
+
+func TestNodesShareAllDestinations(t *testing.T) {
+	const destinations = 40
+	server, _ := startServer(t, testServerConfig(t, testWorld(4, destinations)))
+	nodes := startNodes(t, server, "n1", "n2", "n3", "n4")
+	watchSums(t, fixed(nodes), destinations)
+	eventually(t, "all destinations are granted", func() bool { return allGranted(nodes, destinations) })
+	for i := 1; i <= destinations; i++ {
+		owners := 0
+		for _, n := range nodes {
+			if assignment, ok := n.Assignment(placement.DestinationID(i)); ok && assignment.Accepting {
+				owners++
+			}
+		}
+		if owners != 2 {
+			t.Errorf("destination %d has %d owners", i, owners)
+		}
+	}
+}
+
+func TestNodeThatDiesIsReplacedOnceItsLeaseHasRunOut(t *testing.T) {
+	const destinations = 20
+	server, _ := startServer(t, testServerConfig(t, testWorld(3, destinations)))
+	nodes := startNodes(t, server, "n1", "n2", "n3")
+	watchSums(t, fixed(nodes), destinations)
+	eventually(t, "all is granted", func() bool { return allGranted(nodes, destinations) })
+	// A node whose control connection is gone keeps what it has until its lease ends, and no longer.
+	nodes[0].Agent.client.addresses = []string{"127.0.0.1:1"}
+	eventually(t, "the others have all", func() bool { return allGranted(nodes[1:], destinations) })
+	if nodes[0].InForce() {
+		t.Fatal("its shares were granted on while its lease is in force")
+	}
+}
+
+func TestNodeThatLeavesHandsOver(t *testing.T) {
+	const destinations = 20
+	config := testServerConfig(t, testWorld(3, destinations))
+	config.Lease = time.Minute
+	server, _ := startServer(t, config)
+	nodes := startNodes(t, server, "n1", "n2", "n3")
+	eventually(t, "all is granted", func() bool { return allGranted(nodes, destinations) })
+	nodes[0].stop(t)
+	eventually(t, "the others have all", func() bool { return allGranted(nodes[1:], destinations) })
+	nodes[0].mu.Lock()
+	defer nodes[0].mu.Unlock()
+	if last := nodes[0].leased[len(nodes[0].leased)-1]; last {
+		t.Fatal("the end of the lease was not told")
+	}
+}
+
+func TestDrainFinishesWhatIsAccepted(t *testing.T) {
+	const destinations = 20
+	server, _ := startServer(t, testServerConfig(t, testWorld(3, destinations)))
+	nodes := startNodes(t, server, "n1", "n2", "n3")
+	watchSums(t, fixed(nodes), destinations)
+	eventually(t, "all is granted", func() bool { return allGranted(nodes, destinations) })
+	if err := server.Drain("n1", true); err != nil {
+		t.Fatal(err)
+	}
+	draining := nodes[0]
+	owned := draining.Len()
+	eventually(t, "it accepts for none", func() bool { return accepting(draining, destinations) == 0 })
+	if draining.Len() != owned {
+		t.Fatalf("it had %d destinations and has %d, with messages unfinished", owned, draining.Len())
+	}
+	for i := 1; i <= destinations; i++ {
+		id := placement.DestinationID(i)
+		if _, ok := draining.Assignment(id); ok && draining.Share(id) == 0 {
+			t.Errorf("destination %d: it has unfinished messages and no share", i)
+		}
+		draining.Released(id)
+	}
+	eventually(t, "it has none", func() bool { return draining.Len() == 0 })
+	eventually(t, "the others have all", func() bool { return allGranted(nodes[1:], destinations) })
+	if err := server.Drain("n1", false); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "it comes back", func() bool { return accepting(draining, destinations) > 0 })
+	if err := server.Drain("nobody", true); err == nil {
+		t.Fatal("a node that is not there was drained")
+	}
+}
+
+// accepting is for how many destinations a node accepts.
+func accepting(n *testNode, destinations int) int {
+	count := 0
+	for i := 1; i <= destinations; i++ {
+		if assignment, ok := n.Assignment(placement.DestinationID(i)); ok && assignment.Accepting {
+			count++
+		}
+	}
+	return count
+}
+
+func TestRestartOfControlStopsNothingAndGrantsNothingEarly(t *testing.T) {
+	const destinations = 20
+	config := testServerConfig(t, testWorld(3, destinations))
+	config.Lease = 6 * time.Second
+	server, first := startServer(t, config)
+	config.Listen = server.Addr()
+	nodes := startNodes(t, server, "n1", "n2", "n3")
+	watchSums(t, fixed(nodes), destinations)
+	eventually(t, "all is granted", func() bool { return allGranted(nodes, destinations) })
+	before := make(map[placement.DestinationID]lease.Assignment)
+	for i := 1; i <= destinations; i++ {
+		before[placement.DestinationID(i)], _ = nodes[0].Assignment(placement.DestinationID(i))
+	}
+	first.stop(t)
+	time.Sleep(300 * time.Millisecond)
+	if !nodes[0].InForce() || !allGranted(nodes, destinations) {
+		t.Fatal("without a control process the leases do not go on")
+	}
+	nodes[2].running.cancel() // dies unheard: its share is not granted while it could be in force
+	<-nodes[2].done
+	second, _ := startServer(t, config)
+	if incarnation := second.State().Incarnation; incarnation != 2 {
+		t.Fatalf("incarnation %d after the first", incarnation)
+	}
+	eventually(t, "the two others are back", func() bool { return second.sessions() == 2 })
+	for id, assignment := range before {
+		if now, _ := nodes[0].Assignment(id); now != assignment {
+			t.Errorf("destination %d: %+v became %+v", id, assignment, now)
+		}
+	}
+	ready := second.origin.Add(second.grantor.Ready())
+	eventually(t, "the two others have all", func() bool { return allGranted(nodes[:2], destinations) })
+	if time.Now().Before(ready) {
+		t.Fatal("the share of a node that had not claimed it was granted early")
+	}
+}
+
+func (s *Server) sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grantor.Sessions()
+}
+
+func TestTwoControlProcessesOnOneStateFolder(t *testing.T) {
+	config := testServerConfig(t, testWorld(1, 1))
+	startServer(t, config)
+	if _, err := NewServer(config); err == nil {
+		t.Fatal("a second one begins")
+	}
+}
+
+func TestRestoredBackupIsRefused(t *testing.T) {
+	const destinations = 5
+	config := testServerConfig(t, testWorld(2, destinations))
+	config.Lease = 5 * time.Second
+	config.Above = 8
+	server, first := startServer(t, config)
+	config.Listen = server.Addr()
+	nodes := startNodes(t, server, "n1", "n2")
+	eventually(t, "all is granted", func() bool { return allGranted(nodes, destinations) })
+	first.stop(t)
+	config.StateDir, config.Above = t.TempDir(), 0 // as a backup from before, or a lost disk
+	second, restored := startServer(t, config)
+	eventually(t, "it is told of the newer one", func() bool { return second.State().Superseded == 9 })
+	if second.sessions() != 0 {
+		t.Fatal("it has sessions")
+	}
+	restored.stop(t)
+	config.Above = 9
+	startServer(t, config)
+	eventually(t, "above the lost incarnation it serves again", func() bool {
+		return nodes[0].heard() == 10 && allGranted(nodes, destinations)
+	})
+}
+
+func (n *testNode) heard() lease.Incarnation {
+	n.Agent.mu.Lock()
+	defer n.Agent.mu.Unlock()
+	return n.holder.Heard()
+}
+
+func TestKilledNodeComesBackAtOnceByItsStateFile(t *testing.T) {
+	const destinations = 10
+	config := testServerConfig(t, testWorld(2, destinations))
+	config.Lease = time.Minute
+	server, _ := startServer(t, config)
+	other := startNodes(t, server, "n2")[0]
+	agentConfig := AgentConfig{Node: "n1", Addresses: []string{server.Addr()}, StateFile: filepath.Join(t.TempDir(), "agent.json")}
+	killed := startNode(t, agentConfig)
+	eventually(t, "all is granted", func() bool { return allGranted([]*testNode{other, killed}, destinations) })
+	if _, err := NewAgent(agentConfig); err == nil {
+		t.Fatal("two processes have one state file")
+	}
+	killed.client.addresses = []string{"127.0.0.1:1"} // its lease is not given back
+	killed.stop(t)
+	again := startNode(t, agentConfig)
+	eventually(t, "all is granted again", func() bool { return allGranted([]*testNode{other, again}, destinations) })
+	again.mu.Lock()
+	defer again.mu.Unlock()
+	if len(again.updates) == 0 || !again.updates[0].Complete {
+		t.Fatalf("the first update is not the whole part: %+v", again.updates)
+	}
+}
+
+func TestNodeWithUnfinishedMessagesOfLostDestinations(t *testing.T) {
+	const destinations = 9
+	server, _ := startServer(t, testServerConfig(t, testWorld(4, destinations)))
+	nodes := startNodes(t, server, "n1", "n2", "n3")
+	eventually(t, "all is granted", func() bool { return allGranted(nodes, destinations) })
+	if err := server.Drain("n4", true); err != nil {
+		t.Fatal(err)
+	}
+	late := startNodes(t, server, "n4")[0]
+	all := append(nodes[:3:3], late)
+	watchSums(t, fixed(all), destinations)
+	late.Unfinished(3, 5)
+	eventually(t, "it has finishing shares", func() bool { return late.Share(3) > 0 && late.Share(5) > 0 })
+	if assignment, _ := late.Assignment(3); assignment.Accepting {
+		t.Fatal("it accepts")
+	}
+	late.Released(3)
+	eventually(t, "one is released", func() bool { return late.Len() == 1 && sum(nodes, 3) > 0.999 })
+	if sum(all, 5) < 0.999 {
+		t.Fatal("not all of the other is granted")
+	}
+}
+
+func TestLocate(t *testing.T) {
+	const destinations = 10
+	server, _ := startServer(t, testServerConfig(t, testWorld(3, destinations)))
+	nodes := startNodes(t, server, "n1", "n2", "n3")
+	eventually(t, "all is granted", func() bool { return allGranted(nodes, destinations) })
+	for i := 1; i <= destinations; i++ {
+		owners, err := nodes[0].Locate(t.Context(), placement.DestinationID(i))
+		if err != nil || len(owners) != 2 {
+			t.Fatalf("destination %d: %v, %v", i, owners, err)
+		}
+		for _, owner := range owners {
+			if owner.Address == "" {
+				t.Errorf("destination %d: owner %s has no address", i, owner.Node)
+			}
+		}
+	}
+	if owners, err := nodes[0].Locate(t.Context(), 4711); err != nil || len(owners) != 0 {
+		t.Fatalf("an unknown destination: %v, %v", owners, err)
+	}
+}
+
+func TestReloadGivesDeltas(t *testing.T) {
+	const destinations = 30
+	config := testServerConfig(t, testWorld(3, destinations))
+	server, _ := startServer(t, config)
+	nodes := startNodes(t, server, "n1", "n2", "n3")
+	eventually(t, "all is granted", func() bool { return allGranted(nodes, destinations) })
+	before := make([]int, len(nodes))
+	for i, n := range nodes {
+		n.mu.Lock()
+		before[i] = len(n.updates)
+		n.mu.Unlock()
+	}
+	if err := server.SetWorld(testWorld(3, destinations+1)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the new destination is granted", func() bool { return sum(nodes, destinations+1) > 0.999 })
+	for i, n := range nodes {
+		n.mu.Lock()
+		for _, update := range n.updates[before[i]:] {
+			if update.Complete {
+				t.Errorf("%s got its whole part", n.config.Node)
+			}
+		}
+		n.mu.Unlock()
+	}
+	bad := testWorld(3, 1)
+	bad.Destinations[0].Rate = -1
+	if err := server.SetWorld(bad); err == nil {
+		t.Fatal("a bad world was taken")
+	}
+	if state := server.State(); state.Destinations != destinations+1 {
+		t.Fatalf("the old world does not go on: %+v", state)
+	}
+}
--- /dev/null
+++ b/internal/control/file.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// maxStateBytes bounds a state file.
+const maxStateBytes = 1 << 20
+
+// ErrLocked says that another process that lives has the state.
+var ErrLocked = errors.New("another process has it locked")
+
+// lockFile locks a file, made where there is none, until it is closed or the process ends.
+func lockFile(path string) (*os.File, error) {
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("opening the lock: %w", err)
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = file.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, fmt.Errorf("%s: %w", path, ErrLocked)
+		}
+		return nil, fmt.Errorf("locking %s: %w", path, err)
+	}
+	return file, nil
+}
+
+// readState reads a JSON file into a value, which stays as it is where there is no file.
+func readState(path string, into any) error {
+	file, err := os.Open(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("reading the state: %w", err)
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, maxStateBytes+1))
+	if err != nil {
+		return fmt.Errorf("reading the state: %w", err)
+	}
+	if len(text) > maxStateBytes {
+		return fmt.Errorf("%s: more than %d bytes", path, maxStateBytes)
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+// writeState puts a value on disk as a JSON file, whole or not at all. It is on disk when writeState returns.
+func writeState(path string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("writing the state: %w", err)
+	}
+	next := path + ".next"
+	if err := writeSynced(next, append(text, '\n')); err != nil {
+		return fmt.Errorf("writing the state: %w", err)
+	}
+	if err := os.Rename(next, path); err != nil {
+		return fmt.Errorf("writing the state: %w", err)
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
+func writeSynced(path string, text []byte) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(text)
+	return errors.Join(err, file.Sync(), file.Close())
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("writing the state: %w", err)
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
--- /dev/null
+++ b/internal/control/place.go
@@ -0,0 +1,228 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"wingmount/decide/lease"
+	"wingmount/decide/placement"
+)
+
+// changesAtOnce is how many destinations get new owners before polls are served again.
+const changesAtOnce = 1000
+
+// place computes a placement of the nodes that take part, and puts what it changes in force.
+func (s *Server) place(ctx context.Context) {
+	s.mu.Lock()
+	now := s.now()
+	s.dirty = false
+	world := s.world
+	input := world.input(func(id placement.NodeID) bool { return s.takesPart(now, id) }, s.draining, s.config.LoadBound)
+	s.awaitReturns(now)
+	s.mu.Unlock()
+
+	started := time.Now()
+	previous := s.table.Load()
+	table, err := placement.Compute(previous, input)
+	if err != nil {
+		s.config.Log.Error("control: no placement, the one before goes on", "err", err)
+		return
+	}
+	changed := table.Changed(previous)
+	s.table.Store(table)
+	for chunk := range slices.Chunk(changed, changesAtOnce) {
+		if ctx.Err() != nil {
+			return
+		}
+		s.putOwners(table, chunk)
+	}
+	s.settle()
+	s.config.Log.Info("control: placed", "nodes", len(input.Nodes), "destinations", len(input.Destinations),
+		"changed", len(changed), "took", time.Since(started))
+}
+
+// takesPart tells whether a node may own destinations: it has a session, or has left a moment ago. The caller has
+// the lock.
+func (s *Server) takesPart(now time.Duration, id placement.NodeID) bool {
+	if s.grantor.Alive(id) {
+		return true
+	}
+	until, left := s.left[id]
+	return left && now < until
+}
+
+// awaitReturns drops what is over of the nodes that left, and has a placement computed when the next one is. The
+// caller has the lock.
+func (s *Server) awaitReturns(now time.Duration) {
+	maps.DeleteFunc(s.left, func(id placement.NodeID, until time.Duration) bool {
+		return now >= until || s.grantor.Alive(id)
+	})
+	for _, until := range s.left {
+		s.markDirty(now, until)
+	}
+}
+
+// putOwners puts the owners of some destinations in force.
+func (s *Server) putOwners(table *placement.Table, destinations []placement.DestinationID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for _, destination := range destinations {
+		s.grantor.SetOwners(now, destination, table.Owners(destination))
+	}
+	s.spread()
+}
+
+// settle ends the wait for leases of earlier incarnations, once they have surely ended.
+func (s *Server) settle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if now < s.grantor.Ready() {
+		return
+	}
+	s.grantor.Settle(now)
+	s.spread()
+	if s.state.LongestLease == s.config.Lease {
+		return
+	}
+	s.state.LongestLease = s.config.Lease
+	if err := s.folder.write(s.state); err != nil {
+		s.config.Log.Warn("control: the state is not on disk", "err", err)
+	}
+}
+
+// putWorld makes a world the present one. The caller has the lock, or is alone.
+func (s *Server) putWorld(world *World) {
+	s.world = world
+	s.nodes = make(map[placement.NodeID]Node, len(world.Nodes))
+	for _, node := range world.Nodes {
+		s.nodes[placement.NodeID(node.Name)] = node
+	}
+	s.names = make(map[string]placement.DestinationID)
+	for _, destination := range world.Destinations {
+		if destination.Name != "" {
+			s.names[destination.Name] = destination.Number
+		}
+	}
+}
+
+// SetWorld puts a world in force; where it has an error the one before goes on.
+func (s *Server) SetWorld(world *World) error {
+	if err := world.Check(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.putWorld(world)
+	s.markDirty(s.now(), 0)
+	return nil
+}
+
+// Reload reads the world file again; where it has an error the world before goes on.
+func (s *Server) Reload() error {
+	world, err := LoadWorld(s.config.WorldFile)
+	if err != nil {
+		return err
+	}
+	return s.SetWorld(world)
+}
+
+// Drain takes a node out of all owner sets, or lets it back. It is on disk when Drain returns.
+func (s *Server) Drain(id placement.NodeID, draining bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.nodes[id]; !known {
+		return &NodeError{Node: id}
+	}
+	if s.draining[id] == draining {
+		return nil
+	}
+	next := s.state
+	set := maps.Clone(s.draining)
+	if draining {
+		set[id] = true
+	} else {
+		delete(set, id)
+	}
+	next.Draining = slices.Sorted(maps.Keys(set))
+	if err := s.folder.write(next); err != nil {
+		return err
+	}
+	s.state, s.draining = next, set
+	s.markDirty(s.now(), 0)
+	return nil
+}
+
+// NodeError says that the world has no such node.
+type NodeError struct{ Node placement.NodeID }
+
+// Error implements error.
+func (e *NodeError) Error() string { return "there is no node " + string(e.Node) }
+
+// receive takes in a request. It returns the channel that is closed when there is news, nil where the answer can
+// be given at once.
+func (s *Server) receive(request lease.Request) (lease.SessionID, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.nodes[request.Node]; !known {
+		return 0, nil, &NodeError{Node: request.Node}
+	}
+	now := s.now()
+	s.advance(now)
+	before := s.grantor.Alive(request.Node)
+	id, err := s.grantor.Receive(now, request)
+	s.note(now, request, before)
+	s.spread()
+	if err != nil || id == 0 {
+		return id, nil, err
+	}
+	if previous, ok := s.waiting[id]; ok {
+		close(previous)
+		delete(s.waiting, id)
+	}
+	if s.grantor.HasNews(id, request) {
+		return id, nil, nil
+	}
+	news := make(chan struct{})
+	s.waiting[id] = news
+	return id, news, nil
+}
+
+// note has a placement computed where a node came or left. The caller has the lock.
+func (s *Server) note(now time.Duration, request lease.Request, before bool) {
+	alive := s.grantor.Alive(request.Node)
+	switch {
+	case alive && !before:
+		if _, returned := s.left[request.Node]; !returned {
+			s.markDirty(now, 0)
+		}
+		delete(s.left, request.Node)
+	case before && !alive && request.Leaving:
+		s.left[request.Node] = now + s.config.RestartGrace
+	}
+	s.advance(now)
+}
+
+// answer renews a session.
+func (s *Server) answer(id lease.SessionID, request lease.Request, news <-chan struct{}) (lease.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if waiting, ok := s.waiting[id]; ok && waiting == news {
+		delete(s.waiting, id)
+	}
+	now := s.now()
+	s.advance(now)
+	return s.grantor.Answer(now, id, request)
+}
+
+// giveUp ends the wait of a poll that nobody answers.
+func (s *Server) giveUp(id lease.SessionID, news <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if waiting, ok := s.waiting[id]; ok && waiting == news {
+		delete(s.waiting, id)
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -1,44 +1,281 @@
-// Package control has the control process, which assigns destinations to nodes under leases, and the agent
-// by which a node takes part.
 package control
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
 	"time"
+
+	"wingmount/decide/lease"
+	"wingmount/decide/placement"
 )
 
-// ServerConfig are the settings of a control process.
+// ServerConfig are the settings of a control process. What is left out has its default.
 type ServerConfig struct {
-	Listen      string // host:port; port 0 takes a free one, see Server.Addr
-	WorldFile   string // TOML: nodes and destinations, see ParseWorld; used where World is nil
-	World       *World // the world itself, for tests and simulations without a file
-	StateDir    string // where the incarnation is kept
-	Lease       time.Duration
-	MaxDrift    float64
-	MaxSessions int
-	LoadBound   float64
-	Debounce    time.Duration // from a change of the nodes to a new placement
-	Log         *slog.Logger
+	Listen    string // HOST:PORT; port 0 takes a free one, see Server.Addr
+	WorldFile string // TOML: nodes and destinations, see ParseWorld; read where World is nil
+	World     *World // the world itself
+	StateDir  string // where the incarnation is kept
+	// Fresh says that no control process has ever granted anything to these nodes: nothing is waited for.
+	Fresh bool
+	// Above is an incarnation below the one to begin. It brings back a control process whose state was restored
+	// from a backup, or lost, once it is sure that no other one runs.
+	Above       lease.Incarnation
+	Lease       time.Duration // lease.DefaultDuration where it is 0
+	MaxDrift    float64       // lease.DefaultMaxDrift where it is 0
+	Slack       time.Duration // lease.DefaultSlack where it is 0
+	MaxSessions int           // lease.DefaultMaxSessions where it is 0
+	LoadBound   float64       // placement.DefaultLoadBound where it is 0
+	// Debounce is how long changes are gathered before a new placement, 500 ms where it is 0.
+	Debounce time.Duration
+	// RestartGrace is how long a node that has left keeps its place in the owner sets, one minute where it is 0:
+	// a restart moves nothing. The others have its share meanwhile.
+	RestartGrace time.Duration
+	// ReloadOn has the world file read again, as on a signal. Nil is never.
+	ReloadOn <-chan os.Signal
+	Log      *slog.Logger
+}
+
+// Defaults of a ServerConfig.
+const (
+	DefaultDebounce     = 500 * time.Millisecond
+	DefaultRestartGrace = time.Minute
+)
+
+func (c ServerConfig) withDefaults() ServerConfig {
+	if c.Lease <= 0 {
+		c.Lease = lease.DefaultDuration
+	}
+	if c.Slack <= 0 {
+		c.Slack = lease.DefaultSlack
+	}
+	if c.MaxSessions <= 0 {
+		c.MaxSessions = lease.DefaultMaxSessions
+	}
+	if c.Debounce <= 0 {
+		c.Debounce = DefaultDebounce
+	}
+	if c.RestartGrace <= 0 {
+		c.RestartGrace = DefaultRestartGrace
+	}
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+	return c
 }
 
 // Server is a control process.
-type Server struct{}
+type Server struct {
+	config   ServerConfig
+	origin   time.Time
+	folder   *stateFolder
+	listener net.Listener
+	table    atomic.Pointer[placement.Table]
+	wake     chan struct{} // the loop has to look again
+	bodies   chan struct{} // places for large requests
 
-// NewServer reads the world, takes the next incarnation and listens. Run serves.
-func NewServer(config ServerConfig) (*Server, error) { return &Server{}, nil }
+	mu       sync.Mutex
+	state    serverState
+	world    *World
+	nodes    map[placement.NodeID]Node
+	names    map[string]placement.DestinationID
+	grantor  *lease.Grantor
+	waiting  map[lease.SessionID]chan struct{} // closed when there is news for a poll
+	left     map[placement.NodeID]time.Duration
+	draining map[placement.NodeID]bool
+	due      time.Duration // when the next placement is computed
+	dirty    bool          // one is due
+}
+
+// NewServer reads the world, takes the next incarnation and listens. Run serves, and has to be called.
+func NewServer(config ServerConfig) (*Server, error) {
+	config = config.withDefaults()
+	if config.Lease > lease.MaxDuration {
+		return nil, fmt.Errorf("a lease of %v: %v at most", config.Lease, lease.MaxDuration)
+	}
+	if config.World == nil {
+		world, err := LoadWorld(config.WorldFile)
+		if err != nil {
+			return nil, err
+		}
+		config.World = world
+	} else if err := config.World.Check(); err != nil {
+		return nil, err
+	}
+	folder, err := openStateFolder(config.StateDir)
+	if err != nil {
+		return nil, err
+	}
+	s, err := newServer(config, folder)
+	if err != nil {
+		return nil, errors.Join(err, folder.close())
+	}
+	return s, nil
+}
+
+func newServer(config ServerConfig, folder *stateFolder) (*Server, error) {
+	listener, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	state, before, err := folder.begin(config.Above, config.Lease)
+	if err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
+	s := &Server{
+		config:   config,
+		origin:   time.Now(),
+		folder:   folder,
+		listener: newBoundedListener(listener, 2*config.MaxSessions+extraConnections),
+		wake:     make(chan struct{}, 1),
+		bodies:   make(chan struct{}, maxLargeRequests),
+		state:    state,
+		waiting:  map[lease.SessionID]chan struct{}{},
+		left:     map[placement.NodeID]time.Duration{},
+		draining: map[placement.NodeID]bool{},
+		dirty:    true,
+	}
+	for _, id := range state.Draining {
+		s.draining[id] = true
+	}
+	s.grantor = lease.NewGrantor(0, state.Incarnation, lease.Config{
+		Duration:    config.Lease,
+		MaxDrift:    config.MaxDrift,
+		Slack:       config.Slack,
+		Earlier:     before.LongestLease,
+		Fresh:       config.Fresh && before.Incarnation == 0,
+		MaxSessions: config.MaxSessions,
+	})
+	s.due = s.grantor.Ready() + config.Debounce
+	s.putWorld(config.World)
+	return s, nil
+}
 
 // Addr is the address that the server listens on.
-func (s *Server) Addr() string { return "" }
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// now is the time since the server began, by the monotonic clock.
+func (s *Server) now() time.Duration { return time.Since(s.origin) }
 
 // Run serves until the context ends.
-func (s *Server) Run(ctx context.Context) error { return nil }
+func (s *Server) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	server := &http.Server{
+		Handler:           s.handler(ctx),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(s.config.Log.Handler(), slog.LevelDebug),
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(s.listener) }()
+	looped := make(chan struct{})
+	go func() {
+		defer close(looped)
+		s.loop(ctx)
+	}()
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-served:
+		cancel()
+	}
+	stopping, stopped := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer stopped()
+	if shutdown := server.Shutdown(stopping); shutdown != nil {
+		_ = server.Close()
+	}
+	<-looped
+	if err == nil {
+		err = <-served
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		err = nil
+	}
+	return errors.Join(err, s.folder.close())
+}
+
+// loop does what is due: it ends sessions, and computes placements.
+func (s *Server) loop(ctx context.Context) {
+	for {
+		timer := time.NewTimer(s.work(ctx))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-s.wake:
+			timer.Stop()
+		case <-s.config.ReloadOn:
+			timer.Stop()
+			if err := s.Reload(); err != nil {
+				s.config.Log.Error("control: the world before goes on", "err", err)
+			}
+		case <-timer.C:
+		}
+	}
+}
+
+// longestWait is how long the loop waits at most.
+const longestWait = time.Minute
 
-// Reload reads the world file again; where it has an error the old world goes on.
-func (s *Server) Reload() error { return nil }
+// work does what is due now, and returns how long nothing is.
+func (s *Server) work(ctx context.Context) time.Duration {
+	s.mu.Lock()
+	now := s.now()
+	s.advance(now)
+	due := s.dirty && now >= s.due
+	s.mu.Unlock()
+	if due {
+		s.place(ctx)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now = s.now()
+	wait := longestWait
+	if next, ok := s.grantor.Next(); ok {
+		wait = min(wait, next-now)
+	}
+	if s.dirty {
+		wait = min(wait, s.due-now)
+	}
+	return max(wait, time.Millisecond)
+}
 
-// SetWorld puts a new world in force.
-func (s *Server) SetWorld(world *World) error { return nil }
+// advance ends sessions whose lease has surely ended. The caller has the lock.
+func (s *Server) advance(now time.Duration) {
+	for _, id := range s.grantor.Advance(now) {
+		s.config.Log.Info("control: a node is gone", "node", id)
+		s.markDirty(now, s.left[id])
+	}
+	s.spread()
+}
 
-// Drain takes a node out of all owner sets; with draining false it may come back.
-func (s *Server) Drain(node string, draining bool) error { return nil }
+// spread wakes the polls of sessions that have news. The caller has the lock.
+func (s *Server) spread() {
+	s.grantor.TakeNews(func(id lease.SessionID) {
+		if news, ok := s.waiting[id]; ok {
+			close(news)
+			delete(s.waiting, id)
+		}
+	})
+}
+
+// markDirty has a new placement computed, not before a time. The caller has the lock.
+func (s *Server) markDirty(now, earliest time.Duration) {
+	due := max(now+s.config.Debounce, earliest, s.grantor.Ready()+s.config.Debounce)
+	if !s.dirty || due < s.due {
+		s.due = due
+	}
+	s.dirty = true
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
