--- a/cmd/wingmount/assignment_test.go
+++ b/cmd/wingmount/assignment_test.go
@@ -112,6 +112,24 @@
 	return owner
 }
 
+// takesPart waits until each node has a lease, and accepts what it owns and sends away what it does not.
+func (a *assigned) takesPart(nodes ...int) {
+	a.t.Helper()
+	tries := 0
+	a.until(fmt.Sprintf("the nodes %v take part", nodes), func() bool {
+		tries++
+		for _, node := range nodes {
+			for _, d := range a.Destinations {
+				got := a.post(node, "/"+rig.Idempotent, fmt.Sprintf("part-%d-%d-%d", d.Number, node, tries), d.Number)
+				if got.status != http.StatusAccepted && got.status != http.StatusTemporaryRedirect {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
 // calls is how many calls a destination had for an id.
 func (a *assigned) calls(destination int, id string) int {
 	return a.Destinations[destination-1].System.Ledger().Calls[id]
@@ -144,6 +162,7 @@
 func TestRedirectToOwner(t *testing.T) {
 	a := newAssigned(t, 3, 3, 1, 0)
 	nodes := a.start(3)
+	a.takesPart(0, 1, 2)
 	owner := a.owner(1, 0, 1, 2)
 	other := (owner + 1) % 3
 	want := "http://" + a.Listen(owner) + "/" + rig.Idempotent + "?redirects=1"
@@ -167,7 +186,7 @@
 
 // An owner that is paused past its lease, and wakes while it can't reach the control process, sends nothing of what it
 // had accepted. Once it has a share again it finishes that.
-func TestPausedPastItsLease(t *testing.T) {
+func TestOwnerPausedPastItsLease(t *testing.T) {
 	a := newAssigned(t, 2, 1, 1, 20)
 	nodes := a.start(2)
 	a.Destinations[0].System.SetLimit(20, 2)
@@ -264,8 +283,10 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	var last answer
+	tries := 0
 	a.until("the node refuses", func() bool {
-		last = a.post(0, "/"+rig.Idempotent, "after", 1)
+		tries++
+		last = a.post(0, "/"+rig.Idempotent, fmt.Sprint("after", tries), 1)
 		return last.status != http.StatusAccepted
 	})
 	if last.status != http.StatusServiceUnavailable || last.retry == "" || time.Since(gone) > testLease+time.Second {
@@ -282,6 +303,7 @@
 func TestAssignmentCommand(t *testing.T) {
 	a := newAssigned(t, 2, 4, 1, 0)
 	a.start(2)
+	a.takesPart(0, 1)
 	owner := a.owner(1, 0, 1)
 	run := func(args ...string) string {
 		t.Helper()
@@ -299,8 +321,10 @@
 		t.Errorf("explain 1:\n%s", got)
 	}
 	run("drain", fmt.Sprint("rig-", owner+1))
+	tries := 0
 	a.until("the drained node sends clients away", func() bool {
-		return a.post(owner, "/"+rig.Idempotent, "drained", 1).status == http.StatusTemporaryRedirect
+		tries++
+		return a.post(owner, "/"+rig.Idempotent, fmt.Sprint("drained", tries), 1).status == http.StatusTemporaryRedirect
 	})
 	a.owner(1, 1-owner)
 	if got := run("show"); !strings.Contains(got, "draining") {
