--- a/internal/engine/shares.go
+++ b/internal/engine/shares.go
@@ -11,7 +11,7 @@
 type shareUpdate struct {
 	shares map[int]float64 // of the limits, by destination; 0 is none. Those that are missing stay
 	leased *bool           // whether any share may be used; nil where that stays
-	done   chan struct{}   // closed once the module follows it
+	done   chan struct{}   // closed once the module follows it; nil where nobody waits
 }
 
 // SetShares sets the shares of destinations' limits that this node may use while it has a lease, where
@@ -104,7 +104,9 @@
 	if listed := e.relisted(changed); len(listed.Entries) > 0 {
 		e.batch = append(e.batch, listed)
 	}
-	e.shares.following = append(e.shares.following, u.done)
+	if u.done != nil {
+		e.shares.following = append(e.shares.following, u.done)
+	}
 }
 
 // relisted are the entries of destinations' endpoints that are listed, as they are now.
--- /dev/null
+++ b/internal/node/assignment_test.go
@@ -0,0 +1,208 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"wingmount/decide/lease"
+	"wingmount/decide/placement"
+	"wingmount/internal/control"
+	"wingmount/internal/inflight"
+	"wingmount/internal/message"
+	"wingmount/internal/store"
+	"wingmount/internal/testkit"
+)
+
+// fakeAgent is an agent that a test plays.
+type fakeAgent struct {
+	mu          sync.Mutex
+	inForce     bool
+	assignments map[placement.DestinationID]lease.Assignment
+	unfinished  []placement.DestinationID
+	released    []placement.DestinationID
+	owners      []control.Owner
+	err         error
+}
+
+func (f *fakeAgent) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (f *fakeAgent) InForce() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inForce
+}
+
+func (f *fakeAgent) Assignment(d placement.DestinationID) (lease.Assignment, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a, ok := f.assignments[d]
+	return a, ok
+}
+
+func (f *fakeAgent) Unfinished(all ...placement.DestinationID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unfinished = append(f.unfinished, all...)
+}
+
+func (f *fakeAgent) Released(d placement.DestinationID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.released = append(f.released, d)
+	return true
+}
+
+func (f *fakeAgent) Locate(context.Context, placement.DestinationID) ([]control.Owner, error) {
+	return f.owners, f.err
+}
+
+// fakeEngine notes the shares that it is told.
+type fakeEngine struct {
+	shares map[int]float64
+	leased bool
+}
+
+func (f *fakeEngine) SetShares(shares map[int]float64) {
+	for d, share := range shares {
+		f.shares[d] = share
+	}
+}
+
+func (f *fakeEngine) SetLeased(leased bool) { f.leased = leased }
+
+func newTestAssignment() (*assignment, *fakeAgent, *fakeEngine) {
+	agent := &fakeAgent{inForce: true, assignments: map[placement.DestinationID]lease.Assignment{}}
+	engine := &fakeEngine{shares: map[int]float64{}}
+	a := &assignment{node: "n1", regionShare: 0.5, log: testkit.QuietLog(), agent: agent, engine: engine, registry: inflight.New(inflight.Config{}),
+		shares: map[int]float64{}, finishing: map[placement.DestinationID]bool{}, stopping: make(chan struct{})}
+	return a, agent, engine
+}
+
+// assign has the agent hear of assignments, and the node apply them.
+func assign(a *assignment, agent *fakeAgent, all ...lease.Assignment) {
+	agent.mu.Lock()
+	for _, assigned := range all {
+		if assigned.Gone {
+			delete(agent.assignments, assigned.Destination)
+		} else {
+			agent.assignments[assigned.Destination] = assigned
+		}
+	}
+	agent.mu.Unlock()
+	a.apply(lease.Update{Assignments: all})
+}
+
+// The engine hears the region's part of each share, the front what is accepted, and the carrier what may be sent.
+func TestAssignmentsApply(t *testing.T) {
+	a, agent, engine := newTestAssignment()
+	assign(a, agent, lease.Assignment{Destination: 1, Share: 0.5, Accepting: true}, lease.Assignment{Destination: 2, Share: 1},
+		lease.Assignment{Destination: 3, Accepting: true})
+	if engine.shares[1] != 0.25 || engine.shares[2] != 0.5 || engine.shares[3] != 0 {
+		t.Errorf("the engine hears %v", engine.shares)
+	}
+	for d, want := range map[int][2]bool{1: {true, true}, 2: {false, true}, 3: {true, false}, 4: {false, false}} {
+		if a.Accepts(d) != want[0] || a.MayCall(d) != want[1] {
+			t.Errorf("destination %d: accepts %v, may call %v, want %v", d, a.Accepts(d), a.MayCall(d), want)
+		}
+	}
+	agent.inForce = false
+	if a.Accepts(1) || a.MayCall(1) {
+		t.Error("without a lease messages are accepted, or calls made")
+	}
+	a.leaseChanged(true)
+	if !engine.leased {
+		t.Error("the engine does not hear of the lease")
+	}
+}
+
+// A share that shrinks is confirmed once what was sent under it counts at partners no more; one that grows, at once.
+func TestSmallerShareIsConfirmedLater(t *testing.T) {
+	a, agent, _ := newTestAssignment()
+	began := time.Now()
+	assign(a, agent, lease.Assignment{Destination: 1, Share: 0.5, Accepting: true})
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("a first share took %v", took)
+	}
+	began = time.Now()
+	assign(a, agent, lease.Assignment{Destination: 1, Share: 0.25, Accepting: true})
+	if took := time.Since(began); took < 2*time.Second {
+		t.Errorf("a smaller share was confirmed after %v", took)
+	}
+	close(a.stopping)
+	began = time.Now()
+	assign(a, agent, lease.Assignment{Destination: 1, Gone: true})
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("a node that stops waited %v", took)
+	}
+}
+
+// A destination that is not accepted for is released once nothing of it is in flight, reservations among it.
+func TestRelease(t *testing.T) {
+	a, agent, _ := newTestAssignment()
+	assign(a, agent, lease.Assignment{Destination: 1, Share: 1, Accepting: true}, lease.Assignment{Destination: 2, Share: 1})
+	a.registry.Reserve("m", 2, 0, time.Second)
+	a.release()
+	if len(agent.released) != 0 {
+		t.Fatalf("released %v with a reservation", agent.released)
+	}
+	a.registry.Release("m")
+	a.release()
+	if !slices.Equal(agent.released, []placement.DestinationID{2}) || len(agent.unfinished) != 0 {
+		t.Errorf("released %v, unfinished %v, want 2 released", agent.released, agent.unfinished)
+	}
+	agent.assignments[2] = lease.Assignment{Destination: 2}
+	a.release()
+	a.release()
+	if n := len(agent.released); n > 2 {
+		t.Errorf("released %d times", n)
+	}
+}
+
+// Messages of an earlier process, and one that is adopted late, are reported once where the node has no assignment.
+func TestUnfinished(t *testing.T) {
+	a, agent, _ := newTestAssignment()
+	a.recovered(store.Recovered{Owed: []*message.Message{{ID: "a", Dest: 5}, {ID: "b", Dest: 5}, {ID: "ended", Dest: 6, End: &message.End{}}}})
+	a.registry.Adopt("a", 5, 0)
+	a.registry.Adopt("late", 7, 0)
+	a.adopted(7)
+	a.release()
+	a.release()
+	if !slices.Equal(agent.unfinished, []placement.DestinationID{5, 7}) || len(agent.released) != 0 {
+		t.Errorf("unfinished %v, released %v, want 5 and 7 unfinished", agent.unfinished, agent.released)
+	}
+	assign(a, agent, lease.Assignment{Destination: 7, Share: 0.5})
+	a.release()
+	if n := len(agent.unfinished); n != 2 {
+		t.Errorf("reported %d times, want twice", n)
+	}
+}
+
+// Clients are sent to another node that owns the destination.
+func TestLocate(t *testing.T) {
+	a, agent, _ := newTestAssignment()
+	agent.owners = []control.Owner{{Node: "n1", Address: "h:1"}, {Node: "n2", Address: "h:2"}, {Node: "n3", Address: "h:3/x"}}
+	for range 20 {
+		if owner, err := a.Locate(context.Background(), 1); owner != "h:2" || err != nil {
+			t.Errorf("%q, %v", owner, err)
+		}
+	}
+	agent.owners = agent.owners[:1]
+	if _, err := a.Locate(context.Background(), 1); !errors.Is(err, errNoOwner) {
+		t.Errorf("without another owner: %v", err)
+	}
+	agent.err = errors.New("gone")
+	if _, err := a.Locate(context.Background(), 1); !errors.Is(err, agent.err) {
+		t.Errorf("without the control process: %v", err)
+	}
+	agent.inForce = false
+	if _, err := a.Locate(context.Background(), 1); !errors.Is(err, errNoLease) {
+		t.Errorf("without a lease: %v", err)
+	}
+}
