--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -85,6 +85,9 @@
 	// AnswerTime is how long before its deadline a message has its outcome at the latest, beyond a
 	// tick: time to record and announce it.
 	AnswerTime time.Duration
+	// Assigned says that destinations are assigned to nodes: this one makes no call without a share of the
+	// destination's limit, see [Engine.SetShares].
+	Assigned bool
 }
 
 // Parts are the collaborators of an engine. PeerMessages, Peers and Steps may be nil.
@@ -139,7 +142,7 @@
 	kinds        map[string]int
 	zones        map[string]int
 	origin       time.Time
-	events       chan any      // policy.Event, directory.List, Memories or *message.Message
+	events       chan any      // policy.Event, directory.List, Memories, shareUpdate or *message.Message
 	done         chan struct{} // closed when the engine has ended
 	quiesced     chan struct{} // closed when no call is started any more
 	messages     map[policy.MessageID]*message.Message
@@ -154,6 +157,7 @@
 	batch               []policy.Event
 	observations        []admission.Seen // for the admission, at the end of the step
 	actions             []policy.Action
+	shares              shares
 	quiet               bool // no call is started any more
 	outcomes            *outcomeWriter
 }
@@ -175,6 +179,7 @@
 		departing:    map[policy.EndpointID]*trackedEndpoint{},
 		destinations: map[int]*trackedDestination{},
 		vacant:       map[int]vacantDestination{},
+		shares:       newShares(c.Assigned),
 	}
 }
 
@@ -262,6 +267,7 @@
 	if e.quiet {
 		e.batch = e.batch[:0]
 		e.reportObservations()
+		e.shares.followed()
 		return 0
 	}
 	return e.step(ctx)
@@ -291,6 +297,8 @@
 			}
 		}
 		e.restore(event)
+	case shareUpdate:
+		e.applyShares(event)
 	case policy.Ended:
 		endpoint := e.endpoints[event.Endpoint]
 		if e.debug && endpoint != nil {
@@ -409,7 +417,8 @@
 					state = policy.Draining
 				}
 				named[id] = true
-				out.Entries = append(out.Entries, e.entry(endpoint, m, state))
+				e.shares.attach(endpoint, m.Size)
+				out.Entries = append(out.Entries, e.entry(endpoint, state, m.Size))
 			}
 			continue
 		}
@@ -431,13 +440,14 @@
 		if e.debug {
 			e.Log.Debug("listed", "dest", endpoint.Dest, "endpoint", endpoint.Name, "kind", endpoint.Kind, "zone", endpoint.Zone, "phase", m.Phase, "rate", m.Size)
 		}
+		e.shares.attach(endpoint, m.Size)
 		if state != policy.Gone {
 			endpoint.addr = m.HostPort
 		}
 		named[id] = true
 		e.setLeaving(endpoint, state != policy.Ready)
 		e.setDelisted(endpoint, state == policy.Gone)
-		out.Entries = append(out.Entries, e.entry(endpoint, m, state))
+		out.Entries = append(out.Entries, e.entry(endpoint, state, m.Size))
 	}
 	if in.Complete {
 		for id, endpoint := range e.endpoints {
@@ -450,8 +460,9 @@
 	return out
 }
 
-func (e *Engine) entry(endpoint *trackedEndpoint, m directory.Member, state policy.EndpointState) policy.Entry {
-	return policy.Entry{Endpoint: endpoint.ID, Destination: endpoint.Dest, Kind: int(endpoint.Kind), Zone: int(endpoint.Zone), State: state, Rate: m.Size}
+func (e *Engine) entry(endpoint *trackedEndpoint, state policy.EndpointState, rate float64) policy.Entry {
+	return policy.Entry{Endpoint: endpoint.ID, Destination: endpoint.Dest, Kind: int(endpoint.Kind), Zone: int(endpoint.Zone), State: state,
+		Rate: rate, Limit: e.shares.limit(endpoint.Dest, rate)}
 }
 
 // restore tells the module what an earlier process observed of the endpoints that have just
@@ -548,6 +559,7 @@
 			delete(e.endpoints, id)
 			delete(e.departing, id)
 			e.destinations[endpoint.Dest].endpoints--
+			e.shares.detach(endpoint)
 		}
 	}
 	for number, d := range e.vacant {
@@ -625,6 +637,7 @@
 		e.Carrier.Start(ctx, k)
 	}
 	e.reportObservations()
+	e.shares.followed()
 	return wake
 }
 
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -50,7 +50,9 @@
 	log      *slog.Logger
 	registry *inflight.Registry
 	keeper   *ruling.Keeper // nil where there are no rules
-	accept   func(*message.Message)
+	// ownership is nil where this node accepts messages for all destinations.
+	ownership Ownership
+	accept    func(*message.Message)
 	// maxDestination is the highest number of a destination.
 	maxDestination uint64
 }
@@ -64,6 +66,8 @@
 	MaxDestination uint64
 	// Keeper judges which class and key a message has; nil where it has what its client says.
 	Keeper *ruling.Keeper
+	// Ownership tells which destinations are this node's; nil where all are.
+	Ownership Ownership
 }
 
 // New returns an intake. It hands each message that the store has taken to accept, which
@@ -81,6 +85,7 @@
 		log:            log,
 		registry:       c.Registry,
 		keeper:         c.Keeper,
+		ownership:      c.Ownership,
 		accept:         accept,
 		maxDestination: cmp.Or(c.MaxDestination, directory.PlatformDestinations),
 	}
@@ -135,6 +140,10 @@
 		}
 		return
 	}
+	if !in.accepts(m.Dest) {
+		in.redirect(w, r, m)
+		return
+	}
 	if in.keeper != nil && in.registry.Accepted(m.ID) { // whatever the rules say of it now
 		w.WriteHeader(http.StatusAccepted)
 		return
@@ -206,6 +215,12 @@
 		in.turnAway(w, "the node has no capacity for it", retry)
 		return false
 	}
+	// From the reservation on the destination counts as unfinished here. It may have moved just before.
+	if !in.accepts(m.Dest) {
+		in.registry.Release(m.ID)
+		in.redirect(w, r, m)
+		return false
+	}
 	if err := in.take(r.Context(), m); err != nil {
 		undecided := errors.Is(err, store.ErrUndecided)
 		if undecided && in.keeper != nil {
