policy: a step walks queued destinations and endpoints with calls out, not the list

Cause: dispatch, doubtful, wake, letGo and makeRoom walked every destination or endpoint that is configured, in every step or every second.

Change: a set of the destinations with queued messages, in order of first mention, and one of the endpoints with calls out (index.Ordered); what is gone or has no endpoint is evicted by the time at which it is due (index.Heap); doubtful messages are counted only when the slots for them are asked for.

Same decisions: the differential test passes, now with up to 300 idle destinations beside the active ones, replaced, listed, told of and evicted in between.

--- /dev/null
+++ b/internal/index/ordered_test.go
@@ -0,0 +1,44 @@
+package index
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A set holds what a map holds, in the order of the keys.
+func TestOrderedAgainstMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var set Ordered[int]
+		want := map[uint64]int{}
+		for step := range rapid.IntRange(1, 100).Draw(t, "steps") {
+			key := rapid.Uint64Range(0, 20).Draw(t, "key")
+			if rapid.Bool().Draw(t, "add") {
+				set.Add(key, step)
+				if _, found := want[key]; !found {
+					want[key] = step
+				}
+			} else {
+				set.Remove(key)
+				delete(want, key)
+			}
+			var values []int
+			for _, key := range sortedKeys(want) {
+				values = append(values, want[key])
+			}
+			if !slices.Equal(set.Values(), values) || set.Len() != len(values) {
+				t.Fatalf("%v of %d, want %v", set.Values(), set.Len(), values)
+			}
+		}
+	})
+}
+
+func sortedKeys(values map[uint64]int) []uint64 {
+	var keys []uint64
+	for key := range values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/policy/growth_test.go
+++ b/policy/growth_test.go
@@ -46,7 +46,7 @@
 		}
 	}
 	paths := 0
-	for _, d := range s.ordered {
+	for _, d := range s.dests {
 		paths += len(d.paths)
 		for _, p := range d.paths {
 			for _, e := range p.endpoints {
@@ -61,8 +61,11 @@
 	if n := len(s.endpoints); n > most || n > last+8 || len(s.tags) > n || paths > most {
 		t.Errorf("%d endpoints (%d after a third), %d tags and %d paths are kept of 2400, want %d at most", n, last, len(s.tags), paths, most)
 	}
-	if n := len(s.ordered); n > 24 || len(s.dests) != n {
-		t.Errorf("%d destinations in order and %d by number are kept of 48, want 24 at most", n, len(s.dests))
+	if n := len(s.dests); n > 24 || s.unlisted.Len() > n {
+		t.Errorf("%d destinations and %d to be evicted are kept of 48, want 24 at most", n, s.unlisted.Len())
+	}
+	if s.queued.Len() > len(s.dests) || s.calling.Len() > set.Slots || s.gone.Len() > len(s.endpoints) {
+		t.Errorf("%d queued, %d calling and %d gone are kept", s.queued.Len(), s.calling.Len(), s.gone.Len())
 	}
 	if len(s.messages) > set.MaxHeld || last == 0 {
 		t.Errorf("%d messages are kept", len(s.messages))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -140,7 +140,7 @@
 			}
 		}
 	}
-	s.letGo()
+	s.evict()
 	if hearsay {
 		actions, s.out = s.out, nil
 		return actions
@@ -171,9 +171,9 @@
 	if s.waiting > 0 {
 		next = min(next, s.now+lookAgain)
 	}
-	for _, d := range s.ordered {
+	for _, d := range s.queued.Values() {
 		for _, p := range d.paths {
-			if at := s.due(p); d.queue.Len() > 0 && at > s.now && p.slice > quick {
+			if at := s.due(p); at > s.now && p.slice > quick {
 				next = min(next, at)
 			}
 		}
@@ -348,16 +348,12 @@
 // dispatch sends while there are slots and some message has a way: next the one
 // that would lose most worth for the slot time it takes, if it had to wait.
 func (s *Sender) dispatch() {
-	waiting := 0
-	for _, d := range s.ordered {
-		waiting += min(1, d.queue.Len())
-	}
-	s.share = s.set.Slots / evenShare / max(1, waiting)
+	s.share = s.set.Slots / evenShare / max(1, s.queued.Len())
 	for s.inFlight < s.set.Slots {
-		s.doubts = s.doubtful()
+		s.doubts = uncounted
 		var best pick
-		for _, d := range s.ordered {
-			if d.queue.Len() > 0 && len(d.paths) > 0 {
+		for _, d := range s.queued.Values() {
+			if len(d.paths) > 0 {
 				best = s.pickOf(d, best)
 			}
 		}
@@ -595,6 +591,7 @@
 	p := e.path
 	c := &call{endpoint: e, sent: s.now}
 	e.calls = append(e.calls, c)
+	s.calling.Add(uint64(e.id), e)
 	s.count(p, 1)
 	p.narrow.Record(s.now)
 	p.wide.Record(s.now)
@@ -680,6 +677,9 @@
 // roomForDoubt leaves the slots to endpoints that answer, however many hang.
 // While half of them lie idle doubt may have the rest: calls may get lost anywhere.
 func (s *Sender) roomForDoubt() bool {
+	if s.doubts == uncounted {
+		s.doubts = s.doubtful()
+	}
 	n := s.doubts
 	return n < max(1, s.set.Slots/doubtShare) || n < s.set.Slots/2 && s.inFlight <= s.set.Slots/2
 }
@@ -929,8 +929,7 @@
 	c := m.call
 	m.call = nil
 	if c.left--; c.left == 0 {
-		c.endpoint.calls = slices.DeleteFunc(c.endpoint.calls, func(o *call) bool { return o == c })
-		s.count(c.endpoint.path, -1)
+		s.returnCall(c)
 	}
 	if !c.judged && o.Outcome != Moot && o.Outcome != Cancelled && !o.Stale {
 		c.judged = true
@@ -1025,12 +1024,12 @@
 	if s.deadline.Len() <= keep {
 		return
 	}
-	for _, d := range s.ordered {
+	for _, d := range s.queued.Values() {
 		s.findWorst(d)
 	}
 	for s.deadline.Len() > keep {
 		var worst pick
-		for _, d := range s.ordered {
+		for _, d := range s.queued.Values() {
 			if worst.m == nil || d.worst.over(worst) {
 				worst = d.worst
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -59,7 +59,7 @@
 
 func (b *bench) wait(d time.Duration) { b.now += d; b.step(Woken{}) }
 
-func (b *bench) path() *path { return b.s.ordered[0].paths[0] }
+func (b *bench) path() *path { return b.s.dests[0].paths[0] }
 
 func count[T Action](actions []Action) int {
 	n := 0
@@ -236,12 +236,12 @@
 	if b.sent[0].Endpoint != 2 {
 		t.Fatalf("endpoint %d, want the route without a fee", b.sent[0].Endpoint)
 	}
-	b.s.ordered[0].paths[1].closedUntil = b.now + 100*time.Millisecond
+	b.s.dests[0].paths[1].closedUntil = b.now + 100*time.Millisecond
 	b.arrive(1)
 	if len(b.sent) != 1 {
 		t.Error("a fee was paid to save a short wait within the aim")
 	}
-	b.s.ordered[0].paths[1].closedUntil = b.now + 10*time.Second
+	b.s.dests[0].paths[1].closedUntil = b.now + 10*time.Second
 	b.wait(time.Millisecond)
 	if len(b.sent) != 2 || b.sent[1].Endpoint != 1 {
 		t.Errorf("sends %v, want the route with a fee where waiting costs more", b.sent)
@@ -286,7 +286,7 @@
 		list = append(list, Entry{Endpoint: EndpointID(i + 1), Destination: i, State: Ready})
 	}
 	s.Step(now, []Event{Listed{Whole: true, Entries: list}}, nil)
-	for _, d := range s.ordered {
+	for _, d := range s.dests {
 		d.paths[0].endpoints[0].suspect = true
 	}
 	var arrivals []Event
--- a/policy/reference_test.go
+++ b/policy/reference_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"wingmount/decide/terms"
 	"wingmount/policy"
 	"wingmount/policy/internal/reference"
 )
@@ -23,11 +24,15 @@
 	out   []flight // sorted by when they end
 	wake  policy.Time
 	ends  []policy.EndpointID
+	idle  []policy.Entry // of destinations that hardly get a message
 	zones map[policy.EndpointID]policy.Entry
 	mood  map[int]int // of destinations, see outcome
 	sends int
 }
 
+// firstIdle is the least number of an idle destination and of its endpoints.
+const firstIdle = 100
+
 // flight is an attempt that is out.
 type flight struct {
 	at  policy.Time
@@ -70,9 +75,44 @@
 		}
 		l.Entries = append(l.Entries, e)
 	}
+	if whole {
+		l.Entries = append(l.Entries, w.idle...)
+	}
 	return l
 }
 
+// addIdle draws destinations beside the active ones, some with two endpoints.
+func (w *drawn) addIdle() {
+	for i := range rapid.SampledFrom([]int{0, 3, 300}).Draw(w.t, "idle") {
+		e := policy.Entry{Endpoint: policy.EndpointID(firstIdle + i), Destination: firstIdle + i - i%7/6, Kind: i % 2, Zone: i / 2 % 2,
+			State: policy.Ready, Rate: []float64{0, 2, 100000}[i%3]}
+		w.idle = append(w.idle, e)
+		w.zones[e.Endpoint] = e
+	}
+}
+
+// idleEvent draws something that happens to an idle destination.
+func (w *drawn) idleEvent() policy.Event {
+	i := rapid.IntRange(0, len(w.idle)-1).Draw(w.t, "which idle")
+	e := w.idle[i]
+	switch rapid.IntRange(0, 4).Draw(w.t, "idle event") {
+	case 0: // replaced, if it is gone: a new endpoint of the same destination
+		w.idle[i].Endpoint += 1000
+		w.zones[w.idle[i].Endpoint] = w.idle[i]
+		return policy.Listed{Entries: []policy.Entry{w.idle[i]}}
+	case 1:
+		e.State = policy.EndpointState(rapid.IntRange(0, 2).Draw(w.t, "idle state"))
+		return policy.Listed{Entries: []policy.Entry{e}}
+	case 2:
+		return policy.Told{Tag: terms.TagOf(e.Endpoint), News: policy.News(rapid.IntRange(0, 3).Draw(w.t, "idle news"))}
+	case 3:
+		return policy.Remembered{Endpoint: e.Endpoint, Failed: rapid.Bool().Draw(w.t, "idle failed"), FailedAt: w.now - time.Second, Sent: []policy.Time{w.now - time.Second}}
+	}
+	w.next++
+	w.held = append(w.held, w.next)
+	return policy.Arrived{Message: w.next, Destination: e.Destination, GiveUpAt: w.now + w.set.Classes[0].Deadline}
+}
+
 // outcome draws what becomes of a send; a destination has moods that last.
 func (w *drawn) outcome(s policy.Send) flight {
 	e := w.zones[s.Endpoint]
@@ -122,6 +162,9 @@
 		es = append(es, w.out[0].end)
 		w.out = w.out[1:]
 	}
+	if len(w.idle) > 0 && rapid.IntRange(0, 9).Draw(w.t, "idle happens") == 0 {
+		es = append(es, w.idleEvent())
+	}
 	arrivals := 0
 	switch rapid.IntRange(0, 9).Draw(w.t, "come") {
 	case 0, 1, 2, 3:
@@ -144,7 +187,7 @@
 				es = append(es, policy.Withdrawn{Message: rapid.SampledFrom(w.held).Draw(w.t, "withdrawn")})
 			}
 		case 4:
-			tag := policy.Tag(uint64(rapid.SampledFrom(w.ends).Draw(w.t, "tagged")) * 0x9e3779b97f4a7c15 >> (64 - policy.TagBits))
+			tag := terms.TagOf(rapid.SampledFrom(w.ends).Draw(w.t, "tagged"))
 			es = append(es, policy.Told{Tag: tag, News: policy.News(rapid.IntRange(0, 3).Draw(w.t, "news"))})
 		case 5:
 			ago := func(what string) policy.Time {
@@ -189,6 +232,7 @@
 			w.ends = append(w.ends, e.Endpoint)
 			w.zones[e.Endpoint] = e
 		}
+		w.addIdle()
 		seed := rapid.Uint64().Draw(t, "seed")
 		ours, theirs := policy.New(w.set, seed), reference.New(w.set, seed)
 		first := []policy.Event{w.list(true)}
@@ -209,6 +253,9 @@
 			}
 			w.act(a)
 			w.now += time.Duration(rapid.SampledFrom([]int{1, 5, 20, 100, 700}).Draw(t, "pause")) * time.Millisecond
+			if rapid.IntRange(0, 60).Draw(t, "long pause") == 0 {
+				w.now += 30 * time.Second // what is gone is evicted
+			}
 		}
 		sends += w.sends
 	})
--- a/policy/state.go
+++ b/policy/state.go
@@ -30,10 +30,16 @@
 	endpoints map[EndpointID]*endpoint
 	tags      map[Tag]*endpoint
 	dests     map[int]*destination
-	ordered   []*destination // in order of first mention; maps are never ranged over
+	mentions  uint64 // destinations mentioned so far
 	messages  map[MessageID]*message
 	turns     map[uint64]*turn
 
+	// What a step walks, so that it costs nothing for what is merely configured.
+	queued   index.Ordered[*destination] // with messages in their queues, in order of first mention
+	calling  index.Ordered[*endpoint]    // with calls out
+	gone     index.Heap[*endpoint]       // listed as gone, by when they may be evicted
+	unlisted index.Heap[*destination]    // without endpoints, by when they may be evicted
+
 	worths   []estimate.Worth     // by class
 	arrivals uint64               // messages so far
 	waiting  int                  // those of them in the queues
@@ -53,7 +59,7 @@
 	toldAt   Time          // when the last note was told
 	longest  time.Duration // the longest time that a message may wait
 	sweepAt  Time          // when to look again for what can be let go of
-	doubts   int           // see doubtful; counted before each send, which alone changes it in a step
+	doubts   int           // see doubtful; counted once between sends, which alone change it in a step
 	inFlight int           // calls out
 	share    int           // of the slots that each destination has at least, in this step
 	pace     float64       // how much slower than their own estimates all destinations answer of late
@@ -77,6 +83,9 @@
 	}
 }
 
+// uncounted says that nobody has asked for the number of doubtful messages since the last send.
+const uncounted = -1
+
 // call is one call that is out: one message, or a bundle with one fate.
 type call struct {
 	endpoint *endpoint
@@ -94,6 +103,8 @@
 	state EndpointState
 	told  Time // when it was told to be draining or gone
 
+	evicting bool // it is among Sender.gone
+
 	calls    []*call // out, oldest first
 	lastSent Time
 	lastOK   Time
@@ -146,7 +157,9 @@
 	inFlight int                   // calls out
 	queue    index.Queue[*message] // held; plain are those that nothing but their age tells apart
 	owed     int                   // messages that are not forgotten
-	goneAt   Time                  // when its last endpoint was let go of
+
+	order  uint64                    // of first mention
+	expiry *index.Item[*destination] // in Sender.unlisted, or nil while it has endpoints
 
 	// What may come next of its messages in this step, the first before all others; see pickOf.
 	rankedAt int // a step
@@ -216,6 +229,7 @@
 		m.dest.queue.MakeOdd(&m.held)
 	}
 	m.dest.queue.Add(&m.held)
+	s.queued.Add(m.dest.order, m.dest)
 	s.waiting++
 	switch {
 	case m.attempts >= s.set.MaxAttempts || m.ran && m.class.Repeat == AtMostOnce:
@@ -229,7 +243,20 @@
 	if m.dest.queue.Remove(&m.held) {
 		s.waiting--
 		s.oblivion.Remove(&m.forget)
+		if m.dest.queue.Len() == 0 {
+			s.queued.Remove(m.dest.order)
+		}
+	}
+}
+
+// returnCall takes a call that is over off its endpoint.
+func (s *Sender) returnCall(c *call) {
+	e := c.endpoint
+	e.calls = slices.DeleteFunc(e.calls, func(o *call) bool { return o == c })
+	if len(e.calls) == 0 {
+		s.calling.Remove(uint64(e.id))
 	}
+	s.count(e.path, -1)
 }
 
 // count keeps the calls out.
@@ -273,13 +300,20 @@
 func (s *Sender) destination(n int) *destination {
 	d := s.dests[n]
 	if d == nil {
-		d = &destination{number: n, goneAt: s.now}
+		d = &destination{number: n, order: s.mentions}
+		s.mentions++
 		s.dests[n] = d
-		s.ordered = append(s.ordered, d)
+		s.unlist(d)
 	}
 	return d
 }
 
+// unlist has a destination without endpoints evicted when its logs can't matter any more.
+func (s *Sender) unlist(d *destination) {
+	d.expiry = &index.Item[*destination]{Value: d}
+	s.unlisted.Set(d.expiry, int64(s.now+time.Duration(s.set.Senders)*2*wideWindow))
+}
+
 // end takes a message that has its final answer out of everything but the attempt that may still be out.
 func (s *Sender) end(m *message) {
 	m.ended = true
@@ -321,48 +355,60 @@
 	}
 }
 
-// letGo forgets endpoints that are gone. Each is kept while a call is out to it, and for the longest time
+// evict forgets endpoints that are gone. Each is kept while a call is out to it, and for the longest time
 // that a message may wait: until then a new endpoint beside it may be the cold replacement of one that
 // was out. With the last endpoint of a route apart goes its path; a shared path stays with its
 // destination, which goes when it has had no endpoint and no message for as long again as its logs may
 // look back.
-func (s *Sender) letGo() {
+func (s *Sender) evict() {
 	if s.now < s.sweepAt {
 		return
 	}
 	s.sweepAt = s.now + sweepGap
-	left := func(e *endpoint) bool {
-		gone := e.state == Gone && len(e.calls) == 0 && s.now-e.told >= s.longest
-		if gone {
-			delete(s.endpoints, e.id)
-			if t := terms.TagOf(e.id); s.tags[t] == e {
-				delete(s.tags, t)
-			}
-			e.path.dest.goneAt = s.now
-		}
-		return gone
-	}
-	for _, d := range s.ordered {
-		for _, p := range d.paths {
-			p.endpoints = slices.DeleteFunc(p.endpoints, left)
-		}
-		d.paths = slices.DeleteFunc(d.paths, func(p *path) bool { return p.kind.RoutesApart && len(p.endpoints) == 0 })
-	}
-	s.ordered = slices.DeleteFunc(s.ordered, func(d *destination) bool {
-		listed := slices.ContainsFunc(d.paths, func(p *path) bool { return len(p.endpoints) > 0 })
-		gone := !listed && d.owed == 0 && s.now-d.goneAt >= time.Duration(s.set.Senders)*2*wideWindow
-		if gone {
+	s.gone.PopUntil(int64(s.now), s.evictEndpoint)
+	s.unlisted.PopUntil(int64(s.now), func(d *destination) {
+		if d.owed == 0 {
 			delete(s.dests, d.number)
+			return
 		}
-		return gone
+		s.unlisted.Set(d.expiry, int64(s.now+1)) // for the next sweep
 	})
 }
 
+func (s *Sender) evictEndpoint(e *endpoint) {
+	if e.evicting = e.state == Gone; !e.evicting {
+		return // it came back
+	}
+	due := e.told + s.longest
+	if due > s.now || len(e.calls) > 0 {
+		s.gone.Set(&index.Item[*endpoint]{Value: e}, int64(max(due, s.now+1)))
+		return
+	}
+	delete(s.endpoints, e.id)
+	if t := terms.TagOf(e.id); s.tags[t] == e {
+		delete(s.tags, t)
+	}
+	p, d := e.path, e.path.dest
+	p.endpoints = slices.DeleteFunc(p.endpoints, func(o *endpoint) bool { return o == e })
+	if len(p.endpoints) > 0 {
+		return
+	}
+	if p.kind.RoutesApart {
+		d.paths = slices.DeleteFunc(d.paths, func(o *path) bool { return o == p })
+	}
+	if !slices.ContainsFunc(d.paths, func(p *path) bool { return len(p.endpoints) > 0 }) {
+		s.unlist(d)
+	}
+}
+
 func (s *Sender) setState(e *endpoint, state EndpointState) {
 	if state == Ready || e.state == Ready {
 		e.told = s.now
 	}
-	e.state = state
+	if e.state = state; state == Gone && !e.evicting {
+		e.evicting = true
+		s.gone.Set(&index.Item[*endpoint]{Value: e}, int64(e.told+s.longest))
+	}
 	e.path.most = max(e.path.most, e.path.readyEndpoints())
 }
 
@@ -408,6 +454,10 @@
 	p.endpoints = append(p.endpoints, e)
 	s.endpoints[e.id] = e
 	s.tags[terms.TagOf(e.id)] = e
+	if d.expiry != nil {
+		s.unlisted.Remove(d.expiry)
+		d.expiry = nil
+	}
 	s.joined(e)
 	return e
 }
@@ -424,8 +474,8 @@
 
 // doubtful counts the messages that are out to endpoints that are out, suspect or stalled.
 func (s *Sender) doubtful() (n int) {
-	for _, e := range s.endpoints { // a sum: the order of a map does not matter
-		if len(e.calls) > 0 && (e.out || e.suspect || s.stalled(e)) {
+	for _, e := range s.calling.Values() {
+		if e.out || e.suspect || s.stalled(e) {
 			for _, c := range e.calls {
 				n += c.left
 			}
