--- a/policy/idle_test.go
+++ b/policy/idle_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"wingmount/decide/terms"
 )
 
 // maxIdleBytes is what a destination with one endpoint may take in the module while it is idle.
@@ -18,10 +20,10 @@
 var sizes = []int{1_000, 10_000, 60_000, 170_000}
 
 // idleList is a whole list of so many destinations with one endpoint each.
-func idleList(destinations int) Listed {
+func idleList(destinations int, limit float64) Listed {
 	list := Listed{Whole: true}
 	for i := range destinations {
-		list.Entries = append(list.Entries, Entry{Endpoint: EndpointID(i + 1), Destination: i, State: Ready, Rate: 100})
+		list.Entries = append(list.Entries, Entry{Endpoint: EndpointID(i + 1), Destination: i, State: Ready, Rate: 100, Limit: limit})
 	}
 	return list
 }
@@ -37,14 +39,17 @@
 // A destination that is merely listed takes few bytes, at every size, for one sender and for many; and it
 // asks for no wake.
 func TestIdleDestinationIsSmall(t *testing.T) {
-	for _, senders := range []int{1, 1500} {
+	for _, c := range []struct {
+		senders int
+		limit   float64
+	}{{1, 0}, {1500, 0}, {1500, 5}} {
 		for _, n := range sizes {
-			t.Run(fmt.Sprintf("senders=%d/destinations=%d", senders, n), func(t *testing.T) {
+			t.Run(fmt.Sprintf("senders=%d/limit=%v/destinations=%d", c.senders, c.limit, n), func(t *testing.T) {
 				set := testSettings()
-				set.Senders, set.Listing, set.MayTell = senders, RateRough, true
+				set.Senders, set.Listing, set.MayTell = c.senders, RateRough, true
 				s := New(set, 1)
 				before := heapBytes()
-				actions := s.Step(time.Hour, []Event{idleList(n)}, nil)
+				actions := s.Step(time.Hour, []Event{idleList(n, c.limit)}, nil)
 				bytes := (heapBytes() - before) / float64(n)
 				t.Logf("%.0f bytes for each of %d idle destinations", bytes, n)
 				if bytes > maxIdleBytes {
@@ -67,7 +72,7 @@
 	s := New(set, 1)
 	now := Time(time.Hour)
 	before := heapBytes()
-	s.Step(now, []Event{idleList(n)}, nil)
+	s.Step(now, []Event{idleList(n, 0)}, nil)
 	for i := range n {
 		now += set.Tick
 		id := MessageID(i + 1)
@@ -87,13 +92,49 @@
 	runtime.KeepAlive(s)
 }
 
+// The limit that is listed last binds an idle destination from its first message on, and none at all holds
+// it back.
+func TestLimitOfIdleDestination(t *testing.T) {
+	set := testSettings()
+	s := New(set, 1)
+	now := Time(time.Hour)
+	for _, limit := range []float64{0, 5, terms.NoCalls, 1} {
+		s.Step(now, []Event{idleList(1, limit)}, nil)
+		now += time.Minute
+	}
+	if s.dests[0].active {
+		t.Fatal("the list alone made a destination active")
+	}
+	calls := 0
+	for id := range MessageID(20) {
+		for _, a := range s.Step(now, []Event{Arrived{Message: id, GiveUpAt: now + time.Second}}, nil) {
+			if send, ok := a.(Send); ok {
+				calls++
+				s.Step(now, []Event{Ended{Message: send.Message, Endpoint: send.Endpoint, Took: time.Millisecond}}, nil)
+			}
+		}
+		now += 100 * time.Millisecond
+	}
+	if calls != 2 {
+		t.Errorf("%d calls in two seconds under a limit of one a second", calls)
+	}
+	s = New(set, 1)
+	s.Step(now, []Event{idleList(1, 5)}, nil)
+	s.Step(now, []Event{idleList(1, terms.NoCalls)}, nil)
+	for _, a := range s.Step(now, []Event{Arrived{Message: 1, GiveUpAt: now + time.Second}}, nil) {
+		if send, ok := a.(Send); ok {
+			t.Errorf("%+v without a share", send)
+		}
+	}
+}
+
 // Messages that have ended leave no backlog behind them, and a bounded number is kept to be used again.
 func TestBacklogIsFreed(t *testing.T) {
 	set := testSettings()
 	set.MaxHeld = 0
 	s := New(set, 1)
 	now := Time(time.Hour)
-	s.Step(now, []Event{idleList(3 * mostSpare)}, nil)
+	s.Step(now, []Event{idleList(3*mostSpare, 0)}, nil)
 	for id := range MessageID(3 * mostSpare) {
 		s.Step(now, []Event{Arrived{Message: id, Destination: int(id), GiveUpAt: now + time.Second}}, nil)
 	}
@@ -123,7 +164,8 @@
 		now, next := Time(time.Hour), MessageID(0)
 		entry := func(endpoint EndpointID, state EndpointState) Entry {
 			destination := int(endpoint) % 5
-			return Entry{Endpoint: endpoint, Destination: destination, Kind: destination % 2, Zone: int(endpoint) % 2, State: state, Rate: float64(endpoint * endpoint)}
+			return Entry{Endpoint: endpoint, Destination: destination, Kind: destination % 2, Zone: int(endpoint) % 2, State: state,
+				Rate: float64(endpoint * endpoint), Limit: []float64{0, 0, 0, 3, terms.NoCalls}[destination]}
 		}
 		list := Listed{Whole: true}
 		for endpoint := range EndpointID(8) {
@@ -177,7 +219,7 @@
 		set.Slots = rapid.IntRange(1, 5).Draw(t, "slots")
 		s := New(set, 1)
 		now := Time(time.Hour)
-		s.Step(now, []Event{idleList(6)}, nil)
+		s.Step(now, []Event{idleList(6, 0)}, nil)
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		var out []Send
 		for id := range MessageID(rapid.IntRange(1, 200).Draw(t, "steps")) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -89,7 +89,6 @@
 	// Any destination is taken to bear so many calls a second from all senders when
 	// warm. The settings don't tell; with less small ones would hardly be tried.
 	leastRate = 6
-	roughOver = 1.5 // a rough rate is up to half over the true one
 
 	// Backoff between attempts at one message, doubled each time.
 	backoffBase, backoffMax = 200 * time.Millisecond, 4 * time.Second
@@ -189,9 +188,9 @@
 
 // newPath keeps what startTraffic needs of an entry, and draws what is drawn as it is listed.
 func (s *Sender) newPath(d *destination, entry Entry) *path {
-	p := &path{dest: d, rate: entry.Rate, listedAt: s.now, most: 1,
+	p := &path{dest: d, rate: entry.Rate, limit: entry.Limit, listedAt: s.now, most: 1,
 		kindIndex: index16(entry.Kind), zone: index16(entry.Zone)}
-	if s.set.Listing != RateUnlisted && entry.Rate > 0 && s.set.Senders >= manySenders {
+	if s.ratesListed(p) && s.set.Senders >= manySenders {
 		s.startTraffic(p)
 		p.firstCall = s.now - estimate.Jitter(s.rng, p.narrow.Span) // all start at once
 		p.traffic = nil
@@ -209,13 +208,10 @@
 		narrow: index.Window{Span: narrowWindow}, wide: index.Window{Span: wideWindow},
 		taken:   estimate.Rate{Window: index.Window{Span: narrowWindow}},
 		latency: estimate.Latency{Mean: firstLatency}}
-	if s.set.Listing != RateUnlisted && p.rate > 0 {
+	if s.ratesListed(p) {
 		p.listed = p.rate / float64(s.set.Senders)
 		p.slice = max(1, p.listed*narrowWindow.Seconds())
-		p.sureRate = p.listed
-		if s.set.Listing == RateRough {
-			p.sureRate /= roughOver
-		}
+		p.sureRate = s.set.Listing.Sure(p.listed)
 		if s.set.Senders >= manySenders {
 			p.part = share.New(p.listedAt, p.rate, s.set.Senders)
 			s.follow(p)
@@ -225,6 +221,33 @@
 	if p.kind.RoutesApart && int(p.zone) < len(s.set.ZoneFee) {
 		p.fee = s.set.ZoneFee[p.zone]
 	}
+	if p.limit != 0 {
+		s.setLimit(p, p.listedAt, p.limit)
+	}
+}
+
+// ratesListed tells whether a path starts from its listed rate.
+func (s *Sender) ratesListed(p *path) bool {
+	return s.set.Listing != RateUnlisted && p.rate > 0 && p.limit == 0
+}
+
+// hold takes in the share of a limit that this sender has alone, or that it has none for now. Without
+// one any more, a path goes on from the slice that it has. Of an idle one the last share alone counts.
+func (s *Sender) hold(p *path, entry Entry) {
+	switch {
+	case entry.State == Gone:
+	case p.traffic == nil && p.limit != entry.Limit:
+		p.limit, p.listedAt = entry.Limit, s.now
+	case p.traffic != nil && (entry.Limit != 0 || p.part.Alone()):
+		s.setLimit(p, s.now, entry.Limit)
+	}
+}
+
+func (s *Sender) setLimit(p *path, from Time, limit float64) {
+	if p.part = p.part.Hold(from, limit); limit > 0 {
+		p.sureRate = s.set.Listing.Sure(limit)
+		s.follow(p)
+	}
 }
 
 // due is when the pace of a path allows the next call.
@@ -240,18 +263,16 @@
 	if p.part != nil {
 		s.follow(p)
 	}
-	slice := max(1, p.slice)
-	if s.now < p.closedUntil {
+	slice := p.part.Whole(p.slice)
+	if s.now < p.closedUntil || p.part.ClosedFor(s.now) > 0 {
 		return false
 	}
-	if _, out := p.outSince(); out && p.part != nil {
+	if _, out := p.outSince(); out && p.part != nil && !p.part.Alone() {
 		return p.inFlight < s.bound(p) // trials have spaces of their own; stretched logs would hold them back
 	}
 	if s.now < s.due(p) || float64(p.narrow.Count(s.now)) > slice-1 ||
 		float64(p.wide.Count(s.now)) > slice*float64(wideWindow/narrowWindow)-1 {
-		if p.part != nil {
-			p.part.Bound(s.now)
-		}
+		p.part.Bound(s.now)
 		return false
 	}
 	return p.inFlight < s.bound(p)
@@ -262,7 +283,7 @@
 func (s *Sender) follow(p *path) {
 	rate, late := p.part.Rate(s.now)
 	p.slice = rate * narrowWindow.Seconds()
-	stretch := p.phase / min(1, p.slice)
+	stretch := p.part.Stretch(p.slice, p.phase)
 	p.narrow.Span = time.Duration(stretch * float64(narrowWindow))
 	p.wide.Span = time.Duration(stretch * float64(wideWindow) * rate / late)
 }
@@ -297,7 +318,7 @@
 // time, and closes the logs for the told wait.
 func (s *Sender) full(p *path, e *endpoint, sent Time, wait time.Duration) {
 	if p.part != nil {
-		s.refused(e, !s.tell(e, Jam) || !s.notesCome())
+		s.refused(e, !p.part.Alone() && (!s.tell(e, Jam) || !s.notesCome()))
 		e.fullRun++
 	} else if sent >= e.fullAt { // calls that were out together count as one refusal
 		if math.IsInf(p.slice, 1) {
@@ -319,10 +340,7 @@
 	if p.part == nil && p.slice <= 1 && s.set.MayTell && s.jam(p) {
 		s.tell(e, Jam)
 	}
-	pause := wait
-	if wait == 0 {
-		pause = min(maxFullPause, fullPause<<min(e.fullRun, 6))
-	}
+	pause := cmp.Or(wait, min(maxFullPause, fullPause<<min(e.fullRun, 6)))
 	p.closedUntil = max(p.closedUntil, s.now+pause+estimate.Jitter(s.rng, waitJitter))
 }
 
@@ -477,9 +495,8 @@
 func (s *Sender) drain(d *destination) time.Duration {
 	rate, outage := 0.0, time.Duration(math.MaxInt64)
 	for _, p := range d.paths {
-		r, o := s.rate(p), s.outage(p)
-		rate += r
-		outage = min(outage, o)
+		rate += s.rate(p)
+		outage = min(outage, s.outage(p))
 	}
 	if len(d.paths) == 0 {
 		return narrowWindow
@@ -499,7 +516,7 @@
 // outage guesses how long a path stays closed: an outage that has lasted for
 // some time lasts as long again.
 func (s *Sender) outage(p *path) time.Duration {
-	wait := max(0, p.closedUntil-s.now)
+	wait := max(p.part.ClosedFor(s.now), p.closedUntil-s.now)
 	if from, out := p.outSince(); out {
 		wait = max(wait, s.now-from, s.set.FallWindow)
 	}
@@ -733,7 +750,7 @@
 	sure := max(e.path.sureRate, leastRate/float64(s.set.Senders))
 	gathered := min(s.longest, max(s.set.FallWindow, s.now-e.troubled)).Seconds()
 	bears := coldMargin * s.set.FallMultiple * warmth * s.set.FallWindow.Seconds()
-	return bears * max(sure, s.ownRate(e.path), 1/gathered)
+	return bears * max(sure, e.path.part.Cap(s.ownRate(e.path)), 1/gathered)
 }
 
 // coldRoom tells whether an endpoint that may be cold may be sent a call: its part
@@ -878,7 +895,7 @@
 	}
 	s.heardAt = s.now
 	switch {
-	case e == nil:
+	case e == nil || n.News == Jam && e.path.part.Alone(): // others have shares of their own
 	case n.News == Jam:
 		if p := e.path; p.part != nil {
 			s.refused(e, false)
--- a/policy/state.go
+++ b/policy/state.go
@@ -139,9 +139,10 @@
 	dest      *destination
 	endpoints []*endpoint
 	rate      float64 // as listed, of all senders together
-	listedAt  Time
-	firstCall Time   // many senders: when a call is taken to have been made, so that not all start at once
-	most      uint32 // the most endpoints that were ready at a time
+	limit     float64 // as listed while it was idle, of this sender; see Entry.Limit
+	listedAt  Time    // when it was, or its limit while it was idle
+	firstCall Time    // many senders: when a call is taken to have been made, so that not all start at once
+	most      uint32  // the most endpoints that were ready at a time
 	kindIndex uint16
 	zone      uint16
 
@@ -158,7 +159,7 @@
 
 	narrow, wide index.Window
 	taken        estimate.Rate // its successes
-	part         *share.Part   // of a limit that many senders share, or nil
+	part         *share.Part   // of a limit that many senders share, or that this one holds, or nil
 	phase        float64       // drawn with each call: how long a stretched window is, about 1
 	slice        float64       // calls in a narrow window; infinite while unbound
 	beforeRun    float64       // the slice before the fulls in a row of late, or 0
@@ -448,6 +449,7 @@
 		}
 		if e != nil {
 			s.setState(e, entry.State)
+			s.hold(e.path, entry)
 		}
 	}
 	if !l.Whole {
