--- a/policy/policy.go
+++ b/policy/policy.go
@@ -139,7 +139,7 @@
 			}
 		}
 	}
-	s.letGo()
+	s.evict()
 	if hearsay {
 		actions, s.out = s.out, nil
 		return actions
@@ -170,9 +170,9 @@
 	if s.waiting > 0 {
 		next = min(next, s.now+lookAgain)
 	}
-	for _, d := range s.ordered {
+	for _, d := range s.queued.Values() {
 		for _, p := range d.paths {
-			if at := s.due(p); d.queue.Len() > 0 && at > s.now && p.slice > quick {
+			if at := s.due(p); at > s.now && p.slice > quick {
 				next = min(next, at)
 			}
 		}
@@ -186,37 +186,66 @@
 
 // The ordinary path: two sliding windows for each path
 
-// newPath starts with an unbound slice, or with this sender's part of the
+// newPath keeps what startTraffic needs of an entry, and draws what is drawn as it is listed.
+func (s *Sender) newPath(d *destination, entry Entry) *path {
+	p := &path{dest: d, rate: entry.Rate, limit: entry.Limit, listedAt: s.now, most: 1,
+		kindIndex: s.kindOf(entry), zone: uint16(min(entry.Zone, len(s.set.ZoneFee)-1))}
+	if s.ratesListed(p) && s.set.Senders >= manySenders {
+		s.startTraffic(p)
+		p.firstCall = s.now - estimate.Jitter(s.rng, p.narrow.Span) // all start at once
+		p.traffic = nil
+	}
+	if d.active {
+		s.startTraffic(p)
+	}
+	return p
+}
+
+// startTraffic starts with an unbound slice, or with this sender's part of the
 // listed rate, at least one call in a window.
-func (s *Sender) newPath(d *destination, kind Kind, entry Entry) *path {
-	p := &path{dest: d, kind: kind, slice: math.Inf(1), phase: 1,
+func (s *Sender) startTraffic(p *path) {
+	p.traffic = &traffic{kind: s.set.Kinds[p.kindIndex], slice: math.Inf(1), phase: 1,
 		narrow: index.Window{Span: narrowWindow}, wide: index.Window{Span: wideWindow},
-		taken: estimate.Rate{Window: index.Window{Span: narrowWindow}}, most: 1,
+		taken:   estimate.Rate{Window: index.Window{Span: narrowWindow}},
 		latency: estimate.Latency{Mean: firstLatency}}
-	if s.set.Listing != RateUnlisted && entry.Rate > 0 && entry.Limit == 0 {
-		p.listed = entry.Rate / float64(s.set.Senders)
+	if s.ratesListed(p) {
+		p.listed = p.rate / float64(s.set.Senders)
 		p.slice = max(1, p.listed*narrowWindow.Seconds())
 		p.sureRate = s.set.Listing.Sure(p.listed)
 		if s.set.Senders >= manySenders {
-			p.part = share.New(s.now, entry.Rate, s.set.Senders)
+			p.part = share.New(p.listedAt, p.rate, s.set.Senders)
 			s.follow(p)
-			p.narrow.Record(s.now - estimate.Jitter(s.rng, p.narrow.Span)) // all start at once
+			p.narrow.Record(p.firstCall)
 		}
 	}
-	if kind.RoutesApart && entry.Zone < len(s.set.ZoneFee) {
-		p.fee = s.set.ZoneFee[entry.Zone]
+	if p.kind.RoutesApart {
+		p.fee = s.set.ZoneFee[p.zone]
+	}
+	if p.limit != 0 {
+		s.setLimit(p, p.listedAt, p.limit)
 	}
-	return p
+}
+
+// ratesListed tells whether a path starts from its listed rate.
+func (s *Sender) ratesListed(p *path) bool {
+	return s.set.Listing != RateUnlisted && p.rate > 0 && p.limit == 0
 }
 
 // hold takes in the share of a limit that this sender has alone, or that it has none for now. Without
-// one any more, a path goes on from the slice that it has.
+// one any more, a path goes on from the slice that it has. Of an idle one the last share alone counts.
 func (s *Sender) hold(p *path, entry Entry) {
-	if entry.State == Gone || entry.Limit == 0 && !p.part.Alone() {
-		return
+	switch {
+	case entry.State == Gone:
+	case p.traffic == nil && p.limit != entry.Limit:
+		p.limit, p.listedAt = entry.Limit, s.now
+	case p.traffic != nil && (entry.Limit != 0 || p.part.Alone()):
+		s.setLimit(p, s.now, entry.Limit)
 	}
-	if p.part = p.part.Hold(s.now, entry.Limit); entry.Limit > 0 {
-		p.sureRate = s.set.Listing.Sure(entry.Limit)
+}
+
+func (s *Sender) setLimit(p *path, from Time, limit float64) {
+	if p.part = p.part.Hold(from, limit); limit > 0 {
+		p.sureRate = s.set.Listing.Sure(limit)
 		s.follow(p)
 	}
 }
@@ -351,16 +380,12 @@
 // dispatch sends while there are slots and some message has a way: next the one
 // that would lose most worth for the slot time it takes, if it had to wait.
 func (s *Sender) dispatch() {
-	waiting := 0
-	for _, d := range s.ordered {
-		waiting += min(1, d.queue.Len())
-	}
-	s.share = s.set.Slots / evenShare / max(1, waiting)
+	s.share = s.set.Slots / evenShare / max(1, s.queued.Len())
 	for s.inFlight < s.set.Slots {
-		s.doubts = s.doubtful()
+		s.doubts = uncounted
 		var best pick
-		for _, d := range s.ordered {
-			if d.queue.Len() > 0 && len(d.paths) > 0 {
+		for _, d := range s.queued.Values() {
+			if len(d.paths) > 0 {
 				best = s.pickOf(d, best)
 			}
 		}
@@ -597,6 +622,7 @@
 	p := e.path
 	c := &call{endpoint: e, sent: s.now}
 	e.calls = append(e.calls, c)
+	s.calling.Add(uint64(e.id), e)
 	s.count(p, 1)
 	p.narrow.Record(s.now)
 	p.wide.Record(s.now)
@@ -682,6 +708,9 @@
 // roomForDoubt leaves the slots to endpoints that answer, however many hang.
 // While half of them lie idle doubt may have the rest: calls may get lost anywhere.
 func (s *Sender) roomForDoubt() bool {
+	if s.doubts == uncounted {
+		s.doubts = s.doubtful()
+	}
 	n := s.doubts
 	return n < max(1, s.set.Slots/doubtShare) || n < s.set.Slots/2 && s.inFlight <= s.set.Slots/2
 }
@@ -855,9 +884,12 @@
 // heard takes in what another sender has seen; an own success of late weighs more.
 // Trials of an outage are left to who told it, but for rare ones: notes get lost.
 func (s *Sender) heard(n Told) {
-	e := s.tags[n.Tag]
+	e := s.endpoints.Named(n.Tag)
 	if n.Endpoint != 0 {
-		e = s.endpoints[n.Endpoint]
+		e = s.endpoint(n.Endpoint)
+	}
+	if e != nil {
+		s.activate(e.path.dest)
 	}
 	s.heardAt = s.now
 	switch {
@@ -931,8 +963,7 @@
 	c := m.call
 	m.call = nil
 	if c.left--; c.left == 0 {
-		c.endpoint.calls = slices.DeleteFunc(c.endpoint.calls, func(o *call) bool { return o == c })
-		s.count(c.endpoint.path, -1)
+		s.returnCall(c)
 	}
 	if !c.judged && o.Outcome != Moot && o.Outcome != Cancelled && !o.Stale {
 		c.judged = true
@@ -1027,12 +1058,12 @@
 	if s.deadline.Len() <= keep {
 		return
 	}
-	for _, d := range s.ordered {
+	for _, d := range s.queued.Values() {
 		s.findWorst(d)
 	}
 	for s.deadline.Len() > keep {
 		var worst pick
-		for _, d := range s.ordered {
+		for _, d := range s.queued.Values() {
 			if worst.m == nil || d.worst.over(worst) {
 				worst = d.worst
 			}
@@ -1041,7 +1072,9 @@
 			return
 		}
 		s.answer(worst.m)
-		s.findWorst(worst.m.dest)
+		if d := worst.m.dest; d.backlog != nil {
+			s.findWorst(d)
+		}
 	}
 }
 
