--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -17,7 +17,7 @@
 	"wingmount/internal/directory"
 	"wingmount/internal/engine"
 	httpfront "wingmount/internal/front/http"
-	"wingmount/internal/hold"
+	"wingmount/internal/inflight"
 	"wingmount/internal/message"
 	"wingmount/internal/ruling"
 	"wingmount/internal/store"
@@ -37,13 +37,15 @@
 	settings              policy.Settings
 	seed                  uint64
 	classes, kinds, zones map[string]int
+	maxDestination        uint64 // see httpfront.Config
 	store                 store.Store
 	recovered             store.Recovered
-	teller                engine.Teller
-	admission             *admission.Controller // nil where only the hold bounds what is taken on
+	teller                engine.Notifier
+	admission             *admission.Controller // nil where only the registry bounds what is accepted
 	linesStay             bool                  // see http1.Config
 	keeper                *ruling.Keeper        // nil where there are no rules for keys and classes
 	endForeign            bool                  // see settleForeign
+	assignment            *assignment           // nil where destinations are not assigned to nodes
 	log                   *slog.Logger
 }
 
@@ -52,7 +54,7 @@
 	parts
 	listener    *httpfront.Listener
 	engine      *engine.Engine
-	hold        *hold.Hold
+	registry    *inflight.Registry
 	intake      *httpfront.Intake
 	calls       *http1.Carrier
 	engineParts engine.Parts
@@ -70,12 +72,19 @@
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
 	n := &node{parts: p, listener: httpfront.NewListener(listener, clientSockets(p.sockets)),
-		hold:   hold.New(hold.Config{Max: p.settings.MaxHeld, Admission: p.admission}),
-		engine: engine.New(engine.Config{Settings: p.settings, Seed: p.seed, Kinds: p.kinds, Zones: p.zones, AnswerTime: p.answerTime})}
-	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, Hold: n.hold, Keeper: p.keeper},
-		p.store, func(m *message.Message) { n.engine.Post(m) }, p.log)
+		registry: inflight.New(inflight.Config{Max: p.settings.MaxHeld, Admission: p.admission}),
+		engine: engine.New(engine.Config{Settings: p.settings, Seed: p.seed, Kinds: p.kinds, Zones: p.zones, AnswerTime: p.answerTime,
+			Assigned: p.assignment != nil})}
+	var ownership httpfront.Ownership
+	var permit carrier.Permit
+	if p.assignment != nil {
+		p.assignment.join(n.engine, n.registry)
+		ownership, permit = p.assignment, p.assignment
+	}
+	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, Registry: n.registry, Keeper: p.keeper,
+		Ownership: ownership, MaxDestination: p.maxDestination}, p.store, func(m *message.Message) { n.engine.Post(m) }, p.log)
 	if l, ok := p.store.(store.Late); ok {
-		l.OnLate(n.intake.Adopt)
+		l.OnLate(n.adoptLate)
 	}
 	if s, ok := p.store.(store.Shared); ok {
 		s.OnTakeover(n.room, n.owe)
@@ -83,12 +92,12 @@
 		n.lost = s.Lost()
 	}
 	n.calls = http1.New(http1.Config{ConnectTimeout: p.settings.ConnectTimeout, IdleClose: p.idleClose,
-		MaxIdle: idleSockets(p.sockets, p.settings.Slots), IdleEach: p.idleEach, LinesStay: p.linesStay}, &carrier.Recorder{Store: p.store, Log: p.log, Tell: n.event}, p.log)
-	var heard engine.Admission = n.hold
+		MaxIdle: idleSockets(p.sockets, p.settings.Slots), IdleEach: p.idleEach, LinesStay: p.linesStay}, &carrier.Recorder{Store: p.store, Permit: permit, Log: p.log, Tell: n.event}, p.log)
+	var heard engine.Admission = n.registry
 	if p.keeper != nil {
-		heard = witness{n.hold, p.keeper}
+		heard = witness{n.registry, p.keeper}
 	}
-	n.engineParts = engine.Parts{Store: p.store, Carrier: n.calls, Admission: heard, Teller: p.teller,
+	n.engineParts = engine.Parts{Store: p.store, Carrier: n.calls, Admission: heard, Notifier: p.teller,
 		Memories: p.recovered.Memories, Log: p.log}
 	return n, nil
 }
@@ -130,15 +139,15 @@
 	return nil
 }
 
-// witness tells the rules as well what the hold hears.
+// witness tells the rules as well what the registry observes.
 type witness struct {
-	*hold.Hold
+	*inflight.Registry
 	keeper *ruling.Keeper
 }
 
-func (w witness) Seen(seen []admission.Seen) {
+func (w witness) Observe(seen []admission.Seen) {
 	w.keeper.Seen(seen)
-	w.Hold.Seen(seen)
+	w.Registry.Observe(seen)
 }
 
 func (n *node) event(e policy.Event) { n.engine.Post(e) }
@@ -161,6 +170,9 @@
 		running.Go(func() { run(life) })
 	}
 	n.owe(store.Recovered{Owed: n.recovered.Owed})
+	if n.assignment != nil {
+		n.assignment.start()
+	}
 	server := httpfront.NewServer(n.listener, n.intake, n.log)
 	served := make(chan error, 1)
 	running.Go(func() { served <- server.Serve() })
@@ -180,7 +192,10 @@
 	end()
 	running.Wait()
 	n.calls.Wait() // their outcomes go on record before the store closes
-	n.log.Info("stopped", "owed", n.hold.Count())
+	if n.assignment != nil {
+		n.assignment.stop() // nothing is sent any more
+	}
+	n.log.Info("stopped", "owed", n.registry.Count())
 	return errors.Join(err, n.store.Close())
 }
 
@@ -188,17 +203,18 @@
 func (n *node) tellTurnedAway(life context.Context) {
 	ticker := time.NewTicker(turnedAwayEvery)
 	defer ticker.Stop()
-	var before hold.Counts
+	var before inflight.Counts
 	for {
 		select {
 		case <-life.Done():
 			return
 		case <-ticker.C:
 		}
-		c := n.hold.Counts()
-		if full, late := c[hold.Full]-before[hold.Full], c[hold.TooLate]-before[hold.TooLate]; full+late > 0 {
-			n.log.Warn("intake: messages were turned away", "no_place", full, "too_late", late,
-				"taken", c[hold.Reserved]-before[hold.Reserved], "held", n.hold.Count(), "within", turnedAwayEvery)
+		c := n.registry.Counts()
+		full, late := c[inflight.NoCapacity]-before[inflight.NoCapacity], c[inflight.TooLate]-before[inflight.TooLate]
+		if saturated := c[inflight.Saturated] - before[inflight.Saturated]; full+late+saturated > 0 {
+			n.log.Warn("intake: messages were turned away", "no_place", full, "too_late", late, "saturated", saturated,
+				"taken", c[inflight.Reserved]-before[inflight.Reserved], "held", n.registry.Count(), "within", turnedAwayEvery)
 		}
 		before = c
 	}
@@ -209,7 +225,7 @@
 	if n.settings.MaxHeld <= 0 {
 		return math.MaxInt
 	}
-	return n.settings.MaxHeld - n.hold.Count()
+	return n.settings.MaxHeld - n.registry.Count()
 }
 
 // owe takes on what is owed already: of an earlier life, or what another node left.
@@ -226,22 +242,30 @@
 	}
 }
 
+// adoptLate adopts a message that went on record after its client was told that this is not known.
+func (n *node) adoptLate(m *message.Message) {
+	n.intake.Adopt(m)
+	if n.assignment != nil {
+		n.assignment.adopted(m.Dest)
+	}
+}
+
 // stop takes messages and makes calls for a while, as its clients go on sending on the connections that they
 // have; each answer ends its connection. Then it refuses, ends what rests, waits for the answers to
 // what it has read, and for the outcomes of the calls that are out. What is still owed
 // after that waits in the store for the next start.
 func (n *node) stop(server *httpfront.Server, quiet chan<- struct{}) {
 	start := time.Now()
-	n.log.Info("stopping", "owed", n.hold.Count())
-	n.hold.Close(false)
+	n.log.Info("stopping", "owed", n.registry.Count())
+	n.registry.Close(false)
 	time.Sleep(stopTaking)
-	n.hold.Close(true)
+	n.registry.Close(true)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(stopWaiting))
 	defer cancel()
 	clients := make(chan error, 1)
 	go func() { clients <- server.Stop(ctx) }()
 	close(quiet) // a client that never says its request whole is not to cost the calls their time
-	<-n.engine.Quieted()
+	<-n.engine.Quiesced()
 	calls := make(chan struct{})
 	go func() {
 		n.calls.Wait()
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -40,6 +40,9 @@
 	intentRoom = 1024
 )
 
+// startedAfter is when what a start needs is not needed any more.
+const startedAfter = 2 * time.Second
+
 // recordBytes bounds a record of steps.
 const recordBytes = 256 << 20
 
@@ -138,7 +141,7 @@
 	return sqlite.Migrate(sqlite.Config{Path: f.Store.Path})
 }
 
-// admitter decides what is taken on, nil where the file says that only the hold does. It leaves
+// admitter decides what is accepted, nil where the file says that only the registry does. It leaves
 // the module the places that it keeps free: with them it has nothing to turn away for room.
 func admitter(f *config.File, s policy.Settings) *admission.Controller {
 	if f.Limits.Admission != nil && !*f.Limits.Admission {
@@ -201,16 +204,23 @@
 		return errors.Join(err, records.Close())
 	}
 	settings, words := f.Settings(recovered.Names.Classes, recovered.Names.Zones)
-	var teller engine.Teller = nobody{records, log}
+	var teller engine.Notifier = nobody{records, log}
 	tell := func(context.Context) {}
 	if f.Answers.URL != "" {
 		answers := platform.NewTeller(f.Answers.URL, newAnswer, records, log)
 		teller, tell = answers, answers.Run
 	}
 	seed := rand.Uint64()
+	assigned, err := newAssignment(f, log)
+	if err != nil {
+		return errors.Join(err, records.Close())
+	}
+	if assigned != nil {
+		assigned.recovered(recovered)
+	}
 	n, err := build(parts{name: f.Name, listen: f.Listen, sockets: f.Limits.Sockets, idleClose: idleClose, idleEach: f.Limits.Slots, answerTime: answerTime, settings: settings,
-		seed: seed, classes: words.Classes, kinds: words.Kinds, zones: words.Zones, store: records, recovered: recovered,
-		teller: teller, admission: admitter(f, settings), keeper: keeper, linesStay: true, log: log})
+		seed: seed, maxDestination: config.MaxDestination, classes: words.Classes, kinds: words.Kinds, zones: words.Zones, store: records, recovered: recovered,
+		teller: teller, admission: admitter(f, settings), keeper: keeper, linesStay: true, assignment: assigned, log: log})
 	if err != nil {
 		return errors.Join(err, records.Close())
 	}
@@ -261,5 +271,17 @@
 			n.engine.Post(again.List())
 		}
 	})
-	return n.run(ctx, f.List())
+	known := f.List()
+	f.Destinations = nil // the engine has the list
+	n.beside(returnMemory)
+	return n.run(ctx, known)
+}
+
+// returnMemory gives back the memory that reading a long configuration took, once the engine has its list.
+func returnMemory(life context.Context) {
+	select {
+	case <-life.Done():
+	case <-time.After(startedAfter):
+		debug.FreeOSMemory()
+	}
 }
--- a/internal/rig/files.go
+++ b/internal/rig/files.go
@@ -62,6 +62,17 @@
 	return filepath.Join(r.cfg.Dir, fmt.Sprint("store-", node+1))
 }
 
+// Listen is where a node, counted from 0, listens for clients.
+func (r *Rig) Listen(node int) string { return r.nodes[node].listen }
+
+// sharing is how many nodes share the rate of each destination as far as a node's file says.
+func (r *Rig) sharing() int {
+	if r.control != nil {
+		return 1
+	}
+	return max(1, r.cfg.Nodes)
+}
+
 func (r *Rig) text(node int) string {
 	var b strings.Builder
 	p := r.nodes[node]
@@ -75,8 +86,8 @@
 			fmt.Fprintf(&b, "lease = %q\n", r.cfg.Lease)
 		}
 	}
-	fmt.Fprintf(&b, "path = %q\ndurability = \"process\"\nmax_mb = %d\n[answers]\nurl = %q\n[limits]\nheld = %d\nslots = %d\nnodes = %d\nadmission = %t\n",
-		r.storePath(node), r.cfg.MaxMB, r.Answers.URL(), r.cfg.Held, r.cfg.Slots, max(1, r.cfg.Nodes), !r.cfg.NoAdmission)
+	fmt.Fprintf(&b, "path = %q\ndurability = \"process\"\nmax_mb = %d\n[answers]\nurl = %q\n[limits]\nheld = %d\nslots = %d\nnodes = %d\nadmission = %t\n%s",
+		r.storePath(node), r.cfg.MaxMB, r.Answers.URL(), r.cfg.Held, r.cfg.Slots, r.sharing(), !r.cfg.NoAdmission, r.socketsLine())
 	for _, class := range []string{Keyed, Idempotent, Unsafe} {
 		fmt.Fprintf(&b, "[[class]]\nname = %q\nrepeat = %q\nwanted = %q\ndeadline = %q\nlate_worth = 0.5\n", class, class, min(time.Second, r.cfg.Deadline), r.cfg.Deadline)
 		if class == Keyed {
@@ -90,6 +101,9 @@
 	if r.cfg.Partners != "" {
 		fmt.Fprintf(&b, "[partners]\n%s\n", r.cfg.Partners)
 	}
+	if r.control != nil {
+		b.WriteString(r.assignmentText(node))
+	}
 	if r.cfg.Gossip {
 		fmt.Fprintf(&b, "[gossip]\nlisten = %q\ncluster = %q\nbuilding = \"ops-building\"\nkey = %q\nstate = %q\n", p.gossip, gossipCluster, p.key(), p.state())
 		for _, q := range r.nodes {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -75,6 +75,9 @@
 	Modes        map[int]partner.Mode // of destinations from the start, sound where none is said
 	Gossip       bool                 // nodes share what they see of partners
 	Partners     string               // lines of [partners] in the nodes' files
+	Systems      int                  // partner systems that the destinations share in turn; one each where it is 0
+	Sockets      int                  // limits.sockets of the nodes, the default where it is 0
+	Assignment   *Assignment          // of destinations to nodes; none where it is nil
 }
 
 // Rig is one installation: its nodes, its partners, and who is told answers.
@@ -86,6 +89,8 @@
 	nodes        []place
 	ports        loopback.Ports
 	client       *http.Client
+	systems      []*partner.System // of the destinations, each once
+	control      *control          // nil without Config.Assignment
 
 	mu       sync.Mutex
 	messages map[string]*Message
@@ -115,24 +120,15 @@
 		return nil, err
 	}
 	r := &Rig{cfg: c, Answers: sink, messages: map[string]*Message{},
-		client: &http.Client{Timeout: clientPatience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+		client: &http.Client{Timeout: clientPatience, Transport: &http.Transport{MaxIdleConnsPerHost: 64},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 	if c.Store == "postgres" {
 		if r.Postgres, err = pgserver.New(pgserver.Config{Path: filepath.Join(c.Dir, "pg.db"), User: "wing", Password: "mount"}); err != nil {
 			return nil, errors.Join(err, r.Close())
 		}
 	}
-	for i := range c.Destinations {
-		d := &Destination{Number: i + 1, Name: fmt.Sprint("partner-", i+1), Rate: c.Rate, System: partner.New(12*time.Second, c.Takes)}
-		d.System.Set(c.Modes[i+1])
-		for _, building := range []string{"ops-building", "annex"} {
-			addr, err := d.System.Listen(building)
-			if err != nil {
-				return nil, errors.Join(err, r.Close())
-			}
-			d.entries = append(d.entries, fmt.Sprintf("  [[destination.endpoint]]\n  name = %q\n  address = %q\n  building = %q\n",
-				fmt.Sprint(d.Name, "-", building), addr, building))
-		}
-		r.Destinations = append(r.Destinations, d)
+	if err := r.newDestinations(); err != nil {
+		return nil, errors.Join(err, r.Close())
 	}
 	for i := range max(1, c.Nodes) {
 		p := place{name: fmt.Sprint("rig-", i+1), file: filepath.Join(c.Dir, fmt.Sprint("gateway-", i+1, ".toml"))}
@@ -152,6 +148,11 @@
 		}
 		r.nodes = append(r.nodes, p)
 	}
+	if c.Assignment != nil {
+		if err := r.newControl(); err != nil {
+			return nil, errors.Join(err, r.Close())
+		}
+	}
 	for i, p := range r.nodes {
 		if err := os.WriteFile(p.file, []byte(r.text(i)), 0o600); err != nil {
 			return nil, errors.Join(err, r.Close())
@@ -167,8 +168,11 @@
 	if r.Postgres != nil {
 		errs = append(errs, r.Postgres.Close())
 	}
-	for _, d := range r.Destinations {
-		errs = append(errs, d.System.Close())
+	if r.control != nil {
+		errs = append(errs, r.control.close())
+	}
+	for _, s := range r.systems {
+		errs = append(errs, s.Close())
 	}
 	return errors.Join(errs...)
 }
--- a/internal/rig/tally.go
+++ b/internal/rig/tally.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"wingmount/internal/standin/partner"
 )
 
 // Settle waits until every message that was taken has its answer, or its time and the slack
@@ -87,10 +86,8 @@
 		sorted := slices.Sorted(slices.Values(r.refusals))
 		t.RefusalP99 = float64(sorted[(n*99-1)/100].Microseconds()) / 1000
 	}
-	ledgers := map[int]partner.Ledger{}
-	for _, d := range r.Destinations {
-		l := d.System.Ledger()
-		ledgers[d.Number] = l
+	ledgers := r.ledgers()
+	for _, l := range ledgers {
 		t.TwoOut += l.TwoOut
 		t.EarlyCalls += l.Early
 	}
@@ -98,7 +95,7 @@
 		m := r.messages[id]
 		t.Handed++
 		told := r.Answers.Of(id)
-		effects := ledgers[m.Dest].Effects[id]
+		effects := r.ledger(ledgers, m.Dest).Effects[id]
 		if m.Class != Idempotent && effects > 1 {
 			t.RanTwice++
 		}
