--- a/internal/index/ordered.go
+++ b/internal/index/ordered.go
@@ -36,3 +36,13 @@
 
 // Len is how many values there are.
 func (o *Ordered[T]) Len() int { return len(o.keys) }
+
+// Count is how many of some values match.
+func Count[T any](values []T, match func(T) bool) (n int) {
+	for _, value := range values {
+		if match(value) {
+			n++
+		}
+	}
+	return n
+}
--- a/policy/idle_test.go
+++ b/policy/idle_test.go
@@ -270,3 +270,33 @@
 		t.Fatalf("%d queued and %d calling, want %d and %d", s.queued.Len(), s.calling.Len(), queued, calling)
 	}
 }
+
+// A key is forgotten with its last message, one that rests when it has rested.
+func TestKeysAreForgotten(t *testing.T) {
+	set := testSettings()
+	set.MaxHeld = 0
+	for i := range set.Classes {
+		set.Classes[i].Ordered = true
+	}
+	set.TurnGap = 10 * time.Second
+	s := New(set, 1)
+	now := Time(time.Hour)
+	s.Step(now, []Event{idleList(1, 0)}, nil)
+	for id := range MessageID(1000) {
+		s.Step(now, []Event{Arrived{Message: id, Key: uint64(id + 1), GiveUpAt: now + time.Second}}, nil)
+		outcome := Delivered
+		if id%2 == 0 {
+			outcome = TimedOut
+		}
+		s.Step(now, []Event{Ended{Message: id, Endpoint: 1, Outcome: outcome}, Withdrawn{Message: id}}, nil)
+		now += set.Tick
+	}
+	if n := s.keys.Len(); n > 500 {
+		t.Errorf("%d keys are kept, want those that rest", n)
+	}
+	now += set.TurnGap
+	s.Step(now, []Event{Woken{}}, nil)
+	if n := s.keys.Len(); n > 0 || len(s.messages) > 0 {
+		t.Errorf("%d keys and %d messages are kept, want none", n, len(s.messages))
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -469,7 +469,7 @@
 		s.answerAt(m)-s.now <= 2*s.set.Tick {
 		return false
 	}
-	return m.turn == nil || m.turn.line[0] == m && (m.attempts > 0 || s.now >= m.turn.restUntil)
+	return m.key.First(m) && (m.attempts > 0 || !m.key.Rests(s.now))
 }
 
 // gathers holds a message back for others to share its call, while a slice binds:
@@ -980,9 +980,7 @@
 		}
 	case TimedOut, Reset, Cancelled:
 		m.settled = true
-		if m.turn != nil {
-			m.turn.restUntil = max(m.turn.restUntil, s.now+s.set.TurnGap)
-		}
+		m.key.Rest(s.now + s.set.TurnGap)
 	default:
 		m.settled = true
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -34,14 +34,13 @@
 	dests     map[int]*destination
 	mentions  uint64 // destinations mentioned so far
 	messages  map[MessageID]*message
-	turns     map[uint64]*turn
+	keys      index.KeyQueues[*message] // of those whose key keeps them in order
 
 	// What a step walks, so that it costs nothing for what is merely configured.
 	queued   index.Ordered[*destination] // with messages in their queues, in order of first mention
 	calling  index.Ordered[*endpoint]    // with calls out
 	gone     index.Expiry[*endpoint]     // listed as gone, by when they may be evicted
 	unlisted index.Expiry[*destination]  // without endpoints, by when they may be evicted
-	resting  index.Expiry[*turn]         // without messages, by when they may be evicted
 	backlogs index.Pool[backlog]
 
 	worths   []estimate.Worth     // by class
@@ -85,7 +84,7 @@
 		longest: longest, worths: worths, set: settings, smallCut: math.Pow(float64(settings.Senders), -1.0/smallCuts),
 		rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), pace: 1, usual: firstLatency.Seconds(),
 		dests: map[int]*destination{}, backlogs: index.Pool[backlog]{Most: mostSpare},
-		messages: map[MessageID]*message{}, turns: map[uint64]*turn{},
+		messages: map[MessageID]*message{},
 	}
 }
 
@@ -206,7 +205,7 @@
 	dest     *destination
 	born     Time // when it was first handed in
 	giveUpAt Time
-	turn     *turn
+	key      *index.KeyQueue[*message] // nil for one without
 
 	attempts  int
 	call      *call // the attempt that is out
@@ -219,13 +218,6 @@
 	failedAt  *endpoint // the endpoint that failed it last
 }
 
-// turn is the line of messages of one key.
-type turn struct {
-	key       uint64
-	line      []*message
-	restUntil Time
-}
-
 // outSince tells whether all endpoints of a path are out, and from when.
 func (p *path) outSince() (from Time, any bool) {
 	for _, e := range p.endpoints {
@@ -319,13 +311,8 @@
 // kindOf is which kind of the settings an entry has, the plainest one where that is none of theirs.
 func (s *Sender) kindOf(entry Entry) uint16 { return uint16(min(entry.Kind, len(s.set.Kinds)-1)) }
 
-func (p *path) readyEndpoints() (n int) {
-	for _, e := range p.endpoints {
-		if e.state == Ready {
-			n++
-		}
-	}
-	return n
+func (p *path) readyEndpoints() int {
+	return index.Count(p.endpoints, func(e *endpoint) bool { return e.state == Ready })
 }
 
 func (s *Sender) destination(n int) *destination {
@@ -380,18 +367,11 @@
 
 func (s *Sender) forget(m *message) {
 	delete(s.messages, m.id)
+	s.keys.Remove(m.key, m, s.now)
 	if m.dest.owed--; m.dest.owed == 0 {
-		b := m.dest.backlog
-		m.dest.backlog, b.rankedAt, b.worst = nil, 0, pick{}
-		clear(b.ranked)
-		s.backlogs.Put(b)
-	}
-	if m.turn == nil {
-		return
-	}
-	m.turn.line = slices.DeleteFunc(m.turn.line, func(o *message) bool { return o == m })
-	if len(m.turn.line) == 0 {
-		s.resting.Set(m.turn, m.turn.restUntil)
+		clear(m.dest.ranked)
+		s.backlogs.Put(m.dest.backlog)
+		m.dest.backlog = nil
 	}
 }
 
@@ -436,11 +416,7 @@
 		}
 		s.unlisted.Set(d, s.now+1) // for the next sweep
 	})
-	s.resting.PopUntil(s.now, func(t *turn) {
-		if len(t.line) == 0 {
-			delete(s.turns, t.key)
-		}
-	})
+	s.keys.Expire(s.now)
 }
 
 func (s *Sender) evictEndpoint(e *endpoint) {
@@ -487,17 +463,14 @@
 	s.activate(m.dest)
 	if m.dest.backlog == nil {
 		m.dest.backlog = s.backlogs.Get()
+		m.dest.rankedAt = 0
 	}
 	m.dest.owed++
 	s.deadline.Set(&m.due, int64(m.giveUpAt))
 	if class.Ordered && a.Key != 0 {
-		if s.turns[a.Key] == nil {
-			s.turns[a.Key] = &turn{key: a.Key}
-		}
-		m.turn = s.turns[a.Key]
-		m.turn.line = append(m.turn.line, m)
+		m.key = s.keys.Add(a.Key, m)
 	}
-	if m.held.Plain = m.turn == nil && m.attempts == 0 && !m.ran; m.held.Plain {
+	if m.held.Plain = m.key == nil && m.attempts == 0 && !m.ran; m.held.Plain {
 		s.closing.Set(&m.closes, int64(m.giveUpAt-3*s.set.Tick))
 	}
 	s.enqueue(m)
