--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -125,3 +125,11 @@
 	}
 	return []time.Duration{w.Aim, floor, w.Deadline}
 }
+
+// LossBends are the ages at which the loss over a time that begins later by a delay changes its course.
+func (w *Worth) LossBends(delay, over time.Duration) (ages []time.Duration) {
+	for _, bend := range w.Bends() {
+		ages = append(ages, bend-delay, bend-delay-over)
+	}
+	return ages
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,15 +16,13 @@
 )
 
 const (
-	// The two windows. One destination gets a few calls a second, so the
-	// narrow window must span seconds to count more than one or two; the wide
-	// one remembers what a cut slice let through before the cut.
+	// The two windows. One destination gets a few calls a second, so the narrow window must span seconds to
+	// count more than one or two; the wide one remembers what a cut slice let through before the cut.
 	narrowWindow = 2 * time.Second
 	wideWindow   = 12 * time.Second
 
-	// A success under a binding slice adds this much of a call to it, a full
-	// takes this share away. A refusal costs little, unused room costs the
-	// messages that wait, so growth is quick and the cut mild.
+	// A success under a binding slice adds this much of a call to it, a full takes this share away. A refusal
+	// costs little, unused room costs the messages that wait, so growth is quick and the cut mild.
 	sliceGrowth = 0.25
 	sliceCut    = 0.85
 	// Small slices grow by this share at most: many senders with a small slice
@@ -64,8 +62,7 @@
 	// The time-out is the latency and so many deviations, twice that while half
 	// of the slots are idle: an answer that comes too late was made in vain.
 	timeoutDeviations = 5
-	// It is at least so long, or so many latencies where these are less: a lost call
-	// holds a slot until then.
+	// It is at least so long, or so many latencies where these are less: a lost call holds a slot until then.
 	minTimeout       = 1600 * time.Millisecond
 	timeoutLatencies = 8
 	gatherShare      = 0.25 // so much of its aim, less half a latency, a message waits for others
@@ -157,8 +154,7 @@
 	return actions
 }
 
-// wake arms the next look: soon while messages wait for room, else when the
-// next answer falls due.
+// wake arms the next look: soon while messages wait for room, else when the next answer falls due.
 func (s *Sender) wake() {
 	next := Time(math.MaxInt64)
 	if s.set.MustSubscribe && !s.subscribed {
@@ -288,10 +284,9 @@
 	p.wide.Span = time.Duration(stretch * float64(wideWindow) * rate / late)
 }
 
-// resize sets a slice and the windows to it. With many senders a fair slice is
-// less than one call in a window: the windows stretch until it is one, by
-// lengths drawn apart, or senders that were refused together come back together.
-// What has left a window does not come back into a longer one.
+// resize sets a slice and the windows to it. With many senders a fair slice is less than one call in a
+// window: the windows stretch until it is one, by lengths drawn apart, or senders that were refused together
+// come back together. What has left a window does not come back into a longer one.
 func (s *Sender) resize(p *path, slice float64) {
 	p.narrow.Count(s.now)
 	p.wide.Count(s.now)
@@ -304,9 +299,8 @@
 	p.wide.Span = time.Duration(stretch * float64(wideWindow))
 }
 
-// bound is how many unanswered calls a path may hold. The logs count starts
-// only: a path that hangs or is much slower than its past, while others are
-// not, would take all slots.
+// bound is how many unanswered calls a path may hold. The logs count starts only: a path that hangs or is
+// much slower than its past, while others are not, would take all slots.
 func (s *Sender) bound(p *path) int {
 	if p.latency.Slow(slowFactor * max(1, s.pace)) {
 		return max(1, s.set.Slots/4)
@@ -348,18 +342,11 @@
 // of a span that doubles while fulls go on: where refused calls use up the limit,
 // first calls alone keep it full. It tells whether the jam was news.
 func (s *Sender) jam(p *path) bool {
-	since := s.now - p.jamAt
-	if p.jamFor > 0 && since < narrowWindow/2 {
-		return false
-	}
-	if since < 2*p.jamFor {
-		p.jamFor = min(2*p.jamFor, wideWindow)
-	} else {
-		p.jamFor = narrowWindow
+	news := p.jams.Again(s.now, narrowWindow, wideWindow)
+	if news {
+		p.closedUntil = max(p.closedUntil, s.now+estimate.Jitter(s.rng, p.jams.Span))
 	}
-	p.jamAt = s.now
-	p.closedUntil = max(p.closedUntil, s.now+estimate.Jitter(s.rng, p.jamFor))
-	return true
+	return news
 }
 
 func (s *Sender) passedOne(p *path, took time.Duration) {
@@ -454,11 +441,8 @@
 	d.queue.Odd()(add)
 	latency := d.paths[0].latency.Mean
 	for i := range s.worths {
-		ages := []time.Duration{s.worths[i].Deadline/2 + 1} // see fitForTrial
-		for _, bend := range s.worths[i].Bends() {
-			ages = append(ages, bend-latency, bend-latency-narrowWindow)
-		}
-		d.queue.Spans(i, s.now, n, add, ages...)
+		ages := s.worths[i].LossBends(latency, narrowWindow)
+		d.queue.Spans(i, s.now, n, add, append(ages, s.worths[i].Deadline/2+1)...) // see fitForTrial
 	}
 	return to
 }
@@ -513,8 +497,7 @@
 	return r * float64(p.kind.BundleMax)
 }
 
-// outage guesses how long a path stays closed: an outage that has lasted for
-// some time lasts as long again.
+// outage guesses how long a path stays closed: an outage that has lasted for some time lasts as long again.
 func (s *Sender) outage(p *path) time.Duration {
 	wait := max(p.part.ClosedFor(s.now), p.closedUntil-s.now)
 	if from, out := p.outSince(); out {
@@ -598,8 +581,7 @@
 	return e.out && (e.lead || !s.notesCome()) || !e.out && !e.warming || s.coldRoom(e)
 }
 
-// opens tells whether an endpoint may take some message now, as far as its listing and its
-// health go.
+// opens tells whether an endpoint may take some message now, as far as its listing and its health go.
 func (s *Sender) opens(e *endpoint) bool {
 	return s.listedFor(e) && !s.stalled(e) && (!e.out && !e.suspect || s.roomForDoubt()) &&
 		(!e.out || s.trialDue(e)) && (!e.suspect || len(e.calls) == 0)
@@ -1029,8 +1011,7 @@
 		m.class.Repeat == Deduplicated && s.now-m.ranAt >= m.class.Window)
 }
 
-// answer refuses where that is allowed, since the client may come again, and
-// fails what can't be refused.
+// answer refuses where that is allowed, since the client may come again, and fails what can't be refused.
 func (s *Sender) answer(m *message) {
 	if s.mayRefuse(m) {
 		var wait time.Duration
@@ -1070,9 +1051,7 @@
 			return
 		}
 		s.answer(worst.m)
-		if d := worst.m.dest; d.backlog != nil {
-			s.findWorst(d)
-		}
+		s.findWorst(worst.m.dest)
 	}
 }
 
@@ -1080,9 +1059,10 @@
 // worth, if that is little: of plain ones of a class the oldest, since worth falls with age
 // alone. Its score is that share, negative.
 func (s *Sender) findWorst(d *destination) {
-	if d.worst = (pick{}); d.queue.Len() == 0 {
+	if d.backlog == nil {
 		return
 	}
+	d.worst = pick{}
 	wait, share := s.drain(d), 1.0
 	if s.inFlight >= s.set.Slots && len(d.paths) > 0 {
 		share = min(1, s.usual/d.paths[0].latency.Mean.Seconds())
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -832,10 +832,10 @@
 	if b.s.jam(p) {
 		t.Error("a full right after a note is news again")
 	}
-	first := p.jamFor
-	b.s.now = p.jamAt + first
-	if !b.s.jam(p) || p.jamFor != 2*first {
-		t.Errorf("closed for up to %v after %v, want twice as long while fulls go on", p.jamFor, first)
+	first := p.jams.Span
+	b.s.now += first
+	if !b.s.jam(p) || p.jams.Span != 2*first {
+		t.Errorf("closed for up to %v after %v, want twice as long while fulls go on", p.jams.Span, first)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,8 +13,7 @@
 	"wingmount/internal/index"
 )
 
-// This file holds what a sender remembers and the plain handling of it. It decides nothing: see
-// policy.go.
+// This file holds what a sender remembers and the plain handling of it. It decides nothing: see policy.go.
 
 // sweepGap is how often a sender looks for what it can let go of.
 const sweepGap = time.Second
@@ -54,18 +53,18 @@
 	subscribed  bool // changes to the list come, or the answer is on its way
 	subscribeAt Time // when to ask again
 
-	steps    int           // so far
-	started  Time          // the first
-	smallCut float64       // so many cuts take a slice of one call to one call for all senders
-	usual    float64       // mean latency of calls in seconds
-	heardAt  Time          // when the last note came
-	toldAt   Time          // when the last note was told
-	longest  time.Duration // the longest time that a message may wait
-	sweepAt  Time          // when to look again for what can be let go of
-	doubts   int           // see doubtful; counted once between sends, which alone change it in a step
-	inFlight int           // calls out
-	share    int           // of the slots that each destination has at least, in this step
-	pace     float64       // how much slower than their own estimates all destinations answer of late
+	steps           int           // so far
+	started         Time          // the first
+	smallCut        float64       // so many cuts take a slice of one call to one call for all senders
+	usual           float64       // mean latency of calls in seconds
+	heardAt, toldAt Time          // when the last note came, and was told
+	longest         time.Duration // the longest time that a message may wait
+	logsLast        time.Duration // how long the logs of a destination may matter after its last endpoint went
+	sweepAt         Time          // when to look again for what can be let go of
+	doubts          int           // see doubtful; counted once between sends, which alone change it in a step
+	inFlight        int           // calls out
+	share           int           // of the slots that each destination has at least, in this step
+	pace            float64       // how much slower than their own estimates all destinations answer of late
 }
 
 // New returns a sender that knows nothing but its settings. All its randomness comes from seed.
@@ -83,8 +82,8 @@
 	return &Sender{
 		longest: longest, worths: worths, set: settings, smallCut: math.Pow(float64(settings.Senders), -1.0/smallCuts),
 		rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), pace: 1, usual: firstLatency.Seconds(),
-		dests: map[int]*destination{}, backlogs: index.Pool[backlog]{Most: mostSpare},
-		messages: map[MessageID]*message{},
+		logsLast: time.Duration(settings.Senders) * 2 * wideWindow, dests: map[int]*destination{},
+		backlogs: index.Pool[backlog]{Most: mostSpare}, messages: map[MessageID]*message{},
 	}
 }
 
@@ -114,24 +113,23 @@
 
 // health is what the calls to an endpoint have told of it.
 type health struct {
-	calls    []*call // out, oldest first
-	lastSent Time
-	lastOK   Time
-	score    float64      // failure score
-	suspect  bool         // its last outcome was a failure
-	out      bool         // an outage is on
-	lead     bool         // this sender told the others of it
-	broken   bool         // an error, a refusal or no connection came since its last success
-	warming  bool         // back from an outage
-	since    Time         // when the outage was noticed
-	timeouts int          // time-outs in a row
-	fullRun  int          // fulls in a row, of calls sent after the one before was heard
-	fullAt   Time         // when the last full was heard
-	warmFrom Time         // when it was first seen back
-	cold     index.Window // calls, while it may be cold
-	phase    float64      // drawn with each call: how long a stretched window is, about 1
-	troubled Time         // when it was first seen or heard to fail since it was sound, or 0
-	heat     share.Heat   // what it refuses, where parts of a limit are shared
+	calls            []*call // out, oldest first
+	lastSent, lastOK Time
+	score            float64      // failure score
+	suspect          bool         // its last outcome was a failure
+	out              bool         // an outage is on
+	lead             bool         // this sender told the others of it
+	broken           bool         // an error, a refusal or no connection came since its last success
+	warming          bool         // back from an outage
+	since            Time         // when the outage was noticed
+	timeouts         int          // time-outs in a row
+	fullRun          int          // fulls in a row, of calls sent after the one before was heard
+	fullAt           Time         // when the last full was heard
+	warmFrom         Time         // when it was first seen back
+	cold             index.Window // calls, while it may be cold
+	phase            float64      // drawn with each call: how long a stretched window is, about 1
+	troubled         Time         // when it was first seen or heard to fail since it was sound, or 0
+	heat             share.Heat   // what it refuses, where parts of a limit are shared
 }
 
 // path is what shares one limit: a destination, or a route where routes are apart.
@@ -153,9 +151,8 @@
 type traffic struct {
 	kind     Kind
 	fee      float64
-	jamAt    Time          // when fulls were last told or heard of
-	jamFor   time.Duration // the span for which the logs closed then
-	inFlight int           // calls out
+	jams     estimate.Doubling // fulls that were told or heard of, and the span for which the logs closed then
+	inFlight int               // calls out
 
 	narrow, wide index.Window
 	taken        estimate.Rate // its successes
@@ -321,7 +318,7 @@
 		d = &destination{number: n, order: s.mentions}
 		s.mentions++
 		s.dests[n] = d
-		s.unlist(d)
+		s.unlisted.Set(d, s.now+s.logsLast)
 	}
 	return d
 }
@@ -349,11 +346,6 @@
 // Link is where the endpoint with the same tag is kept that was added before it.
 func (e *endpoint) Link() **endpoint { return &e.older }
 
-// unlist has a destination without endpoints evicted when its logs can't matter any more.
-func (s *Sender) unlist(d *destination) {
-	s.unlisted.Set(d, s.now+time.Duration(s.set.Senders)*2*wideWindow)
-}
-
 // end takes a message that has its final answer out of everything but the attempt that may still be out.
 func (s *Sender) end(m *message) {
 	m.ended = true
@@ -399,10 +391,9 @@
 }
 
 // evict forgets endpoints that are gone. Each is kept while a call is out to it, and for the longest time
-// that a message may wait: until then a new endpoint beside it may be the cold replacement of one that
-// was out. With the last endpoint of a route apart goes its path; a shared path stays with its
-// destination, which goes when it has had no endpoint and no message for as long again as its logs may
-// look back.
+// that a message may wait: until then a new endpoint beside it may be the cold replacement of one that was
+// out. With the last endpoint of a route apart goes its path; a shared path stays with its destination, which
+// goes when it has had no endpoint and no message for as long again as its logs may look back.
 func (s *Sender) evict() {
 	if s.now < s.sweepAt {
 		return
@@ -434,7 +425,7 @@
 		d.paths = slices.DeleteFunc(d.paths, func(o *path) bool { return o == p })
 	}
 	if !slices.ContainsFunc(d.paths, func(p *path) bool { return len(p.endpoints) > 0 }) {
-		s.unlist(d)
+		s.unlisted.Set(d, s.now+s.logsLast)
 	}
 }
 
