--- /dev/null
+++ b/decide/placement/rank.go
@@ -0,0 +1,96 @@
+package placement
+
+import "math/bits"
+
+// Candidates are ranked by weighted rendezvous hashing: each has a pseudo-random exponential variable with its
+// weight as rate, drawn from the hash of its name and the destination, and the smallest comes first. Zones are
+// ranked in this way, and then nodes within a zone, so that a ranking reads a few zones and not every node.
+//
+// All steps are in integers or are a single correctly rounded operation, so that the ranks are the same on
+// every processor.
+
+const (
+	// logBits is the number of bits after the binary point of a logarithm.
+	logBits = 32
+	// logTableBits is the number of leading bits of the mantissa that index the table of logarithms.
+	logTableBits = 10
+)
+
+// logTable has log2(1 + i/1024) for i from 0 to 1024.
+var logTable = newLogTable()
+
+func newLogTable() *[1<<logTableBits + 1]uint64 {
+	var table [1<<logTableBits + 1]uint64
+	for i := range table[:1<<logTableBits] {
+		table[i] = log2Mantissa(1<<63 | uint64(i)<<(63-logTableBits))
+	}
+	table[1<<logTableBits] = 1 << logBits
+	return &table
+}
+
+// log2Mantissa returns the logarithm of a mantissa between 1 (1<<63) and 2, bit by bit by squaring.
+func log2Mantissa(mantissa uint64) uint64 {
+	var result uint64
+	for range logBits {
+		high, _ := bits.Mul64(mantissa, mantissa)
+		result <<= 1
+		if high >= 1<<63 {
+			result |= 1
+			mantissa = high
+			continue
+		}
+		mantissa = high << 1
+	}
+	return result
+}
+
+// negativeLog2 returns -log2(hash / 2^64) in fixed point.
+func negativeLog2(hash uint64) uint64 {
+	hash |= 1
+	zeros := bits.LeadingZeros64(hash)
+	mantissa := hash << zeros
+	index := mantissa << 1 >> (64 - logTableBits)
+	rest := mantissa << (1 + logTableBits) >> 32
+	low, high := logTable[index], logTable[index+1]
+	fraction := low + (high-low)*rest>>32
+	return uint64(zeros+1)<<logBits - fraction
+}
+
+// mix hashes the seed of a candidate and a destination.
+func mix(seed uint64, destination DestinationID) uint64 {
+	hash := seed ^ (uint64(destination)+1)*0x9e3779b97f4a7c15
+	hash = (hash ^ hash>>30) * 0xbf58476d1ce4e5b9
+	hash = (hash ^ hash>>27) * 0x94d049bb133111eb
+	return hash ^ hash>>31
+}
+
+// nodeClock ranks a node within its zone.
+func (t *topology) nodeClock(node nodeIndex, destination DestinationID) float64 {
+	return float64(negativeLog2(mix(t.seeds[node], destination))) * t.inverse[node]
+}
+
+// zoneClock ranks a zone.
+func (t *topology) zoneClock(zone zoneIndex, destination DestinationID) float64 {
+	return float64(negativeLog2(mix(t.zones[zone].seed, destination))) / t.zones[zone].weight
+}
+
+// rankedZone is a zone with its clock.
+type rankedZone struct {
+	zone  zoneIndex
+	clock float64
+}
+
+// rankZones appends the zones of the scope to ranked, best first.
+func (t *topology) rankZones(ranked []rankedZone, scope scope, destination DestinationID) []rankedZone {
+	for _, zone := range scope.zones {
+		entry := rankedZone{zone, t.zoneClock(zone, destination)}
+		ranked = append(ranked, entry)
+		place := len(ranked) - 1
+		for place > 0 && ranked[place-1].clock > entry.clock {
+			ranked[place] = ranked[place-1]
+			place--
+		}
+		ranked[place] = entry
+	}
+	return ranked
+}
--- a/decide/placement/table.go
+++ b/decide/placement/table.go
@@ -17,15 +17,19 @@
 // The owners of the destination at place i are owners[start[i]:start[i+1]], noNode where a slot is unfilled;
 // a placement of 170,000 destinations with three owners takes about 24 bytes a destination.
 type Table struct {
-	nodes   []Node
-	bound   float64
-	ids     []DestinationID
-	rates   []load
+	nodes     []Node
+	loadBound float64
+	ids       []DestinationID
+	rates     []load
+	// regions are indices into names.
 	regions []uint16
 	names   []string
 	start   []uint32
 	owners  []nodeIndex
-	loads   []load
+	// hots are the destinations of which one owner's part is larger than the mean fair load of a node.
+	hots []DestinationID
+	// loads, fairs and limits are by node.
+	loads, fairs, limits []load
 }
 
 // UnplacedError says that a destination has no owner because no eligible node exists.
@@ -97,6 +101,25 @@
 	return t.loads[node].rate()
 }
 
+// FairLoad returns the load that the node would have if all loads could be divided at will within the rules; for
+// equal nodes and zones it is the mean. A hot part that the node owns is included.
+func (t *Table) FairLoad(id NodeID) float64 {
+	node, found := t.node(id)
+	if !found {
+		return 0
+	}
+	return t.fairs[node].rate()
+}
+
+// Hot returns the destinations of which one owner's part is larger than the mean fair load of a node, in ascending
+// order. Their owners get next to nothing else. More owners for such a destination would divide it further.
+func (t *Table) Hot() []DestinationID {
+	if t == nil {
+		return nil
+	}
+	return slices.Clone(t.hots)
+}
+
 // Unplaced returns an error for each destination that has no owner, in ascending order.
 func (t *Table) Unplaced() []*UnplacedError {
 	if t == nil {
@@ -112,30 +135,60 @@
 }
 
 // Changed returns the destinations whose owners differ from the previous table's, in ascending order. Those
-// that only one of the tables has are among them, unless it has no owner for them.
+// that only one of the tables has are among them, unless they have no owner there.
 func (t *Table) Changed(previous *Table) []DestinationID {
+	if t == nil {
+		t = &Table{}
+	}
+	if previous == nil {
+		previous = &Table{}
+	}
+	renumbered := make([]nodeIndex, len(previous.nodes))
+	for i, node := range previous.nodes {
+		renumbered[i], _ = t.node(node.ID)
+	}
 	var changed []DestinationID
-	for _, destination := range mergeIDs(t, previous) {
-		if !sameOwners(t.Owners(destination), previous.Owners(destination)) {
-			changed = append(changed, destination)
+	place, old := 0, 0
+	for place < len(t.ids) || old < len(previous.ids) {
+		switch {
+		case old == len(previous.ids) || place < len(t.ids) && t.ids[place] < previous.ids[old]:
+			if filled(t.ownersAt(place)) > 0 {
+				changed = append(changed, t.ids[place])
+			}
+			place++
+		case place == len(t.ids) || previous.ids[old] < t.ids[place]:
+			if filled(previous.ownersAt(old)) > 0 {
+				changed = append(changed, previous.ids[old])
+			}
+			old++
+		default:
+			if !sameOwners(t.ownersAt(place), previous.ownersAt(old), renumbered) {
+				changed = append(changed, t.ids[place])
+			}
+			place, old = place+1, old+1
 		}
 	}
 	return changed
 }
 
-func mergeIDs(t, previous *Table) []DestinationID {
-	all := append(t.Destinations(), previous.Destinations()...)
-	slices.Sort(all)
-	return slices.Compact(all)
+// filled counts the slots that have a node.
+func filled(owners []nodeIndex) int {
+	count := 0
+	for _, owner := range owners {
+		if owner != noNode {
+			count++
+		}
+	}
+	return count
 }
 
-// sameOwners compares two owner sets; the order does not count.
-func sameOwners(left, right []NodeID) bool {
-	if len(left) != len(right) {
+// sameOwners compares an owner set with one of a previous table; the order does not count.
+func sameOwners(owners, old, renumbered []nodeIndex) bool {
+	if filled(owners) != filled(old) {
 		return false
 	}
-	for _, id := range left {
-		if !slices.Contains(right, id) {
+	for _, owner := range old {
+		if owner != noNode && (renumbered[owner] == noNode || !slices.Contains(owners, renumbered[owner])) {
 			return false
 		}
 	}
--- /dev/null
+++ b/decide/placement/topology.go
@@ -0,0 +1,94 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// zoneIndex is the place of a zone in topology.zones.
+type zoneIndex uint16
+
+// noZone is the zone of a node that may own nothing.
+const noZone = zoneIndex(1<<16 - 1)
+
+// zone is a zone with its eligible nodes. Zones of the same name in two regions are different zones.
+type zone struct {
+	region, name string
+	weight       float64
+	seed         uint64
+	nodes        []nodeIndex
+}
+
+// scope is the part of the topology that a destination may use: all of it or one region.
+type scope struct {
+	zones []zoneIndex
+	nodes int
+}
+
+// topology is the list of nodes in the form that placing needs. Draining nodes are in no zone.
+type topology struct {
+	nodes   []Node
+	zones   []zone
+	zoneOf  []zoneIndex
+	seeds   []uint64
+	inverse []float64
+}
+
+// newTopology indexes nodes that are in order of their IDs.
+func newTopology(nodes []Node) *topology {
+	t := &topology{
+		nodes:   nodes,
+		zoneOf:  make([]zoneIndex, len(nodes)),
+		seeds:   make([]uint64, len(nodes)),
+		inverse: make([]float64, len(nodes)),
+	}
+	t.zones = zonesOf(nodes)
+	for i, node := range nodes {
+		t.seeds[i] = xxhash.Sum64String(string(node.ID))
+		t.inverse[i] = 1 / node.Weight
+		t.zoneOf[i] = noZone
+		if node.Draining {
+			continue
+		}
+		place, _ := slices.BinarySearchFunc(t.zones, node, compareZone)
+		t.zoneOf[i] = zoneIndex(place)
+		t.zones[place].nodes = append(t.zones[place].nodes, nodeIndex(i))
+		t.zones[place].weight += node.Weight
+	}
+	return t
+}
+
+// zonesOf returns the zones with eligible nodes in order, without their nodes yet.
+func zonesOf(nodes []Node) []zone {
+	var zones []zone
+	for _, node := range nodes {
+		if node.Draining {
+			continue
+		}
+		place, found := slices.BinarySearchFunc(zones, node, compareZone)
+		if !found {
+			seed := xxhash.Sum64String(node.Region + "\x00" + node.Zone)
+			zones = slices.Insert(zones, place, zone{region: node.Region, name: node.Zone, seed: seed})
+		}
+	}
+	return zones
+}
+
+func compareZone(zone zone, node Node) int {
+	return cmp.Or(cmp.Compare(zone.region, node.Region), cmp.Compare(zone.name, node.Zone))
+}
+
+// scope returns what a destination with this region may use; "" is every region.
+func (t *topology) scope(region string) scope {
+	var s scope
+	for i := range t.zones {
+		if region != "" && t.zones[i].region != region {
+			continue
+		}
+		s.zones = append(s.zones, zoneIndex(i))
+		s.nodes += len(t.zones[i].nodes)
+	}
+	return s
+}
