--- a/decide/placement/fair.go
+++ b/decide/placement/fair.go
@@ -10,7 +10,7 @@
 
 // The fair loads are found by filling levels up to this relative error, within this number of steps.
 const (
-	levelError = 1e-11
+	levelError = 1e-10
 	levelSteps = 200
 )
 
@@ -28,13 +28,14 @@
 	if len(scope.zones) < owners {
 		filler.zoneMost = total
 	}
-	level := solveLevel(total, func(level float64) float64 {
+	sum := func(level float64) float64 {
 		var sum float64
 		for _, zone := range scope.zones {
 			sum += filler.zoneAmount(zone, level)
 		}
 		return sum
-	})
+	}
+	level := solveLevel(total, filler.plainLevel(scope.zones, total), sum)
 	for _, zone := range scope.zones {
 		filler.pour(zone, filler.zoneAmount(zone, level))
 	}
@@ -64,28 +65,48 @@
 	return min(max(f.zoneUnbounded(zone, level), f.zoneLeast), f.zoneMost)
 }
 
+// plainLevel returns the level that the amount gives the zones if no limit applies.
+func (f *filler) plainLevel(zones []zoneIndex, amount float64) float64 {
+	var weight float64
+	for _, zone := range zones {
+		weight += f.zones[zone].weight
+		for _, node := range f.zones[zone].nodes {
+			amount += f.fair[node]
+		}
+	}
+	return amount / weight
+}
+
 // pour adds the amount to the nodes of a zone.
 func (f *filler) pour(zone zoneIndex, amount float64) {
-	level := solveLevel(amount, func(level float64) float64 { return f.zoneUnbounded(zone, level) })
+	guess := f.plainLevel([]zoneIndex{zone}, amount)
+	level := solveLevel(amount, guess, func(level float64) float64 { return f.zoneUnbounded(zone, level) })
 	for _, node := range f.zones[zone].nodes {
 		f.fair[node] += f.nodeAmount(node, level)
 	}
 }
 
 // solveLevel returns the lowest level, but for rounding, at which sum reaches the amount. The sum grows with the
-// level.
-func solveLevel(amount float64, sum func(level float64) float64) float64 {
+// level. The guess is the first level tried.
+func solveLevel(amount, guess float64, sum func(level float64) float64) float64 {
 	if amount <= 0 {
 		return 0
 	}
-	enough := amount - float64(amount*levelError)
-	low, high := 0.0, 1.0
-	for steps := 0; sum(high) < enough && steps < levelSteps; steps++ {
+	tolerance := float64(amount * levelError)
+	low, high := 0.0, guess
+	for steps := 0; steps < levelSteps; steps++ {
+		missing := amount - sum(high)
+		if math.Abs(missing) <= tolerance {
+			return high
+		}
+		if missing < 0 {
+			break
+		}
 		low, high = high, high*4
 	}
 	for steps := 0; high-low > float64(high*levelError) && steps < levelSteps; steps++ {
 		middle := low + (high-low)/2
-		if sum(middle) < enough {
+		if sum(middle) < amount-tolerance {
 			low = middle
 		} else {
 			high = middle
--- /dev/null
+++ b/decide/placement/rank_test.go
@@ -0,0 +1,46 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+func TestNegativeLog2(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 0))
+	for i := range 100_000 {
+		hash := random.Uint64() >> (i % 60)
+		got := float64(negativeLog2(hash)) / (1 << logBits)
+		want := 64 - math.Log2(float64(hash|1))
+		if math.Abs(got-want) > 1e-6 {
+			t.Fatalf("-log2(%d / 2^64) is %v, not %v", hash, got, want)
+		}
+	}
+}
+
+// TestFirstRanksFollowWeights checks that a node is ranked first in proportion to its weight.
+func TestFirstRanksFollowWeights(t *testing.T) {
+	const destinations = 40_000
+	weights := []float64{1, 2, 5}
+	var nodes []Node
+	for i, weight := range weights {
+		nodes = append(nodes, Node{ID: NodeID(rune('a' + i)), Region: "r", Zone: "z", Weight: weight})
+	}
+	topology := newTopology(nodes)
+	firsts := make([]float64, len(nodes))
+	for destination := range DestinationID(destinations) {
+		best := nodeIndex(0)
+		for node := range nodes {
+			if topology.nodeClock(nodeIndex(node), destination) < topology.nodeClock(best, destination) {
+				best = nodeIndex(node)
+			}
+		}
+		firsts[best]++
+	}
+	for i, weight := range weights {
+		want := destinations * weight / 8
+		if math.Abs(firsts[i]-want) > 6*math.Sqrt(want) {
+			t.Errorf("node of weight %v is first %v times, not about %v", weight, firsts[i], want)
+		}
+	}
+}
--- a/decide/placement/validate.go
+++ b/decide/placement/validate.go
@@ -33,21 +33,47 @@
 	if err := checkDestinations(input.Destinations); err != nil {
 		return Input{}, err
 	}
-	input.Nodes = sorted(input.Nodes, func(left, right Node) int { return cmp.Compare(left.ID, right.ID) })
-	input.Destinations = sorted(input.Destinations, func(left, right Destination) int {
+	nodes := sorted(input.Nodes, func(left, right Node) int { return cmp.Compare(left.ID, right.ID) })
+	destinations := sorted(input.Destinations, func(left, right Destination) int {
 		return cmp.Compare(left.ID, right.ID)
 	})
-	for i := 1; i < len(input.Nodes); i++ {
-		if input.Nodes[i].ID == input.Nodes[i-1].ID {
-			return Input{}, inputError("nodes", "id %q is listed twice", input.Nodes[i].ID)
+	if err := checkNodesOnce(nodes, input.Nodes); err != nil {
+		return Input{}, err
+	}
+	if err := checkDestinationsOnce(destinations, input.Destinations); err != nil {
+		return Input{}, err
+	}
+	input.Nodes, input.Destinations = nodes, destinations
+	return input, nil
+}
+
+// checkNodesOnce looks for an ID that is there twice; the places in the error are those of the unsorted list.
+func checkNodesOnce(sorted, listed []Node) error {
+	for i := 1; i < len(sorted); i++ {
+		if id := sorted[i].ID; id == sorted[i-1].ID {
+			first, second := firstTwo(listed, func(node Node) bool { return node.ID == id })
+			return inputError(fmt.Sprintf("nodes[%d] (%q): id", second, id), "is that of nodes[%d] too", first)
 		}
 	}
-	for i := 1; i < len(input.Destinations); i++ {
-		if input.Destinations[i].ID == input.Destinations[i-1].ID {
-			return Input{}, inputError("destinations", "id %d is listed twice", input.Destinations[i].ID)
+	return nil
+}
+
+func checkDestinationsOnce(sorted, listed []Destination) error {
+	for i := 1; i < len(sorted); i++ {
+		if id := sorted[i].ID; id == sorted[i-1].ID {
+			first, second := firstTwo(listed, func(destination Destination) bool { return destination.ID == id })
+			place := fmt.Sprintf("destinations[%d] (%d): id", second, id)
+			return inputError(place, "is that of destinations[%d] too", first)
 		}
 	}
-	return input, nil
+	return nil
+}
+
+// firstTwo returns the places of the first two items that match.
+func firstTwo[T any](items []T, matches func(T) bool) (first, second int) {
+	first = slices.IndexFunc(items, matches)
+	second = first + 1 + slices.IndexFunc(items[first+1:], matches)
+	return first, second
 }
 
 // sorted returns the items in order: the slice itself when it is in order already, or else a sorted copy.
