--- a/decide/placement/balance.go
+++ b/decide/placement/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -23,12 +24,13 @@
 // rebalanceRounds bounds how often relieve and raise take turns; two are enough but for rare cases.
 const rebalanceRounds = 16
 
-// rebalance moves parts until all nodes are between their low load and their bound, or no single move helps.
+// rebalance moves parts until all nodes are between their low load and their bound, or no single move helps
+// and no pair of moves was found.
 func (b *builder) rebalance() {
 	for range rebalanceRounds {
 		relieved := b.relieve()
 		raised := b.raise()
-		if !relieved && !raised {
+		if !relieved && !raised && !b.exchange() {
 			return
 		}
 	}
@@ -68,7 +70,7 @@
 	}
 	for place := range b.ids {
 		for slot, node := range b.ownersAt(place) {
-			if node != noNode && marked[node] && !b.isHot[place] {
+			if node != noNode && marked[node] && !b.isLarge[place] {
 				held[node] = append(held[node], heldPart{place, slot, b.parts[place]})
 			}
 		}
@@ -172,7 +174,7 @@
 		if receivers.count == 0 {
 			return moved
 		}
-		if b.isHot[place] {
+		if b.isLarge[place] {
 			continue
 		}
 		part := b.parts[place]
@@ -200,27 +202,25 @@
 // receiver returns the best ranked receiver for a slot. Unless anyRank is set it has to be ranked before the
 // owner: in its own zone by the node, and in another by the zone.
 func (b *builder) receiver(receivers *receivers, place, slot int, anyRank bool) nodeIndex {
-	owner, destination, part := b.ownersAt(place)[slot], b.ids[place], b.parts[place]
+	owner, destination := b.ownersAt(place)[slot], b.ids[place]
 	ownerZone := b.zoneOf[owner]
 	used := b.usedZones(place, slot)
-	best, bestClock := noNode, 0.0
+	best, bestClock := noNode, math.Inf(1)
 	for _, zone := range receivers.zones {
-		if used.closed(b, zone) || !b.scopeHas(place, zone) {
+		if len(receivers.byZone[zone]) == 0 || used.closed(b, zone) || !b.scopeHas(place, zone) {
 			continue
 		}
 		if !anyRank && zone != ownerZone && b.zoneClock(zone, destination) >= b.zoneClock(ownerZone, destination) {
 			continue
 		}
+		limit := bestClock
+		if !anyRank && zone == ownerZone {
+			limit = min(limit, b.nodeClock(owner, destination))
+		}
 		for _, node := range receivers.byZone[zone] {
-			if b.regular[node]+part > b.bound[node] || slices.Contains(used.owners, node) {
-				continue
-			}
-			clock := b.nodeClock(node, destination)
-			if !anyRank && zone == ownerZone && clock >= b.nodeClock(owner, destination) {
-				continue
-			}
-			if best == noNode || clock < bestClock {
-				best, bestClock = node, clock
+			clock, sooner := b.nodeClockBefore(node, destination, limit)
+			if sooner && b.hasRoom(node, b.parts[place], roomForPart) && !slices.Contains(used.owners, node) {
+				best, bestClock, limit = node, clock, clock
 			}
 		}
 	}
--- /dev/null
+++ b/decide/placement/builder.go
@@ -0,0 +1,130 @@
+package placement
+
+import "slices"
+
+// builder makes one table.
+//
+// A destination is large when one owner's part of it is over largePart of the mean fair load of a node. Large
+// parts are placed first; the fair loads are then what evens out the rest around them, so that the others are small
+// against the bound. A destination is hot when its part is over the whole mean.
+type builder struct {
+	*Table
+	*topology
+	// scopes are what destinations with each of Table.names may use.
+	scopes []scope
+	// parts are the loads that each owner of a destination carries, by place.
+	parts []load
+	// large are the places of large destinations, with the largest part first.
+	large   []int
+	isLarge []bool
+	// largeSum is the load of each node by large parts, and largeBound what it may be beyond one part.
+	largeSum, largeBound []load
+	// regular are the loads without large parts; they are balanced between low and bound, around fair.
+	regular          []load
+	fair, low, bound []load
+	// preferLow lets nodes with a load under low be chosen first. A table from nothing does without, which
+	// leaves it nearer to the plain ranking.
+	preferLow bool
+
+	zoneOrder      []rankedZone
+	zoneOrderPlace int
+}
+
+func newBuilder(input Input) *builder {
+	t := &Table{nodes: slices.Clone(input.Nodes), loadBound: input.LoadBound}
+	b := &builder{Table: t, topology: newTopology(t.nodes), zoneOrderPlace: -1}
+	b.setDestinations(input.Destinations)
+	b.setParts()
+	b.largeSum = make([]load, len(t.nodes))
+	b.regular = make([]load, len(t.nodes))
+	return b
+}
+
+// setDestinations copies the destinations into the table, without owners.
+func (b *builder) setDestinations(destinations []Destination) {
+	count := len(destinations)
+	b.ids = make([]DestinationID, count)
+	b.rates = make([]load, count)
+	b.regions = make([]uint16, count)
+	b.start = make([]uint32, count+1)
+	regions := regionNumbers{numbers: map[string]uint16{}}
+	slots := 0
+	for i := range destinations {
+		destination := &destinations[i]
+		region := regions.number(destination.Region)
+		if int(region) == len(b.names) {
+			b.names = append(b.names, destination.Region)
+			b.scopes = append(b.scopes, b.scope(destination.Region))
+		}
+		slots += destination.Owners
+		b.ids[i] = destination.ID
+		b.rates[i] = loadOf(destination.Rate)
+		b.regions[i] = region
+		b.start[i+1] = uint32(slots)
+	}
+	b.owners = make([]nodeIndex, slots)
+	for i := range b.owners {
+		b.owners[i] = noNode
+	}
+}
+
+// regionNumbers numbers regions in the order in which they are seen.
+type regionNumbers struct {
+	numbers    map[string]uint16
+	last       string
+	lastNumber uint16
+}
+
+func (r *regionNumbers) number(region string) uint16 {
+	if len(r.numbers) > 0 && region == r.last {
+		return r.lastNumber
+	}
+	number, found := r.numbers[region]
+	if !found {
+		number = uint16(len(r.numbers))
+		r.numbers[region] = number
+	}
+	r.last, r.lastNumber = region, number
+	return number
+}
+
+// shareDestinations uses the memory of the previous table for what is the same in both.
+func (b *builder) shareDestinations(previous *Table) {
+	if previous == nil {
+		return
+	}
+	b.ids = shared(b.ids, previous.ids)
+	b.rates = shared(b.rates, previous.rates)
+	b.regions = shared(b.regions, previous.regions)
+	b.start = shared(b.start, previous.start)
+}
+
+// shared returns the previous slice if both are equal.
+func shared[T comparable](next, previous []T) []T {
+	if slices.Equal(next, previous) {
+		return previous
+	}
+	return next
+}
+
+// scopeAt returns what the destination at the place may use.
+func (b *builder) scopeAt(place int) *scope { return &b.scopes[b.regions[place]] }
+
+// ownersWanted returns how many owners the destination gets: what it asks for, or all eligible nodes.
+func (b *builder) ownersWanted(place int) int {
+	return min(int(b.start[place+1]-b.start[place]), b.scopeAt(place).nodes)
+}
+
+// zonesWanted returns in how many zones the owners are.
+func (b *builder) zonesWanted(place int) int {
+	return min(b.ownersWanted(place), len(b.scopeAt(place).zones))
+}
+
+// setParts divides the rate of each destination by the number of its owners.
+func (b *builder) setParts() {
+	b.isLarge = make([]bool, len(b.ids))
+	b.parts = make([]load, len(b.ids))
+	for place, rate := range b.rates {
+		b.parts[place] = max(1, rate/load(max(1, b.ownersWanted(place))))
+	}
+}
--- a/decide/placement/explain.go
+++ b/decide/placement/explain.go
@@ -44,7 +44,7 @@
 	Wanted int
 	Region string
 	Owners []NodeID
-	// Hot says that the part of each owner alone is larger than the owner's fair load.
+	// Hot says that one owner's part is larger than the mean fair load of a node.
 	Hot bool
 	// Candidates are all nodes: the eligible ones with the best ranked first, then the others by ID.
 	Candidates []Candidate
--- a/decide/placement/fair.go
+++ b/decide/placement/fair.go
@@ -2,12 +2,6 @@
 
 import "math"
 
-// class is all destinations with the same scope and the same number of owners.
-type class struct {
-	region uint16
-	owners int
-}
-
 // The fair loads are found by filling levels up to this relative error, within this number of steps.
 const (
 	levelError = 1e-10
--- a/decide/placement/pick.go
+++ b/decide/placement/pick.go
@@ -1,13 +1,16 @@
 package placement
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // room is what a node must have left to be picked.
 type room uint8
 
 const (
-	// roomWithoutHot is a node that owns no hot part.
-	roomWithoutHot room = iota
+	// roomForLarge is a node that owns no large part, or none that go over its bound with this one.
+	roomForLarge room = iota
 	// roomBelowLow is a node under its low load that stays within its bound with the part.
 	roomBelowLow
 	// roomForPart is a node that stays within its bound with the part.
@@ -19,8 +22,8 @@
 // hasRoom says whether the node can take the part.
 func (b *builder) hasRoom(node nodeIndex, part load, room room) bool {
 	switch room {
-	case roomWithoutHot:
-		return b.hotSum[node] == 0
+	case roomForLarge:
+		return b.largeSum[node] == 0 || b.largeSum[node]+part <= b.largeBound[node]
 	case roomBelowLow:
 		return b.regular[node] < b.low[node] && b.regular[node]+part <= b.bound[node]
 	case roomForPart:
@@ -62,13 +65,13 @@
 // bestOfZone returns the best ranked node of the zone that has room and does not own the destination yet.
 func (b *builder) bestOfZone(zone zoneIndex, place int, room room) nodeIndex {
 	part, destination, owners := b.parts[place], b.ids[place], b.ownersAt(place)
-	best, bestClock := noNode, 0.0
+	best, bestClock := noNode, math.Inf(1)
 	for _, node := range b.zones[zone].nodes {
 		if !b.hasRoom(node, part, room) {
 			continue
 		}
-		clock := b.nodeClock(node, destination)
-		if (best == noNode || clock < bestClock) && !slices.Contains(owners, node) {
+		clock, sooner := b.nodeClockBefore(node, destination, bestClock)
+		if sooner && !slices.Contains(owners, node) {
 			best, bestClock = node, clock
 		}
 	}
--- a/decide/placement/rank.go
+++ b/decide/placement/rank.go
@@ -69,6 +69,17 @@
 	return float64(negativeLog2(mix(t.seeds[node], destination))) * t.inverse[node]
 }
 
+// nodeClockBefore returns the node's clock and whether it is before the limit. Most nodes are not, which
+// -log2(x) >= 1-x shows without the logarithm.
+func (t *topology) nodeClockBefore(node nodeIndex, destination DestinationID, limit float64) (float64, bool) {
+	hash := mix(t.seeds[node], destination)
+	if float64(^hash>>(64-logBits))*t.inverse[node] >= limit {
+		return 0, false
+	}
+	clock := float64(negativeLog2(hash)) * t.inverse[node]
+	return clock, clock < limit
+}
+
 // zoneClock ranks a zone.
 func (t *topology) zoneClock(zone zoneIndex, destination DestinationID) float64 {
 	return float64(negativeLog2(mix(t.zones[zone].seed, destination))) / t.zones[zone].weight
--- a/decide/placement/table.go
+++ b/decide/placement/table.go
@@ -26,8 +26,9 @@
 	names   []string
 	start   []uint32
 	owners  []nodeIndex
-	// hots are the destinations of which one owner's part is larger than the mean fair load of a node.
-	hots []DestinationID
+	// larges are the destinations of which one owner's part is a large part of the mean fair load of a node, and
+	// hots those of which it is over the whole mean.
+	larges, hots []DestinationID
 	// loads, fairs and limits are by node.
 	loads, fairs, limits []load
 }
