--- a/decide/placement/builder.go
+++ b/decide/placement/builder.go
@@ -47,7 +47,8 @@
 	b.rates = make([]load, count)
 	b.regions = make([]uint16, count)
 	b.start = make([]uint32, count+1)
-	regions := regionNumbers{numbers: map[string]uint16{}}
+	b.names, b.scopes = []string{""}, []scope{b.scope("")}
+	regions := newRegionNumbers()
 	slots := 0
 	for i := range destinations {
 		destination := &destinations[i]
@@ -68,26 +69,6 @@
 	}
 }
 
-// regionNumbers numbers regions in the order in which they are seen.
-type regionNumbers struct {
-	numbers    map[string]uint16
-	last       string
-	lastNumber uint16
-}
-
-func (r *regionNumbers) number(region string) uint16 {
-	if len(r.numbers) > 0 && region == r.last {
-		return r.lastNumber
-	}
-	number, found := r.numbers[region]
-	if !found {
-		number = uint16(len(r.numbers))
-		r.numbers[region] = number
-	}
-	r.last, r.lastNumber = region, number
-	return number
-}
-
 // shareDestinations uses the memory of the previous table for what is the same in both.
 func (b *builder) shareDestinations(previous *Table) {
 	if previous == nil {
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -29,6 +29,10 @@
 	MaxDestinations = 1 << 20
 	// MaxOwners is the largest owner set that a destination may ask for.
 	MaxOwners = 64
+	// MaxZones is the largest number of zones of all regions together.
+	MaxZones = 1 << 10
+	// MaxRegions is the largest number of different regions that destinations are limited to.
+	MaxRegions = 1 << 10
 	// MaxRate is the largest rate of a destination, in messages a second.
 	MaxRate = 1e7
 	// MinWeight and MaxWeight bound the weight of a node.
--- a/decide/placement/placement_test.go
+++ b/decide/placement/placement_test.go
@@ -212,6 +212,17 @@
 		{"destination twice", func(i *Input) { i.Destinations[1].ID = 1 },
 			"placement: destinations[1] (1): id: is that of destinations[0]"},
 		{"too many nodes", func(i *Input) { i.Nodes = make([]Node, MaxNodes+1) }, "placement: nodes: 65535 are more than 65534"},
+		{"too many zones", func(i *Input) {
+			for n := range MaxZones {
+				i.Nodes = append(i.Nodes, Node{ID: NodeID(fmt.Sprint(n)), Region: "r", Zone: fmt.Sprint("z", n), Weight: 1})
+			}
+		}, `placement: nodes[1025] ("1021"): zone: is one more than 1024 zones`},
+		{"too many regions", func(i *Input) {
+			for n := range MaxRegions + 1 {
+				i.Destinations = append(i.Destinations,
+					Destination{ID: DestinationID(n + 10), Rate: 1, Owners: 1, Region: fmt.Sprint("r", n)})
+			}
+		}, "placement: destinations[1026] (1034): region: is one more than 1024 regions"},
 		{"too many destinations", func(i *Input) { i.Destinations = make([]Destination, MaxDestinations+1) },
 			"placement: destinations: 1048577 are more than 1048576"},
 	}
--- a/decide/placement/topology.go
+++ b/decide/placement/topology.go
@@ -92,3 +92,28 @@
 	}
 	return s
 }
+
+// regionNumbers numbers regions in the order in which they are seen.
+type regionNumbers struct {
+	numbers    map[string]uint16
+	last       string
+	lastNumber uint16
+}
+
+func newRegionNumbers() *regionNumbers {
+	return &regionNumbers{numbers: map[string]uint16{"": 0}}
+}
+
+// number returns the number of the region; that of "", any region, is 0.
+func (r *regionNumbers) number(region string) uint16 {
+	if region == r.last {
+		return r.lastNumber
+	}
+	number, found := r.numbers[region]
+	if !found {
+		number = uint16(len(r.numbers))
+		r.numbers[region] = number
+	}
+	r.last, r.lastNumber = region, number
+	return number
+}
--- a/decide/placement/validate.go
+++ b/decide/placement/validate.go
@@ -90,10 +90,15 @@
 	if len(nodes) > MaxNodes {
 		return inputError("nodes", "%d are more than %d", len(nodes), MaxNodes)
 	}
+	zones := map[[2]string]bool{}
 	for i, node := range nodes {
 		if field, reason := nodeFault(node); reason != "" {
 			return inputError(fmt.Sprintf("nodes[%d] (%q): %s", i, node.ID, field), "%s", reason)
 		}
+		zones[[2]string{node.Region, node.Zone}] = true
+		if len(zones) > MaxZones {
+			return inputError(fmt.Sprintf("nodes[%d] (%q): zone", i, node.ID), "is one more than %d zones", MaxZones)
+		}
 	}
 	return nil
 }
@@ -117,9 +122,16 @@
 	if len(destinations) > MaxDestinations {
 		return inputError("destinations", "%d are more than %d", len(destinations), MaxDestinations)
 	}
+	regions := newRegionNumbers()
 	for i := range destinations {
+		place := func(field string) string {
+			return fmt.Sprintf("destinations[%d] (%d): %s", i, destinations[i].ID, field)
+		}
 		if field, reason := destinationFault(&destinations[i]); reason != "" {
-			return inputError(fmt.Sprintf("destinations[%d] (%d): %s", i, destinations[i].ID, field), "%s", reason)
+			return inputError(place(field), "%s", reason)
+		}
+		if regions.number(destinations[i].Region) > MaxRegions {
+			return inputError(place("region"), "is one more than %d regions", MaxRegions)
 		}
 	}
 	return nil
