--- a/decide/placement/compute.go
+++ b/decide/placement/compute.go
@@ -1,72 +1,82 @@
 package placement
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
+// compute makes the table of a normalized input.
+func compute(previous *Table, input Input) *Table {
+	b := newBuilder(input)
+	b.shareDestinations(previous)
+	b.preferLow = previous != nil
+	b.keep(previous)
+	b.findLarge()
+	b.placeLarge()
+	b.balanceAround()
+	b.fill(b.missing())
+	b.rebalance()
+	b.finish()
+	return b.Table
+}
 
-// compute places each destination by rendezvous hashing alone, in different zones.
-func compute(_ *Table, input Input) *Table {
-	t := &Table{nodes: slices.Clone(input.Nodes), bound: input.LoadBound, start: []uint32{0}}
-	t.loads = make([]load, len(t.nodes))
-	regions := map[string]uint16{}
-	for _, destination := range input.Destinations {
-		region, known := regions[destination.Region]
-		if !known {
-			region = uint16(len(t.names))
-			regions[destination.Region] = region
-			t.names = append(t.names, destination.Region)
+// balanceAround finds the fair loads around the large parts, the bounds, and the loads of what was kept.
+func (b *builder) balanceAround() {
+	fair := b.fairLoads(b.largeSum)
+	count := len(fair)
+	b.fair, b.low, b.bound = make([]load, count), make([]load, count), make([]load, count)
+	for node, total := range fair {
+		rest := max(0, total-float64(b.largeSum[node]))
+		b.fair[node] = loadFloor(rest)
+		b.low[node] = loadFloor(rest * max(0, 2-b.loadBound))
+		b.bound[node] = loadFloor(rest * b.loadBound)
+	}
+	for place := range b.ids {
+		if b.isLarge[place] {
+			continue
 		}
-		t.ids = append(t.ids, destination.ID)
-		t.rates = append(t.rates, loadOf(destination.Rate))
-		t.regions = append(t.regions, region)
-		owners := rank(t.nodes, destination)
-		for len(owners) < destination.Owners {
-			owners = append(owners, noNode)
+		for _, node := range b.ownersAt(place) {
+			if node != noNode {
+				b.regular[node] += b.parts[place]
+			}
 		}
-		t.owners = append(t.owners, owners[:destination.Owners]...)
-		t.start = append(t.start, uint32(len(t.owners)))
-		t.addLoads(len(t.ids) - 1)
 	}
-	return t
 }
 
-func (t *Table) addLoads(place int) {
-	var owners []nodeIndex
-	for _, node := range t.ownersAt(place) {
-		if node != noNode {
-			owners = append(owners, node)
+// missing returns the places of regular destinations that need owners, the largest part first.
+func (b *builder) missing() []int {
+	var places []int
+	for place := range b.ids {
+		wanted := b.ownersWanted(place)
+		if wanted > 0 && b.ownersAt(place)[wanted-1] == noNode {
+			places = append(places, place)
 		}
 	}
-	for _, node := range owners {
-		t.loads[node] += t.rates[place] / load(len(owners))
-	}
+	b.sortByPart(places)
+	return places
 }
 
-// rank returns the eligible nodes, first the best of each zone.
-func rank(nodes []Node, destination Destination) []nodeIndex {
-	var eligible []nodeIndex
-	scores := map[nodeIndex]uint64{}
-	for i, node := range nodes {
-		if node.Draining || destination.Region != "" && destination.Region != node.Region {
-			continue
+// fill finds owners for the empty slots of the places.
+func (b *builder) fill(places []int) {
+	for _, place := range places {
+		for slot := range b.ownersWanted(place) {
+			if b.ownersAt(place)[slot] != noNode {
+				continue
+			}
+			node := b.pickWithRoom(place, slot, roomUpToBound)
+			if node == noNode {
+				node = b.pickLeast(place, slot, func(node nodeIndex) float64 {
+					return float64(b.regular[node]+b.parts[place]) / float64(b.fair[node]+1)
+				})
+			}
+			b.ownersAt(place)[slot] = node
+			b.regular[node] += b.parts[place]
 		}
-		eligible = append(eligible, nodeIndex(i))
-		scores[nodeIndex(i)] = xxhash.Sum64String(string(node.ID)) ^ uint64(destination.ID)*0x9e3779b97f4a7c15
 	}
-	slices.SortFunc(eligible, func(left, right nodeIndex) int { return cmp.Compare(scores[left], scores[right]) })
-	var first, rest []nodeIndex
-	zones := map[[2]string]bool{}
-	for _, node := range eligible {
-		zone := [2]string{nodes[node].Region, nodes[node].Zone}
-		if zones[zone] {
-			rest = append(rest, node)
-			continue
-		}
-		zones[zone] = true
-		first = append(first, node)
+}
+
+// finish sets the loads of the table.
+func (b *builder) finish() {
+	count := len(b.topology.nodes)
+	b.loads, b.fairs, b.limits = make([]load, count), make([]load, count), make([]load, count)
+	for node := range count {
+		b.loads[node] = b.regular[node] + b.largeSum[node]
+		b.fairs[node] = b.fair[node] + b.largeSum[node]
+		b.limits[node] = b.bound[node] + b.largeSum[node]
 	}
-	return append(first, rest...)
 }
--- a/decide/placement/validate.go
+++ b/decide/placement/validate.go
@@ -33,21 +33,47 @@
 	if err := checkDestinations(input.Destinations); err != nil {
 		return Input{}, err
 	}
-	input.Nodes = sorted(input.Nodes, func(left, right Node) int { return cmp.Compare(left.ID, right.ID) })
-	input.Destinations = sorted(input.Destinations, func(left, right Destination) int {
+	nodes := sorted(input.Nodes, func(left, right Node) int { return cmp.Compare(left.ID, right.ID) })
+	destinations := sorted(input.Destinations, func(left, right Destination) int {
 		return cmp.Compare(left.ID, right.ID)
 	})
-	for i := 1; i < len(input.Nodes); i++ {
-		if input.Nodes[i].ID == input.Nodes[i-1].ID {
-			return Input{}, inputError("nodes", "id %q is listed twice", input.Nodes[i].ID)
+	if err := checkNodesOnce(nodes, input.Nodes); err != nil {
+		return Input{}, err
+	}
+	if err := checkDestinationsOnce(destinations, input.Destinations); err != nil {
+		return Input{}, err
+	}
+	input.Nodes, input.Destinations = nodes, destinations
+	return input, nil
+}
+
+// checkNodesOnce looks for an ID that is there twice; the places in the error are those of the unsorted list.
+func checkNodesOnce(sorted, listed []Node) error {
+	for i := 1; i < len(sorted); i++ {
+		if id := sorted[i].ID; id == sorted[i-1].ID {
+			first, second := firstTwo(listed, func(node Node) bool { return node.ID == id })
+			return inputError(fmt.Sprintf("nodes[%d] (%q): id", second, id), "is that of nodes[%d] too", first)
 		}
 	}
-	for i := 1; i < len(input.Destinations); i++ {
-		if input.Destinations[i].ID == input.Destinations[i-1].ID {
-			return Input{}, inputError("destinations", "id %d is listed twice", input.Destinations[i].ID)
+	return nil
+}
+
+func checkDestinationsOnce(sorted, listed []Destination) error {
+	for i := 1; i < len(sorted); i++ {
+		if id := sorted[i].ID; id == sorted[i-1].ID {
+			first, second := firstTwo(listed, func(destination Destination) bool { return destination.ID == id })
+			place := fmt.Sprintf("destinations[%d] (%d): id", second, id)
+			return inputError(place, "is that of destinations[%d] too", first)
 		}
 	}
-	return input, nil
+	return nil
+}
+
+// firstTwo returns the places of the first two items that match.
+func firstTwo[T any](items []T, matches func(T) bool) (first, second int) {
+	first = slices.IndexFunc(items, matches)
+	second = first + 1 + slices.IndexFunc(items[first+1:], matches)
+	return first, second
 }
 
 // sorted returns the items in order: the slice itself when it is in order already, or else a sorted copy.
@@ -64,10 +90,15 @@
 	if len(nodes) > MaxNodes {
 		return inputError("nodes", "%d are more than %d", len(nodes), MaxNodes)
 	}
+	zones := map[[2]string]bool{}
 	for i, node := range nodes {
 		if field, reason := nodeFault(node); reason != "" {
 			return inputError(fmt.Sprintf("nodes[%d] (%q): %s", i, node.ID, field), "%s", reason)
 		}
+		zones[[2]string{node.Region, node.Zone}] = true
+		if len(zones) > MaxZones {
+			return inputError(fmt.Sprintf("nodes[%d] (%q): zone", i, node.ID), "is one more than %d zones", MaxZones)
+		}
 	}
 	return nil
 }
@@ -91,9 +122,16 @@
 	if len(destinations) > MaxDestinations {
 		return inputError("destinations", "%d are more than %d", len(destinations), MaxDestinations)
 	}
+	regions := newRegionNumbers()
 	for i := range destinations {
+		place := func(field string) string {
+			return fmt.Sprintf("destinations[%d] (%d): %s", i, destinations[i].ID, field)
+		}
 		if field, reason := destinationFault(&destinations[i]); reason != "" {
-			return inputError(fmt.Sprintf("destinations[%d] (%d): %s", i, destinations[i].ID, field), "%s", reason)
+			return inputError(place(field), "%s", reason)
+		}
+		if regions.number(destinations[i].Region) > MaxRegions {
+			return inputError(place("region"), "is one more than %d regions", MaxRegions)
 		}
 	}
 	return nil
