--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -98,7 +98,7 @@
 	mu       sync.Mutex
 	clock    *clock
 	holder   *lease.Holder
-	duration time.Duration // of the latest lease
+	duration time.Duration      // of the latest lease
 	cancel   context.CancelFunc // breaks off the poll under way; nil where it must not be
 	polled   time.Time          // when the poll under way began
 	report   bool               // there is something to report that the poll under way does not
