--- /dev/null
+++ b/decide/lease/holder_test.go
@@ -0,0 +1,344 @@
+package lease
+
+import (
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"wingmount/decide/placement"
+)
+
+// leased returns a model of one control process and two nodes that share destination 0, and own one more each.
+func leased(t *testing.T) (*model, *modelProcess, *modelProcess) {
+	t.Helper()
+	m := newModel(2, 3, faults{})
+	m.grantor.SetOwners(0, 0, []placement.NodeID{"n0", "n1"})
+	m.grantor.SetOwners(0, 1, []placement.NodeID{"n0"})
+	m.grantor.SetOwners(0, 2, []placement.NodeID{"n1"})
+	m.settle(t)
+	first, second := m.processes[0], m.processes[1]
+	for destination, want := range []float64{0.5, 1, 0} {
+		if share := first.holder.Share(first.clock, placement.DestinationID(destination)); share != want {
+			t.Fatalf("destination %d: %v, not %v", destination, share, want)
+		}
+	}
+	return m, first, second
+}
+
+func TestLeaseEndsByTheHoldersClockFromTheSending(t *testing.T) {
+	m, first, _ := leased(t)
+	sent := first.clock
+	request := first.holder.Renew(first.clock)
+	m.pass(modelDuration / 2) // the request takes its time
+	session, err := m.grantor.Receive(m.now, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply, err := m.grantor.Answer(m.now, session, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := first.holder.Receive(first.clock, reply); err != nil {
+		t.Fatal(err)
+	}
+	if ends := first.holder.Ends(); ends != sent+modelDuration {
+		t.Fatalf("sent at %v, it ends at %v", sent, ends)
+	}
+	if !first.holder.InForce(sent+modelDuration-1) || first.holder.InForce(sent+modelDuration) {
+		t.Fatal("it does not end then")
+	}
+}
+
+func TestPausedOwnerWakes(t *testing.T) {
+	m, first, second := leased(t)
+	first.paused = true
+	request := first.holder.Renew(first.clock)
+	session, _ := m.grantor.Receive(m.now, request)
+	reply, err := m.grantor.Answer(m.now, session, request) // arrives during the pause
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.inbox = append(first.inbox, reply)
+	m.grantor.SetOwners(m.now, 0, []placement.NodeID{"n1"})
+	for range 8 {
+		m.pass(modelDuration / 4)
+		if err := m.exchange(second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if share := second.holder.Share(second.clock, 0); share != 1 {
+		t.Fatalf("the other owner has %v", share)
+	}
+	m.wake(first)
+	if first.holder.InForce(first.clock) || first.holder.Share(first.clock, 0) != 0 {
+		t.Fatal("it sends by the reply that waited for it")
+	}
+}
+
+func TestClockThatGoesBackEndsTheLease(t *testing.T) {
+	m, first, _ := leased(t)
+	request := first.holder.Renew(first.clock)
+	session, _ := m.grantor.Receive(m.now, request)
+	reply, _ := m.grantor.Answer(m.now, session, request)
+	first.clock -= time.Second
+	if first.holder.InForce(first.clock) {
+		t.Fatal("the lease is in force")
+	}
+	if _, err := first.holder.Receive(first.clock, reply); !errors.Is(err, ErrUnexpected) {
+		t.Fatalf("the reply to a request of another time: %v", err)
+	}
+	if err := m.exchange(first); err != nil || !first.holder.InForce(first.clock) {
+		t.Fatalf("it does not begin again: %v", err)
+	}
+}
+
+func TestOlderIncarnationIsRefused(t *testing.T) {
+	m, first, second := leased(t)
+	older := m.grantor
+	m.restartControl(false)
+	if err := m.exchange(first); err != nil {
+		t.Fatal(err)
+	}
+	request := first.holder.Renew(first.clock)
+	if _, err := first.holder.Receive(first.clock, Reply{Incarnation: 1, Session: 1<<counterBits + 1, Sequence: request.Sequence,
+		Duration: modelDuration, Version: 1, Complete: true}); !errors.Is(err, ErrOld) {
+		t.Fatal(err)
+	}
+	if _, err := older.Receive(m.now, request); !errors.Is(err, ErrSuperseded) {
+		t.Fatal(err)
+	}
+	// It answers no other node either.
+	if _, err := older.Receive(m.now, second.holder.Renew(second.clock)); !errors.Is(err, ErrSuperseded) {
+		t.Fatal(err)
+	}
+	if older.Superseded() != 2 {
+		t.Fatalf("superseded by %d", older.Superseded())
+	}
+}
+
+func TestNewGrantorTakesClaimsAndGrantsNothingEarly(t *testing.T) {
+	m, first, second := leased(t)
+	m.restartControl(false)
+	if err := m.exchange(first); err != nil { // the other one is not heard
+		t.Fatal(err)
+	}
+	if share := first.holder.Share(first.clock, 0); share != 0.5 {
+		t.Fatalf("what it had became %v", share)
+	}
+	m.grantor.SetOwners(m.now, 0, []placement.NodeID{"n0"})
+	m.grantor.Settle(m.now)
+	ready := m.grantor.Ready()
+	for m.now+modelDuration/4 < ready {
+		m.pass(modelDuration / 4)
+		if err := m.exchange(first); err != nil {
+			t.Fatal(err)
+		}
+		if share := first.holder.Share(first.clock, 0); share != 0.5 {
+			t.Fatalf("at %v it has %v", m.now, share)
+		}
+	}
+	m.pass(modelDuration / 2)
+	if second.holder.InForce(second.clock) {
+		t.Fatal("the lease of the one before is in force still")
+	}
+	if err := m.exchange(first); err != nil {
+		t.Fatal(err)
+	}
+	if share := first.holder.Share(first.clock, 0); share != 1 {
+		t.Fatalf("after %v it has %v", m.now, share)
+	}
+}
+
+func TestMalformedReplyChangesNothing(t *testing.T) {
+	for name, test := range map[string]struct {
+		spoil func(*Reply)
+		want  error
+	}{
+		"a share over 1":        {func(r *Reply) { r.Assignments[0].Share = 1.1 }, ErrMalformed},
+		"no number":             {func(r *Reply) { r.Assignments[0].Share = math.NaN() }, ErrMalformed},
+		"twice":                 {func(r *Reply) { r.Assignments = append(r.Assignments, r.Assignments[0]) }, ErrMalformed},
+		"an older epoch":        {func(r *Reply) { r.Assignments[0].Destination, r.Assignments[0].Epoch = 1, 1 }, ErrMalformed},
+		"gone with a share":     {func(r *Reply) { r.Assignments[0].Gone = true }, ErrMalformed},
+		"no lease":              {func(r *Reply) { r.Duration = 0 }, ErrMalformed},
+		"an endless lease":      {func(r *Reply) { r.Duration = 1 << 60 }, ErrMalformed},
+		"no incarnation":        {func(r *Reply) { r.Incarnation = 0 }, ErrOld},
+		"too high":              {func(r *Reply) { r.Incarnation = MaxIncarnation + 1 }, ErrMalformed},
+		"another session":       {func(r *Reply) { r.Session++ }, ErrGap},
+		"of another life":       {func(r *Reply) { r.Session += 1 << counterBits }, ErrMalformed},
+		"a gap":                 {func(r *Reply) { r.From++ }, ErrGap},
+		"back":                  {func(r *Reply) { r.Version = 1 }, ErrMalformed},
+		"to another request":    {func(r *Reply) { r.Sequence-- }, ErrUnexpected},
+		"complete, and spoiled": {func(r *Reply) { r.Complete = true; r.Assignments[0].Share = -1 }, ErrMalformed},
+	} {
+		m, first, _ := leased(t)
+		m.grantor.SetOwners(m.now, 2, []placement.NodeID{"n0", "n1"})
+		ends := first.holder.Ends()
+		m.pass(time.Second)
+		request := first.holder.Renew(first.clock)
+		session, _ := m.grantor.Receive(m.now, request)
+		reply, err := m.grantor.Answer(m.now, session, request)
+		if err != nil || len(reply.Assignments) != 1 {
+			t.Fatalf("%+v, %v", reply, err)
+		}
+		test.spoil(&reply)
+		if _, err := first.holder.Receive(first.clock, reply); !errors.Is(err, test.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if first.holder.Ends() != ends || first.holder.Len() != 2 || first.holder.Share(first.clock, 1) != 1 {
+			t.Errorf("%s: the old part does not go on", name)
+		}
+		if err := m.exchange(first); err != nil || first.holder.Len() != 3 {
+			t.Errorf("%s: it is not mended: %v", name, err)
+		}
+	}
+}
+
+func TestNodeComesBackWithMessagesOfLostDestinations(t *testing.T) {
+	m, first, second := leased(t)
+	m.kill(first)
+	m.grantor.SetOwners(m.now, 1, []placement.NodeID{"n1"})
+	m.settle(t)
+	if share := second.holder.Share(second.clock, 1); share != 1 {
+		t.Fatalf("the other one has %v", share)
+	}
+	back := m.start("n0", first.id, 1)
+	back.holder.Unfinished(1)
+	for range 4 {
+		for _, process := range m.processes {
+			if err := m.exchange(process); err != nil {
+				t.Fatal(err)
+			}
+			if err := m.check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	assignment, ok := back.holder.Assignment(1)
+	if !ok || assignment.Accepting || assignment.Share < 0.3 {
+		t.Fatalf("its finishing share: %+v", assignment)
+	}
+	if !back.holder.Released(1) || back.holder.Share(back.clock, 1) != 0 {
+		t.Fatal("it could not release")
+	}
+	m.settle(t)
+	if _, ok := back.holder.Assignment(1); ok || second.holder.Share(second.clock, 1) != 1 {
+		t.Fatal("its part was not granted on")
+	}
+}
+
+func TestLostPartIsReportedAsUnfinished(t *testing.T) {
+	m, first, second := leased(t)
+	first.paused = true
+	m.grantor.SetOwners(m.now, 0, []placement.NodeID{"n1"})
+	for range 8 {
+		m.pass(modelDuration / 4)
+		if err := m.exchange(second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.wake(first)
+	request := first.holder.Renew(first.clock)
+	session, err := m.grantor.Receive(m.now, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply, _ := m.grantor.Answer(m.now, session, request)
+	update, err := first.holder.Receive(first.clock, reply)
+	if err != nil || !update.Complete {
+		t.Fatalf("%+v, %v", update, err)
+	}
+	if len(update.Assignments) == 0 || !update.Assignments[0].Gone || update.Assignments[0].Destination != 0 {
+		t.Fatalf("the lost one is not told: %+v", update)
+	}
+	if request := first.holder.Renew(first.clock); len(request.Unfinished) != 1 || request.Unfinished[0] != 0 {
+		t.Fatalf("it is not reported: %+v", request)
+	}
+}
+
+func TestAcceptingIsNotReleased(t *testing.T) {
+	_, first, _ := leased(t)
+	if first.holder.Released(1) || first.holder.Share(first.clock, 1) != 1 {
+		t.Fatal("an owner released what it accepts for")
+	}
+}
+
+func TestBounds(t *testing.T) {
+	g := NewGrantor(0, 1, Config{Duration: time.Second, Fresh: true, MaxSessions: 6, MaxUnfinished: 2})
+	open := func(node placement.NodeID, process ProcessID) error {
+		_, err := g.Receive(0, Request{Node: node, Process: process, Sequence: 1, Unfinished: []placement.DestinationID{1, 2, 3}})
+		return err
+	}
+	for process := range ProcessID(maxProcesses) {
+		if err := open("a", process+1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := open("a", 9); !errors.Is(err, ErrFull) {
+		t.Fatalf("many processes of one node: %v", err)
+	}
+	if err := errors.Join(open("b", 1), open("c", 1)); err != nil {
+		t.Fatal(err)
+	}
+	if err := open("d", 1); !errors.Is(err, ErrFull) {
+		t.Fatalf("many sessions: %v", err)
+	}
+	if len(g.allotments) != 2 || len(g.Holdings(3)) != 0 {
+		t.Fatalf("unfinished destinations are not bounded: %d", len(g.allotments))
+	}
+	for name, request := range map[string]Request{
+		"no node":          {Process: 1},
+		"no process":       {Node: "a"},
+		"replaces itself":  {Node: "a", Process: 1, Replaces: 1},
+		"too many reports": {Node: "a", Process: 1, Unfinished: make([]placement.DestinationID, MaxReported+1)},
+		"a bad claim":      {Node: "a", Process: 1, Claims: []Assignment{{Share: math.NaN()}}},
+		"too high":         {Node: "a", Process: 1, Incarnation: MaxIncarnation + 1},
+	} {
+		if _, err := g.Receive(0, request); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if g.Superseded() != 0 {
+		t.Fatal("a malformed request superseded it")
+	}
+}
+
+func TestAnswerCostsWhatChanged(t *testing.T) {
+	const destinations = 5000
+	g := NewGrantor(0, 1, Config{Duration: time.Minute, Fresh: true})
+	for destination := range placement.DestinationID(destinations) {
+		g.SetOwners(0, destination, []placement.NodeID{"a"})
+	}
+	h := NewHolder(HolderConfig{Node: "a", Process: 1})
+	exchange := func() Reply {
+		request := h.Renew(0)
+		session, err := g.Receive(0, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply, err := g.Answer(0, session, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := h.Receive(0, reply); err != nil {
+			t.Fatal(err)
+		}
+		return reply
+	}
+	if whole := exchange(); len(whole.Assignments) != destinations {
+		t.Fatalf("%d assignments", len(whole.Assignments))
+	}
+	exchange()
+	allocations := testing.AllocsPerRun(100, func() {
+		if reply := exchange(); len(reply.Assignments) != 0 || reply.Complete {
+			t.Fatalf("%+v", reply)
+		}
+	})
+	if allocations > 3 {
+		t.Errorf("a renewal without news makes %v allocations", allocations)
+	}
+	g.SetOwners(0, 17, nil)
+	if reply := exchange(); len(reply.Assignments) != 1 || reply.Assignments[0].Destination != 17 {
+		t.Fatalf("%+v", reply.Assignments)
+	}
+}
--- a/decide/lease/status.go
+++ b/decide/lease/status.go
@@ -36,6 +36,19 @@
 	return holdings
 }
 
+// Accepting are the nodes that accept for each destination, as they were told last.
+func (g *Grantor) Accepting() map[placement.DestinationID][]placement.NodeID {
+	accepting := make(map[placement.DestinationID][]placement.NodeID, len(g.allotments))
+	for destination, a := range g.allotments {
+		for _, held := range a.grants {
+			if held.accepting {
+				accepting[destination] = append(accepting[destination], held.session.node.id)
+			}
+		}
+	}
+	return accepting
+}
+
 // SessionStatus is the state of a session.
 type SessionStatus struct {
 	Node        placement.NodeID
--- /dev/null
+++ b/internal/control/clock_test.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestClockNeverGoesBackOrSlow(t *testing.T) {
+	rng := rand.New(rand.NewPCG(35, 1))
+	var current reading
+	c := newClock(func() reading { return current })
+	before := c.now()
+	for range 10000 {
+		elapsed := time.Duration(rng.Int64N(int64(time.Second)))
+		current.monotonic += elapsed
+		current.wall += elapsed
+		if rng.IntN(10) == 0 {
+			current.wall += time.Duration(rng.Int64N(int64(2*time.Hour))) - time.Hour
+		}
+		now := c.now()
+		if now-before < elapsed {
+			t.Fatalf("it shows %v after %v", now-before, elapsed)
+		}
+		before = now
+	}
+}
+
+func TestClockCountsSuspensions(t *testing.T) {
+	var current reading
+	c := newClock(func() reading { return current })
+	first := c.now()
+	current.monotonic, current.wall = time.Second, 11*time.Second
+	if now := c.now(); now-first != 11*time.Second {
+		t.Fatalf("after a suspension of 10s in 11s it shows %v", now-first)
+	}
+	current.wall -= time.Hour
+	if now := c.now(); now-first != 11*time.Second {
+		t.Fatalf("after a step back it shows %v", now-first)
+	}
+	current.monotonic += time.Second
+	current.wall += time.Minute
+	if now := c.now(); now-first != 71*time.Second {
+		t.Fatalf("after another suspension it shows %v", now-first)
+	}
+}
+
+func TestClockDoesNotGoFastByJitter(t *testing.T) {
+	var current reading
+	c := newClock(func() reading { return current })
+	first := c.now()
+	for i := range 1000 {
+		current.monotonic += time.Millisecond
+		current.wall = current.monotonic + time.Duration(i%2)*stepTolerance/2
+		c.now()
+	}
+	if passed := c.now() - first; passed != time.Second {
+		t.Fatalf("after 1s it shows %v", passed)
+	}
+}
--- /dev/null
+++ b/internal/control/fuzz_test.go
@@ -0,0 +1,180 @@
+package control
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"wingmount/decide/lease"
+	"wingmount/decide/placement"
+)
+
+func FuzzRequest(f *testing.F) {
+	for _, request := range []lease.Request{
+		{Node: "n1", Process: 7, Sequence: 1},
+		{Node: "n1", Process: 7, Sequence: 2, Session: 1<<40 + 1, Incarnation: 1, Applied: 3,
+			Released: []lease.Release{{Destination: 1, Epoch: 1<<40 + 1}}, Unfinished: []placement.DestinationID{4}},
+		{Node: "n2", Process: 8, Sequence: 1, Session: 5, Claiming: true,
+			Claims: []lease.Assignment{{Destination: 1, Epoch: 2, Share: 0.5, Accepting: true}}},
+		{Node: "n1", Process: 7, Sequence: 3, Leaving: true},
+	} {
+		text, err := json.Marshal(request)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text, text)
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		grantor := lease.NewGrantor(0, 2, lease.Config{Duration: time.Second, MaxSessions: 3, MaxUnfinished: 3})
+		grantor.SetOwners(0, 1, []placement.NodeID{"n1", "n2"})
+		for i, text := range [][]byte{first, second, first} {
+			request, err := parseRequest(text)
+			if err != nil {
+				continue
+			}
+			now := time.Duration(i) * time.Second
+			session, err := grantor.Receive(now, request)
+			if err == nil && session != 0 {
+				_, _ = grantor.Answer(now, session, request)
+			}
+		}
+		for _, destination := range []placement.DestinationID{1, 4} {
+			grantor.Holdings(destination)
+		}
+		if grantor.Sessions() > 3 {
+			t.Fatalf("%d sessions", grantor.Sessions())
+		}
+	})
+}
+
+func FuzzReply(f *testing.F) {
+	reply := lease.Reply{Incarnation: 1, Session: 1<<40 + 1, Sequence: 1, Duration: time.Second, Version: 2, Complete: true,
+		Assignments: []lease.Assignment{{Destination: 1, Epoch: 1<<40 + 1, Share: 0.5, Accepting: true}}}
+	text, err := json.Marshal(reply)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Add([]byte(`{"incarnation":1,"sequence":1,"claims_wanted":true}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		holder := lease.NewHolder(lease.HolderConfig{Node: "n1", Process: 1})
+		holder.Renew(0)
+		var reply lease.Reply
+		if readAnswer(bytes.NewReader(text), maxReply, &reply) != nil {
+			return
+		}
+		_, err := holder.Receive(time.Millisecond, reply)
+		if err != nil && (holder.InForce(time.Millisecond) || holder.Len() > 0) {
+			t.Fatalf("%v, and there is a part", err)
+		}
+		for assignment := range holder.Assignments {
+			if share := holder.Share(time.Millisecond, assignment.Destination); !(share >= 0 && share <= 1) {
+				t.Fatalf("a share of %v", share)
+			}
+		}
+		if holder.Ends() > lease.MaxDuration {
+			t.Fatalf("a lease until %v", holder.Ends())
+		}
+	})
+}
+
+func FuzzOwners(f *testing.F) {
+	f.Add([]byte(`{"destination":1,"owners":[{"node":"n1","address":"127.0.0.1:9001"}]}`))
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		var owners Owners
+		_ = readAnswer(bytes.NewReader(text), maxOwnersReply, &owners)
+	})
+}
+
+const worldText = `
+[[node]]
+name = "n1"
+region = "north"
+zone = "a"
+weight = 2
+address = "10.0.0.1:8080"
+
+[[node]]
+name = "n2"
+region = "north"
+zone = "b"
+address = "10.0.0.2:8080"
+
+[[destination]]
+number = 1
+name = "clinic"
+rate = 20
+owners = 1
+
+[[destination]]
+number = 70000
+rate = 5
+region = "north"
+`
+
+func FuzzParseWorld(f *testing.F) {
+	f.Add([]byte(worldText))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		world, err := ParseWorld(text)
+		if err != nil {
+			return
+		}
+		input := world.input(func(placement.NodeID) bool { return true }, nil, 0)
+		if _, err := placement.Compute(nil, input); err != nil && len(world.Destinations) < 100 {
+			t.Fatalf("a world that was taken has no placement: %v", err)
+		}
+	})
+}
+
+func TestParseWorld(t *testing.T) {
+	world, err := ParseWorld([]byte(worldText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if world.Nodes[0].Weight != 2 || world.Nodes[1].Weight != 1 || world.Destinations[1].Owners != 2 || world.Destinations[1].Number != 70000 {
+		t.Fatalf("%+v", world)
+	}
+	for name, text := range map[string]string{
+		"line 2, column 1: unknown key nodes":              "\nnodes = 3\n",
+		"node 1 (\"a\"): zone: is missing":                 "[[node]]\nname=\"a\"\nregion=\"r\"\naddress=\":1\"\n",
+		"node 2 (\"a\"): name: there are two of them":      "[[node]]\nname=\"a\"\n[[node]]\nname=\"a\"\n",
+		"address: \"x\" is no HOST:PORT":                   "[[node]]\nname=\"a\"\naddress=\"x\"\n",
+		"destination 1 (number 5): rate: 0 is not above 0": "[[destination]]\nnumber=5\n",
+		"owners: 65 is not between":                        "[[destination]]\nnumber=5\nrate=1\nowners=65\n",
+		"number: there are two of them":                    "[[destination]]\nnumber=5\nrate=1\n[[destination]]\nnumber=5\nrate=1\n",
+		"weight: -1 is not between":                        "[[node]]\nname=\"a\"\nweight=-1\n",
+	} {
+		if _, err := ParseWorld([]byte(text)); err == nil || !bytes.Contains([]byte(err.Error()), []byte(name)) {
+			t.Errorf("%q: %v", name, err)
+		}
+	}
+}
+
+func TestLoadWorldAndReload(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "world.toml")
+	if err := os.WriteFile(path, []byte(worldText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	reload := make(chan os.Signal, 1)
+	config := testServerConfig(t, nil)
+	config.WorldFile, config.ReloadOn = path, reload
+	server, _ := startServer(t, config)
+	if err := os.WriteFile(path, []byte("nonsense"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Reload(); err == nil {
+		t.Fatal("nonsense was taken")
+	}
+	if state := server.State(); state.Destinations != 2 {
+		t.Fatalf("the world before does not go on: %+v", state)
+	}
+	if err := os.WriteFile(path, []byte(worldText+"[[destination]]\nnumber=9\nrate=1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	reload <- os.Interrupt
+	eventually(t, "the new world is in force", func() bool { return server.State().Destinations == 3 })
+}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -21,11 +21,16 @@
 	world := s.world
 	input := world.input(func(id placement.NodeID) bool { return s.takesPart(now, id) }, s.draining, s.config.LoadBound)
 	s.awaitReturns(now)
+	previous := s.table.Load()
+	keep := previous
+	if previous == nil {
+		// What is in force stays: the nodes have claimed it.
+		keep = placement.Restore(input.Nodes, s.grantor.Accepting())
+	}
 	s.mu.Unlock()
 
 	started := time.Now()
-	previous := s.table.Load()
-	table, err := placement.Compute(previous, input)
+	table, err := placement.Compute(keep, input)
 	if err != nil {
 		s.config.Log.Error("control: no placement, the one before goes on", "err", err)
 		return
