--- /dev/null
+++ b/internal/lab/fleet/node.go
@@ -0,0 +1,199 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"wingmount/policy"
+)
+
+// message is one message, as the world sees it.
+type message struct {
+	id       policy.MessageID
+	class    int
+	dest     int
+	key      uint64
+	born     policy.Time
+	giveUp   policy.Time
+	attempts int
+	mayRun   bool
+	ranAt    policy.Time
+	ranZone  int
+	out      *call
+	over     bool
+	taken    int // its place in the order in which its node took messages
+}
+
+type call struct {
+	end   *endpoint
+	parts []*message
+	at    policy.Time
+}
+
+// memory is what a node keeps of an endpoint.
+type memory struct {
+	sent             []policy.Time
+	failed, back     bool
+	failedAt, backAt policy.Time
+}
+
+type node struct {
+	number   int
+	sender   *policy.Sender
+	life     int
+	up       bool
+	ready    policy.Time // when it last started
+	owed     map[policy.MessageID]*message
+	memories map[policy.EndpointID]*memory
+	heard    map[policy.EndpointID]policy.EndpointState // the list as it had it last
+	calls    []*call
+	cut      bool // it hears no list and no note
+}
+
+// step hands events to a node's module and does what it wants.
+func (w *World) step(n *node, events ...policy.Event) {
+	if !n.up {
+		return
+	}
+	if f := w.conf.Fault.Event; f != nil {
+		told := events[:0:0]
+		for _, e := range events {
+			if e = f(e); e != nil {
+				told = append(told, e)
+			}
+		}
+		events = told
+	}
+	actions := n.sender.Step(w.now, events, nil)
+	if f := w.conf.Fault.Actions; f != nil {
+		actions = f(actions)
+	}
+	var calls []*call
+	open := map[policy.EndpointID]*call{}
+	timeouts := map[*call]time.Duration{}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case policy.Wake:
+			life := n.life
+			w.after(max(a.At-w.now, w.conf.Settings.Tick), func() {
+				if n.life == life {
+					w.step(n, policy.Woken{})
+				}
+			})
+		case policy.Tell:
+			w.tell(n, a)
+		case policy.Refuse:
+			w.end(n, a.Message, true)
+		case policy.Fail:
+			w.end(n, a.Message, false)
+		case policy.Send:
+			e, m := w.ends[a.Endpoint], n.owed[a.Message]
+			if e == nil || m == nil {
+				w.Check.broken("dup", "node %d sends a message that it does not owe", n.number)
+				continue
+			}
+			k := open[e.id]
+			if k == nil || len(k.parts) >= w.conf.Settings.Kinds[0].BundleMax {
+				k = &call{end: e, at: w.now}
+				open[e.id], calls = k, append(calls, k)
+			}
+			w.Check.sends(w.now, n, m, e)
+			m.attempts++
+			if !m.mayRun {
+				m.mayRun, m.ranAt, m.ranZone = true, w.now, e.zone
+			}
+			m.out = k
+			k.parts = append(k.parts, m)
+			if t, ok := timeouts[k]; !ok || (a.Timeout < t) != w.conf.Fault.Longest {
+				timeouts[k] = a.Timeout // one fate
+			}
+		}
+	}
+	for _, k := range calls {
+		w.call(n, k, timeouts[k])
+	}
+}
+
+func (w *World) tell(n *node, t policy.Tell) {
+	w.Counts.Notes++
+	for _, o := range w.nodes {
+		if o != n && o.up && !o.cut && !n.cut && w.rng.Float64() >= w.conf.NotesLost {
+			life := o.life
+			w.after(time.Millisecond+time.Duration(w.rng.Int64N(int64(34*time.Millisecond))), func() {
+				if o.life == life && !o.cut {
+					w.step(o, policy.Told{Tag: t.Tag, News: t.News})
+				}
+			})
+		}
+	}
+}
+
+func (w *World) end(n *node, id policy.MessageID, refused bool) {
+	m := n.owed[id]
+	if m == nil {
+		w.Check.broken("lost", "node %d ends a message that it does not owe", n.number)
+		return
+	}
+	w.Check.ends(w.now, n, m, refused)
+	m.over = true
+	w.Counts.Ended++
+	if m.out == nil {
+		delete(n.owed, id)
+	}
+}
+
+// Kill ends a node at once: it keeps what it owes and what it knew of endpoints.
+func (w *World) Kill(i int) {
+	n := w.nodes[i]
+	if !n.up {
+		return
+	}
+	n.up = false
+	n.life++
+	w.Check.killed(n)
+	for _, k := range n.calls {
+		for _, m := range k.parts {
+			m.out = nil // it may have run: it goes on record before it is sent
+			if m.over {
+				delete(n.owed, m.id)
+			}
+		}
+	}
+	n.calls = nil
+}
+
+// Start starts a node with what it kept.
+func (w *World) Start(i int) {
+	n := w.nodes[i]
+	if n.up {
+		return
+	}
+	n.up, n.ready = true, w.now
+	set := w.conf.Settings
+	if f := w.conf.Fault.Settings; f != nil {
+		set = f(set)
+	}
+	n.sender = policy.New(set, w.conf.Seed<<32|uint64(n.life)<<16|uint64(i))
+	list := policy.Listed{Whole: true}
+	for _, e := range w.order {
+		if s, ok := n.heard[e.id]; ok && s != policy.Gone {
+			list.Entries = append(list.Entries, w.entry(n, e, s))
+		}
+	}
+	events := []policy.Event{list}
+	for _, e := range w.order {
+		if m := n.memories[e.id]; m != nil {
+			events = append(events, policy.Remembered{Endpoint: e.id, Sent: slices.Clone(m.sent), Failed: m.failed, FailedAt: m.failedAt, Back: m.back, BackAt: m.backAt})
+		}
+	}
+	owed := make([]*message, 0, len(n.owed))
+	for _, m := range n.owed {
+		owed = append(owed, m)
+	}
+	slices.SortFunc(owed, func(a, b *message) int { return a.taken - b.taken })
+	for _, m := range owed {
+		events = append(events, w.arrived(m))
+	}
+	w.step(n, events...)
+	w.hear(n, asks) // a node that starts asks its agent at once
+}
