--- a/internal/lab/fleet/check.go
+++ b/internal/lab/fleet/check.go
@@ -30,6 +30,8 @@
 	Broken []Break
 	Ran    int // effects
 	Late   int // ends after their time
+	// WorstSum is the most of a destination's limit that nodes might use at a time.
+	WorstSum float64
 
 	set    policy.Settings
 	heard  map[told]policy.Time
@@ -39,11 +41,12 @@
 	lines  map[line][]*message
 	rested map[line]policy.Time
 	kills  map[*node]policy.Time
+	limits map[*destination]*limitCheck
 }
 
 // Break is one rule that was broken.
 type Break struct {
-	Rule string // lost, dup, drain, fall, order or wait
+	Rule string // lost, dup, drain, fall, order, wait, share or limit
 	What string
 }
 
@@ -84,7 +87,8 @@
 
 func newCheck(set policy.Settings) *Check {
 	return &Check{set: set, heard: map[told]policy.Time{}, waits: map[told]wait{}, colds: map[*destination]*cold{}, ran: map[ran]policy.Time{},
-		lines: map[line][]*message{}, rested: map[line]policy.Time{}, kills: map[*node]policy.Time{}}
+		lines: map[line][]*message{}, rested: map[line]policy.Time{}, kills: map[*node]policy.Time{},
+		limits: map[*destination]*limitCheck{}}
 }
 
 func (c *Check) broken(rule, what string, args ...any) {
--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -40,6 +40,7 @@
 	AnswersLost  float64                // the share of calls that run and break before their answer
 	ListDelay    time.Duration          // a node hears of a change within so long
 	Fault        Fault                  // for tests of the checker
+	Leases       *Leases                // nodes send under leases; nil: they need none
 }
 
 // Fault is a lie between the world and the modules, to see that the checker finds what comes of it.
@@ -54,6 +55,9 @@
 // Counts are what happened since the last look.
 type Counts struct {
 	Taken, Calls, Refused, Delivered, Ended, Notes int
+	TurnedAway                                     int // messages that no node took
+	Barred                                         int // calls that a node's lease did not permit
+	Changes                                        int // of owner sets
 	Worth                                          float64
 }
 
@@ -62,19 +66,20 @@
 	Check  *Check
 	Counts Counts
 
-	conf   Config
-	rng    *rand.Rand // of the world
-	load   *rand.Rand // of the clients, so that the same come whatever the world does
-	now    policy.Time
-	due    events
-	number uint64
-	nodes  []*node
-	dests  []*destination
-	ends   map[policy.EndpointID]*endpoint
-	order  []*endpoint
-	sums   []float64 // of weights
-	last   policy.MessageID
-	full   bool
+	conf    Config
+	rng     *rand.Rand // of the world
+	load    *rand.Rand // of the clients, so that the same come whatever the world does
+	now     policy.Time
+	due     events
+	number  uint64
+	nodes   []*node
+	dests   []*destination
+	ends    map[policy.EndpointID]*endpoint
+	order   []*endpoint
+	sums    []float64 // of weights
+	control *control  // nil in a play without leases
+	last    policy.MessageID
+	full    bool
 }
 
 // New returns a world whose nodes have all just started.
@@ -86,12 +91,15 @@
 		if d.Capacity == 0 {
 			d.Capacity = 1.5 * d.Limit
 		}
-		o := &destination{Destination: d, tokens: d.Limit * d.Depth.Seconds(), filled: w.now}
+		o := &destination{Destination: d, number: i, tokens: d.Limit * d.Depth.Seconds(), filled: w.now}
 		w.dests = append(w.dests, o)
 		for range max(1, d.Endpoints) {
 			w.join(i)
 		}
 	}
+	if c.Leases != nil {
+		w.control = newControl(w, *c.Leases)
+	}
 	sum := 0.0
 	for i := range c.Nodes {
 		weight := 1.0
