--- a/internal/lab/fleet/limit_check.go
+++ b/internal/lab/fleet/limit_check.go
@@ -11,8 +11,8 @@
 	shareSlack = 1e-6
 	// paceOver is by how much a node's calls may come faster than its share, within the narrow window.
 	paceOver = 1.25
-	// wideOver is by how much all calls may be over the limit in the wide window, while shares move.
-	wideOver                 = 1.1
+	// wideOver is by how much all calls may be over the limit in the wide window: by the drift of clocks.
+	wideOver                 = 1.05
 	narrowWindow, wideWindow = 2 * time.Second, 12 * time.Second
 )
 
