--- a/decide/share/share_test.go
+++ b/decide/share/share_test.go
@@ -124,3 +124,60 @@
 		t.Error("sick though it answers")
 	}
 }
+
+// A share that is held is used whole at first and never passed, its cuts grow back, and what closes it leaves the
+// rest as it was.
+func TestHeldShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Hour
+		limit := rapid.Float64Range(0.01, 1000).Draw(t, "limit")
+		p := (*Part)(nil).Hold(now, limit)
+		if rate, late := p.Rate(now); rate != limit || late != limit {
+			t.Fatalf("%v, %v of late of a share of %v", rate, late, limit)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "step")) * time.Millisecond
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				p.Refused(now, rapid.Bool().Draw(t, "alone"))
+			case 1:
+				p.Bound(now)
+			case 2:
+				limit = rapid.Float64Range(0.01, 1000).Draw(t, "next")
+				p = p.Hold(now, limit)
+			case 3:
+				p = p.Hold(now, -1)
+				if p.ClosedFor(now) < leastClosed {
+					t.Fatal("a part that is closed is open")
+				}
+				p = p.Hold(now, limit)
+			case 4:
+				p.Restore(now)
+			}
+			rate, late := p.Rate(now)
+			if math.IsNaN(rate) || rate > limit*1.000001 || rate < least*limit*0.999 || late < rate*0.999999 || math.IsInf(late, 0) {
+				t.Fatalf("rate %v, late %v of a share of %v", rate, late, limit)
+			}
+			slice := 2 * rate
+			if whole := p.Whole(slice); whole < 1 || whole < slice-1e-6 || whole >= max(slice, 1)+1 || whole != math.Trunc(whole) {
+				t.Fatalf("%v calls for a slice of %v", whole, slice)
+			}
+			if stretch := p.Stretch(slice, 7); stretch < 1-1e-6 || math.Abs(stretch*slice-p.Whole(slice)) > 1e-6*stretch*slice {
+				t.Fatalf("a stretch of %v for a slice of %v", stretch, slice)
+			}
+			if p.ClosedFor(now) != 0 || !p.Alone() {
+				t.Fatal("a share that is held is closed or shared")
+			}
+		}
+		for range 40 {
+			now += 500 * time.Millisecond
+			p.Bound(now)
+		}
+		if rate, _ := p.Rate(now); rate < limit*0.999 {
+			t.Fatalf("%v of a share of %v after 20 s without a refusal", rate, limit)
+		}
+		if p.Hold(now, 0) != nil {
+			t.Fatal("a share is held that was given up")
+		}
+	})
+}
--- a/internal/lab/fleet/delivery_test.go
+++ b/internal/lab/fleet/delivery_test.go
@@ -61,14 +61,15 @@
 		destinations, seeds = 20, 5
 	}
 	for _, d := range deliveries {
-		t.Run(fmt.Sprintf("limit %v listed as %v, load %v", d.limit, d.listed, d.load), func(t *testing.T) {
+		row := fmt.Sprintf("limit %v listed as %v, load %v", d.limit, d.listed, d.load)
+		t.Run(row, func(t *testing.T) {
 			t.Parallel()
 			for _, owners := range []int{2, 3} {
 				var shares []float64
 				for seed := range seeds {
 					shares = append(shares, d.delivered(nodes, owners, destinations, uint64(seed)))
 				}
-				t.Logf("%d owners of %d nodes: %s", owners, nodes, spread(shares))
+				t.Logf("%s, %d owners of %d nodes: %s", row, owners, nodes, spread(shares))
 				for seed, share := range shares {
 					if share < d.least {
 						t.Errorf("%d owners, seed %d: %.3f is delivered, want %.2f", owners, seed, share, d.least)
@@ -80,7 +81,7 @@
 				for seed := range seeds {
 					shares = append(shares, d.delivered(nodes, 0, 1, uint64(seed)))
 				}
-				t.Logf("all %d nodes: %s", nodes, spread(shares))
+				t.Logf("%s, all %d nodes: %s", row, nodes, spread(shares))
 			}
 		})
 	}
--- a/internal/lab/fleet/lease.go
+++ b/internal/lab/fleet/lease.go
@@ -53,8 +53,9 @@
 type agent struct {
 	holder              *lease.Holder
 	process             lease.ProcessID
-	rate                float64 // of its clock
-	cut                 bool    // from the control process
+	rate                float64       // of its clock
+	jumped              time.Duration // in all
+	cut                 bool          // from the control process
 	draining            bool
 	sent                time.Duration   // the latest request, by the node's clock
 	requested, answered uint64          // the latest sequences
@@ -64,9 +65,13 @@
 
 // clock is a node's own.
 func (w *World) clock(n *node) time.Duration {
-	return time.Duration(float64(w.now) * n.agent.rate)
+	return time.Duration(float64(w.now)*n.agent.rate) + n.agent.jumped
 }
 
+// JumpClock has a node's clock jump. One that goes back by more than the time since the node last looked at it is
+// seen to do so; less than that is a matter of the bound of drift.
+func (w *World) JumpClock(i int, by time.Duration) { w.nodes[i].agent.jumped += by }
+
 // newAgent begins a process of a node, which takes the place of the one before.
 func (w *World) newAgent(n *node) {
 	conf := w.control.conf
--- a/internal/lab/fleet/lease_test.go
+++ b/internal/lab/fleet/lease_test.go
@@ -160,6 +160,18 @@
 			w.seconds(2, load)
 		}
 	}, 0.7},
+	{"clocks jump", func(w *World, load float64) {
+		w.seconds(4, load)
+		for round := range 8 {
+			for i := range 4 {
+				w.JumpClock((round*5+i)%leaseNodes, []time.Duration{time.Hour, -time.Hour, 2 * time.Second, -10 * time.Minute}[i])
+			}
+			w.Kill((round * 5) % leaseNodes)
+			w.seconds(2, load)
+			w.Start((round * 5) % leaseNodes)
+			w.second(load)
+		}
+	}, 0.7},
 	{"all at once", anything, 0.3},
 }
 
--- a/policy/limit_test.go
+++ b/policy/limit_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"wingmount/decide/terms"
 )
 
@@ -228,3 +230,42 @@
 		t.Errorf("%d calls in 30 s without a limit", n)
 	}
 }
+
+// Whatever becomes of a share, of the calls and of the endpoint, no call is made without a share, and each call
+// leaves the narrow window with what the share of its moment allows at most.
+func TestKnownLimitIsKeptAnyhow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := 0.0
+		draw := func() float64 {
+			return rapid.SampledFrom([]float64{terms.NoCalls, 0.05, 0.3, 0.8, 1.7, 3, 8, 25}).Draw(t, "limit")
+		}
+		limit = draw()
+		o := newOwnShare(limit, func(s *Settings) { s.Senders = rapid.SampledFrom([]int{1, 3, 1500}).Draw(t, "senders") })
+		mood := 0
+		o.refuse = func(now Time) bool { return mood == 1 || mood == 2 && now%time.Second < 300*time.Millisecond }
+		for range rapid.IntRange(2, 12).Draw(t, "changes") {
+			if rapid.Bool().Draw(t, "moves") {
+				limit = draw()
+				o.list(limit)
+			}
+			mood = rapid.SampledFrom([]int{0, 0, 1, 2}).Draw(t, "mood")
+			from := len(o.sent)
+			o.run(time.Duration(rapid.IntRange(1, 80).Draw(t, "time"))*100*time.Millisecond, rapid.SampledFrom([]float64{1, 40}).Draw(t, "rate"))
+			if limit < 0 && len(o.sent) > from {
+				t.Fatalf("%d calls without a share", len(o.sent)-from)
+			}
+			for i := from; i < len(o.sent); i++ {
+				n := 0
+				for j := i; j >= 0 && o.sent[i]-o.sent[j] < narrowWindow; j-- {
+					n++
+				}
+				if most := max(1, math.Ceil(2*limit-1e-9)); float64(n) > most {
+					t.Fatalf("%d calls in %v with a share of %v a second", n, narrowWindow, limit)
+				}
+				if i > from && limit < 0.5 && o.sent[i]-o.sent[i-1] < time.Duration(float64(time.Second)/limit)-time.Microsecond {
+					t.Fatalf("%v between two calls with a share of %v a second", o.sent[i]-o.sent[i-1], limit)
+				}
+			}
+		}
+	})
+}
