--- /dev/null
+++ b/internal/demo/assignment.go
@@ -0,0 +1,209 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"wingmount/internal/rig"
+)
+
+// The size of the scenario.
+const (
+	assignedRegions      = 2
+	assignedNodes        = 6 // three in each region
+	assignedDestinations = 6
+	assignedOwners       = 2  // of a destination in each region
+	assignedRate         = 20 // calls a second of each destination, in both regions together
+	assignedLease        = 5 * time.Second
+	assignedMessages     = 2040
+	assignedSpan         = 34 * time.Second
+	// assignedSenders is how many nodes may round their part of a limit up: owners, and one that finishes.
+	assignedSenders = assignedRegions*assignedOwners + 1
+)
+
+// assignedStage is what the scenario works with.
+type assignedStage struct {
+	*stage
+	*rig.Rig
+	nodes    []*rig.Process
+	controls []*rig.Control
+}
+
+// assignment: six nodes in two regions are assigned their destinations by one control process in each region. The
+// regions are cut from each other while a node drains on one side and one is killed on the other; a control process
+// is killed; a node is paused past its lease.
+func assignment(ctx context.Context, s *stage) (err error) {
+	r, err := rig.New(rig.Config{Dir: s.dir, Command: s.command, Store: "sqlite", Deadline: 20 * time.Second, Slack: 1500 * time.Millisecond,
+		Destinations: assignedDestinations, Takes: 20 * time.Millisecond, Nodes: assignedNodes, Rate: assignedRate, MaxMB: 16,
+		Assignment: &rig.Assignment{Regions: assignedRegions, Owners: assignedOwners, Lease: assignedLease, RestartGrace: time.Second}})
+	if err != nil {
+		return err
+	}
+	a := &assignedStage{stage: s, Rig: r, nodes: make([]*rig.Process, assignedNodes), controls: make([]*rig.Control, assignedRegions)}
+	defer func() { err = errors.Join(err, a.close()) }()
+	if err := a.start(ctx); err != nil {
+		return err
+	}
+	sent := make(chan error, 1)
+	go func() { sent <- send(ctx, r, "m", assignedMessages, assignedSpan) }()
+	for _, act := range []func(context.Context) error{a.cutRegions, a.restartControl, a.bringBack, a.pauseOwner} {
+		if err := act(ctx); err != nil {
+			return err
+		}
+	}
+	if err := <-sent; err != nil {
+		return err
+	}
+	s.say("all are handed in; waiting for the last answers")
+	r.Settle(ctx)
+	s.tally = r.Tally()
+	return a.count()
+}
+
+// close ends all processes.
+func (a *assignedStage) close() error {
+	for _, p := range a.nodes {
+		if p != nil {
+			p.Kill()
+		}
+	}
+	for _, c := range a.controls {
+		if c != nil {
+			c.Kill()
+		}
+	}
+	return a.Rig.Close()
+}
+
+// start starts the control processes and the nodes, and lets the owner sets settle.
+func (a *assignedStage) start(ctx context.Context) (err error) {
+	for i := range a.controls {
+		if a.controls[i], err = a.StartControl(ctx, i, true); err != nil {
+			return err
+		}
+	}
+	for i := range a.nodes {
+		if a.nodes[i], err = a.StartNode(ctx, i, ""); err != nil {
+			return err
+		}
+	}
+	for _, d := range a.Destinations {
+		d.System.SetLimit(assignedRate, assignedSenders)
+	}
+	a.say("%d nodes in %d regions are ready; each of %d destinations has %d owners in a region, and takes %d calls a second",
+		assignedNodes, assignedRegions, assignedDestinations, assignedOwners, assignedRate)
+	if err := pause(ctx, 3*time.Second); err != nil {
+		return err
+	}
+	a.say("%d messages come over %v", assignedMessages, assignedSpan)
+	return pause(ctx, 2*time.Second)
+}
+
+// cutRegions cuts the regions from each other, with a change on both sides.
+func (a *assignedStage) cutRegions(ctx context.Context) error {
+	a.Rig.CutRegions(true)
+	a.say("the regions lose each other: clients reach their own region's nodes alone")
+	if err := pause(ctx, time.Second); err != nil {
+		return err
+	}
+	if err := a.drain(ctx, 0, true); err != nil {
+		return err
+	}
+	a.say("region 1: rig-1 drains: it finishes what it has accepted, and sends clients to the others")
+	if err := pause(ctx, time.Second); err != nil {
+		return err
+	}
+	a.nodes[1].Kill()
+	a.CountKill()
+	a.say("region 2: rig-2 is killed with what it holds")
+	if err := pause(ctx, 8*time.Second); err != nil {
+		return err
+	}
+	a.Rig.CutRegions(false)
+	a.say("the regions have each other back")
+	return pause(ctx, time.Second)
+}
+
+// restartControl kills a control process and starts it again.
+func (a *assignedStage) restartControl(ctx context.Context) (err error) {
+	a.controls[0].Kill()
+	a.say("region 1 loses its control process: leases go on")
+	if err := pause(ctx, 1500*time.Millisecond); err != nil {
+		return err
+	}
+	if a.controls[0], err = a.StartControl(ctx, 0, false); err != nil {
+		return err
+	}
+	a.say("it is started again, and grants what the nodes claim")
+	return pause(ctx, 2*time.Second)
+}
+
+// bringBack ends the drain, and starts the node that was killed.
+func (a *assignedStage) bringBack(ctx context.Context) (err error) {
+	if err := a.drain(ctx, 0, false); err != nil {
+		return err
+	}
+	if a.nodes[1], err = a.StartNode(ctx, 1, ""); err != nil {
+		return err
+	}
+	a.say("rig-1 drains no more; rig-2 is started again, and finishes what it had accepted within the limits")
+	return pause(ctx, 3*time.Second)
+}
+
+// pauseOwner pauses a node past its lease.
+func (a *assignedStage) pauseOwner(ctx context.Context) error {
+	const node = 2
+	if err := a.nodes[node].Signal(syscall.SIGSTOP); err != nil {
+		return fmt.Errorf("pausing a node: %w", err)
+	}
+	if err := a.nodes[node].Paused(ctx); err != nil {
+		return err
+	}
+	a.say("rig-3 is paused past its lease")
+	if err := pause(ctx, assignedLease+2*time.Second); err != nil {
+		return err
+	}
+	if err := a.nodes[node].Continue(); err != nil {
+		return fmt.Errorf("continuing a node: %w", err)
+	}
+	a.Back(node)
+	a.say("rig-3 wakes: it sends nothing until it has a lease again")
+	return nil
+}
+
+// drain has the control process of a node's region drain it, or not any more.
+func (a *assignedStage) drain(ctx context.Context, node int, draining bool) error {
+	query := url.Values{"node": {fmt.Sprint("rig-", node+1)}, "draining": {fmt.Sprint(draining)}}
+	target := url.URL{Scheme: "http", Host: a.ControlAddress(node % assignedRegions), Path: "/v1/assignment/drain", RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("draining a node: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("draining a node: the control process answered %d", response.StatusCode)
+	}
+	return nil
+}
+
+// count counts the calls over the limits, and the nodes that called each destination.
+func (a *assignedStage) count() error {
+	over := 0
+	for _, d := range a.Destinations {
+		over += d.System.Over()
+	}
+	a.figures["over_limit"], a.figures["redirects"] = over, a.Redirects()
+	if over > 0 {
+		return fmt.Errorf("partners had %d calls over their limits", over)
+	}
+	return nil
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -30,6 +30,7 @@
 // scenarios are all there are, by name.
 func scenarios() map[string]scenario {
 	return map[string]scenario{
+		"assignment":  {"six nodes in two regions own destinations under leases: a cut, a drain, kills, a pause", assignment},
 		"basic":       {"a node on SQLite and three partners, one with an outage and one that tells waits", basic},
 		"gossip":      {"ten nodes share what they see of partners, one lies and one is silent; ten more share nothing", gossiping},
 		"overload":    {"three times what the node can deliver: what it takes it delivers, the rest hears when to return", overload},
--- a/internal/rig/assignment.go
+++ b/internal/rig/assignment.go
@@ -42,10 +42,11 @@
 
 // control is what a rig with [Config.Assignment] has of it.
 type control struct {
-	regions []*region
-	// owners are the nodes that clients were sent to, by region and destination.
-	mu     sync.Mutex
-	owners map[int]int
+	regions   []*region
+	mu        sync.Mutex
+	owners    map[int]int // the nodes that clients were sent to, by ownerKey
+	cut       bool        // clients reach the nodes of their own region alone
+	redirects int         // that clients followed
 }
 
 // regionOf is the region of a node.
@@ -123,6 +124,24 @@
 	r.control.regions[r.regionOf(node)].paths[node].Cut(cut)
 }
 
+// CutRegions cuts the regions from each other, or joins them again. Nodes and control processes of different regions
+// never speak to each other; what the cut takes away is that clients reach the nodes of another region.
+func (r *Rig) CutRegions(cut bool) {
+	r.control.mu.Lock()
+	defer r.control.mu.Unlock()
+	r.control.cut = cut
+}
+
+// Redirects is how many redirects clients followed.
+func (r *Rig) Redirects() int {
+	r.control.mu.Lock()
+	defer r.control.mu.Unlock()
+	return r.control.redirects
+}
+
+// ControlAddress is where the control process of a region listens.
+func (r *Rig) ControlAddress(region int) string { return r.control.regions[region].listen }
+
 // ControlFile is the configuration of a region's control process.
 func (r *Rig) ControlFile(region int) string { return r.control.regions[region].file }
 
@@ -198,20 +217,27 @@
 	return 0, "", false
 }
 
-// first is the node that a message goes to: the owner that clients learnt of its destination, or all in turn.
-// It is called with the lock held.
+// first is the node that a message goes to. Clients are in all regions in turn. Each second one goes to a node of
+// another region, unless they are cut from each other; in a region it goes to the owner that clients learnt of
+// the destination, or to all nodes in turn. It is called with the lock held.
 func (r *Rig) first(destination int) int {
-	node := r.next % len(r.nodes)
+	turn := r.next
 	r.next++
 	if r.control == nil {
-		return node
+		return turn % len(r.nodes)
 	}
 	r.control.mu.Lock()
 	defer r.control.mu.Unlock()
-	if owner, ok := r.control.owners[r.ownerKey(r.regionOf(node), destination)]; ok {
+	regions := r.cfg.Assignment.Regions
+	region := turn % regions
+	if turn/regions%2 == 1 && !r.control.cut {
+		region = (region + 1) % regions
+	}
+	if owner, ok := r.control.owners[r.ownerKey(region, destination)]; ok {
 		return owner
 	}
-	return node
+	inRegion := (len(r.nodes) - region + regions - 1) / regions
+	return region + regions*(turn/regions%inRegion)
 }
 
 // ownerKey is what an owner is remembered by.
@@ -231,6 +257,7 @@
 		delete(r.control.owners, key)
 		return
 	}
+	r.control.redirects++
 	if len(r.control.owners) >= ownersMax {
 		clear(r.control.owners)
 	}
@@ -238,7 +265,12 @@
 }
 
 // nextInRegion is another node of the same region.
-func (r *Rig) nextInRegion(node int) int { return (node + r.cfg.Assignment.Regions) % len(r.nodes) }
+func (r *Rig) nextInRegion(node int) int {
+	if next := node + r.cfg.Assignment.Regions; next < len(r.nodes) {
+		return next
+	}
+	return r.regionOf(node)
+}
 
 // notDialled tells that a request surely never reached a node.
 func notDialled(err error) bool {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -388,6 +388,9 @@
 	r.downs = append(r.downs, down{node: node, from: time.Now()})
 }
 
+// Back notes that a node that was paused goes on.
+func (r *Rig) Back(node int) { r.back(node) }
+
 func (r *Rig) back(node int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
