--- a/decide/terms/terms.go
+++ b/decide/terms/terms.go
@@ -77,7 +77,10 @@
 	AdviseWait  bool          // clients are told how long to wait
 	// ConnectTimeout is when an attempt without a connection is Unreachable.
 	ConnectTimeout time.Duration
-	Tick           time.Duration // how often the sender is called at most
+	// LeastTimeout is the least time-out of an attempt: no pause of this machine, of the network or of a
+	// partner that is shorter makes a message be sent twice.
+	LeastTimeout time.Duration
+	Tick         time.Duration // how often the sender is called at most
 
 	DrainGrace   time.Duration // sends to a draining endpoint must cease within this time
 	ColdShare    float64       // the share of its capacity that a destination has after an outage
@@ -91,7 +94,7 @@
 type EndpointID uint64
 
 // EndpointState is what the list says of an endpoint. It tells nothing of its health.
-type EndpointState int
+type EndpointState int8
 
 // The states of an endpoint in the list.
 const (
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"math"
 	"time"
 
 	"wingmount/decide/admission"
@@ -51,6 +52,10 @@
 	// SetDestinations sets which destinations there are, and whether the directory has
 	// listed them all since this process started. The map is the admission's from then on.
 	SetDestinations(destinations map[int]bool, complete bool)
+	// RoundBegan and RoundEnded enclose each round of the engine, in which it takes in all events that have
+	// come, steps the module, and carries out its actions.
+	RoundBegan()
+	RoundEnded()
 }
 
 // Notifier announces outcomes that are on record. Add does not wait.
@@ -98,25 +103,28 @@
 	Log          *slog.Logger
 }
 
-// trackedEndpoint is one address of a destination, and what the engine knows of it.
+// trackedEndpoint is one address of a destination, and what the engine knows of it. It is kept small, as
+// [carrier.Endpoint] is.
 type trackedEndpoint struct {
 	carrier.Endpoint
 	addr        string
-	inFlight    int       // sends without an outcome
-	delisted    bool      // the directory has it no more
-	lastOutcome time.Time // when the last outcome came
-	rate        float64   // listed
+	lastOutcome policy.Time // when the last outcome came; 0 for never
+	inFlight    int32       // sends without an outcome
+	delisted    bool        // the directory has it no more
 }
 
 // trackedDestination is what the engine knows of a destination. One without any endpoint is kept for
 // destinationRetention, and until a wait that it asked for is over.
 type trackedDestination struct {
-	endpoints int // that the engine tracks
-	listed    int // those of them that the directory has
-	waits     *carrier.Gate
-	since     time.Time // from when on none was listed
-	// assigned are the tracked endpoints, where destinations are assigned to nodes.
-	assigned []*trackedEndpoint
+	endpoints int32 // that the engine tracks
+	listed    int32 // those of them that the directory has
+	waits     carrier.Gate
+}
+
+// vacantDestination is one without an endpoint that the directory has.
+type vacantDestination struct {
+	*trackedDestination
+	since time.Time
 }
 
 // Memories are what another node, or an earlier process, observed of endpoints, by their names. They
@@ -141,9 +149,9 @@
 	endpoints    map[policy.EndpointID]*trackedEndpoint
 	departing    map[policy.EndpointID]*trackedEndpoint // delisted ones, until no call is in flight to them
 	destinations map[int]*trackedDestination
-	vacant       map[int]*trackedDestination // those without an endpoint that the directory has
-	debug        bool                        // the log takes what is of each message and call
-	listComplete bool                        // the directory has sent the whole list
+	vacant       map[int]vacantDestination
+	debug        bool // the log takes what is of each message and call
+	listComplete bool // the directory has sent the whole list
 	// destinationsChanged is set while the admission has not been given all that listComplete and destinations say.
 	destinationsChanged bool
 	batch               []policy.Event
@@ -170,7 +178,7 @@
 		endpoints:    map[policy.EndpointID]*trackedEndpoint{},
 		departing:    map[policy.EndpointID]*trackedEndpoint{},
 		destinations: map[int]*trackedDestination{},
-		vacant:       map[int]*trackedDestination{},
+		vacant:       map[int]vacantDestination{},
 		shares:       newShares(c.Assigned),
 	}
 }
@@ -230,27 +238,41 @@
 		if rest := e.settings.Tick - time.Since(last); rest > 0 {
 			time.Sleep(rest)
 		}
-		for more := true; more; {
-			select {
-			case event := <-e.events:
-				e.handle(event)
-			default:
-				more = false
-			}
-		}
+		e.Admission.RoundBegan()
+		e.drain()
 		last = time.Now()
-		if e.quiet {
-			e.batch = e.batch[:0]
-			e.reportObservations()
-			e.shares.followed()
-			continue
-		}
-		if wake := e.step(ctx); wake > 0 {
+		wake := e.react(ctx)
+		e.Admission.RoundEnded()
+		if wake > 0 {
 			timer.Reset(wake - e.now())
 		}
 	}
 }
 
+// drain handles all events that are there.
+func (e *Engine) drain() {
+	for {
+		select {
+		case event := <-e.events:
+			e.handle(event)
+		default:
+			return
+		}
+	}
+}
+
+// react steps the module with what was handled, unless no call is started any more. It returns when the
+// module wants to be woken, or 0.
+func (e *Engine) react(ctx context.Context) (wake policy.Time) {
+	if e.quiet {
+		e.batch = e.batch[:0]
+		e.reportObservations()
+		e.shares.followed()
+		return 0
+	}
+	return e.step(ctx)
+}
+
 // handle turns an event of the engine into one of the module.
 func (e *Engine) handle(event any) {
 	switch event := event.(type) {
@@ -270,7 +292,7 @@
 		e.publishEndpoints()
 	case Memories:
 		for name, m := range event {
-			if endpoint := e.endpoints[policy.EndpointID(hash(name))]; endpoint != nil && !endpoint.lastOutcome.Before(m.FailedAt) {
+			if endpoint := e.endpoints[policy.EndpointID(hash(name))]; endpoint != nil && e.heardSince(endpoint, m.FailedAt) {
 				delete(event, name)
 			}
 		}
@@ -284,7 +306,7 @@
 		}
 		if endpoint != nil {
 			endpoint.inFlight--
-			endpoint.lastOutcome = time.Now()
+			endpoint.lastOutcome = e.now()
 		}
 		m := e.messages[event.Message]
 		if endpoint != nil {
@@ -305,6 +327,14 @@
 	}
 }
 
+// heardSince tells whether an endpoint had an outcome here at a time or later.
+func (e *Engine) heardSince(endpoint *trackedEndpoint, at time.Time) bool {
+	if at.IsZero() {
+		return true
+	}
+	return endpoint.lastOutcome != 0 && endpoint.lastOutcome >= e.moduleTime(at)
+}
+
 // publishEndpoints tells peers which endpoints there are.
 func (e *Engine) publishEndpoints() {
 	if e.Peers == nil {
@@ -387,8 +417,8 @@
 					state = policy.Draining
 				}
 				named[id] = true
-				endpoint.rate = m.Size
-				out.Entries = append(out.Entries, e.entry(endpoint, state))
+				e.shares.attach(endpoint, m.Size)
+				out.Entries = append(out.Entries, e.entry(endpoint, state, m.Size))
 			}
 			continue
 		}
@@ -400,31 +430,24 @@
 			}
 			kind, okKind := e.kinds[m.Flavor]
 			zone, okZone := e.zones[m.Locality]
-			if !okKind || !okZone || m.ID == "" || m.Cell < 0 {
-				e.Log.Warn("discovery: an endpoint that makes no sense", "id", m.ID, "flavor", m.Flavor, "locality", m.Locality)
+			okKind, okZone = okKind && kind <= math.MaxUint16, okZone && zone <= math.MaxUint16
+			if !okKind || !okZone || m.ID == "" || m.Cell < 0 || m.Cell > math.MaxUint32 {
+				e.Log.Warn("discovery: an endpoint that makes no sense", "id", m.ID, "flavor", m.Flavor, "locality", m.Locality, "cell", m.Cell)
 				continue
 			}
-			endpoint = &trackedEndpoint{Endpoint: carrier.Endpoint{ID: id, Name: m.ID, Dest: m.Cell, Kind: kind, Zone: zone,
-				Leaves: &carrier.Gate{}, Waits: &carrier.Gate{}}}
-			d := e.trackDestination(m.Cell)
-			if kind >= len(e.settings.Kinds) || !e.settings.Kinds[kind].RoutesApart {
-				endpoint.Waits = d.waits
-			}
-			d.endpoints++
-			e.shares.attach(d, endpoint)
-			endpoint.delisted, e.endpoints[id], e.departing[id] = true, endpoint, endpoint
+			endpoint = e.trackEndpoint(id, m, kind, zone)
 		}
 		if e.debug {
 			e.Log.Debug("listed", "dest", endpoint.Dest, "endpoint", endpoint.Name, "kind", endpoint.Kind, "zone", endpoint.Zone, "phase", m.Phase, "rate", m.Size)
 		}
-		endpoint.rate = m.Size
+		e.shares.attach(endpoint, m.Size)
 		if state != policy.Gone {
 			endpoint.addr = m.HostPort
 		}
 		named[id] = true
 		e.setLeaving(endpoint, state != policy.Ready)
 		e.setDelisted(endpoint, state == policy.Gone)
-		out.Entries = append(out.Entries, e.entry(endpoint, state))
+		out.Entries = append(out.Entries, e.entry(endpoint, state, m.Size))
 	}
 	if in.Complete {
 		for id, endpoint := range e.endpoints {
@@ -437,9 +460,9 @@
 	return out
 }
 
-func (e *Engine) entry(endpoint *trackedEndpoint, state policy.EndpointState) policy.Entry {
-	return policy.Entry{Endpoint: endpoint.ID, Destination: endpoint.Dest, Kind: endpoint.Kind, Zone: endpoint.Zone, State: state,
-		Rate: endpoint.rate, Limit: e.shares.limit(endpoint.Dest, endpoint.rate)}
+func (e *Engine) entry(endpoint *trackedEndpoint, state policy.EndpointState, rate float64) policy.Entry {
+	return policy.Entry{Endpoint: endpoint.ID, Destination: endpoint.Dest, Kind: int(endpoint.Kind), Zone: int(endpoint.Zone), State: state,
+		Rate: rate, Limit: e.shares.limit(endpoint.Dest, rate)}
 }
 
 // restore tells the module what an earlier process observed of the endpoints that have just
@@ -469,12 +492,26 @@
 // moduleTime turns a time of the wall clock into one of the module's.
 func (e *Engine) moduleTime(t time.Time) policy.Time { return min(e.now(), e.now()-time.Since(t)) }
 
+// trackEndpoint makes the entry of an endpoint that the directory has.
+func (e *Engine) trackEndpoint(id policy.EndpointID, m directory.Member, kind, zone int) *trackedEndpoint {
+	d := e.trackDestination(m.Cell)
+	endpoint := &trackedEndpoint{Endpoint: carrier.Endpoint{ID: id, Name: m.ID, Dest: m.Cell, Kind: uint16(kind), Zone: uint16(zone), Waits: &d.waits}}
+	if kind < len(e.settings.Kinds) && e.settings.Kinds[kind].RoutesApart {
+		endpoint.Waits = &carrier.Gate{}
+	}
+	e.endpoints[id] = endpoint
+	d.endpoints++
+	d.listed++
+	delete(e.vacant, m.Cell)
+	return endpoint
+}
+
 // trackDestination finds or makes the entry of a destination.
 func (e *Engine) trackDestination(number int) *trackedDestination {
 	d := e.destinations[number]
 	if d == nil {
-		d = &trackedDestination{waits: &carrier.Gate{}, since: time.Now()}
-		e.destinations[number], e.vacant[number], e.destinationsChanged = d, d, true
+		d = &trackedDestination{}
+		e.destinations[number], e.destinationsChanged = d, true
 	}
 	return d
 }
@@ -494,8 +531,7 @@
 	}
 	e.departing[endpoint.ID] = endpoint
 	if d.listed--; d.listed == 0 {
-		d.since = time.Now()
-		e.vacant[endpoint.Dest] = d
+		e.vacant[endpoint.Dest] = vacantDestination{d, time.Now()}
 	}
 }
 
@@ -523,7 +559,7 @@
 			delete(e.endpoints, id)
 			delete(e.departing, id)
 			e.destinations[endpoint.Dest].endpoints--
-			e.shares.detach(e.destinations[endpoint.Dest], endpoint)
+			e.shares.detach(endpoint)
 		}
 	}
 	for number, d := range e.vacant {
@@ -606,7 +642,7 @@
 }
 
 func (e *Engine) bundleMax(endpoint *trackedEndpoint) int {
-	if endpoint.Kind < len(e.settings.Kinds) {
+	if int(endpoint.Kind) < len(e.settings.Kinds) {
 		return e.settings.Kinds[endpoint.Kind].BundleMax
 	}
 	return 1
--- a/internal/engine/shares.go
+++ b/internal/engine/shares.go
@@ -40,9 +40,19 @@
 	leased    bool
 	of        map[int]float64 // by destination, those above 0
 	following []chan struct{} // of updates that the module is about to follow
+	// endpoints are those of each destination, where destinations are assigned to nodes.
+	endpoints map[int][]listedEndpoint
 }
 
-func newShares(assigned bool) shares { return shares{assigned: assigned, of: map[int]float64{}} }
+// listedEndpoint is an endpoint with the rate that it was listed with.
+type listedEndpoint struct {
+	*trackedEndpoint
+	rate float64
+}
+
+func newShares(assigned bool) shares {
+	return shares{assigned: assigned, of: map[int]float64{}, endpoints: map[int][]listedEndpoint{}}
+}
 
 // limit is how many calls a second this node may make of a destination's rate: 0 where that is not known.
 func (s *shares) limit(destination int, rate float64) float64 {
@@ -65,18 +75,35 @@
 	delete(s.of, destination)
 }
 
-// attach notes a destination's endpoint, whose limit changes with the destination's share.
-func (s *shares) attach(d *trackedDestination, endpoint *trackedEndpoint) {
-	if s.assigned {
-		d.assigned = append(d.assigned, endpoint)
+// attach notes a destination's endpoint, whose limit changes with the destination's share, and its listed rate.
+func (s *shares) attach(endpoint *trackedEndpoint, rate float64) {
+	if !s.assigned {
+		return
+	}
+	of := s.endpoints[endpoint.Dest]
+	if i := indexOf(of, endpoint); i >= 0 {
+		of[i].rate = rate
+		return
 	}
+	s.endpoints[endpoint.Dest] = append(of, listedEndpoint{endpoint, rate})
 }
 
 // detach forgets an endpoint.
-func (s *shares) detach(d *trackedDestination, endpoint *trackedEndpoint) {
-	if i := slices.Index(d.assigned, endpoint); i >= 0 {
-		d.assigned = slices.Delete(d.assigned, i, i+1)
+func (s *shares) detach(endpoint *trackedEndpoint) {
+	of := s.endpoints[endpoint.Dest]
+	i := indexOf(of, endpoint)
+	if i < 0 {
+		return
+	}
+	if of = slices.Delete(of, i, i+1); len(of) == 0 {
+		delete(s.endpoints, endpoint.Dest)
+		return
 	}
+	s.endpoints[endpoint.Dest] = of
+}
+
+func indexOf(of []listedEndpoint, endpoint *trackedEndpoint) int {
+	return slices.IndexFunc(of, func(l listedEndpoint) bool { return l.trackedEndpoint == endpoint })
 }
 
 // followed tells those who wait that the module follows their updates.
@@ -113,11 +140,7 @@
 func (e *Engine) relisted(destinations []int) policy.Listed {
 	var listed policy.Listed
 	for _, number := range destinations {
-		d := e.destinations[number]
-		if d == nil {
-			continue
-		}
-		for _, endpoint := range d.assigned {
+		for _, endpoint := range e.shares.endpoints[number] {
 			if endpoint.delisted {
 				continue
 			}
@@ -125,7 +148,7 @@
 			if endpoint.Leaves.Closing() {
 				state = policy.Draining
 			}
-			listed.Entries = append(listed.Entries, e.entry(endpoint, state))
+			listed.Entries = append(listed.Entries, e.entry(endpoint.trackedEndpoint, state, endpoint.rate))
 		}
 	}
 	return listed
--- a/internal/engine/shares_test.go
+++ b/internal/engine/shares_test.go
@@ -74,7 +74,7 @@
 	e.evict(time.Now())
 	e.handle(shareUpdate{leased: &no})
 	wantLimits(t, "once the lease ends", e, map[string]float64{"a1": none, "a3": none, "c": none})
-	if n := len(e.destinations[1].assigned); n != 2 {
+	if n := len(e.shares.endpoints[1]); n != 2 {
 		t.Errorf("%d endpoints of a destination are known, want 2", n)
 	}
 }
@@ -128,7 +128,7 @@
 	e.Use(Parts{Store: fakeStore{f: f}, Carrier: f, Admission: f, Notifier: f, Memories: map[string]*store.Memory{}, Log: testkit.QuietLog()})
 	e.handle(directory.List{Complete: true, Members: []directory.Member{member("s1", 7, directory.Active)}})
 	wantLimits(t, "without assignment", e, map[string]float64{"s1": 0})
-	if e.destinations[7].assigned != nil {
+	if e.shares.endpoints[7] != nil {
 		t.Error("endpoints are kept for an assignment that there is not")
 	}
 }
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -4,6 +4,7 @@
 package httpfront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"time"
 
 	"wingmount/decide/rules"
+	"wingmount/internal/directory"
 	"wingmount/internal/fail"
 	"wingmount/internal/inflight"
 	"wingmount/internal/message"
@@ -51,6 +53,8 @@
 	// ownership is nil where this node accepts messages for all destinations.
 	ownership Ownership
 	accept    func(*message.Message)
+	// maxDestination is the highest number of a destination.
+	maxDestination uint64
 }
 
 // Config is what an intake is told.
@@ -58,6 +62,8 @@
 	Classes  map[string]int // names of the classes, as indices into Rules
 	Rules    []policy.Class
 	Registry *inflight.Registry // the messages in flight, by all fronts
+	// MaxDestination is the highest number of a destination; [directory.PlatformDestinations] where it is 0.
+	MaxDestination uint64
 	// Keeper judges which class and key a message has; nil where it has what its client says.
 	Keeper *ruling.Keeper
 	// Ownership tells which destinations are this node's; nil where all are.
@@ -71,8 +77,18 @@
 	for name, class := range c.Classes {
 		names[class] = name
 	}
-	return &Intake{classes: c.Classes, names: names, rules: c.Rules, registry: c.Registry, keeper: c.Keeper,
-		ownership: c.Ownership, store: s, accept: accept, log: log}
+	return &Intake{
+		classes:        c.Classes,
+		names:          names,
+		rules:          c.Rules,
+		store:          s,
+		log:            log,
+		registry:       c.Registry,
+		keeper:         c.Keeper,
+		ownership:      c.Ownership,
+		accept:         accept,
+		maxDestination: cmp.Or(c.MaxDestination, directory.PlatformDestinations),
+	}
 }
 
 // Where a crash matters: between a message's record, its start, and the client's answer.
@@ -192,6 +208,9 @@
 	case inflight.TooLate:
 		in.turnAway(w, "it would not be delivered in time", retry)
 		return false
+	case inflight.Saturated:
+		in.turnAway(w, "the node is saturated", retry)
+		return false
 	default:
 		in.turnAway(w, "the node has no capacity for it", retry)
 		return false
@@ -341,7 +360,7 @@
 		return nil, bad("X-Timeout-Ms is missing or malformed")
 	}
 	m.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
-	if m.Dest, err = destination(r.Header.Get("X-Route-To")); err != nil {
+	if m.Dest, err = destination(r.Header.Get("X-Route-To"), in.maxDestination); err != nil {
 		return nil, bad("X-Route-To: %v", err)
 	}
 	if r.ContentLength < 0 || r.Header.Get("Content-Length") == "" {
@@ -362,13 +381,13 @@
 	return s != "" && len(s) <= message.MaxWord && strings.IndexFunc(s, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
 }
 
-// destination reads 'dest=7', among other fields or alone.
-func destination(s string) (int, error) {
+// destination reads 'dest=7', among other fields or alone, up to the highest number that there may be.
+func destination(s string, highest uint64) (int, error) {
 	for _, field := range strings.FieldsFunc(s, func(c rune) bool { return c == ',' || c == ';' || c == ' ' }) {
 		if v, ok := strings.CutPrefix(field, "dest="); ok {
-			n, err := strconv.ParseUint(v, 10, 16)
-			if err != nil {
-				return 0, errors.New("dest is no number of a destination")
+			n, err := strconv.ParseUint(v, 10, 64)
+			if err != nil || n > highest {
+				return 0, fmt.Errorf("dest=%.20s is not between 0 and %d", v, highest)
 			}
 			return int(n), nil
 		}
--- a/internal/inflight/registry.go
+++ b/internal/inflight/registry.go
@@ -8,6 +8,8 @@
 package inflight
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +38,7 @@
 	Duplicate                   // another request with the same ID is being accepted
 	NoCapacity                  // there is no place
 	TooLate                     // its turn would come too late
+	Saturated                   // the engine does not keep up
 	ShuttingDown                // no message is accepted any more
 )
 
@@ -53,7 +56,7 @@
 	observations []admission.Seen
 	// listed tells that destinations and complete are set.
 	listed       bool
-	destinations map[int]bool
+	destinations []uint32 // in order
 	complete     bool
 	previous     *updateBatch
 }
@@ -64,13 +67,14 @@
 	origin time.Time
 	// updates are the batches that are not applied yet, the newest first.
 	updates atomic.Pointer[updateBatch]
+	rounds  engineRounds
 
 	mu           sync.Mutex
 	admission    *admission.Controller
 	messages     map[string]reservation // by message ID
 	unfinished   map[int]int            // messages by destination, where there are some
-	destinations map[int]bool
-	complete     bool // the directory has listed all destinations since this process started
+	destinations []uint32               // in order: four bytes for an idle one
+	complete     bool                   // the directory has listed all destinations since this process started
 	closing      bool
 	shuttingDown bool
 	counts       Counts
@@ -84,7 +88,11 @@
 // lock takes the lock and applies the engine's updates. It returns the time for the controller.
 func (r *Registry) lock() time.Duration {
 	r.mu.Lock()
-	return r.applyUpdates()
+	now := r.applyUpdates()
+	if r.admission != nil {
+		r.admission.SetEngineLoad(now, r.rounds.load(now))
+	}
+	return now
 }
 
 // applyUpdates applies the queued batches, the oldest first. The caller holds the lock.
@@ -141,9 +149,16 @@
 }
 
 // SetDestinations sets which destinations there are, and whether the directory has listed them all since
-// this process started. It never waits, and keeps the map.
+// this process started. Their numbers have 32 bits. It never waits.
 func (r *Registry) SetDestinations(destinations map[int]bool, complete bool) {
-	r.enqueue(&updateBatch{listed: true, destinations: destinations, complete: complete})
+	numbers := make([]uint32, 0, len(destinations))
+	for number, exists := range destinations {
+		if exists {
+			numbers = append(numbers, uint32(number))
+		}
+	}
+	slices.Sort(numbers)
+	r.enqueue(&updateBatch{listed: true, destinations: numbers, complete: complete})
 }
 
 // Reserve requests a place for a message that has so much time left. The duration returned is when its
@@ -175,6 +190,8 @@
 			return NoCapacity, d.Retry
 		case admission.TooLate:
 			return TooLate, d.Retry
+		case admission.Saturated:
+			return Saturated, d.Retry
 		}
 	}
 	r.add(id, reservation{destination: destination, class: class})
@@ -257,7 +274,11 @@
 func (r *Registry) HasDestination(destination int) (exists, certain bool) {
 	r.lock()
 	defer r.mu.Unlock()
-	return r.destinations[destination], r.complete
+	if destination < 0 || destination > math.MaxUint32 {
+		return false, r.complete
+	}
+	_, exists = slices.BinarySearch(r.destinations, uint32(destination))
+	return exists, r.complete
 }
 
 // DestinationsKnown tells whether messages for unknown destinations can be recognized.
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -37,6 +37,7 @@
 	settings              policy.Settings
 	seed                  uint64
 	classes, kinds, zones map[string]int
+	maxDestination        uint64 // see httpfront.Config
 	store                 store.Store
 	recovered             store.Recovered
 	teller                engine.Notifier
@@ -81,7 +82,7 @@
 		ownership, permit = p.assignment, p.assignment
 	}
 	n.intake = httpfront.New(httpfront.Config{Classes: p.classes, Rules: p.settings.Classes, Registry: n.registry, Keeper: p.keeper,
-		Ownership: ownership}, p.store, func(m *message.Message) { n.engine.Post(m) }, p.log)
+		Ownership: ownership, MaxDestination: p.maxDestination}, p.store, func(m *message.Message) { n.engine.Post(m) }, p.log)
 	if l, ok := p.store.(store.Late); ok {
 		l.OnLate(n.adoptLate)
 	}
@@ -210,8 +211,9 @@
 		case <-ticker.C:
 		}
 		c := n.registry.Counts()
-		if full, late := c[inflight.NoCapacity]-before[inflight.NoCapacity], c[inflight.TooLate]-before[inflight.TooLate]; full+late > 0 {
-			n.log.Warn("intake: messages were turned away", "no_place", full, "too_late", late,
+		full, late := c[inflight.NoCapacity]-before[inflight.NoCapacity], c[inflight.TooLate]-before[inflight.TooLate]
+		if saturated := c[inflight.Saturated] - before[inflight.Saturated]; full+late+saturated > 0 {
+			n.log.Warn("intake: messages were turned away", "no_place", full, "too_late", late, "saturated", saturated,
 				"taken", c[inflight.Reserved]-before[inflight.Reserved], "held", n.registry.Count(), "within", turnedAwayEvery)
 		}
 		before = c
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,6 +19,9 @@
 // sweepGap is how often a sender looks for what it can let go of.
 const sweepGap = time.Second
 
+// mostSpare bounds the backlogs that are kept to be used again.
+const mostSpare = 1024
+
 // Sender decides for one node. It is not safe for concurrent use.
 type Sender struct {
 	set   Settings
@@ -27,13 +30,20 @@
 	out   []Action
 	armed Time // the earliest wake that was asked for, or 0
 
-	endpoints map[EndpointID]*endpoint
-	tags      map[Tag]*endpoint
+	endpoints index.Tags[Tag, *endpoint]
 	dests     map[int]*destination
-	ordered   []*destination // in order of first mention; maps are never ranged over
+	mentions  uint64 // destinations mentioned so far
 	messages  map[MessageID]*message
 	turns     map[uint64]*turn
 
+	// What a step walks, so that it costs nothing for what is merely configured.
+	queued   index.Ordered[*destination] // with messages in their queues, in order of first mention
+	calling  index.Ordered[*endpoint]    // with calls out
+	gone     index.Expiry[*endpoint]     // listed as gone, by when they may be evicted
+	unlisted index.Expiry[*destination]  // without endpoints, by when they may be evicted
+	resting  index.Expiry[*turn]         // without messages, by when they may be evicted
+	backlogs index.Pool[backlog]
+
 	worths   []estimate.Worth     // by class
 	arrivals uint64               // messages so far
 	waiting  int                  // those of them in the queues
@@ -53,7 +63,7 @@
 	toldAt   Time          // when the last note was told
 	longest  time.Duration // the longest time that a message may wait
 	sweepAt  Time          // when to look again for what can be let go of
-	doubts   int           // see doubtful; counted before each send, which alone changes it in a step
+	doubts   int           // see doubtful; counted once between sends, which alone change it in a step
 	inFlight int           // calls out
 	share    int           // of the slots that each destination has at least, in this step
 	pace     float64       // how much slower than their own estimates all destinations answer of late
@@ -63,6 +73,8 @@
 func New(settings Settings, seed uint64) *Sender {
 	settings.Senders = max(settings.Senders, 1)
 	settings.Slots = max(settings.Slots, 1)
+	settings.Kinds = append(slices.Clone(settings.Kinds), Kind{BundleMax: 1}) // of entries of no kind
+	settings.ZoneFee = append(slices.Clone(settings.ZoneFee), 0)              // of entries of no zone
 	longest := settings.FallWindow
 	var worths []estimate.Worth
 	for _, c := range settings.Classes {
@@ -72,11 +84,14 @@
 	return &Sender{
 		longest: longest, worths: worths, set: settings, smallCut: math.Pow(float64(settings.Senders), -1.0/smallCuts),
 		rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), pace: 1, usual: firstLatency.Seconds(),
-		endpoints: map[EndpointID]*endpoint{}, tags: map[Tag]*endpoint{}, dests: map[int]*destination{},
+		dests: map[int]*destination{}, backlogs: index.Pool[backlog]{Most: mostSpare},
 		messages: map[MessageID]*message{}, turns: map[uint64]*turn{},
 	}
 }
 
+// uncounted says that nobody has asked for the number of doubtful messages since the last send.
+const uncounted = -1
+
 // call is one call that is out: one message, or a bundle with one fate.
 type call struct {
 	endpoint *endpoint
@@ -90,23 +105,29 @@
 type endpoint struct {
 	id    EndpointID
 	path  *path
-	zone  int
+	older *endpoint // see Link
+	told  Time      // when it was told to be draining or gone
+	zone  int32
 	state EndpointState
-	told  Time // when it was told to be draining or gone
 
+	*health // nil while its destination is idle
+}
+
+// health is what the calls to an endpoint have told of it.
+type health struct {
 	calls    []*call // out, oldest first
 	lastSent Time
 	lastOK   Time
 	score    float64      // failure score
 	suspect  bool         // its last outcome was a failure
 	out      bool         // an outage is on
-	since    Time         // when the outage was noticed
 	lead     bool         // this sender told the others of it
-	timeouts int          // time-outs in a row
 	broken   bool         // an error, a refusal or no connection came since its last success
+	warming  bool         // back from an outage
+	since    Time         // when the outage was noticed
+	timeouts int          // time-outs in a row
 	fullRun  int          // fulls in a row, of calls sent after the one before was heard
 	fullAt   Time         // when the last full was heard
-	warming  bool         // back from an outage
 	warmFrom Time         // when it was first seen back
 	cold     index.Window // calls, while it may be cold
 	phase    float64      // drawn with each call: how long a stretched window is, about 1
@@ -117,16 +138,28 @@
 // path is what shares one limit: a destination, or a route where routes are apart.
 type path struct {
 	dest      *destination
-	jamAt     Time          // when fulls were last told or heard of
-	jamFor    time.Duration // the span for which the logs closed then
-	kind      Kind
-	fee       float64
 	endpoints []*endpoint
-	inFlight  int // calls out
+	rate      float64 // as listed, of all senders together
+	limit     float64 // as listed while it was idle, of this sender; see Entry.Limit
+	listedAt  Time    // when it was, or its limit while it was idle
+	firstCall Time    // many senders: when a call is taken to have been made, so that not all start at once
+	most      uint32  // the most endpoints that were ready at a time
+	kindIndex uint16
+	zone      uint16
+
+	*traffic // nil while its destination is idle
+}
+
+// traffic is what the calls on a path have told of it, and what binds the next ones.
+type traffic struct {
+	kind     Kind
+	fee      float64
+	jamAt    Time          // when fulls were last told or heard of
+	jamFor   time.Duration // the span for which the logs closed then
+	inFlight int           // calls out
 
 	narrow, wide index.Window
 	taken        estimate.Rate // its successes
-	most         int           // the most endpoints that were ready at a time
 	part         *share.Part   // of a limit that many senders share, or that this one holds, or nil
 	phase        float64       // drawn with each call: how long a stretched window is, about 1
 	slice        float64       // calls in a narrow window; infinite while unbound
@@ -139,14 +172,21 @@
 	latency      estimate.Latency
 }
 
-// destination has the held messages of its paths.
+// destination is one destination. It is idle until the first message, note or record of it comes.
 type destination struct {
-	number   int
-	paths    []*path
+	number int
+	order  uint64 // of first mention
+	paths  []*path
+	active bool // its paths have traffic and their endpoints health
+
+	*backlog // nil while it has no message
+}
+
+// backlog is the messages of a destination that are not forgotten.
+type backlog struct {
 	inFlight int                   // calls out
 	queue    index.Queue[*message] // held; plain are those that nothing but their age tells apart
 	owed     int                   // messages that are not forgotten
-	goneAt   Time                  // when its last endpoint was let go of
 
 	// What may come next of its messages in this step, the first before all others; see pickOf.
 	rankedAt int // a step
@@ -171,16 +211,17 @@
 	attempts  int
 	call      *call // the attempt that is out
 	ended     bool
-	ran       bool // an attempt may have run, or is out
-	ranAt     Time // when the first such attempt was sent
-	ranZone   int  // where it was sent
-	settled   bool // some finished attempt may have run
+	ran       bool  // an attempt may have run, or is out
+	ranAt     Time  // when the first such attempt was sent
+	ranZone   int32 // where it was sent
+	settled   bool  // some finished attempt may have run
 	notBefore Time
 	failedAt  *endpoint // the endpoint that failed it last
 }
 
 // turn is the line of messages of one key.
 type turn struct {
+	key       uint64
 	line      []*message
 	restUntil Time
 }
@@ -216,6 +257,7 @@
 		m.dest.queue.MakeOdd(&m.held)
 	}
 	m.dest.queue.Add(&m.held)
+	s.queued.Add(m.dest.order, m.dest)
 	s.waiting++
 	switch {
 	case m.attempts >= s.set.MaxAttempts || m.ran && m.class.Repeat == AtMostOnce:
@@ -229,7 +271,20 @@
 	if m.dest.queue.Remove(&m.held) {
 		s.waiting--
 		s.oblivion.Remove(&m.forget)
+		if m.dest.queue.Len() == 0 {
+			s.queued.Remove(m.dest.order)
+		}
+	}
+}
+
+// returnCall takes a call that is over off its endpoint.
+func (s *Sender) returnCall(c *call) {
+	e := c.endpoint
+	e.calls = slices.DeleteFunc(e.calls, func(o *call) bool { return o == c })
+	if len(e.calls) == 0 {
+		s.calling.Remove(uint64(e.id))
 	}
+	s.count(e.path, -1)
 }
 
 // count keeps the calls out.
@@ -261,6 +316,9 @@
 	}
 }
 
+// kindOf is which kind of the settings an entry has, the plainest one where that is none of theirs.
+func (s *Sender) kindOf(entry Entry) uint16 { return uint16(min(entry.Kind, len(s.set.Kinds)-1)) }
+
 func (p *path) readyEndpoints() (n int) {
 	for _, e := range p.endpoints {
 		if e.state == Ready {
@@ -273,13 +331,42 @@
 func (s *Sender) destination(n int) *destination {
 	d := s.dests[n]
 	if d == nil {
-		d = &destination{number: n, goneAt: s.now}
+		d = &destination{number: n, order: s.mentions}
+		s.mentions++
 		s.dests[n] = d
-		s.ordered = append(s.ordered, d)
+		s.unlist(d)
 	}
 	return d
 }
 
+// activate allocates what an idle destination does without. It draws nothing at random, and nothing that it
+// sets depends on when it comes.
+func (s *Sender) activate(d *destination) {
+	if d.active {
+		return
+	}
+	d.active = true
+	for _, p := range d.paths {
+		s.startTraffic(p)
+		for _, e := range p.endpoints {
+			e.health = &health{phase: 1}
+		}
+	}
+}
+
+// endpoint finds an endpoint by its id.
+func (s *Sender) endpoint(id EndpointID) *endpoint {
+	return s.endpoints.Find(terms.TagOf(id), func(e *endpoint) bool { return e.id == id })
+}
+
+// Link is where the endpoint with the same tag is kept that was added before it.
+func (e *endpoint) Link() **endpoint { return &e.older }
+
+// unlist has a destination without endpoints evicted when its logs can't matter any more.
+func (s *Sender) unlist(d *destination) {
+	s.unlisted.Set(d, s.now+time.Duration(s.set.Senders)*2*wideWindow)
+}
+
 // end takes a message that has its final answer out of everything but the attempt that may still be out.
 func (s *Sender) end(m *message) {
 	m.ended = true
@@ -293,9 +380,18 @@
 
 func (s *Sender) forget(m *message) {
 	delete(s.messages, m.id)
-	m.dest.owed--
-	if m.turn != nil {
-		m.turn.line = slices.DeleteFunc(m.turn.line, func(o *message) bool { return o == m })
+	if m.dest.owed--; m.dest.owed == 0 {
+		b := m.dest.backlog
+		m.dest.backlog, b.rankedAt, b.worst = nil, 0, pick{}
+		clear(b.ranked)
+		s.backlogs.Put(b)
+	}
+	if m.turn == nil {
+		return
+	}
+	m.turn.line = slices.DeleteFunc(m.turn.line, func(o *message) bool { return o == m })
+	if len(m.turn.line) == 0 {
+		s.resting.Set(m.turn, m.turn.restUntil)
 	}
 }
 
@@ -303,7 +399,7 @@
 	named := map[EndpointID]bool{}
 	for _, entry := range l.Entries {
 		named[entry.Endpoint] = true
-		e := s.endpoints[entry.Endpoint]
+		e := s.endpoint(entry.Endpoint)
 		if e == nil && entry.State == Ready { // the grace of others may have run, also in an earlier life
 			e = s.addEndpoint(entry)
 		}
@@ -315,56 +411,67 @@
 	if !l.Whole {
 		return
 	}
-	for id, e := range s.endpoints { // each by itself: the order of a map does not matter
-		if !named[id] {
+	for e := range s.endpoints.All() { // each by itself: the order does not matter
+		if !named[e.id] {
 			s.setState(e, Gone)
 		}
 	}
 }
 
-// letGo forgets endpoints that are gone. Each is kept while a call is out to it, and for the longest time
+// evict forgets endpoints that are gone. Each is kept while a call is out to it, and for the longest time
 // that a message may wait: until then a new endpoint beside it may be the cold replacement of one that
 // was out. With the last endpoint of a route apart goes its path; a shared path stays with its
 // destination, which goes when it has had no endpoint and no message for as long again as its logs may
 // look back.
-func (s *Sender) letGo() {
+func (s *Sender) evict() {
 	if s.now < s.sweepAt {
 		return
 	}
 	s.sweepAt = s.now + sweepGap
-	left := func(e *endpoint) bool {
-		gone := e.state == Gone && len(e.calls) == 0 && s.now-e.told >= s.longest
-		if gone {
-			delete(s.endpoints, e.id)
-			if t := terms.TagOf(e.id); s.tags[t] == e {
-				delete(s.tags, t)
-			}
-			e.path.dest.goneAt = s.now
-		}
-		return gone
-	}
-	for _, d := range s.ordered {
-		for _, p := range d.paths {
-			p.endpoints = slices.DeleteFunc(p.endpoints, left)
-		}
-		d.paths = slices.DeleteFunc(d.paths, func(p *path) bool { return p.kind.RoutesApart && len(p.endpoints) == 0 })
-	}
-	s.ordered = slices.DeleteFunc(s.ordered, func(d *destination) bool {
-		listed := slices.ContainsFunc(d.paths, func(p *path) bool { return len(p.endpoints) > 0 })
-		gone := !listed && d.owed == 0 && s.now-d.goneAt >= time.Duration(s.set.Senders)*2*wideWindow
-		if gone {
+	s.gone.PopUntil(s.now, s.evictEndpoint)
+	s.unlisted.PopUntil(s.now, func(d *destination) {
+		if d.backlog == nil {
 			delete(s.dests, d.number)
+			return
+		}
+		s.unlisted.Set(d, s.now+1) // for the next sweep
+	})
+	s.resting.PopUntil(s.now, func(t *turn) {
+		if len(t.line) == 0 {
+			delete(s.turns, t.key)
 		}
-		return gone
 	})
 }
 
+func (s *Sender) evictEndpoint(e *endpoint) {
+	if e.health != nil && len(e.calls) > 0 {
+		s.gone.Set(e, s.now+1)
+		return
+	}
+	s.endpoints.Remove(terms.TagOf(e.id), e)
+	p, d := e.path, e.path.dest
+	p.endpoints = slices.DeleteFunc(p.endpoints, func(o *endpoint) bool { return o == e })
+	if len(p.endpoints) > 0 {
+		return
+	}
+	if s.set.Kinds[p.kindIndex].RoutesApart {
+		d.paths = slices.DeleteFunc(d.paths, func(o *path) bool { return o == p })
+	}
+	if !slices.ContainsFunc(d.paths, func(p *path) bool { return len(p.endpoints) > 0 }) {
+		s.unlist(d)
+	}
+}
+
 func (s *Sender) setState(e *endpoint, state EndpointState) {
 	if state == Ready || e.state == Ready {
 		e.told = s.now
 	}
-	e.state = state
-	e.path.most = max(e.path.most, e.path.readyEndpoints())
+	if e.state = state; state == Gone {
+		s.gone.Set(e, e.told+s.longest)
+	} else {
+		s.gone.Remove(e)
+	}
+	e.path.most = max(e.path.most, uint32(e.path.readyEndpoints()))
 }
 
 func (s *Sender) arrived(a Arrived) {
@@ -372,16 +479,20 @@
 	m := &message{id: a.Message, class: class, worth: &s.worths[a.Class], dest: s.destination(a.Destination),
 		born: min(s.now, a.GiveUpAt-class.Deadline), giveUpAt: a.GiveUpAt,
 		attempts: a.Past.Attempts, ran: a.Past.MayRun, settled: a.Past.MayRun,
-		ranAt: a.Past.RanAt, ranZone: a.Past.RanZone}
+		ranAt: a.Past.RanAt, ranZone: int32(a.Past.RanZone)}
 	s.arrivals++
 	m.due.Value, m.forget.Value, m.closes.Value = m, m, m
 	m.held = index.Entry[*message]{Value: m, Class: a.Class, Born: int64(m.born), Number: s.arrivals}
 	s.messages[m.id] = m
+	s.activate(m.dest)
+	if m.dest.backlog == nil {
+		m.dest.backlog = s.backlogs.Get()
+	}
 	m.dest.owed++
 	s.deadline.Set(&m.due, int64(m.giveUpAt))
 	if class.Ordered && a.Key != 0 {
 		if s.turns[a.Key] == nil {
-			s.turns[a.Key] = &turn{}
+			s.turns[a.Key] = &turn{key: a.Key}
 		}
 		m.turn = s.turns[a.Key]
 		m.turn.line = append(m.turn.line, m)
@@ -394,22 +505,21 @@
 
 func (s *Sender) addEndpoint(entry Entry) *endpoint {
 	d := s.destination(entry.Destination)
-	kind := Kind{BundleMax: 1}
-	if entry.Kind < len(s.set.Kinds) {
-		kind = s.set.Kinds[entry.Kind]
-	}
 	var p *path
-	if len(d.paths) > 0 && !kind.RoutesApart {
+	if len(d.paths) > 0 && !s.set.Kinds[s.kindOf(entry)].RoutesApart {
 		p = d.paths[0]
 	} else {
-		p = s.newPath(d, kind, entry)
+		p = s.newPath(d, entry)
 		d.paths = append(d.paths, p)
 	}
-	e := &endpoint{id: entry.Endpoint, path: p, zone: entry.Zone, state: Ready, phase: 1}
+	e := &endpoint{id: entry.Endpoint, path: p, zone: int32(entry.Zone), state: Ready}
 	p.endpoints = append(p.endpoints, e)
-	s.endpoints[e.id] = e
-	s.tags[terms.TagOf(e.id)] = e
-	s.joined(e)
+	s.endpoints.Add(terms.TagOf(e.id), e)
+	s.unlisted.Remove(d)
+	if d.active {
+		e.health = &health{phase: 1}
+		s.joined(e)
+	}
 	return e
 }
 
@@ -425,8 +535,8 @@
 
 // doubtful counts the messages that are out to endpoints that are out, suspect or stalled.
 func (s *Sender) doubtful() (n int) {
-	for _, e := range s.endpoints { // a sum: the order of a map does not matter
-		if len(e.calls) > 0 && (e.out || e.suspect || s.stalled(e)) {
+	for _, e := range s.calling.Values() {
+		if e.out || e.suspect || s.stalled(e) {
 			for _, c := range e.calls {
 				n += c.left
 			}
@@ -439,11 +549,12 @@
 // still, and one that failed last is out, or cold if it came back less than a warm-up ago, so that a
 // restored backlog waits for a trial.
 func (s *Sender) remembered(r Remembered) {
-	e := s.endpoints[r.Endpoint]
+	e := s.endpoint(r.Endpoint)
 	if e == nil {
 		return
 	}
 	p := e.path
+	s.activate(p.dest)
 	for _, log := range []*index.Window{&p.narrow, &p.wide} {
 		log.Add(r.Sent)
 		log.Count(s.now)
