--- a/cmd/wingmount/assignment.go
+++ b/cmd/wingmount/assignment.go
@@ -54,6 +54,7 @@
 	}
 	server, err := control.NewServer(control.ServerConfig{Listen: c.Listen, WorldFile: c.World, StateDir: c.State, Fresh: a.Fresh,
 		Above: lease.Incarnation(a.Above), Lease: time.Duration(c.Lease), MaxDrift: c.MaxDrift, Slack: time.Duration(c.Slack),
+		Window: time.Duration(c.Window), Gather: time.Duration(c.Gather),
 		MaxSessions: c.MaxSessions, LoadBound: c.LoadBound, Debounce: time.Duration(c.Debounce),
 		RestartGrace: time.Duration(c.RestartGrace), ReloadOn: reload, Log: log})
 	if err != nil {
--- a/internal/config/assignment.go
+++ b/internal/config/assignment.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -10,39 +11,24 @@
 	"time"
 
 	"wingmount/decide/lease"
+	"wingmount/decide/placement"
+	"wingmount/internal/control"
 )
 
 // Bounds of [assignment] and of the file of a control process.
 const (
 	maxControlAddresses = 16
 	maxOwnersKept       = 1 << 20
-	maxControlSessions  = 1 << 16
-	minControlLease     = 2 * ShareWindow // a node may confirm a share a ShareWindow late, and renews after it
+	maxOwnersKeptFor    = 10 * time.Minute
+	minControlLease     = time.Second
 	maxClockDrift       = 0.5
+	maxControlSessions  = 1 << 16
 	maxLoadBound        = 10
-	maxDebounce         = time.Minute
-	maxOwnersKeptFor    = 10 * time.Minute
-	maxSlack            = time.Minute
-	maxRestartGrace     = time.Hour
+	maxControlDelay     = time.Hour
 )
 
-// ShareWindow is the time in which the decision module, and partners with it, count calls against a limit. A
-// share passes on to another node so long after its last call.
-const ShareWindow = 2 * time.Second
-
-// Defaults of [assignment] and of the file of a control process.
-const (
-	defaultAssignmentState = "assignment.state"
-	defaultOwnersKeptFor   = 5 * time.Second
-	defaultOwnersMax       = 10_000
-	defaultControlLease    = 10 * time.Second
-	defaultMaxDrift        = 0.01
-	defaultMaxSessions     = 2000
-	defaultLoadBound       = 1.25
-	defaultDebounce        = 500 * time.Millisecond
-	defaultSlack           = ShareWindow + 250*time.Millisecond
-	defaultRestartGrace    = time.Minute
-)
+// defaultAssignmentState is the state file of a node that names none.
+const defaultAssignmentState = "assignment.state"
 
 // Assignment says which control processes assign destinations to this node. Without the section every node
 // accepts messages for all destinations.
@@ -63,18 +49,10 @@
 	if a == nil {
 		return
 	}
-	if a.State == "" {
-		a.State = defaultAssignmentState
-	}
-	if a.RegionShare == 0 {
-		a.RegionShare = 1
-	}
-	if a.OwnersKeptFor == 0 {
-		a.OwnersKeptFor = Duration(defaultOwnersKeptFor)
-	}
-	if a.OwnersMax == 0 {
-		a.OwnersMax = defaultOwnersMax
-	}
+	a.State = cmp.Or(a.State, defaultAssignmentState)
+	a.RegionShare = cmp.Or(a.RegionShare, 1)
+	a.OwnersKeptFor = cmp.Or(a.OwnersKeptFor, Duration(control.DefaultLocateFor))
+	a.OwnersMax = cmp.Or(a.OwnersMax, control.DefaultLocateMax)
 }
 
 // check tells what is wrong with the section of a file.
@@ -125,13 +103,13 @@
 	State       string   `toml:"state"` // a folder
 	Lease       Duration `toml:"lease"`
 	MaxDrift    float64  `toml:"max_drift"`
+	Slack       Duration `toml:"slack"`
+	Window      Duration `toml:"window"`
 	MaxSessions int      `toml:"max_sessions"`
 	LoadBound   float64  `toml:"load_bound"`
-	Debounce    Duration `toml:"debounce"`
-	// Slack is how long a share is kept back once its lease has ended: the calls under it still count at
-	// partners.
-	Slack Duration `toml:"slack"`
-	// RestartGrace is how long a node that has left keeps its destinations.
+	// Debounce, Gather and RestartGrace say how long changes of the nodes are waited for: see control.ServerConfig.
+	Debounce     Duration `toml:"debounce"`
+	Gather       Duration `toml:"gather"`
 	RestartGrace Duration `toml:"restart_grace"`
 }
 
@@ -167,27 +145,15 @@
 }
 
 func (c *Control) defaults() {
-	if c.Lease == 0 {
-		c.Lease = Duration(defaultControlLease)
-	}
-	if c.MaxDrift == 0 {
-		c.MaxDrift = defaultMaxDrift
-	}
-	if c.MaxSessions == 0 {
-		c.MaxSessions = defaultMaxSessions
-	}
-	if c.LoadBound == 0 {
-		c.LoadBound = defaultLoadBound
-	}
-	if c.Debounce == 0 {
-		c.Debounce = Duration(defaultDebounce)
-	}
-	if c.Slack == 0 {
-		c.Slack = Duration(defaultSlack)
-	}
-	if c.RestartGrace == 0 {
-		c.RestartGrace = Duration(defaultRestartGrace)
-	}
+	c.Lease = cmp.Or(c.Lease, Duration(lease.DefaultDuration))
+	c.MaxDrift = cmp.Or(c.MaxDrift, lease.DefaultMaxDrift)
+	c.Slack = cmp.Or(c.Slack, Duration(lease.DefaultSlack))
+	c.Window = cmp.Or(c.Window, Duration(control.DefaultWindow))
+	c.MaxSessions = cmp.Or(c.MaxSessions, lease.DefaultMaxSessions)
+	c.LoadBound = cmp.Or(c.LoadBound, placement.DefaultLoadBound)
+	c.Debounce = cmp.Or(c.Debounce, Duration(control.DefaultDebounce))
+	c.Gather = cmp.Or(c.Gather, Duration(control.DefaultGather))
+	c.RestartGrace = cmp.Or(c.RestartGrace, Duration(control.DefaultRestartGrace))
 }
 
 func (c *Control) check() error {
@@ -216,14 +182,16 @@
 	if !(c.LoadBound > 1 && c.LoadBound <= maxLoadBound) || math.IsNaN(c.LoadBound) {
 		bad("load_bound", "%v is not above 1 and up to %v", c.LoadBound, maxLoadBound)
 	}
-	if c.Debounce < 0 || c.Debounce > Duration(maxDebounce) {
-		bad("debounce", "%v is not between 0 and %v", time.Duration(c.Debounce), maxDebounce)
+	if c.Window < Duration(control.DefaultWindow) || c.Window > Duration(maxControlDelay) {
+		bad("window", "%v is not between %v and %v", time.Duration(c.Window), control.DefaultWindow, maxControlDelay)
 	}
-	if c.Slack < Duration(ShareWindow) || c.Slack > Duration(maxSlack) {
-		bad("slack", "%v is not between %v and %v", time.Duration(c.Slack), ShareWindow, maxSlack)
-	}
-	if c.RestartGrace < 0 || c.RestartGrace > Duration(maxRestartGrace) {
-		bad("restart_grace", "%v is not between 0 and %v", time.Duration(c.RestartGrace), maxRestartGrace)
+	for _, delay := range []struct {
+		where string
+		value Duration
+	}{{"slack", c.Slack}, {"debounce", c.Debounce}, {"gather", c.Gather}, {"restart_grace", c.RestartGrace}} {
+		if delay.value < 0 || delay.value > Duration(maxControlDelay) {
+			bad(delay.where, "%v is not between 0 and %v", time.Duration(delay.value), maxControlDelay)
+		}
 	}
 	return errors.Join(errs...)
 }
--- a/internal/node/assignment.go
+++ b/internal/node/assignment.go
@@ -55,14 +55,13 @@
 	engine      shareSetter
 	registry    *inflight.Registry
 
-	mu     sync.Mutex
-	shares map[int]float64 // of the limits, those above 0
+	mu sync.Mutex
 	// finishing are destinations that messages are not accepted for any more, and that are not released. True
 	// is that it was reported that one has unfinished messages and no assignment.
 	finishing map[placement.DestinationID]bool
 
-	running  sync.WaitGroup
-	stopping chan struct{} // closed by stop
+	running sync.WaitGroup
+	cancel  context.CancelFunc // by start
 }
 
 // newAssignment returns the node's side of the section [assignment]; nil where there is none. The engine and the
@@ -73,7 +72,7 @@
 		return nil, nil
 	}
 	a := &assignment{node: placement.NodeID(f.Name), regionShare: section.RegionShare, log: log,
-		shares: map[int]float64{}, finishing: map[placement.DestinationID]bool{}, stopping: make(chan struct{})}
+		finishing: map[placement.DestinationID]bool{}}
 	agent, err := control.NewAgent(control.AgentConfig{Node: a.node, Addresses: section.Control, StateFile: section.State,
 		Apply: a.apply, LeaseChanged: a.leaseChanged, LocateFor: time.Duration(section.OwnersKeptFor), LocateMax: section.OwnersMax, Log: log})
 	if err != nil {
@@ -115,10 +114,7 @@
 // start takes part until stop.
 func (a *assignment) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	a.running.Go(func() {
-		<-a.stopping
-		cancel()
-	})
+	a.cancel = cancel
 	a.running.Go(func() {
 		if err := a.agent.Run(ctx); err != nil && ctx.Err() == nil {
 			a.log.Error("assignment: the agent has ended", "err", err)
@@ -127,56 +123,27 @@
 	a.running.Go(func() { a.releaseFinished(ctx) })
 }
 
-// stop gives the lease back, once what was sent counts at partners no more. No call may be made any more.
+// stop gives the lease back. No call may be made any more.
 func (a *assignment) stop() {
-	if a.agent.InForce() {
-		time.Sleep(config.ShareWindow)
-	}
-	close(a.stopping)
+	a.cancel()
 	a.running.Wait()
 }
 
-// apply puts changed assignments in force. When it returns, calls follow the new shares, and no call
-// under a larger one counts at a partner any more.
+// apply puts changed assignments in force: when it returns, the module follows the new shares.
 func (a *assignment) apply(update lease.Update) {
 	changed := make(map[int]float64, len(update.Assignments))
-	shrunk := false
 	a.mu.Lock()
 	for _, assigned := range update.Assignments {
-		destination := int(assigned.Destination)
 		share := assigned.Share
 		if assigned.Gone {
 			share = 0
 		}
-		shrunk = shrunk || share < a.shares[destination]
-		a.keepShare(destination, share)
+		changed[int(assigned.Destination)] = share * a.regionShare
 		a.keepFinishing(assigned)
-		changed[destination] = share * a.regionShare
 	}
 	a.mu.Unlock()
 	a.log.Info("assignment: changed", "destinations", len(changed), "complete", update.Complete)
 	a.engine.SetShares(changed)
-	if shrunk {
-		a.pause(config.ShareWindow)
-	}
-}
-
-// pause waits, or until the node stops.
-func (a *assignment) pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-a.stopping:
-	}
-}
-
-func (a *assignment) keepShare(destination int, share float64) {
-	if share > 0 {
-		a.shares[destination] = share
-		return
-	}
-	delete(a.shares, destination)
 }
 
 // keepFinishing notes whether a destination is to be released once it is empty. One that is gone may have
