--- a/internal/node/assignment_test.go
+++ b/internal/node/assignment_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"wingmount/decide/lease"
 	"wingmount/decide/placement"
 	"wingmount/internal/control"
@@ -185,3 +187,21 @@
 		t.Errorf("without a lease: %v", err)
 	}
 }
+
+// What runs for the assignment ends with it, and what is finished is released meanwhile.
+func TestStartAndStop(t *testing.T) {
+	a, agent, _ := newTestAssignment()
+	assign(a, agent, lease.Assignment{Destination: 2})
+	a.start()
+	deadline := time.Now().Add(10 * time.Second)
+	for released := 0; released == 0 && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		agent.mu.Lock()
+		released = len(agent.released)
+		agent.mu.Unlock()
+	}
+	a.stop()
+	if len(agent.released) != 1 {
+		t.Errorf("released %v, want destination 2", agent.released)
+	}
+	goleak.VerifyNone(t)
+}
--- a/internal/rig/proxy_test.go
+++ b/internal/rig/proxy_test.go
@@ -6,14 +6,16 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"wingmount/internal/testkit"
 )
 
 // What is sent while the path is cut comes once it is joined.
 func TestProxy(t *testing.T) {
+	before := goleak.IgnoreCurrent()
 	echo, err := net.Listen("tcp", "127.0.0.1:0")
 	testkit.Must(t, err)
-	t.Cleanup(func() { _ = echo.Close() })
 	go func() {
 		for {
 			conn, err := echo.Accept()
@@ -30,7 +32,6 @@
 	testkit.Must(t, err)
 	conn, err := net.Dial("tcp", p.Addr())
 	testkit.Must(t, err)
-	defer conn.Close()
 	exchange := func() error {
 		if _, err := conn.Write([]byte("x")); err != nil {
 			return err
@@ -52,4 +53,7 @@
 	testkit.Must(t, err)
 	p.Cut(true)
 	testkit.Must(t, p.Close()) // also while it is cut
+	testkit.Must(t, conn.Close())
+	testkit.Must(t, echo.Close())
+	goleak.VerifyNone(t, before)
 }
