--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -34,6 +34,8 @@
   wingmount replay RECORD         plays what 'run --record RECORD' recorded of decisions, and reports
   wingmount fleet [--span 1s] [--endpoints] LOG...
                                   counts over nodes' logs (WINGMOUNT_DEBUG=1) what went to each destination
+  wingmount scale run FILE [--json OUT] [--only WORD]
+                                  measures growth by nodes and destinations, see docs/CAPACITY.md
   wingmount demo [SCENARIO]       real traffic against stand-ins on loopback; --list names the scenarios
 `
 
@@ -96,6 +98,8 @@
 		return replay(args[1:], out)
 	case "fleet":
 		return fleet(args[1:], out)
+	case "scale":
+		return scaleCommand(ctx, args[1:], os.Stdin, out, log)
 	case "demo":
 		return demo.Command(ctx, args[1:], out, os.Stderr)
 	case "help", "-h", "--help":
--- /dev/null
+++ b/internal/lab/scale/event_writer.go
@@ -0,0 +1,27 @@
+package scale
+
+import (
+	"encoding/json"
+	"io"
+	"sync"
+	"time"
+)
+
+// eventWriter writes events as lines. It is safe for concurrent use.
+type eventWriter struct {
+	mu      sync.Mutex
+	encoder *json.Encoder
+}
+
+func newEventWriter(out io.Writer) *eventWriter { return &eventWriter{encoder: json.NewEncoder(out)} }
+
+// write writes an event, with the time of now where it has none. An error means that who reads is gone; the
+// process then ends by the end of its input.
+func (w *eventWriter) write(e event) {
+	if e.At == 0 {
+		e.At = time.Now().UnixNano()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.encoder.Encode(e)
+}
--- /dev/null
+++ b/internal/lab/scale/fleet.go
@@ -0,0 +1,241 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+var errChildEnded = errors.New("a process of the run has ended")
+
+// memoryEvery is how often the memory of all processes is looked at.
+const memoryEvery = time.Second
+
+// fleetRun is a fleet while it runs. It belongs to one goroutine.
+type fleetRun struct {
+	fleet   Fleet
+	env     environment
+	dir     string
+	address string // of the control process
+	events  chan event
+	control *child
+	zones   []*child
+	tracker *tracker
+	changes []change // all that were made
+	result  FleetResult
+
+	memory *time.Ticker
+	// onEvent hears of events while a phase waits for something of its own.
+	onEvent func(event)
+}
+
+// runFleet starts a fleet, lets it go through the phases that are asked for, and ends it.
+func runFleet(ctx context.Context, fleet Fleet, env environment) (_ FleetResult, err error) {
+	dir, err := os.MkdirTemp("", "wingmount-scale-")
+	if err != nil {
+		return FleetResult{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f := &fleetRun{fleet: fleet, env: env, dir: dir, address: "127.0.0.1:0", events: make(chan event, 1024),
+		tracker: newTracker(fleet.Destinations, fleet.Owners), memory: time.NewTicker(memoryEvery)}
+	f.result = FleetResult{Name: fleet.Name, Nodes: fleet.Nodes, Zones: fleet.Zones, Destinations: fleet.Destinations,
+		Owners: fleet.Owners, LeaseSeconds: fleet.Lease.Seconds()}
+	defer func() {
+		f.memory.Stop()
+		cancel()
+		err = errors.Join(err, f.end(), os.RemoveAll(dir))
+	}()
+	for _, phase := range []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"start", f.start}, {"idle", f.idle}, {"changes", f.oneByOne}, {"burst", f.burst},
+		{"restarts", f.restarts}, {"restart of the control process", f.restartControl}, {"loss of a zone", f.loseZone},
+	} {
+		if err := phase.run(ctx); err != nil {
+			return f.result, fmt.Errorf("%s: %w", phase.name, err)
+		}
+	}
+	return f.result, nil
+}
+
+// end ends all processes.
+func (f *fleetRun) end() (err error) {
+	for _, c := range append(f.zones, f.control) {
+		if c != nil {
+			err = errors.Join(err, c.kill())
+		}
+	}
+	return err
+}
+
+// start starts the processes, and waits until all that there is to own is owned.
+func (f *fleetRun) start(ctx context.Context) error {
+	began := time.Now()
+	if err := f.startControl(ctx); err != nil {
+		return err
+	}
+	for zone := range f.fleet.Zones {
+		config := f.config()
+		for node := range f.fleet.Nodes {
+			if zoneOf(node, f.fleet.Zones) == zone {
+				config.Nodes = append(config.Nodes, node)
+			}
+		}
+		c, err := startChild(ctx, zoneName(zone), RoleNodes, config, f.env.options, f.events)
+		if c != nil {
+			f.zones = append(f.zones, c)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if err := f.settle(ctx); err != nil {
+		return err
+	}
+	f.result.StartSeconds = time.Since(began).Seconds()
+	return nil
+}
+
+func (f *fleetRun) config() childConfig {
+	return childConfig{Fleet: f.fleet, Seed: f.env.scenario.Seed, StateDir: f.dir, Address: f.address, LeaseMS: f.fleet.Lease.Milliseconds()}
+}
+
+// startControl starts the control process and waits until it listens.
+func (f *fleetRun) startControl(ctx context.Context) error {
+	config := f.config()
+	config.Changes = f.changes
+	config.StateDir = filepath.Join(f.dir, RoleControl)
+	if err := os.MkdirAll(config.StateDir, 0o700); err != nil {
+		return err
+	}
+	var err error
+	if f.control, err = startChild(ctx, RoleControl, RoleControl, config, f.env.options, f.events); err != nil {
+		return err
+	}
+	address := ""
+	f.onEvent = func(e event) {
+		if e.Kind == eventReady {
+			address = e.Address
+		}
+	}
+	err = f.until(ctx, func() bool { return address != "" })
+	f.address = address
+	return err
+}
+
+// settle waits until all destinations are settled.
+func (f *fleetRun) settle(ctx context.Context) error {
+	err := f.until(ctx, func() bool { return f.tracker.unsettled == 0 })
+	if err != nil {
+		err = fmt.Errorf("%w; %d destinations are not settled", err, f.tracker.unsettled)
+	}
+	return err
+}
+
+// pause takes in events for a time.
+func (f *fleetRun) pause(ctx context.Context, span time.Duration) error {
+	over := time.After(span)
+	passed := false
+	for !passed {
+		select {
+		case <-over:
+			passed = true
+		case e := <-f.events:
+			if err := f.take(e); err != nil {
+				return err
+			}
+		case <-f.memory.C:
+			if err := f.checkMemory(); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// until takes in events until a condition holds.
+func (f *fleetRun) until(ctx context.Context, condition func() bool) error {
+	defer func() { f.onEvent = nil }()
+	for !condition() {
+		select {
+		case e := <-f.events:
+			if err := f.take(e); err != nil {
+				return err
+			}
+		case <-f.memory.C:
+			if err := f.checkMemory(); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (f *fleetRun) take(e event) error {
+	switch e.Kind {
+	case eventFailed:
+		return fmt.Errorf("%w: %s: %s", errChildEnded, e.from.name, e.Error)
+	case eventUpdate, eventLapsed:
+		if !e.from.ended {
+			f.tracker.apply(e)
+		}
+	}
+	if f.onEvent != nil {
+		f.onEvent(e)
+	}
+	return nil
+}
+
+// usage is what the control process and all nodes have used.
+func (f *fleetRun) usage() (control, nodes Usage, err error) {
+	control, err = f.control.usage()
+	for _, zone := range f.zones {
+		u, zoneErr := zone.usage()
+		err = errors.Join(err, zoneErr)
+		nodes = nodes.plus(u)
+	}
+	return control, nodes, err
+}
+
+func (f *fleetRun) checkMemory() error {
+	control, nodes, err := f.usage()
+	if err != nil {
+		return err
+	}
+	used := control.Resident + nodes.Resident + residentMemory()
+	f.result.PeakMemory = max(f.result.PeakMemory, used)
+	if used > int64(f.env.scenario.MemoryMB)<<20 {
+		return fmt.Errorf("%w: %d MB", ErrMemory, used>>20)
+	}
+	return nil
+}
+
+// meter reads what is used from now on. The function that it returns tells.
+func (f *fleetRun) meter() (func() (*Cost, error), error) {
+	control, nodes, err := f.usage()
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	return func() (*Cost, error) {
+		seconds := time.Since(began).Seconds()
+		controlNow, nodesNow, err := f.usage()
+		if err != nil {
+			return nil, err
+		}
+		count := float64(f.fleet.Nodes)
+		controlUsed, nodesUsed := controlNow.since(control), nodesNow.since(nodes)
+		bytes := float64(controlUsed.IO) / seconds
+		return &Cost{Seconds: seconds,
+			ControlCores: controlUsed.CPU.Seconds() / seconds, ControlBytes: bytes, ControlMemory: controlNow.Resident, ControlPeak: controlNow.Peak,
+			NodeCores: nodesUsed.CPU.Seconds() / seconds / count, NodeBytes: bytes / count, NodeMemory: float64(nodesNow.Resident) / count}, nil
+	}, nil
+}
--- /dev/null
+++ b/internal/lab/scale/fleet_report.go
@@ -0,0 +1,134 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+)
+
+// inForceWithin is within how many seconds a change has to be in force.
+const inForceWithin = 7
+
+// FleetResult is what a fleet showed. Parts of it are missing where the scenario did not ask for them.
+type FleetResult struct {
+	Name         string  `json:"name"`
+	Nodes        int     `json:"nodes"`
+	Zones        int     `json:"zones"`
+	Destinations int     `json:"destinations"`
+	Owners       int     `json:"owners"`
+	LeaseSeconds float64 `json:"lease_seconds"`
+	StartSeconds float64 `json:"start_seconds"` // until all destinations are owned
+	PeakMemory   int64   `json:"peak_memory"`   // bytes, of all processes together
+
+	Idle           *Cost           `json:"idle,omitempty"`
+	Changes        *Latencies      `json:"changes,omitempty"`
+	ChangesCost    *Cost           `json:"changes_cost,omitempty"`
+	Burst          *Latencies      `json:"burst,omitempty"`
+	BurstCost      *Cost           `json:"burst_cost,omitempty"`
+	BurstTakenInMS float64         `json:"burst_taken_in_ms,omitempty"` // by the control process
+	Restarts       *Latencies      `json:"restarts,omitempty"`
+	RestartsCost   *Cost           `json:"restarts_cost,omitempty"`
+	RestartsGained int             `json:"restarts_gained,omitempty"` // parts that other nodes got meanwhile
+	ControlRestart *ControlRestart `json:"control_restart,omitempty"`
+	LostZone       *LostZone       `json:"lost_zone,omitempty"`
+	LostZoneCost   *Cost           `json:"lost_zone_cost,omitempty"`
+}
+
+// Cost is what was used in a span. Bytes are those that the control process read and wrote, without what TCP and IP add.
+type Cost struct {
+	Seconds       float64 `json:"seconds"`
+	ControlCores  float64 `json:"control_cores"`
+	ControlBytes  float64 `json:"control_bytes_per_second"`
+	ControlMemory int64   `json:"control_memory"`
+	ControlPeak   int64   `json:"control_peak_memory"`
+	NodeCores     float64 `json:"node_cores"`
+	NodeBytes     float64 `json:"node_bytes_per_second"`
+	NodeMemory    float64 `json:"node_memory"`
+}
+
+// Latencies are times in seconds.
+type Latencies struct {
+	Count  int     `json:"count"`
+	P50    float64 `json:"p50"`
+	P99    float64 `json:"p99"`
+	Worst  float64 `json:"worst"`
+	Within int     `json:"within_7s"`
+}
+
+// ControlRestart is a control process that was killed and started again.
+type ControlRestart struct {
+	ListensSeconds float64 `json:"listens_seconds"` // from the kill until it listens again
+	ChangeSeconds  float64 `json:"change_seconds"`  // from the kill until a change is in force that was made when it listened
+	Lapsed         int     `json:"lapsed"`          // leases that ended meanwhile
+}
+
+// LostZone is a zone whose nodes were killed.
+type LostZone struct {
+	Parts      int        `json:"parts"`  // what its nodes had
+	Gained     int        `json:"gained"` // what other nodes got
+	Reassigned *Latencies `json:"reassigned"`
+}
+
+func newLatencies(seconds []float64) *Latencies {
+	if len(seconds) == 0 {
+		return &Latencies{}
+	}
+	l := &Latencies{Count: len(seconds), P50: percentile(seconds, 0.5), P99: percentile(seconds, 0.99), Worst: slices.Max(seconds)}
+	for _, s := range seconds {
+		if s <= inForceWithin {
+			l.Within++
+		}
+	}
+	return l
+}
+
+func (r *FleetResult) write(out io.Writer) error {
+	fmt.Fprintf(out, "\nfleet %s: %d nodes in %d zones, %d destinations of %d owners, leases of %.3g s\n", r.Name, r.Nodes, r.Zones,
+		r.Destinations, r.Owners, r.LeaseSeconds)
+	fmt.Fprintf(out, "all is owned %.1f s after the start; all processes had %d MB at the most\n", r.StartSeconds, r.PeakMemory>>20)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "phase\tspan s\tcontrol: cores\tkB/s\tMB\tpeak MB\tnode: % of a core\tB/s\tMB")
+	for _, phase := range []struct {
+		name string
+		cost *Cost
+	}{{"idle", r.Idle}, {"changes", r.ChangesCost}, {"burst", r.BurstCost}, {"restarts", r.RestartsCost}, {"lost zone", r.LostZoneCost}} {
+		if c := phase.cost; c != nil {
+			fmt.Fprintf(w, "%s\t%.1f\t%.3f\t%.1f\t%d\t%d\t%.3f\t%.0f\t%.2f\n", phase.name, c.Seconds, c.ControlCores, c.ControlBytes/1000,
+				c.ControlMemory>>20, c.ControlPeak>>20, 100*c.NodeCores, c.NodeBytes, c.NodeMemory/(1<<20))
+		}
+	}
+	fmt.Fprintln(w, "\ntimes, s\tcount\tp50\tp99\tworst\twithin 7 s")
+	for _, phase := range []struct {
+		name  string
+		times *Latencies
+	}{{"changes in force", r.Changes}, {"burst in force", r.Burst}, {"restarted nodes have their part", r.Restarts}, {"lost zone reassigned", r.reassigned()}} {
+		if l := phase.times; l != nil {
+			fmt.Fprintf(w, "%s\t%d\t%.3f\t%.3f\t%.3f\t%d\n", phase.name, l.Count, l.P50, l.P99, l.Worst, l.Within)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if r.Burst != nil {
+		fmt.Fprintf(out, "burst: the control process took it in within %.0f ms\n", r.BurstTakenInMS)
+	}
+	if r.Restarts != nil {
+		fmt.Fprintf(out, "restarts: other nodes got %d parts meanwhile\n", r.RestartsGained)
+	}
+	if c := r.ControlRestart; c != nil {
+		fmt.Fprintf(out, "control restart: listens %.2f s after the kill, a change is in force %.2f s after it, %d leases ended\n",
+			c.ListensSeconds, c.ChangeSeconds, c.Lapsed)
+	}
+	if z := r.LostZone; z != nil {
+		fmt.Fprintf(out, "lost zone: it had %d parts, others got %d\n", z.Parts, z.Gained)
+	}
+	return nil
+}
+
+func (r *FleetResult) reassigned() *Latencies {
+	if r.LostZone == nil {
+		return nil
+	}
+	return r.LostZone.Reassigned
+}
--- /dev/null
+++ b/internal/lab/scale/lease.go
@@ -0,0 +1,154 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"wingmount/decide/lease"
+	"wingmount/decide/placement"
+)
+
+// leaseConfig are the settings of simulated grantors.
+func leaseConfig(nodes int) lease.Config {
+	return lease.Config{Duration: 10 * time.Second, MaxDrift: 0.01, Slack: 100 * time.Millisecond, MaxSessions: nodes + 1, MaxUnfinished: 1000}
+}
+
+// leases is a grantor and holders on virtual time, whose messages are counted.
+type leases struct {
+	grantor *lease.Grantor
+	holders []*lease.Holder
+	nodes   []placement.NodeID
+	now     time.Duration
+	bytes   int // of requests and replies as JSON
+	// changed counts updates that had an assignment, by node.
+	changed []int
+}
+
+// newLeases returns holders that have no session yet. The grantor is ready to grant.
+func newLeases(nodes int) *leases {
+	const start = time.Hour
+	l := &leases{grantor: lease.NewGrantor(start, 1, leaseConfig(nodes)), now: start, changed: make([]int, nodes)}
+	l.now = max(start, l.grantor.Ready()) + time.Second
+	l.grantor.Advance(l.now)
+	for i := range nodes {
+		id := placement.NodeID(nodeName(i))
+		l.nodes = append(l.nodes, id)
+		l.holders = append(l.holders, lease.NewHolder(lease.HolderConfig{Node: id}))
+	}
+	return l
+}
+
+// renew lets one holder renew its lease, and take what is new for it.
+func (l *leases) renew(node int) error {
+	l.now += time.Microsecond
+	request := l.holders[node].Renew(l.now)
+	session, err := l.grantor.Receive(l.now, request)
+	if err != nil {
+		return fmt.Errorf("request of %s: %w", l.nodes[node], err)
+	}
+	reply, err := l.grantor.Answer(l.now, session, request)
+	if err != nil {
+		return fmt.Errorf("answer to %s: %w", l.nodes[node], err)
+	}
+	for _, message := range []any{request, reply} {
+		text, err := json.Marshal(message)
+		if err != nil {
+			return err
+		}
+		l.bytes += len(text)
+	}
+	update, err := l.holders[node].Receive(l.now, reply)
+	if err != nil {
+		return fmt.Errorf("reply to %s: %w", l.nodes[node], err)
+	}
+	if len(update.Assignments) > 0 {
+		l.changed[node]++
+	}
+	return nil
+}
+
+// renewAll lets all holders renew so many times, in turn.
+func (l *leases) renewAll(ctx context.Context, times int) error {
+	for range times {
+		for node := range l.holders {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			if err := l.renew(node); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// assign gives each destination its owners: the first at a place that follows from its number, the next ones beside it.
+func (l *leases) assign(destinations, owners int) {
+	for d := range destinations {
+		l.grantor.SetOwners(l.now, placement.DestinationID(d), l.ownersOf(d, owners))
+	}
+}
+
+// ownersOf are owners that differ for neighbouring destinations.
+func (l *leases) ownersOf(destination, owners int) []placement.NodeID {
+	var all []placement.NodeID
+	for i := range min(owners, len(l.nodes)) {
+		all = append(all, l.nodes[(destination+i*(1+len(l.nodes)/3))%len(l.nodes)])
+	}
+	return all
+}
+
+// settle is how many renewals bring all shares to their place: told, confirmed, granted on, told.
+const settle = 4
+
+// measureLeasePart: what one node exchanges with the grantor, by the destinations of its part.
+func measureLeasePart(ctx context.Context, _ Slope, size int, _ uint64, _ environment) ([]value, error) {
+	l := newLeases(1)
+	l.assign(size, 1)
+	if err := l.renewAll(ctx, settle); err != nil {
+		return nil, err
+	}
+	whole := l.bytes
+	l.bytes = 0
+	if err := l.renewAll(ctx, 1); err != nil {
+		return nil, err
+	}
+	return []value{{"whole part", "B", float64(whole)}, {"renewal", "B", float64(l.bytes)}}, nil
+}
+
+func measureLeaseNodes(ctx context.Context, slope Slope, size int, _ uint64, _ environment) ([]value, error) {
+	return measureLeases(ctx, size, max(1, slope.Destinations))
+}
+
+func measureLeaseDestinations(ctx context.Context, slope Slope, size int, _ uint64, _ environment) ([]value, error) {
+	return measureLeases(ctx, max(1, slope.Nodes), size)
+}
+
+// measureLeases: the grantor's memory, and a renewal's bytes and processor time at both ends.
+func measureLeases(ctx context.Context, nodes, destinations int) ([]value, error) {
+	before := heapInUse()
+	l := newLeases(nodes)
+	l.assign(destinations, placementOwners)
+	if err := l.renewAll(ctx, settle); err != nil {
+		return nil, err
+	}
+	l.bytes = 0
+	began := cpuTime()
+	if err := l.renewAll(ctx, 1); err != nil {
+		return nil, err
+	}
+	used := cpuTime() - began
+	both := heapInUse() - before
+	l.grantor = nil
+	holders := heapInUse() - before
+	runtime.KeepAlive(l)
+	return []value{
+		{"memory of the grantor", "B", float64(both - holders)},
+		{"memory of a holder", "B", float64(holders) / float64(nodes)},
+		{"renewal", "B", float64(l.bytes) / float64(nodes)},
+		{"renewal, both ends", "µs", float64(used.Nanoseconds()) / 1000 / float64(nodes)},
+	}, nil
+}
--- /dev/null
+++ b/internal/lab/scale/measurements.go
@@ -0,0 +1,29 @@
+package scale
+
+import "fmt"
+
+// measurements are what a slope can be of.
+var measurements = map[string]measurement{
+	"module-idle":            {axis: "destinations", maxSize: MaxDestinations, take: measureModuleIdle},
+	"module-active":          {axis: "active destinations", maxSize: MaxDestinations, take: measureModuleActive},
+	"module-configured":      {axis: "configured destinations", maxSize: MaxDestinations, fixed: fixedActive, take: measureModuleConfigured},
+	"module-pending":         {axis: "pending messages", maxSize: maxMessages, take: measureModulePending},
+	"refusal-notes":          {axis: "nodes", maxSize: MaxNodes, take: measureRefusalNotes},
+	"membership":             {axis: "nodes", maxSize: MaxNodes, take: measureMembership},
+	"placement-destinations": {axis: "destinations", maxSize: MaxDestinations, fixed: fixedNodes, take: measurePlacementDestinations},
+	"placement-nodes":        {axis: "nodes", maxSize: MaxNodes, fixed: fixedDestinations, take: measurePlacementNodes},
+	"lease-part":             {axis: "destinations of the node", maxSize: MaxDestinations, take: measureLeasePart},
+	"lease-nodes":            {axis: "nodes", maxSize: MaxNodes, fixed: fixedDestinations, take: measureLeaseNodes},
+	"lease-destinations":     {axis: "destinations", maxSize: MaxDestinations, fixed: fixedNodes, take: measureLeaseDestinations},
+	"control-nodes":          {axis: "nodes", maxSize: MaxNodes, fixed: fixedDestinations, take: measureControlNodes},
+	"control-destinations":   {axis: "destinations", maxSize: MaxDestinations, fixed: fixedNodes, take: measureControlDestinations},
+	"store-sqlite":           {axis: "messages", maxSize: maxMessages, take: measureSQLite},
+	"store-journal":          {axis: "messages", maxSize: maxMessages, take: measureJournal},
+}
+
+// maxMessages bounds the sizes that count messages.
+const maxMessages = 1_000_000
+
+func fixedActive(s Slope) string       { return fmt.Sprintf("%d active", s.Destinations) }
+func fixedNodes(s Slope) string        { return fmt.Sprintf("%d nodes", s.Nodes) }
+func fixedDestinations(s Slope) string { return fmt.Sprintf("%d destinations", s.Destinations) }
--- /dev/null
+++ b/internal/lab/scale/placement.go
@@ -0,0 +1,106 @@
+package scale
+
+import (
+	"context"
+	"runtime"
+	"slices"
+	"time"
+
+	"wingmount/decide/placement"
+)
+
+func measurePlacementDestinations(ctx context.Context, slope Slope, size int, seed uint64, _ environment) ([]value, error) {
+	return measurePlacement(ctx, max(1, slope.Nodes), size, seed)
+}
+
+func measurePlacementNodes(ctx context.Context, slope Slope, size int, seed uint64, _ environment) ([]value, error) {
+	return measurePlacement(ctx, size, max(1, slope.Destinations), seed)
+}
+
+// measurePlacement: a table from nothing, after one destination's rate doubled, after a node was lost, and after
+// a zone was lost.
+func measurePlacement(ctx context.Context, nodes, destinations int, seed uint64) ([]value, error) {
+	input := placementInput(nodes, destinations, seed)
+	before := heapInUse()
+	full, spent, err := compute(nil, input)
+	if err != nil {
+		return nil, err
+	}
+	values := []value{
+		{"full: time", "ms", milliseconds(spent)},
+		{"full: memory of the table", "B", float64(heapInUse() - before)},
+	}
+	for _, change := range []struct {
+		name  string
+		input placement.Input
+	}{
+		{"one destination changed", withDoubleRate(input, destinations/2)},
+		{"one node lost", withoutNodes(input, func(i int, _ placement.Node) bool { return i == nodes/2 })},
+		{"one zone lost", withoutNodes(input, func(_ int, n placement.Node) bool { return n.Zone == zoneName(0) })},
+	} {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		next, spent, err := compute(full, change.input)
+		if err != nil {
+			return nil, err
+		}
+		part, moved := movement(full, next, input, change.input)
+		values = append(values,
+			value{change.name + ": time", "ms", milliseconds(spent)},
+			value{change.name + ": owners moved", "1", float64(moved)})
+		if part > 0 {
+			values = append(values, value{change.name + ": moved of what had to", "1", float64(moved) / float64(part)})
+		}
+	}
+	runtime.KeepAlive(full)
+	return values, nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func compute(previous *placement.Table, input placement.Input) (*placement.Table, time.Duration, error) {
+	runtime.GC()
+	began := cpuTime()
+	table, err := placement.Compute(previous, input)
+	return table, cpuTime() - began, err
+}
+
+func withDoubleRate(input placement.Input, index int) placement.Input {
+	input.Destinations = slices.Clone(input.Destinations)
+	input.Destinations[index].Rate *= 2
+	return input
+}
+
+func withoutNodes(input placement.Input, lost func(int, placement.Node) bool) placement.Input {
+	var left []placement.Node
+	for i, n := range input.Nodes {
+		if !lost(i, n) {
+			left = append(left, n)
+		}
+	}
+	input.Nodes = left
+	return input
+}
+
+// movement counts the places in owner sets that lost nodes had, and those that have a new owner.
+func movement(previous, next *placement.Table, before, after placement.Input) (lost, moved int) {
+	left := map[placement.NodeID]bool{}
+	for _, n := range after.Nodes {
+		left[n.ID] = true
+	}
+	for _, d := range before.Destinations {
+		owners := previous.Owners(d.ID)
+		for _, owner := range owners {
+			if !left[owner] {
+				lost++
+			}
+		}
+		for _, owner := range next.Owners(d.ID) {
+			if !slices.Contains(owners, owner) {
+				moved++
+			}
+		}
+	}
+	return lost, moved
+}
--- /dev/null
+++ b/internal/lab/scale/role_control.go
@@ -0,0 +1,84 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"wingmount/decide/placement"
+	"wingmount/internal/control"
+)
+
+const (
+	controlDrift    = 0.01
+	controlDebounce = 100 * time.Millisecond
+	controlBound    = 1.1 // of a node's load, as a multiple of the mean
+)
+
+// runControl is a control process whose world is drawn from the seed.
+func runControl(ctx context.Context, config childConfig, commands <-chan command, events *eventWriter) error {
+	world := newWorld(config.Fleet, config.Seed)
+	for _, c := range config.Changes {
+		apply(world, c)
+	}
+	server, err := control.NewServer(control.ServerConfig{Listen: config.Address, World: world, StateDir: config.StateDir,
+		Lease: time.Duration(config.LeaseMS) * time.Millisecond, MaxDrift: controlDrift, MaxSessions: config.Fleet.Nodes + 16,
+		LoadBound: controlBound, Debounce: controlDebounce, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	events.write(event{Kind: eventReady, Address: server.Addr()})
+	for {
+		select {
+		case err := <-done:
+			return err
+		case c, open := <-commands:
+			if !open {
+				cancel()
+				return <-done
+			}
+			began := time.Now()
+			world = &control.World{Nodes: world.Nodes, Destinations: slices.Clone(world.Destinations)}
+			for _, one := range c.Changes {
+				apply(world, one)
+			}
+			if err := server.SetWorld(world); err != nil {
+				return fmt.Errorf("changing the world: %w", err)
+			}
+			events.write(event{Kind: eventChanged, At: began.UnixNano(), TookMS: milliseconds(time.Since(began))})
+		}
+	}
+}
+
+// newWorld draws the world of a fleet.
+func newWorld(fleet Fleet, seed uint64) *control.World {
+	world := &control.World{}
+	for i := range fleet.Nodes {
+		zone := zoneOf(i, fleet.Zones)
+		world.Nodes = append(world.Nodes, control.Node{Name: nodeName(i), Region: regionName(zone), Zone: zoneName(zone), Weight: 1,
+			Address: fmt.Sprintf("127.0.0.1:%d", 1+i)})
+	}
+	for i, rate := range rates(fleet.Destinations, seed) {
+		world.Destinations = append(world.Destinations, newDestination(i, rate, fleet.Owners))
+	}
+	return world
+}
+
+func newDestination(number int, rate float64, owners int) control.Destination {
+	return control.Destination{Number: placement.DestinationID(number), Name: fmt.Sprintf("destination-%06d", number), Rate: rate, Owners: owners}
+}
+
+// apply makes a change: a destination beyond those that there are is added.
+func apply(world *control.World, c change) {
+	if c.Destination < len(world.Destinations) {
+		world.Destinations[c.Destination].Owners = c.Owners
+		return
+	}
+	world.Destinations = append(world.Destinations, newDestination(len(world.Destinations), meanRate, c.Owners))
+}
--- /dev/null
+++ b/internal/lab/scale/slopes.go
@@ -0,0 +1,77 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// ErrMemory says that a run came to the memory that its scenario allows.
+var ErrMemory = errors.New("the run needs more memory than the scenario allows")
+
+// value is one quantity of one measurement.
+type value struct {
+	quantity string
+	unit     string
+	value    float64
+}
+
+// measurement takes the values at one size.
+type measurement struct {
+	axis    string // what the size counts
+	maxSize int
+	fixed   func(Slope) string // what stays the same, for the report; nil for nothing
+	take    func(ctx context.Context, slope Slope, size int, seed uint64, env environment) ([]value, error)
+}
+
+// Measurements are the names that a slope may have.
+func Measurements() []string { return slices.Sorted(maps.Keys(measurements)) }
+
+// measure takes all repeats at all sizes of a slope. Repeats have seeds of their own.
+func measure(ctx context.Context, slope Slope, env environment) ([]Series, error) {
+	m := measurements[slope.Measure]
+	fixed := ""
+	if m.fixed != nil {
+		fixed = m.fixed(slope)
+	}
+	var all []Series
+	for i, size := range slope.Sizes {
+		for repeat := range slope.Repeats {
+			if err := ctx.Err(); err != nil {
+				return all, err
+			}
+			values, err := m.take(ctx, slope, size, env.scenario.Seed+uint64(repeat), env)
+			if err != nil {
+				return all, fmt.Errorf("size %d: %w", size, err)
+			}
+			if used := residentMemory(); used > int64(env.scenario.MemoryMB)<<20 {
+				return all, fmt.Errorf("size %d: %w: %d MB", size, ErrMemory, used>>20)
+			}
+			for _, v := range values {
+				all = add(all, Series{Measure: slope.Measure, Quantity: v.quantity, Unit: v.unit, Axis: m.axis, Fixed: fixed}, i, size, v.value)
+			}
+		}
+	}
+	for i := range all {
+		all[i].fit()
+	}
+	return all, nil
+}
+
+// add puts a value into its series, which is made where it is the first one.
+func add(all []Series, series Series, level, size int, value float64) []Series {
+	at := slices.IndexFunc(all, func(s Series) bool { return s.Quantity == series.Quantity })
+	if at < 0 {
+		at = len(all)
+		all = append(all, series)
+	}
+	s := &all[at]
+	if len(s.Levels) <= level {
+		s.Levels = append(s.Levels, Level{Size: size})
+	}
+	last := &s.Levels[len(s.Levels)-1]
+	last.Values = append(last.Values, value)
+	return all
+}
