--- a/internal/lab/scale/child.go
+++ b/internal/lab/scale/child.go
@@ -16,14 +16,15 @@
 	name    string
 	process *exec.Cmd
 	in      io.WriteCloser
-	done    chan struct{} // closed when all that it wrote has been read
+	killed  chan struct{} // closed when it is killed: what it wrote is of no interest any more
+	done    chan struct{} // closed when nothing more is read of it
 	ended   bool
 }
 
 // startChild starts this program in a role, and hands its events to a channel until the process or the context ends.
 func startChild(ctx context.Context, name, role string, config childConfig, options Options, events chan<- event) (*child, error) {
 	arguments := append(options.Command[1:len(options.Command):len(options.Command)], role)
-	c := &child{name: name, process: exec.CommandContext(ctx, options.Command[0], arguments...), done: make(chan struct{})}
+	c := &child{name: name, process: exec.CommandContext(ctx, options.Command[0], arguments...), killed: make(chan struct{}), done: make(chan struct{})}
 	c.process.Env = append(os.Environ(), options.Env...)
 	c.process.Stderr = os.Stderr
 	var err error
@@ -47,15 +48,21 @@
 	decoder := json.NewDecoder(bufio.NewReaderSize(out, 1<<16))
 	for {
 		var e event
-		if err := decoder.Decode(&e); err != nil {
-			return
+		err := decoder.Decode(&e)
+		if err != nil {
+			e = event{Kind: eventFailed, Error: fmt.Sprintf("its output ended: %v", err)}
 		}
 		e.from = c
 		select {
 		case events <- e:
+		case <-c.killed:
+			return
 		case <-ctx.Done():
 			return
 		}
+		if err != nil {
+			return
+		}
 	}
 }
 
@@ -73,6 +80,7 @@
 		return nil
 	}
 	c.ended = true
+	close(c.killed)
 	err := c.process.Process.Kill()
 	if errors.Is(err, os.ErrProcessDone) {
 		err = nil
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -182,6 +182,9 @@
 func (f *fleetRun) take(e event) error {
 	switch e.Kind {
 	case eventFailed:
+		if e.from.ended {
+			return nil
+		}
 		return fmt.Errorf("%w: %s: %s", errChildEnded, e.from.name, e.Error)
 	case eventUpdate, eventLapsed:
 		if !e.from.ended {
@@ -205,6 +208,17 @@
 	return control, nodes, err
 }
 
+// running is how many nodes run.
+func (f *fleetRun) running() int {
+	count := 0
+	for node := range f.fleet.Nodes {
+		if !f.zones[zoneOf(node, f.fleet.Zones)].ended {
+			count++
+		}
+	}
+	return count
+}
+
 func (f *fleetRun) checkMemory() error {
 	control, nodes, err := f.usage()
 	if err != nil {
@@ -231,7 +245,7 @@
 		if err != nil {
 			return nil, err
 		}
-		count := float64(f.fleet.Nodes)
+		count := float64(f.running())
 		controlUsed, nodesUsed := controlNow.since(control), nodesNow.since(nodes)
 		bytes := float64(controlUsed.IO) / seconds
 		return &Cost{Seconds: seconds,
--- a/internal/lab/scale/fleet_report.go
+++ b/internal/lab/scale/fleet_report.go
@@ -61,6 +61,7 @@
 	ListensSeconds float64 `json:"listens_seconds"` // from the kill until it listens again
 	ChangeSeconds  float64 `json:"change_seconds"`  // from the kill until a change is in force that was made when it listened
 	Lapsed         int     `json:"lapsed"`          // leases that ended meanwhile
+	Gained         int     `json:"gained"`          // parts that nodes got which they did not have
 }
 
 // LostZone is a zone whose nodes were killed.
@@ -117,8 +118,8 @@
 		fmt.Fprintf(out, "restarts: other nodes got %d parts meanwhile\n", r.RestartsGained)
 	}
 	if c := r.ControlRestart; c != nil {
-		fmt.Fprintf(out, "control restart: listens %.2f s after the kill, a change is in force %.2f s after it, %d leases ended\n",
-			c.ListensSeconds, c.ChangeSeconds, c.Lapsed)
+		fmt.Fprintf(out, "control restart: listens %.2f s after the kill, a change is in force %.2f s after it, %d leases ended, %d parts moved\n",
+			c.ListensSeconds, c.ChangeSeconds, c.Lapsed, c.Gained)
 	}
 	if z := r.LostZone; z != nil {
 		fmt.Fprintf(out, "lost zone: it had %d parts, others got %d\n", z.Parts, z.Gained)
--- a/internal/lab/scale/phases.go
+++ b/internal/lab/scale/phases.go
@@ -164,7 +164,7 @@
 	if !f.fleet.RestartControl {
 		return nil
 	}
-	lapsed, killed := f.tracker.lapsed, time.Now()
+	lapsed, gained, killed := f.tracker.lapsed, f.tracker.gained, time.Now()
 	if err := f.control.kill(); err != nil {
 		return err
 	}
@@ -180,6 +180,7 @@
 	}
 	result.ChangeSeconds = time.Since(killed).Seconds()
 	result.Lapsed = f.tracker.lapsed - lapsed
+	result.Gained = f.tracker.gained - gained
 	f.result.ControlRestart = result
 	return nil
 }
@@ -189,15 +190,15 @@
 	if !f.fleet.LoseZone {
 		return nil
 	}
-	cost, err := f.meter()
-	if err != nil {
-		return err
-	}
 	const zone = 0
 	gained, killed := f.tracker.gained, time.Now()
 	if err := f.zones[zone].kill(); err != nil {
 		return err
 	}
+	cost, err := f.meter()
+	if err != nil {
+		return err
+	}
 	result := &LostZone{Parts: f.tracker.lose(func(node int) bool { return zoneOf(node, f.fleet.Zones) == zone })}
 	var affected []int
 	for destination, settled := range f.tracker.isSettled {
--- a/internal/lab/scale/protocol.go
+++ b/internal/lab/scale/protocol.go
@@ -84,13 +84,15 @@
 // writes events. It ends when in does.
 func RunRole(ctx context.Context, role string, in io.Reader, out io.Writer) error {
 	decoder := json.NewDecoder(in)
+	events := newEventWriter(out)
 	var config childConfig
 	if err := decoder.Decode(&config); err != nil {
-		return fmt.Errorf("reading the configuration: %w", err)
+		err = fmt.Errorf("reading the configuration: %w", err)
+		events.write(event{Kind: eventFailed, Error: err.Error()})
+		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	events := newEventWriter(out)
 	commands := make(chan command)
 	go func() {
 		defer cancel()
--- a/internal/lab/scale/role_control.go
+++ b/internal/lab/scale/role_control.go
@@ -24,7 +24,7 @@
 	for _, c := range config.Changes {
 		apply(world, c)
 	}
-	server, err := control.NewServer(control.ServerConfig{Listen: config.Address, World: world, StateDir: config.StateDir,
+	server, err := control.NewServer(control.ServerConfig{Listen: config.Address, World: world, StateDir: config.StateDir, Fresh: true,
 		Lease: time.Duration(config.LeaseMS) * time.Millisecond, MaxDrift: controlDrift, MaxSessions: config.Fleet.Nodes + 16,
 		LoadBound: controlBound, Debounce: controlDebounce, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
--- a/internal/lab/scale/role_nodes.go
+++ b/internal/lab/scale/role_nodes.go
@@ -25,6 +25,7 @@
 	sender *policy.Sender
 	began  time.Time
 
+	agent  *control.Agent
 	cancel context.CancelFunc
 	done   chan error // the agent's end
 }
@@ -71,6 +72,7 @@
 	if err != nil {
 		return err
 	}
+	n.agent = agent
 	ctx, n.cancel = context.WithCancel(ctx)
 	n.done = make(chan error, 1)
 	go func() { n.done <- agent.Run(ctx) }()
@@ -90,13 +92,17 @@
 	return err
 }
 
-// apply takes in an update, hands it to the module, and reports it.
+// apply takes in an update, hands it to the module, and reports it. A hollow node has nothing accepted: what it
+// has to finish it releases at once.
 func (n *hollowNode) apply(update lease.Update) {
 	e := event{Kind: eventUpdate, Node: n.number, Complete: update.Complete}
 	for _, a := range update.Assignments {
 		e.IDs = append(e.IDs, a.Destination)
 		e.Shares = append(e.Shares, a.Share)
 		e.States = append(e.States, stateOf(a))
+		if !a.Accepting && !a.Gone {
+			n.agent.Released(a.Destination)
+		}
 	}
 	n.list(update)
 	n.events.write(e)
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -37,6 +37,9 @@
 	return err
 }
 
+// MarshalText writes a duration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
 // Scenario is what one run measures.
 type Scenario struct {
 	Seed     uint64   `toml:"seed"`
