--- a/internal/lab/scale/control.go
+++ b/internal/lab/scale/control.go
@@ -9,7 +9,7 @@
 const (
 	controlZones = 11
 	controlLease = 10 * time.Second
-	controlIdle  = 10 * time.Second
+	controlIdle  = 6 * time.Second
 )
 
 func measureControlNodes(ctx context.Context, slope Slope, size int, _ uint64, env environment) ([]value, error) {
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -6,11 +6,15 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 )
 
 var errChildEnded = errors.New("a process of the run has ended")
 
+// startRest is how long a fleet is left alone after its start: placements that nodes cause which come late are over then.
+const startRest = 3 * time.Second
+
 // memoryEvery is how often the memory of all processes is looked at.
 const memoryEvery = time.Second
 
@@ -93,13 +97,26 @@
 			return err
 		}
 	}
-	if err := f.settle(ctx); err != nil {
+	if err := f.settleFirst(ctx); err != nil {
 		return err
 	}
-	f.result.StartSeconds = time.Since(began).Seconds()
+	last := slices.Max(f.tracker.lastAt)
+	f.result.StartSeconds = time.Duration(last - began.UnixNano()).Seconds()
 	return nil
 }
 
+// settleFirst waits until all destinations are settled among all nodes: those that come first own all for a moment.
+func (f *fleetRun) settleFirst(ctx context.Context) error {
+	expected := min(f.fleet.Nodes, f.fleet.Destinations*f.fleet.Owners)
+	if err := f.until(ctx, func() bool { return len(f.tracker.reported) >= expected }); err != nil {
+		return fmt.Errorf("%w; %d nodes have a part", err, len(f.tracker.reported))
+	}
+	if err := f.pause(ctx, startRest); err != nil {
+		return err
+	}
+	return f.settle(ctx)
+}
+
 func (f *fleetRun) config() childConfig {
 	return childConfig{Fleet: f.fleet, Seed: f.env.scenario.Seed, StateDir: f.dir, Address: f.address, LeaseMS: f.fleet.Lease.Milliseconds()}
 }
--- a/internal/lab/scale/tracker.go
+++ b/internal/lab/scale/tracker.go
@@ -24,10 +24,11 @@
 	gained    int // parts that nodes got with changes, and not with a whole part
 	lapsed    int // leases that ended
 	restarted map[int]bool
+	reported  map[int]bool // nodes that have reported a part
 }
 
 func newTracker(destinations, owners int) *tracker {
-	t := &tracker{restarted: map[int]bool{}}
+	t := &tracker{restarted: map[int]bool{}, reported: map[int]bool{}}
 	for d := range destinations {
 		t.expect(d, owners)
 	}
@@ -57,6 +58,9 @@
 		delete(t.restarted, e.Node)
 		t.lose(func(node int) bool { return node == e.Node })
 	}
+	if len(e.IDs) > 0 {
+		t.reported[e.Node] = true
+	}
 	for i, id := range e.IDs {
 		destination := int(id)
 		if destination >= len(t.holdings) {
