--- a/policy/policy.go
+++ b/policy/policy.go
@@ -89,7 +89,6 @@
 	// Any destination is taken to bear so many calls a second from all senders when
 	// warm. The settings don't tell; with less small ones would hardly be tried.
 	leastRate = 6
-	roughOver = 1.5 // a rough rate is up to half over the true one
 
 	// Backoff between attempts at one message, doubled each time.
 	backoffBase, backoffMax = 200 * time.Millisecond, 4 * time.Second
@@ -140,7 +139,7 @@
 			}
 		}
 	}
-	s.letGo()
+	s.evict()
 	if hearsay {
 		actions, s.out = s.out, nil
 		return actions
@@ -171,9 +170,9 @@
 	if s.waiting > 0 {
 		next = min(next, s.now+lookAgain)
 	}
-	for _, d := range s.ordered {
+	for _, d := range s.queued.Values() {
 		for _, p := range d.paths {
-			if at := s.due(p); d.queue.Len() > 0 && at > s.now && p.slice > quick {
+			if at := s.due(p); at > s.now && p.slice > quick {
 				next = min(next, at)
 			}
 		}
@@ -187,30 +186,68 @@
 
 // The ordinary path: two sliding windows for each path
 
-// newPath starts with an unbound slice, or with this sender's part of the
+// newPath keeps what startTraffic needs of an entry, and draws what is drawn as it is listed.
+func (s *Sender) newPath(d *destination, entry Entry) *path {
+	p := &path{dest: d, rate: entry.Rate, limit: entry.Limit, listedAt: s.now, most: 1,
+		kindIndex: s.kindOf(entry), zone: uint16(min(entry.Zone, len(s.set.ZoneFee)-1))}
+	if s.ratesListed(p) && s.set.Senders >= manySenders {
+		s.startTraffic(p)
+		p.firstCall = s.now - estimate.Jitter(s.rng, p.narrow.Span) // all start at once
+		p.traffic = nil
+	}
+	if d.active {
+		s.startTraffic(p)
+	}
+	return p
+}
+
+// startTraffic starts with an unbound slice, or with this sender's part of the
 // listed rate, at least one call in a window.
-func (s *Sender) newPath(d *destination, kind Kind, entry Entry) *path {
-	p := &path{dest: d, kind: kind, slice: math.Inf(1), phase: 1,
+func (s *Sender) startTraffic(p *path) {
+	p.traffic = &traffic{kind: s.set.Kinds[p.kindIndex], slice: math.Inf(1), phase: 1,
 		narrow: index.Window{Span: narrowWindow}, wide: index.Window{Span: wideWindow},
-		taken: estimate.Rate{Window: index.Window{Span: narrowWindow}}, most: 1,
+		taken:   estimate.Rate{Window: index.Window{Span: narrowWindow}},
 		latency: estimate.Latency{Mean: firstLatency}}
-	if s.set.Listing != RateUnlisted && entry.Rate > 0 {
-		p.listed = entry.Rate / float64(s.set.Senders)
+	if s.ratesListed(p) {
+		p.listed = p.rate / float64(s.set.Senders)
 		p.slice = max(1, p.listed*narrowWindow.Seconds())
-		p.sureRate = p.listed
-		if s.set.Listing == RateRough {
-			p.sureRate /= roughOver
-		}
+		p.sureRate = s.set.Listing.Sure(p.listed)
 		if s.set.Senders >= manySenders {
-			p.part = share.New(s.now, entry.Rate, s.set.Senders)
+			p.part = share.New(p.listedAt, p.rate, s.set.Senders)
 			s.follow(p)
-			p.narrow.Record(s.now - estimate.Jitter(s.rng, p.narrow.Span)) // all start at once
+			p.narrow.Record(p.firstCall)
 		}
 	}
-	if kind.RoutesApart && entry.Zone < len(s.set.ZoneFee) {
-		p.fee = s.set.ZoneFee[entry.Zone]
+	if p.kind.RoutesApart {
+		p.fee = s.set.ZoneFee[p.zone]
+	}
+	if p.limit != 0 {
+		s.setLimit(p, p.listedAt, p.limit)
+	}
+}
+
+// ratesListed tells whether a path starts from its listed rate.
+func (s *Sender) ratesListed(p *path) bool {
+	return s.set.Listing != RateUnlisted && p.rate > 0 && p.limit == 0
+}
+
+// hold takes in the share of a limit that this sender has alone, or that it has none for now. Without
+// one any more, a path goes on from the slice that it has. Of an idle one the last share alone counts.
+func (s *Sender) hold(p *path, entry Entry) {
+	switch {
+	case entry.State == Gone:
+	case p.traffic == nil && p.limit != entry.Limit:
+		p.limit, p.listedAt = entry.Limit, s.now
+	case p.traffic != nil && (entry.Limit != 0 || p.part.Alone()):
+		s.setLimit(p, s.now, entry.Limit)
+	}
+}
+
+func (s *Sender) setLimit(p *path, from Time, limit float64) {
+	if p.part = p.part.Hold(from, limit); limit > 0 {
+		p.sureRate = s.set.Listing.Sure(limit)
+		s.follow(p)
 	}
-	return p
 }
 
 // due is when the pace of a path allows the next call.
@@ -226,18 +263,16 @@
 	if p.part != nil {
 		s.follow(p)
 	}
-	slice := max(1, p.slice)
-	if s.now < p.closedUntil {
+	slice := p.part.Whole(p.slice)
+	if s.now < p.closedUntil || p.part.ClosedFor(s.now) > 0 {
 		return false
 	}
-	if _, out := p.outSince(); out && p.part != nil {
+	if _, out := p.outSince(); out && p.part != nil && !p.part.Alone() {
 		return p.inFlight < s.bound(p) // trials have spaces of their own; stretched logs would hold them back
 	}
 	if s.now < s.due(p) || float64(p.narrow.Count(s.now)) > slice-1 ||
 		float64(p.wide.Count(s.now)) > slice*float64(wideWindow/narrowWindow)-1 {
-		if p.part != nil {
-			p.part.Bound(s.now)
-		}
+		p.part.Bound(s.now)
 		return false
 	}
 	return p.inFlight < s.bound(p)
@@ -248,7 +283,7 @@
 func (s *Sender) follow(p *path) {
 	rate, late := p.part.Rate(s.now)
 	p.slice = rate * narrowWindow.Seconds()
-	stretch := p.phase / min(1, p.slice)
+	stretch := p.part.Stretch(p.slice, p.phase)
 	p.narrow.Span = time.Duration(stretch * float64(narrowWindow))
 	p.wide.Span = time.Duration(stretch * float64(wideWindow) * rate / late)
 }
@@ -283,7 +318,7 @@
 // time, and closes the logs for the told wait.
 func (s *Sender) full(p *path, e *endpoint, sent Time, wait time.Duration) {
 	if p.part != nil {
-		s.refused(e, !s.tell(e, Jam) || !s.notesCome())
+		s.refused(e, !p.part.Alone() && (!s.tell(e, Jam) || !s.notesCome()))
 		e.fullRun++
 	} else if sent >= e.fullAt { // calls that were out together count as one refusal
 		if math.IsInf(p.slice, 1) {
@@ -305,10 +340,7 @@
 	if p.part == nil && p.slice <= 1 && s.set.MayTell && s.jam(p) {
 		s.tell(e, Jam)
 	}
-	pause := wait
-	if wait == 0 {
-		pause = min(maxFullPause, fullPause<<min(e.fullRun, 6))
-	}
+	pause := cmp.Or(wait, min(maxFullPause, fullPause<<min(e.fullRun, 6)))
 	p.closedUntil = max(p.closedUntil, s.now+pause+estimate.Jitter(s.rng, waitJitter))
 }
 
@@ -348,16 +380,12 @@
 // dispatch sends while there are slots and some message has a way: next the one
 // that would lose most worth for the slot time it takes, if it had to wait.
 func (s *Sender) dispatch() {
-	waiting := 0
-	for _, d := range s.ordered {
-		waiting += min(1, d.queue.Len())
-	}
-	s.share = s.set.Slots / evenShare / max(1, waiting)
+	s.share = s.set.Slots / evenShare / max(1, s.queued.Len())
 	for s.inFlight < s.set.Slots {
-		s.doubts = s.doubtful()
+		s.doubts = uncounted
 		var best pick
-		for _, d := range s.ordered {
-			if d.queue.Len() > 0 && len(d.paths) > 0 {
+		for _, d := range s.queued.Values() {
+			if len(d.paths) > 0 {
 				best = s.pickOf(d, best)
 			}
 		}
@@ -441,7 +469,7 @@
 		s.answerAt(m)-s.now <= 2*s.set.Tick {
 		return false
 	}
-	return m.turn == nil || m.turn.line[0] == m && (m.attempts > 0 || s.now >= m.turn.restUntil)
+	return m.key.First(m) && (m.attempts > 0 || !m.key.Rests(s.now))
 }
 
 // gathers holds a message back for others to share its call, while a slice binds:
@@ -467,9 +495,8 @@
 func (s *Sender) drain(d *destination) time.Duration {
 	rate, outage := 0.0, time.Duration(math.MaxInt64)
 	for _, p := range d.paths {
-		r, o := s.rate(p), s.outage(p)
-		rate += r
-		outage = min(outage, o)
+		rate += s.rate(p)
+		outage = min(outage, s.outage(p))
 	}
 	if len(d.paths) == 0 {
 		return narrowWindow
@@ -489,7 +516,7 @@
 // outage guesses how long a path stays closed: an outage that has lasted for
 // some time lasts as long again.
 func (s *Sender) outage(p *path) time.Duration {
-	wait := max(0, p.closedUntil-s.now)
+	wait := max(p.part.ClosedFor(s.now), p.closedUntil-s.now)
 	if from, out := p.outSince(); out {
 		wait = max(wait, s.now-from, s.set.FallWindow)
 	}
@@ -595,6 +622,7 @@
 	p := e.path
 	c := &call{endpoint: e, sent: s.now}
 	e.calls = append(e.calls, c)
+	s.calling.Add(uint64(e.id), e)
 	s.count(p, 1)
 	p.narrow.Record(s.now)
 	p.wide.Record(s.now)
@@ -680,6 +708,9 @@
 // roomForDoubt leaves the slots to endpoints that answer, however many hang.
 // While half of them lie idle doubt may have the rest: calls may get lost anywhere.
 func (s *Sender) roomForDoubt() bool {
+	if s.doubts == uncounted {
+		s.doubts = s.doubtful()
+	}
 	n := s.doubts
 	return n < max(1, s.set.Slots/doubtShare) || n < s.set.Slots/2 && s.inFlight <= s.set.Slots/2
 }
@@ -719,7 +750,7 @@
 	sure := max(e.path.sureRate, leastRate/float64(s.set.Senders))
 	gathered := min(s.longest, max(s.set.FallWindow, s.now-e.troubled)).Seconds()
 	bears := coldMargin * s.set.FallMultiple * warmth * s.set.FallWindow.Seconds()
-	return bears * max(sure, s.ownRate(e.path), 1/gathered)
+	return bears * max(sure, e.path.part.Cap(s.ownRate(e.path)), 1/gathered)
 }
 
 // coldRoom tells whether an endpoint that may be cold may be sent a call: its part
@@ -853,13 +884,16 @@
 // heard takes in what another sender has seen; an own success of late weighs more.
 // Trials of an outage are left to who told it, but for rare ones: notes get lost.
 func (s *Sender) heard(n Told) {
-	e := s.tags[n.Tag]
+	e := s.endpoints.Named(n.Tag)
 	if n.Endpoint != 0 {
-		e = s.endpoints[n.Endpoint]
+		e = s.endpoint(n.Endpoint)
+	}
+	if e != nil {
+		s.activate(e.path.dest)
 	}
 	s.heardAt = s.now
 	switch {
-	case e == nil:
+	case e == nil || n.News == Jam && e.path.part.Alone(): // others have shares of their own
 	case n.News == Jam:
 		if p := e.path; p.part != nil {
 			s.refused(e, false)
@@ -929,8 +963,7 @@
 	c := m.call
 	m.call = nil
 	if c.left--; c.left == 0 {
-		c.endpoint.calls = slices.DeleteFunc(c.endpoint.calls, func(o *call) bool { return o == c })
-		s.count(c.endpoint.path, -1)
+		s.returnCall(c)
 	}
 	if !c.judged && o.Outcome != Moot && o.Outcome != Cancelled && !o.Stale {
 		c.judged = true
@@ -947,9 +980,7 @@
 		}
 	case TimedOut, Reset, Cancelled:
 		m.settled = true
-		if m.turn != nil {
-			m.turn.restUntil = max(m.turn.restUntil, s.now+s.set.TurnGap)
-		}
+		m.key.Rest(s.now + s.set.TurnGap)
 	default:
 		m.settled = true
 	}
@@ -1025,12 +1056,12 @@
 	if s.deadline.Len() <= keep {
 		return
 	}
-	for _, d := range s.ordered {
+	for _, d := range s.queued.Values() {
 		s.findWorst(d)
 	}
 	for s.deadline.Len() > keep {
 		var worst pick
-		for _, d := range s.ordered {
+		for _, d := range s.queued.Values() {
 			if worst.m == nil || d.worst.over(worst) {
 				worst = d.worst
 			}
@@ -1039,7 +1070,9 @@
 			return
 		}
 		s.answer(worst.m)
-		s.findWorst(worst.m.dest)
+		if d := worst.m.dest; d.backlog != nil {
+			s.findWorst(d)
+		}
 	}
 }
 
