--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -79,14 +79,15 @@
 	atEnded   = fail.New("carrier/after-outcome")
 )
 
-// Endpoint is one address of a destination. Its fields never change.
+// Endpoint is one address of a destination. Its fields never change, but for what its gates say. There is one
+// for each that is configured, idle or not: it is kept small.
 type Endpoint struct {
 	ID     policy.EndpointID
 	Name   string // the directory's name for it
 	Dest   int    // number of its destination
-	Kind   int    // index into the settings' kinds
-	Zone   int    // index into the settings' zones
-	Leaves *Gate  // that it drains or is gone
+	Kind   uint16 // index into the settings' kinds
+	Zone   uint16 // index into the settings' zones
+	Leaves Gate   // that it drains or is gone
 	Waits  *Gate  // of its route, or of its destination where routes share a limit
 }
 
@@ -112,12 +113,22 @@
 	mu sync.Mutex
 }
 
+// ErrNoShare says that this node may not call the destination for now: its lease has run out, or it has no
+// share of the destination's limit.
+var ErrNoShare = fmt.Errorf("%w: this node has no share of its limit", ErrClosed)
+
+// Permit tells whether this node may call a destination now, where destinations are assigned to nodes. It
+// is asked before each call's first byte, is cheap, and is safe for concurrent use.
+type Permit interface{ MayCall(destination int) bool }
+
 // Recorder puts on record what becomes of calls and tells it. It is safe for
 // concurrent use.
 type Recorder struct {
 	Store store.Store
-	Log   *slog.Logger
-	Tell  func(policy.Event) // never called twice for one part
+	// Permit is asked as well; nil allows all calls.
+	Permit Permit
+	Log    *slog.Logger
+	Tell   func(policy.Event) // never called twice for one part
 }
 
 // Over is when the first message of a call has no time left, whatever the call's limit.
@@ -164,8 +175,8 @@
 // May tells whether bytes of a call whose attempts are on record may go out now: nil,
 // [ErrClosed], or [store.ErrFenced] in a process that was paused for longer than its lease.
 func (r *Recorder) May(k *Call, now time.Time) error {
-	if !k.Open(now) {
-		return ErrClosed
+	if err := r.allowed(k, now); err != nil {
+		return err
 	}
 	if s, ok := r.Store.(store.Shared); ok && !s.Owned() {
 		return fmt.Errorf("the lease has run out: %w", store.ErrFenced)
@@ -173,14 +184,25 @@
 	return nil
 }
 
+// allowed tells whether the endpoint's gates and the permit let a call go out now.
+func (r *Recorder) allowed(k *Call, now time.Time) error {
+	if !k.Open(now) {
+		return ErrClosed
+	}
+	if r.Permit != nil && !r.Permit.MayCall(k.Endpoint.Dest) {
+		return ErrNoShare
+	}
+	return nil
+}
+
 // Begin puts the attempts of a call on record, within [RecordTime], by which it makes the
 // call's time longer, as far as its messages have time. Only when it
 // returns nil may the first byte go out, and at once. It fails with [ErrClosed] when the call
 // may not be sent any more, also when that was told while the store was at it.
 func (r *Recorder) Begin(ctx context.Context, k *Call) error {
 	now := time.Now()
-	if !k.Open(now) {
-		return ErrClosed
+	if err := r.allowed(k, now); err != nil {
+		return err
 	}
 	ms := make([]*message.Message, len(k.Parts))
 	for i, p := range k.Parts {
@@ -189,7 +211,7 @@
 	if err := atBegin.At(); err != nil {
 		return err
 	}
-	a := store.Attempt{Endpoint: k.Endpoint.Name, Zone: k.Endpoint.Zone, At: now, Until: k.Started.Add(k.Limit + RecordTime), Messages: ms}
+	a := store.Attempt{Endpoint: k.Endpoint.Name, Zone: int(k.Endpoint.Zone), At: now, Until: k.Started.Add(k.Limit + RecordTime), Messages: ms}
 	ctx, cancel := context.WithDeadline(ctx, k.recordBy(now))
 	defer cancel()
 	if err := r.Store.Attempt(ctx, a); err != nil {
--- a/internal/front/http/clients_test.go
+++ b/internal/front/http/clients_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 	"time"
 
 	"wingmount/decide/admission"
+	"wingmount/internal/directory"
 	"wingmount/internal/message"
 	"wingmount/internal/testkit"
 )
@@ -152,7 +154,7 @@
 			if n := bytes.Count(all, []byte("HTTP/1.1 ")); n > 1 || bytes.Contains(all, []byte("HTTP/1.1 2")) {
 				t.Errorf("answered %q, want one error or a close", all)
 			}
-			if n := in.hold.Count(); n != 0 {
+			if n := in.registry.Count(); n != 0 {
 				t.Errorf("%d messages were taken", n)
 			}
 		})
@@ -182,12 +184,12 @@
 func TestRefusalKeepsTheConnection(t *testing.T) {
 	var accepted []*message.Message
 	in := newIntakeOf(t, 1, &accepted)
-	in.hold.Adopt("another", 7, 0)
+	in.registry.Adopt("another", 7, 0)
 	c := dialClient(t, clientRig(t, in, 8))
 	if got := askNote(t, c, "a"); got != http.StatusServiceUnavailable {
-		t.Fatalf("answered %d by a full hold", got)
+		t.Fatalf("answered %d by a node without capacity", got)
 	}
-	in.hold.Seen([]admission.Seen{{Kind: admission.Ended, ID: "another"}})
+	in.registry.Observe([]admission.Seen{{Kind: admission.Ended, ID: "another"}})
 	if got := askNote(t, c, "b"); got != http.StatusAccepted {
 		t.Errorf("answered %d on the same connection", got)
 	}
@@ -220,17 +222,40 @@
 		"known of old":    {"", "", false, http.StatusAccepted},
 		"a day":           {"5000", "86400000", true, http.StatusBadRequest},
 		"negative number": {"dest=7", "dest=-7", true, http.StatusBadRequest},
+		"beyond the form": {"dest=7", "dest=65536", true, http.StatusBadRequest},
 	} {
-		in.hold.SetDestinations(map[int]bool{7: true}, c.told)
+		in.registry.SetDestinations(map[int]bool{7: true}, c.told)
 		if got := ask(strings.ReplaceAll(name, " ", "-"), c.from, c.to); got != c.want {
 			t.Errorf("%s: answered %d, want %d", name, got, c.want)
 		}
 	}
-	if n := in.hold.Count(); n != 2 {
+	if n := in.registry.Count(); n != 2 {
 		t.Errorf("%d messages are held, want the two good ones", n)
 	}
 }
 
+// Where the front takes 32 bits a number beyond 65,535 is one of a destination; an error tells the highest.
+func TestWideDestinations(t *testing.T) {
+	for text, c := range map[string]struct {
+		highest uint64
+		want    int
+		err     string
+	}{
+		"dest=65535":                {directory.PlatformDestinations, 65535, ""},
+		"dest=65536":                {directory.PlatformDestinations, 0, "dest=65536 is not between 0 and 65535"},
+		"dest=169999":               {math.MaxUint32, 169999, ""},
+		"dest=4294967295":           {math.MaxUint32, math.MaxUint32, ""},
+		"dest=4294967296":           {math.MaxUint32, 0, "dest=4294967296 is not between 0 and 4294967295"},
+		"dest=99999999999999999999": {math.MaxUint32, 0, "dest=99999999999999999999 is not between 0 and 4294967295"},
+		"dest=-1":                   {math.MaxUint32, 0, "dest=-1 is not between 0 and 4294967295"},
+	} {
+		got, err := destination(text, c.highest)
+		if got != c.want || (err == nil) != (c.err == "") || err != nil && err.Error() != c.err {
+			t.Errorf("%s of %d: %d, %v; want %d, %q", text, c.highest, got, err, c.want, c.err)
+		}
+	}
+}
+
 // A node that knows of no endpoint is not ready; one that knows an old list is.
 func TestReadyWhenEndpointsAreKnown(t *testing.T) {
 	var accepted []*message.Message
@@ -241,7 +266,7 @@
 		told  bool
 		want  int
 	}{{nil, false, 503}, {map[int]bool{7: true}, false, 200}, {nil, true, 200}} {
-		in.hold.SetDestinations(c.dests, c.told)
+		in.registry.SetDestinations(c.dests, c.told)
 		resp, err := http.Get("http://" + l.Addr().String() + "/healthz")
 		testkit.Must(t, err)
 		_ = resp.Body.Close()
--- a/internal/rig/client.go
+++ b/internal/rig/client.go
@@ -48,9 +48,9 @@
 	r.mu.Lock()
 	r.messages[id] = m
 	r.order = append(r.order, id)
-	node := r.next % len(r.nodes)
-	r.next++
+	node := r.first(m.Dest)
 	r.mu.Unlock()
+	target, redirects := "/"+m.Class, 0
 	unsure := false // an earlier try may have been taken: a refusal then tells of the later one alone
 	for {
 		left := time.Until(m.Deadline)
@@ -58,11 +58,28 @@
 			return ctx.Err()
 		}
 		asked := time.Now()
-		status, err := r.post(ctx, node, m, left)
+		status, location, err := r.post(ctx, node, target, m, left)
+		if status == http.StatusTemporaryRedirect {
+			// The node has not accepted it, and can't have before.
+			unsure = false
+			if owner, path, ok := r.redirect(location); ok && redirects < maxRedirects {
+				r.learn(m.Dest, owner, true)
+				node, target = owner, path
+				redirects++
+				continue
+			}
+			status = http.StatusServiceUnavailable
+		}
+		target, redirects = "/"+m.Class, 0
+		if r.control != nil && !unsure && notDialled(err) {
+			r.learn(m.Dest, node, false)
+			node, err = r.nextInRegion(node), nil
+			status = 0
+		}
 		refused := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 		if err != nil || status == http.StatusGatewayTimeout { // not known yet: asked again by the same id
 			unsure = true
-		} else if !unsure || !refused {
+		} else if status != 0 && (!unsure || !refused) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			switch {
@@ -72,6 +89,7 @@
 				m.Known = true
 			case refused:
 				m.Refused = true
+				r.learn(m.Dest, node, false)
 				r.refusals = append(r.refusals, time.Since(asked))
 			default:
 				return fmt.Errorf("handing in %s: answered %d", id, status)
@@ -91,7 +109,8 @@
 // statusRecorded stands for a refusal that is the message's recorded answer.
 const statusRecorded = -1
 
-func (r *Rig) post(ctx context.Context, node int, m *Message, left time.Duration) (int, error) {
+// post hands a message in once. It returns the status, and where a redirect leads.
+func (r *Rig) post(ctx context.Context, node int, target string, m *Message, left time.Duration) (status int, location string, err error) {
 	key, body := m.Key, m.Body
 	if body == "" {
 		body = "body of " + m.ID + strings.Repeat(".", r.cfg.Body)
@@ -99,9 +118,9 @@
 			key = "key-" + m.ID
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.nodes[node].listen+"/"+m.Class, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.nodes[node].listen+target, strings.NewReader(body))
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	req.Header.Set("X-Request-ID", m.ID)
 	req.Header.Set("X-Priority-Class", m.Class)
@@ -112,12 +131,12 @@
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	defer resp.Body.Close()
 	_, _ = io.Copy(io.Discard, resp.Body) // for reuse only
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Final") != "" {
-		return statusRecorded, nil
+		return statusRecorded, "", nil
 	}
-	return resp.StatusCode, nil
+	return resp.StatusCode, resp.Header.Get("Location"), nil
 }
