--- a/internal/rig/files.go
+++ b/internal/rig/files.go
@@ -51,6 +51,9 @@
 // File is the configuration of a node, counted from 0.
 func (r *Rig) File(node int) string { return r.nodes[node].file }
 
+// Listen is where a node, counted from 0, listens for clients.
+func (r *Rig) Listen(node int) string { return r.nodes[node].listen }
+
 // StorePath is where the first node's store lies.
 func (r *Rig) StorePath() string { return r.storePath(0) }
 
@@ -62,9 +65,6 @@
 	return filepath.Join(r.cfg.Dir, fmt.Sprint("store-", node+1))
 }
 
-// Listen is where a node, counted from 0, listens for clients.
-func (r *Rig) Listen(node int) string { return r.nodes[node].listen }
-
 // sharing is how many nodes share the rate of each destination as far as a node's file says.
 func (r *Rig) sharing() int {
 	if r.control != nil {
