--- a/policy/state.go
+++ b/policy/state.go
@@ -13,8 +13,7 @@
 	"wingmount/internal/index"
 )
 
-// This file holds what a sender remembers and the plain handling of it. It decides nothing: see
-// policy.go.
+// This file holds what a sender remembers and the plain handling of it. It decides nothing: see policy.go.
 
 // sweepGap is how often a sender looks for what it can let go of.
 const sweepGap = time.Second
@@ -34,14 +33,13 @@
 	dests     map[int]*destination
 	mentions  uint64 // destinations mentioned so far
 	messages  map[MessageID]*message
-	turns     map[uint64]*turn
+	keys      index.KeyQueues[*message] // of those whose key keeps them in order
 
 	// What a step walks, so that it costs nothing for what is merely configured.
 	queued   index.Ordered[*destination] // with messages in their queues, in order of first mention
 	calling  index.Ordered[*endpoint]    // with calls out
 	gone     index.Expiry[*endpoint]     // listed as gone, by when they may be evicted
 	unlisted index.Expiry[*destination]  // without endpoints, by when they may be evicted
-	resting  index.Expiry[*turn]         // without messages, by when they may be evicted
 	backlogs index.Pool[backlog]
 
 	worths   []estimate.Worth     // by class
@@ -55,18 +53,18 @@
 	subscribed  bool // changes to the list come, or the answer is on its way
 	subscribeAt Time // when to ask again
 
-	steps    int           // so far
-	started  Time          // the first
-	smallCut float64       // so many cuts take a slice of one call to one call for all senders
-	usual    float64       // mean latency of calls in seconds
-	heardAt  Time          // when the last note came
-	toldAt   Time          // when the last note was told
-	longest  time.Duration // the longest time that a message may wait
-	sweepAt  Time          // when to look again for what can be let go of
-	doubts   int           // see doubtful; counted once between sends, which alone change it in a step
-	inFlight int           // calls out
-	share    int           // of the slots that each destination has at least, in this step
-	pace     float64       // how much slower than their own estimates all destinations answer of late
+	steps           int           // so far
+	started         Time          // the first
+	smallCut        float64       // so many cuts take a slice of one call to one call for all senders
+	usual           float64       // mean latency of calls in seconds
+	heardAt, toldAt Time          // when the last note came, and was told
+	longest         time.Duration // the longest time that a message may wait
+	logsLast        time.Duration // how long the logs of a destination may matter after its last endpoint went
+	sweepAt         Time          // when to look again for what can be let go of
+	doubts          int           // see doubtful; counted once between sends, which alone change it in a step
+	inFlight        int           // calls out
+	share           int           // of the slots that each destination has at least, in this step
+	pace            float64       // how much slower than their own estimates all destinations answer of late
 }
 
 // New returns a sender that knows nothing but its settings. All its randomness comes from seed.
@@ -84,8 +82,8 @@
 	return &Sender{
 		longest: longest, worths: worths, set: settings, smallCut: math.Pow(float64(settings.Senders), -1.0/smallCuts),
 		rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), pace: 1, usual: firstLatency.Seconds(),
-		dests: map[int]*destination{}, backlogs: index.Pool[backlog]{Most: mostSpare},
-		messages: map[MessageID]*message{}, turns: map[uint64]*turn{},
+		logsLast: time.Duration(settings.Senders) * 2 * wideWindow, dests: map[int]*destination{},
+		backlogs: index.Pool[backlog]{Most: mostSpare}, messages: map[MessageID]*message{},
 	}
 }
 
@@ -115,24 +113,23 @@
 
 // health is what the calls to an endpoint have told of it.
 type health struct {
-	calls    []*call // out, oldest first
-	lastSent Time
-	lastOK   Time
-	score    float64      // failure score
-	suspect  bool         // its last outcome was a failure
-	out      bool         // an outage is on
-	lead     bool         // this sender told the others of it
-	broken   bool         // an error, a refusal or no connection came since its last success
-	warming  bool         // back from an outage
-	since    Time         // when the outage was noticed
-	timeouts int          // time-outs in a row
-	fullRun  int          // fulls in a row, of calls sent after the one before was heard
-	fullAt   Time         // when the last full was heard
-	warmFrom Time         // when it was first seen back
-	cold     index.Window // calls, while it may be cold
-	phase    float64      // drawn with each call: how long a stretched window is, about 1
-	troubled Time         // when it was first seen or heard to fail since it was sound, or 0
-	heat     share.Heat   // what it refuses, where parts of a limit are shared
+	calls            []*call // out, oldest first
+	lastSent, lastOK Time
+	score            float64      // failure score
+	suspect          bool         // its last outcome was a failure
+	out              bool         // an outage is on
+	lead             bool         // this sender told the others of it
+	broken           bool         // an error, a refusal or no connection came since its last success
+	warming          bool         // back from an outage
+	since            Time         // when the outage was noticed
+	timeouts         int          // time-outs in a row
+	fullRun          int          // fulls in a row, of calls sent after the one before was heard
+	fullAt           Time         // when the last full was heard
+	warmFrom         Time         // when it was first seen back
+	cold             index.Window // calls, while it may be cold
+	phase            float64      // drawn with each call: how long a stretched window is, about 1
+	troubled         Time         // when it was first seen or heard to fail since it was sound, or 0
+	heat             share.Heat   // what it refuses, where parts of a limit are shared
 }
 
 // path is what shares one limit: a destination, or a route where routes are apart.
@@ -154,9 +151,8 @@
 type traffic struct {
 	kind     Kind
 	fee      float64
-	jamAt    Time          // when fulls were last told or heard of
-	jamFor   time.Duration // the span for which the logs closed then
-	inFlight int           // calls out
+	jams     estimate.Doubling // fulls that were told or heard of, and the span for which the logs closed then
+	inFlight int               // calls out
 
 	narrow, wide index.Window
 	taken        estimate.Rate // its successes
@@ -206,7 +202,7 @@
 	dest     *destination
 	born     Time // when it was first handed in
 	giveUpAt Time
-	turn     *turn
+	key      *index.KeyQueue[*message] // nil for one without
 
 	attempts  int
 	call      *call // the attempt that is out
@@ -219,13 +215,6 @@
 	failedAt  *endpoint // the endpoint that failed it last
 }
 
-// turn is the line of messages of one key.
-type turn struct {
-	key       uint64
-	line      []*message
-	restUntil Time
-}
-
 // outSince tells whether all endpoints of a path are out, and from when.
 func (p *path) outSince() (from Time, any bool) {
 	for _, e := range p.endpoints {
@@ -319,13 +308,8 @@
 // kindOf is which kind of the settings an entry has, the plainest one where that is none of theirs.
 func (s *Sender) kindOf(entry Entry) uint16 { return uint16(min(entry.Kind, len(s.set.Kinds)-1)) }
 
-func (p *path) readyEndpoints() (n int) {
-	for _, e := range p.endpoints {
-		if e.state == Ready {
-			n++
-		}
-	}
-	return n
+func (p *path) readyEndpoints() int {
+	return index.Count(p.endpoints, func(e *endpoint) bool { return e.state == Ready })
 }
 
 func (s *Sender) destination(n int) *destination {
@@ -334,7 +318,7 @@
 		d = &destination{number: n, order: s.mentions}
 		s.mentions++
 		s.dests[n] = d
-		s.unlist(d)
+		s.unlisted.Set(d, s.now+s.logsLast)
 	}
 	return d
 }
@@ -362,11 +346,6 @@
 // Link is where the endpoint with the same tag is kept that was added before it.
 func (e *endpoint) Link() **endpoint { return &e.older }
 
-// unlist has a destination without endpoints evicted when its logs can't matter any more.
-func (s *Sender) unlist(d *destination) {
-	s.unlisted.Set(d, s.now+time.Duration(s.set.Senders)*2*wideWindow)
-}
-
 // end takes a message that has its final answer out of everything but the attempt that may still be out.
 func (s *Sender) end(m *message) {
 	m.ended = true
@@ -380,18 +359,11 @@
 
 func (s *Sender) forget(m *message) {
 	delete(s.messages, m.id)
+	s.keys.Remove(m.key, m, s.now)
 	if m.dest.owed--; m.dest.owed == 0 {
-		b := m.dest.backlog
-		m.dest.backlog, b.rankedAt, b.worst = nil, 0, pick{}
-		clear(b.ranked)
-		s.backlogs.Put(b)
-	}
-	if m.turn == nil {
-		return
-	}
-	m.turn.line = slices.DeleteFunc(m.turn.line, func(o *message) bool { return o == m })
-	if len(m.turn.line) == 0 {
-		s.resting.Set(m.turn, m.turn.restUntil)
+		clear(m.dest.ranked)
+		s.backlogs.Put(m.dest.backlog)
+		m.dest.backlog = nil
 	}
 }
 
@@ -419,10 +391,9 @@
 }
 
 // evict forgets endpoints that are gone. Each is kept while a call is out to it, and for the longest time
-// that a message may wait: until then a new endpoint beside it may be the cold replacement of one that
-// was out. With the last endpoint of a route apart goes its path; a shared path stays with its
-// destination, which goes when it has had no endpoint and no message for as long again as its logs may
-// look back.
+// that a message may wait: until then a new endpoint beside it may be the cold replacement of one that was
+// out. With the last endpoint of a route apart goes its path; a shared path stays with its destination, which
+// goes when it has had no endpoint and no message for as long again as its logs may look back.
 func (s *Sender) evict() {
 	if s.now < s.sweepAt {
 		return
@@ -436,11 +407,7 @@
 		}
 		s.unlisted.Set(d, s.now+1) // for the next sweep
 	})
-	s.resting.PopUntil(s.now, func(t *turn) {
-		if len(t.line) == 0 {
-			delete(s.turns, t.key)
-		}
-	})
+	s.keys.Expire(s.now)
 }
 
 func (s *Sender) evictEndpoint(e *endpoint) {
@@ -458,7 +425,7 @@
 		d.paths = slices.DeleteFunc(d.paths, func(o *path) bool { return o == p })
 	}
 	if !slices.ContainsFunc(d.paths, func(p *path) bool { return len(p.endpoints) > 0 }) {
-		s.unlist(d)
+		s.unlisted.Set(d, s.now+s.logsLast)
 	}
 }
 
@@ -487,17 +454,14 @@
 	s.activate(m.dest)
 	if m.dest.backlog == nil {
 		m.dest.backlog = s.backlogs.Get()
+		m.dest.rankedAt = 0
 	}
 	m.dest.owed++
 	s.deadline.Set(&m.due, int64(m.giveUpAt))
 	if class.Ordered && a.Key != 0 {
-		if s.turns[a.Key] == nil {
-			s.turns[a.Key] = &turn{key: a.Key}
-		}
-		m.turn = s.turns[a.Key]
-		m.turn.line = append(m.turn.line, m)
+		m.key = s.keys.Add(a.Key, m)
 	}
-	if m.held.Plain = m.turn == nil && m.attempts == 0 && !m.ran; m.held.Plain {
+	if m.held.Plain = m.key == nil && m.attempts == 0 && !m.ran; m.held.Plain {
 		s.closing.Set(&m.closes, int64(m.giveUpAt-3*s.set.Tick))
 	}
 	s.enqueue(m)
