--- a/decide/placement/fleet_test.go
+++ b/decide/placement/fleet_test.go
@@ -433,10 +433,28 @@
 			table = mustCompute(b, f.table, f.input)
 		}
 		b.ReportMetric(float64(len(table.Changed(f.table))), "changed-sets")
-		b.ReportMetric(movedLoad(table, f.table)/f.table.FairLoad("node-0007"), "moved-node-parts")
+		if own := ownPart(table, f.table); own > 0 {
+			b.ReportMetric(movedLoad(table, f.table)/own, "moved/own-part")
+		}
 	})
 }
 
+// ownPart sums the loads of the nodes that left and the fair loads of those that came.
+func ownPart(table, previous *Table) float64 {
+	var own float64
+	for _, node := range previous.nodes {
+		if _, found := table.node(node.ID); !found {
+			own += previous.Load(node.ID)
+		}
+	}
+	for _, node := range table.nodes {
+		if _, found := previous.node(node.ID); !found {
+			own += table.FairLoad(node.ID)
+		}
+	}
+	return own
+}
+
 // bytes returns the size of the table without the names of nodes.
 func (t *Table) bytes() int {
 	const nodeBytes = 64
