--- a/internal/lab/scale/fleet_report.go
+++ b/internal/lab/scale/fleet_report.go
@@ -29,7 +29,7 @@
 	BurstTakenInMS float64         `json:"burst_taken_in_ms,omitempty"` // by the control process
 	Restarts       *Latencies      `json:"restarts,omitempty"`
 	RestartsCost   *Cost           `json:"restarts_cost,omitempty"`
-	RestartsGained int             `json:"restarts_gained,omitempty"` // parts that other nodes got meanwhile
+	RestartsGained int             `json:"restarts_gained"` // parts that other nodes got meanwhile
 	ControlRestart *ControlRestart `json:"control_restart,omitempty"`
 	LostZone       *LostZone       `json:"lost_zone,omitempty"`
 	LostZoneCost   *Cost           `json:"lost_zone_cost,omitempty"`
