--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/url"
 	"os"
@@ -43,6 +44,7 @@
 	Answers      Answers       `toml:"answers"`
 	Rules        Rules         `toml:"rules"`
 	Gossip       Gossip        `toml:"gossip"`
+	Assignment   *Assignment   `toml:"assignment"` // nil where nothing is assigned
 	Limits       Limits        `toml:"limits"`
 	Partners     Partners      `toml:"partners"`
 	Classes      []Class       `toml:"class"`
@@ -136,7 +138,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	for _, p := range []*string{&f.Store.Path, &f.Rules.File, &f.Rules.Record, &f.Gossip.Key, &f.Gossip.State} {
+	paths := []*string{&f.Store.Path, &f.Rules.File, &f.Rules.Record, &f.Gossip.Key, &f.Gossip.State}
+	if f.Assignment != nil {
+		paths = append(paths, &f.Assignment.State)
+	}
+	for _, p := range paths {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(filepath.Dir(path), *p)
 		}
@@ -219,6 +225,7 @@
 		f.Gossip.State = cmp.Or(f.Gossip.State, "gossip.state")
 		set(&f.Gossip.Datagrams, gossip.DefaultDatagrams)
 	}
+	f.Assignment.defaults()
 	for i := range f.Classes {
 		c := &f.Classes[i]
 		if c.Worth == nil {
@@ -234,8 +241,12 @@
 	}
 }
 
-// MaxDestination is the highest number of a destination.
-const MaxDestination = 1<<16 - 1
+// leastTimeout is the least time-out of an attempt. Partners that answer within a millisecond would have one of
+// some ten milliseconds, which a pause of either machine passes.
+const leastTimeout = 500 * time.Millisecond
+
+// MaxDestination is the highest number of a destination outside the platform.
+const MaxDestination = math.MaxUint32
 
 func (f *File) check() error {
 	var errs []error
@@ -321,6 +332,7 @@
 		bad("partners.falls_in", "%v is not between 100ms and 1m", time.Duration(w))
 	}
 	f.Gossip.check(f.Name, bad)
+	f.Assignment.check(f, bad)
 	if len(f.Classes) == 0 {
 		bad("class", "there is none")
 	}
@@ -417,7 +429,7 @@
 func (f *File) Settings(classes, zones []string) (policy.Settings, Words) {
 	w := Words{map[string]int{}, map[string]int{}, map[string]int{}}
 	s := policy.Settings{Senders: f.Limits.Nodes, Slots: f.Limits.Slots, MaxHeld: f.Limits.Held, MaxAttempts: f.Limits.Attempts,
-		AdviseWait: true, MaxWait: 30 * time.Second, ConnectTimeout: time.Second, Tick: time.Millisecond,
+		AdviseWait: true, MaxWait: 30 * time.Second, ConnectTimeout: time.Second, LeastTimeout: leastTimeout, Tick: time.Millisecond,
 		DrainGrace: time.Duration(f.Partners.Drain), ColdShare: f.Partners.ColdShare, WarmUp: time.Duration(f.Partners.WarmUp),
 		FallMultiple: f.Partners.FallsAt, FallWindow: time.Duration(f.Partners.FallsIn)}
 	for range classes {
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -4,6 +4,7 @@
 package httpfront
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,8 +16,9 @@
 	"time"
 
 	"wingmount/decide/rules"
+	"wingmount/internal/directory"
 	"wingmount/internal/fail"
-	"wingmount/internal/hold"
+	"wingmount/internal/inflight"
 	"wingmount/internal/message"
 	"wingmount/internal/ruling"
 	"wingmount/internal/store"
@@ -41,23 +43,31 @@
 // Intake takes messages from clients. A message is on record before it is
 // answered, and from then on the node owes its end.
 type Intake struct {
-	classes map[string]int
-	names   map[int]string // of classes
-	rules   []policy.Class
-	store   store.Store
-	log     *slog.Logger
-	hold    *hold.Hold
-	keeper  *ruling.Keeper // nil where there are no rules
-	accept  func(*message.Message)
+	classes  map[string]int
+	names    map[int]string // of classes
+	rules    []policy.Class
+	store    store.Store
+	log      *slog.Logger
+	registry *inflight.Registry
+	keeper   *ruling.Keeper // nil where there are no rules
+	// ownership is nil where this node accepts messages for all destinations.
+	ownership Ownership
+	accept    func(*message.Message)
+	// maxDestination is the highest number of a destination.
+	maxDestination uint64
 }
 
 // Config is what an intake is told.
 type Config struct {
-	Classes map[string]int // names of the classes, as indices into Rules
-	Rules   []policy.Class
-	Hold    *hold.Hold // what the node holds, by all fronts
+	Classes  map[string]int // names of the classes, as indices into Rules
+	Rules    []policy.Class
+	Registry *inflight.Registry // the messages in flight, by all fronts
+	// MaxDestination is the highest number of a destination; [directory.PlatformDestinations] where it is 0.
+	MaxDestination uint64
 	// Keeper judges which class and key a message has; nil where it has what its client says.
 	Keeper *ruling.Keeper
+	// Ownership tells which destinations are this node's; nil where all are.
+	Ownership Ownership
 }
 
 // New returns an intake. It hands each message that the store has taken to accept, which
@@ -67,7 +77,18 @@
 	for name, class := range c.Classes {
 		names[class] = name
 	}
-	return &Intake{classes: c.Classes, names: names, rules: c.Rules, hold: c.Hold, keeper: c.Keeper, store: s, accept: accept, log: log}
+	return &Intake{
+		classes:        c.Classes,
+		names:          names,
+		rules:          c.Rules,
+		store:          s,
+		log:            log,
+		registry:       c.Registry,
+		keeper:         c.Keeper,
+		ownership:      c.Ownership,
+		accept:         accept,
+		maxDestination: cmp.Or(c.MaxDestination, directory.PlatformDestinations),
+	}
 }
 
 // Where a crash matters: between a message's record, its start, and the client's answer.
@@ -86,7 +107,7 @@
 
 // ServeHTTP answers a client.
 func (in *Intake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if in.hold.Closing() {
+	if in.registry.Closing() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/healthz" {
@@ -95,11 +116,11 @@
 			http.Error(w, "GET only", http.StatusMethodNotAllowed)
 			return
 		}
-		if in.hold.Refusing() {
+		if in.registry.ShuttingDown() {
 			in.turnAway(w, "stopping", fullRetry)
 			return
 		}
-		if !in.hold.Informed() {
+		if !in.registry.DestinationsKnown() {
 			in.turnAway(w, "no endpoints are known yet", fullRetry)
 			return
 		}
@@ -111,15 +132,19 @@
 		in.reject(w, r, err)
 		return
 	}
-	if there, sure := in.hold.Knows(m.Dest); !there {
-		if sure {
+	if exists, certain := in.registry.HasDestination(m.Dest); !exists {
+		if certain {
 			in.reject(w, r, badRequest{http.StatusNotFound, "no such destination"})
 		} else {
 			in.turnAway(w, "the destination is not known yet", fullRetry)
 		}
 		return
 	}
-	if in.keeper != nil && in.hold.Running(m.ID) { // whatever the rules say of it now
+	if !in.accepts(m.Dest) {
+		in.redirect(w, r, m)
+		return
+	}
+	if in.keeper != nil && in.registry.Accepted(m.ID) { // whatever the rules say of it now
 		w.WriteHeader(http.StatusAccepted)
 		return
 	}
@@ -171,20 +196,29 @@
 func (in *Intake) reserve(w http.ResponseWriter, r *http.Request, m *message.Message) bool {
 	// A context that has ended may mean a client that has only closed its sending
 	// side and waits for the answer, so it is not asked here.
-	verdict, retry := in.hold.Reserve(m.ID, m.Dest, m.Class, time.Until(m.Deadline))
+	verdict, retry := in.registry.Reserve(m.ID, m.Dest, m.Class, time.Until(m.Deadline))
 	switch verdict {
-	case hold.Reserved:
-	case hold.Running: // sent once more by a client that did not hear the answer
+	case inflight.Reserved:
+	case inflight.InProgress: // sent once more by a client that did not hear the answer
 		w.WriteHeader(http.StatusAccepted)
 		return false
-	case hold.Twin:
+	case inflight.Duplicate:
 		in.turnAway(w, "the message is being taken", fullRetry)
 		return false
-	case hold.TooLate:
+	case inflight.TooLate:
 		in.turnAway(w, "it would not be delivered in time", retry)
 		return false
+	case inflight.Saturated:
+		in.turnAway(w, "the node is saturated", retry)
+		return false
 	default:
-		in.turnAway(w, "the hold is full", retry)
+		in.turnAway(w, "the node has no capacity for it", retry)
+		return false
+	}
+	// From the reservation on the destination counts as unfinished here. It may have moved just before.
+	if !in.accepts(m.Dest) {
+		in.registry.Release(m.ID)
+		in.redirect(w, r, m)
 		return false
 	}
 	if err := in.take(r.Context(), m); err != nil {
@@ -192,12 +226,12 @@
 		if undecided && in.keeper != nil {
 			in.keeper.Doubt(m.ID, m.Deadline)
 		}
-		in.hold.Drop(m.ID)
+		in.registry.Release(m.ID)
 		in.notTaken(w, m, err)
 		return undecided
 	}
 	_ = atTaken.At() // it is on record, whatever an error says
-	in.hold.Taken(m.ID)
+	in.registry.Accept(m.ID)
 	in.accept(m)
 	_ = atAccepted.At()
 	w.WriteHeader(http.StatusAccepted)
@@ -251,7 +285,7 @@
 	if in.keeper != nil {
 		in.keeper.Adopt(m)
 	}
-	in.hold.Adopt(m.ID, m.Dest, m.Class)
+	in.registry.Adopt(m.ID, m.Dest, m.Class)
 	in.accept(m)
 }
 
@@ -326,7 +360,7 @@
 		return nil, bad("X-Timeout-Ms is missing or malformed")
 	}
 	m.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
-	if m.Dest, err = destination(r.Header.Get("X-Route-To")); err != nil {
+	if m.Dest, err = destination(r.Header.Get("X-Route-To"), in.maxDestination); err != nil {
 		return nil, bad("X-Route-To: %v", err)
 	}
 	if r.ContentLength < 0 || r.Header.Get("Content-Length") == "" {
@@ -347,13 +381,13 @@
 	return s != "" && len(s) <= message.MaxWord && strings.IndexFunc(s, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
 }
 
-// destination reads 'dest=7', among other fields or alone.
-func destination(s string) (int, error) {
+// destination reads 'dest=7', among other fields or alone, up to the highest number that there may be.
+func destination(s string, highest uint64) (int, error) {
 	for _, field := range strings.FieldsFunc(s, func(c rune) bool { return c == ',' || c == ';' || c == ' ' }) {
 		if v, ok := strings.CutPrefix(field, "dest="); ok {
-			n, err := strconv.ParseUint(v, 10, 16)
-			if err != nil {
-				return 0, errors.New("dest is no number of a destination")
+			n, err := strconv.ParseUint(v, 10, 64)
+			if err != nil || n > highest {
+				return 0, fmt.Errorf("dest=%.20s is not between 0 and %d", v, highest)
 			}
 			return int(n), nil
 		}
--- a/internal/store/storetest/storetest.go
+++ b/internal/store/storetest/storetest.go
@@ -8,6 +8,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -104,13 +105,20 @@
 	return s, r
 }
 
-// NewMessage is a message as a front hands it in.
+// WideDestination is the highest number of a destination outside the platform. Each store must keep it.
+const WideDestination = math.MaxUint32
+
+// NewMessage is a message as a front hands it in. Each second length of an ID gives it a wide destination.
 func NewMessage(id string, size int) *message.Message {
+	destination := 7
+	if len(id)%2 == 1 {
+		destination = WideDestination
+	}
 	body := make([]byte, size)
 	for i := range body {
 		body[i] = byte(i * 7)
 	}
-	return &message.Message{ID: id, Key: "k-" + id, Class: 1, Dest: 7, Body: body,
+	return &message.Message{ID: id, Key: "k-" + id, Class: 1, Dest: destination, Body: body,
 		Deadline: time.Now().Add(20 * time.Second).Truncate(time.Microsecond)}
 }
 
@@ -141,6 +149,7 @@
 	if err := s.Take(ctx, NewMessage("fresh", 10)); !errors.As(err, &known) || known.End != nil {
 		t.Errorf("a second copy: %v, want that it runs", err)
 	}
+	m.finds(t, s, "before any answer", "fresh")
 	must(t, s.Attempt(ctx, attempt(at, 1, tried, out)))
 	must(t, s.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.TimedOut, Endpoint: "e1", At: at.Add(time.Second)}))
 	must(t, s.Attempt(ctx, attempt(at.Add(time.Second), 0, tried)))
@@ -152,6 +161,7 @@
 	if refused.End == nil || refused.End.Kind != message.Refused {
 		t.Error("End left the message as it was")
 	}
+	m.finds(t, s, "with an answer", "refused")
 	must(t, s.End(ctx, store.Ending{Message: refused, End: message.End{Kind: message.Failed}}))
 	if refused.End.Kind != message.Refused {
 		t.Error("a second answer replaced the first")
@@ -193,7 +203,7 @@
 		t.Fatalf("owed %v, want %v", ids, want)
 	}
 	f := got["fresh"]
-	if f.Key != "k-fresh" || f.Class != 1 || f.Dest != 7 || !f.Deadline.Equal(fresh.Deadline) || string(f.Body) != string(fresh.Body) ||
+	if f.Key != "k-fresh" || f.Class != 1 || f.Dest != WideDestination || !f.Deadline.Equal(fresh.Deadline) || string(f.Body) != string(fresh.Body) ||
 		f.Past != (message.Past{}) || f.End != nil || f.Seq != fresh.Seq {
 		t.Errorf("fresh came back as %+v", f)
 	}
@@ -203,6 +213,9 @@
 	if p := got["out"].Past; p.Attempts != 1 || !p.MayRun || !p.Settled || p.Out {
 		t.Errorf("out came back with %+v: an attempt without an outcome may have run", p)
 	}
+	if d := got["refused"].Dest; d != WideDestination {
+		t.Errorf("refused came back for destination %d, want %d", d, WideDestination)
+	}
 	if e := got["refused"].End; e == nil || e.Kind != message.Refused || e.RetryAfter != 500*time.Millisecond {
 		t.Errorf("refused came back with %+v", e)
 	}
@@ -242,6 +255,24 @@
 	told bool
 }
 
+// finds asks a store for an id that is on record, which must hear what a take of it hears, and for one that
+// is not on record.
+func (m Maker) finds(t *testing.T, s store.Store, when, id string) {
+	t.Helper()
+	f, ok := s.(store.Finder)
+	if !ok {
+		t.Fatal("the store can't be asked for an id")
+	}
+	var taken, found *store.KnownError
+	if err := s.Take(ctx, NewMessage(id, 1)); !errors.As(err, &taken) {
+		t.Fatalf("%s: taking an id on record: %v", when, err)
+	}
+	if err := f.Find(ctx, id); !errors.As(err, &found) || found.Error() != taken.Error() {
+		t.Errorf("%s: asked for an id on record: %v, and taking it: %v", when, err, taken)
+	}
+	must(t, f.Find(ctx, "never handed in"))
+}
+
 // world is the model: messages by id, and their order.
 type world struct {
 	order []string
