--- a/internal/demo/assignment.go
+++ b/internal/demo/assignment.go
@@ -18,7 +18,7 @@
 	assignedNodes        = 6 // three in each region
 	assignedDestinations = 6
 	assignedOwners       = 2  // of a destination in each region
-	assignedRate         = 20 // calls a second of each destination, in both regions together
+	assignedRate         = 11 // calls a second of each destination, in both regions together
 	assignedLease        = 5 * time.Second
 	assignedMessages     = 2040
 	assignedSpan         = 34 * time.Second
