PostgreSQL: a node taken over once while a COMMIT is in doubt is fenced

The log of the node that was paused: a transaction in doubt at its waking, found out, and "it can be written again". Cause: fenceOwn (commit.go) took an epoch raised by one for its own raise whose answer was lost; a takeover in one slice, or a new process of its name, raises it by one as well. The node went on with messages that were another's. Ruled out: the hand-in while it is paused (it had ended), the lease's renewal (it is not asked then). Change: a node raises its own epoch by 2^32, others by 1. TestFencedWhileACommitIsInDoubt fails without it.

--- a/internal/store/postgres/commit.go
+++ b/internal/store/postgres/commit.go
@@ -145,20 +145,26 @@
 	return nil
 }
 
-// fenceOwn raises the node's own epoch, and returns it with the number of transactions that count.
+// ownRaise is by how much a node raises its own epoch. Others raise it by 1 each time, so the sum tells whose
+// raise it was: one of its own whose answer was lost, or that of a node which took over its messages.
+const ownRaise = 1 << 32
+
+// fenceOwn raises the node's own epoch, and returns it with the number of transactions that count. It fails with
+// [store.ErrFenced] where somebody else has raised it.
 func (b *base) fenceOwn() (epoch, commits int64, err error) {
 	ctx, cancel := context.WithTimeout(b.closed, statementTime)
 	defer cancel()
 	err = pgx.BeginFunc(ctx, b.pool, func(tx pgx.Tx) error {
 		// From here on nothing of the old transaction can come any more.
-		tag, err := tx.Exec(ctx, "UPDATE lease SET epoch = epoch + 1 WHERE node = $1::text AND epoch = $2::bigint", b.cfg.Node, b.epoch)
+		tag, err := tx.Exec(ctx, "UPDATE lease SET epoch = epoch + $3::bigint WHERE node = $1::text AND epoch = $2::bigint",
+			b.cfg.Node, b.epoch, int64(ownRaise))
 		if err != nil {
 			return err
 		}
 		if err := tx.QueryRow(ctx, "SELECT epoch, commits FROM lease WHERE node = $1::text", b.cfg.Node).Scan(&epoch, &commits); err != nil {
 			return err
 		}
-		if tag.RowsAffected() == 0 && epoch != b.epoch+1 {
+		if tag.RowsAffected() == 0 && epoch != b.epoch+ownRaise {
 			return store.ErrFenced
 		}
 		return nil
--- a/internal/store/postgres/postgres_test.go
+++ b/internal/store/postgres/postgres_test.go
@@ -205,6 +205,39 @@
 	testkit.Must(t, fresh.Close())
 }
 
+// A process that has to find out what became of a transaction is fenced where another has raised its epoch
+// meanwhile, once or more often. Its own raise, whose answer was lost, is known as its own.
+func TestFencedWhileACommitIsInDoubt(t *testing.T) {
+	for _, processes := range []int{1, 2} {
+		srv := start(t)
+		old, _ := open(t, config(srv, "n1"))
+		for range processes {
+			fresh, _ := open(t, config(srv, "n1"))
+			testkit.Must(t, fresh.Close())
+		}
+		if _, _, err := old.base.fenceOwn(); !errors.Is(err, store.ErrFenced) {
+			t.Errorf("after %d other processes: %v", processes, err)
+		}
+		testkit.Must(t, old.Close())
+	}
+	srv := start(t)
+	s, _ := open(t, config(srv, "n1"))
+	first, _, err := s.base.fenceOwn()
+	testkit.Must(t, err)
+	again, _, err := s.base.fenceOwn() // the answer to the first one was lost
+	testkit.Must(t, err)
+	if first != again || first <= s.base.epoch {
+		t.Errorf("epochs %d and %d after %d", first, again, s.base.epoch)
+	}
+	lapse(t, srv, "n1")
+	other, _ := open(t, config(srv, "n1"))
+	testkit.Must(t, other.Close())
+	if _, _, err := s.base.fenceOwn(); !errors.Is(err, store.ErrFenced) {
+		t.Errorf("after a raise of its own and one of another: %v", err)
+	}
+	testkit.Must(t, s.Close())
+}
+
 // One id handed in at two nodes at once is taken by one of them.
 func TestOneIDAtTwoNodes(t *testing.T) {
 	srv := start(t)
