--- a/policy/coldreturn_test.go
+++ b/policy/coldreturn_test.go
@@ -194,7 +194,7 @@
 		t.Errorf("%d notes of an outage after one error", n)
 	}
 	e := b.path().endpoints[0]
-	if !e.out {
+	if !e.down {
 		t.Fatal("an error where nothing ever passed, with no notes, is not taken for an outage")
 	}
 	b.step(Told{Tag: 1<<TagBits - 1, News: Down})
@@ -206,7 +206,7 @@
 	c.finish(Delivered, 0)
 	c.arrive(1)
 	c.finish(Failed, 0)
-	if c.path().endpoints[0].out {
+	if c.path().endpoints[0].down {
 		t.Error("one error right after a success is taken for an outage")
 	}
 }
@@ -215,12 +215,12 @@
 func TestNobodyLeadsWithoutNotes(t *testing.T) {
 	b := with(t, toldSettings(), 0, 1, 0)
 	e := b.path().endpoints[0]
-	e.out, e.lead, e.troubled, b.s.now = true, true, b.now-10*time.Second, b.now
-	if gap := b.s.trialGap(e); gap < 2*b.s.set.FallWindow {
+	e.down, e.probeLeader, e.unhealthySince, b.s.now = true, true, b.now-10*time.Second, b.now
+	if gap := b.s.probeInterval(e); gap < 2*b.s.set.FallWindow {
 		t.Errorf("tries again after %v though nobody is heard", gap)
 	}
 	b.step(Told{Tag: 1<<TagBits - 1, News: Jam})
-	if gap := b.s.trialGap(e); gap > 2*b.s.set.FallWindow {
+	if gap := b.s.probeInterval(e); gap > 2*b.s.set.FallWindow {
 		t.Errorf("tries again after %v though it leads", gap)
 	}
 }
@@ -234,8 +234,8 @@
 		b.step(Told{Tag: terms.TagOf(e.id), News: news})
 		b.now += 4 * time.Second
 	}
-	if e.troubled != start {
-		t.Errorf("counts from %v after the first trouble", e.troubled-start)
+	if e.unhealthySince != start {
+		t.Errorf("counts from %v after the first trouble", e.unhealthySince-start)
 	}
 	b.s.now = b.now
 	if short, long := b.s.coldBudget(e, 1), testSettings().FallWindow; short > coldMargin*2*long.Seconds()/12+1e-9 { // the longest deadline
@@ -267,19 +267,19 @@
 	b := with(t, toldSettings(), 0, 1, 0)
 	e := b.path().endpoints[0]
 	b.s.now = b.now
-	if !b.s.tell(e, Down) {
+	if !b.s.report(e, Down) {
 		t.Fatal("the first note is not told")
 	}
-	if b.s.tell(e, Down) {
+	if b.s.report(e, Down) {
 		t.Error("a second note at once though nobody is heard")
 	}
 	b.s.now += 400 * b.s.set.Tick
-	if !b.s.tell(e, Down) {
+	if !b.s.report(e, Down) {
 		t.Error("no note after a tick for each sender")
 	}
 	b.step(Told{Tag: 1<<TagBits - 1, News: Jam})
 	for range 2 {
-		if !b.s.tell(e, Down) {
+		if !b.s.report(e, Down) {
 			t.Error("held back though notes come")
 		}
 	}
--- a/policy/growth_test.go
+++ b/policy/growth_test.go
@@ -46,7 +46,7 @@
 		}
 	}
 	paths := 0
-	for _, d := range s.dests {
+	for _, d := range s.destinations {
 		paths += len(d.paths)
 		for _, p := range d.paths {
 			for _, e := range p.endpoints {
@@ -62,10 +62,10 @@
 	if endpoints > most || endpoints > last+8 || paths > most {
 		t.Errorf("%d endpoints (%d after a third) and %d paths are kept of 2400, want %d at most", endpoints, last, paths, most)
 	}
-	if n := len(s.dests); n > 24 || s.unlisted.Len() > n {
+	if n := len(s.destinations); n > 24 || s.unlisted.Len() > n {
 		t.Errorf("%d destinations and %d to be evicted are kept of 48, want 24 at most", n, s.unlisted.Len())
 	}
-	if s.queued.Len() > len(s.dests) || s.calling.Len() > set.Slots || s.gone.Len() > endpoints {
+	if s.queued.Len() > len(s.destinations) || s.calling.Len() > set.Slots || s.gone.Len() > endpoints {
 		t.Errorf("%d queued, %d calling and %d gone are kept", s.queued.Len(), s.calling.Len(), s.gone.Len())
 	}
 	if len(s.messages) > set.MaxHeld || last == 0 {
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -2,7 +2,7 @@
 
 // activeDestination is a destination as its first message finds it.
 func (s *Sender) activeDestination(number int) *destination {
-	d := s.dests[number]
+	d := s.destinations[number]
 	s.activate(d)
 	return d
 }
--- a/policy/idle_test.go
+++ b/policy/idle_test.go
@@ -102,7 +102,7 @@
 		s.Step(now, []Event{idleList(1, limit)}, nil)
 		now += time.Minute
 	}
-	if s.dests[0].active {
+	if s.destinations[0].active {
 		t.Fatal("the list alone made a destination active")
 	}
 	calls := 0
@@ -145,7 +145,7 @@
 	if len(s.messages) > 0 || s.queued.Len() > 0 || s.calling.Len() > 0 || s.backlogs.Len() != mostSpare {
 		t.Errorf("%d messages, %d queued, %d calling, %d spare are kept", len(s.messages), s.queued.Len(), s.calling.Len(), s.backlogs.Len())
 	}
-	for _, d := range s.dests {
+	for _, d := range s.destinations {
 		if d.backlog != nil {
 			t.Fatalf("destination %d keeps a backlog", d.number)
 		}
@@ -193,7 +193,7 @@
 			if !reflect.DeepEqual(got, want) {
 				t.Fatalf("at %v, events %+v:\nlazy  %+v\neager %+v", now, events, got, want)
 			}
-			for _, d := range eager.dests {
+			for _, d := range eager.destinations {
 				eager.activate(d)
 			}
 			for _, a := range got {
@@ -241,11 +241,11 @@
 
 func checkSets(t *rapid.T, s *Sender) {
 	queued, calling := 0, 0
-	for _, d := range s.dests {
+	for _, d := range s.destinations {
 		if d.backlog != nil && d.queue.Len() > 0 {
 			queued++
 		}
-		if d.backlog != nil && d.owed == 0 {
+		if d.backlog != nil && d.pending == 0 {
 			t.Fatalf("destination %d keeps an empty backlog", d.number)
 		}
 	}
--- a/policy/look_test.go
+++ b/policy/look_test.go
@@ -6,7 +6,7 @@
 )
 
 // stepTime is the least time that a step takes with so many messages held for
-// destinations that are all in doubt, with all that may be out to them.
+// destinations that are all suspect, with all that may be out to them.
 func stepTime(messages int) time.Duration {
 	set := testSettings()
 	set.Slots, set.MaxHeld = 20, 0
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,33 +21,33 @@
 	narrowWindow = 2 * time.Second
 	wideWindow   = 12 * time.Second
 
-	// A success under a binding slice adds this much of a call to it, a full takes this share away. A refusal
+	// A success under a binding slice adds this much of a call to it, a rejection takes this share away. That
 	// costs little, unused room costs the messages that wait, so growth is quick and the cut mild.
 	sliceGrowth = 0.25
 	sliceCut    = 0.85
 	// Small slices grow by this share at most: many senders with a small slice
 	// each would otherwise outgrow the limit together between two refusals.
 	growthShare = 0.12
-	// A full right after a full, no success between, cuts deeper: the destination
+	// A rejection right after another, no success between, cuts deeper: the destination
 	// is jammed, and where refused calls use up the limit it stays so.
 	jamCut = 0.75
 	// Calls under a binding slice keep this part of an even gap: a window's
 	// calls at once are refused by a destination that takes them at a rate.
 	spread = 0.8
-	// So many fulls take a slice of one call to one for all senders; so many
-	// successes undo one full. Few outcomes are seen, so each counts for more.
+	// So many rejections take a slice of one call to one for all senders; so many
+	// successes undo one rejection. Few outcomes are seen, so each counts for more.
 	smallCuts     = 3
 	smallGrowth   = 3
 	stretchSpread = 0.5 // such windows differ by up to this share of their length
 	// From so many senders on, one alone learns a limit too late: they share refusals, see share.
 	manySenders = 16
 
-	// A full that tells no wait closes the logs for this long, doubled with
-	// each further full that no success comes between, up to the maximum.
-	fullPause, maxFullPause = 200 * time.Millisecond, 2 * time.Second
+	// A rejection that gives no wait closes the logs for this long, doubled with
+	// each further rejection that no success comes between, up to the maximum.
+	rejectionPause, maxRejectionPause = 200 * time.Millisecond, 2 * time.Second
 	// All senders hear a wait's end in the same instant: each adds up to this.
-	waitJitter = 250 * time.Millisecond
-	shutRun    = 3 // a told wait over a window, or so many refusals in turn: it is shut
+	waitJitter            = 250 * time.Millisecond
+	openCircuitRejections = 3 // a given wait over a window, or so many refusals in turn open the circuit
 
 	firstLatency = 500 * time.Millisecond // before anything was seen
 	// A call unanswered for so many latencies stalls its endpoint: see stalled.
@@ -56,25 +56,25 @@
 	// One in so many slots is shared evenly by the destinations that messages wait for, as far as
 	// that makes whole ones: who answers a little sooner would have all of them otherwise.
 	evenShare = 8
-	// One in so many slots, and at least one, may be held by calls to endpoints
-	// in doubt before another trial or call to such an endpoint starts.
-	doubtShare = 4
+	// One in so many slots, and at least one, may be held by calls to suspect
+	// endpoints before another probe of or call to such an endpoint starts.
+	suspectShare = 4
 	// The time-out is the latency and so many deviations, twice that while half
 	// of the slots are idle: an answer that comes too late was made in vain.
 	timeoutDeviations = 5
 	// It is at least so long, or so many latencies where these are less: a lost call holds a slot until then.
 	minTimeout       = 1600 * time.Millisecond
 	timeoutLatencies = 8
-	gatherShare      = 0.25 // so much of its aim, less half a latency, a message waits for others
+	bundleWaitShare  = 0.25 // so much of its aim, less half a latency, a message waits for others
 	itemWork         = 0.2  // each further message in a call is taken to add this much to its time
 	// Slower than its baseline by this, when the others are not, a destination
 	// gets a small part of the slots.
 	slowFactor = 3
 
 	// Failure score: a failure moves it towards 1, a success shrinks it; from
-	// outScore on the endpoint is out. Two errors in a row do that, one does not;
+	// downScore on the endpoint is down. Two errors in a row do that, one does not;
 	// silence is judged slower (calls get lost), a refused connection at once.
-	outScore      = 0.5
+	downScore     = 0.5
 	errorWeight   = 0.35
 	timeoutWeight = 0.12
 	successShrink = 0.6
@@ -91,7 +91,7 @@
 	backoffBase, backoffMax = 200 * time.Millisecond, 4 * time.Second
 
 	// The hold makes room when so little of it is left, by ending messages
-	// that are likely to earn less than this share of their worth.
+	// that are likely to earn less than this share of their value.
 	holdReserve = 0.15
 	shedBelow   = 0.9
 
@@ -105,14 +105,14 @@
 // Step takes in the events seen since the last step, decides, and appends the
 // actions to take now. Times must not go back.
 func (s *Sender) Step(now Time, events []Event, actions []Action) []Action {
-	s.now, s.out = now, actions
+	s.now, s.actions = now, actions
 	if s.steps++; s.steps == 1 {
 		s.started = now
 	}
-	hearsay := len(events) > 0 // notes alone make no room: what waits has its wake
+	onlyReports := len(events) > 0 // reports alone make no room: what waits has its wake
 	for _, e := range events {
-		_, note := e.(Told)
-		hearsay = hearsay && note
+		_, report := e.(Told)
+		onlyReports = onlyReports && report
 		switch e := e.(type) {
 		case Listed:
 			s.listed(e)
@@ -127,9 +127,9 @@
 				s.end(m)
 			}
 		case Told:
-			s.heard(e)
+			s.receiveReport(e)
 		case Remembered:
-			s.remembered(e)
+			s.restoreHealth(e)
 		case Woken:
 			if s.armed <= now {
 				s.armed = 0
@@ -137,20 +137,20 @@
 		}
 	}
 	s.evict()
-	if hearsay {
-		actions, s.out = s.out, nil
+	if onlyReports {
+		actions, s.actions = s.actions, nil
 		return actions
 	}
 	if s.set.MustSubscribe && !s.subscribed && now >= s.subscribeAt {
 		s.subscribed = true
-		s.out = append(s.out, Subscribe{})
+		s.actions = append(s.actions, Subscribe{})
 	}
 	s.closing.PopUntil(int64(now), func(m *message) { m.dest.queue.MakeOdd(&m.held) })
 	s.answerDue()
 	s.makeRoom()
 	s.dispatch()
 	s.wake()
-	actions, s.out = s.out, nil
+	actions, s.actions = s.actions, nil
 	return actions
 }
 
@@ -176,7 +176,7 @@
 	next = max(next, s.now+1)
 	if next < math.MaxInt64 && (s.armed == 0 || next < s.armed) {
 		s.armed = next
-		s.out = append(s.out, Wake{At: next})
+		s.actions = append(s.actions, Wake{At: next})
 	}
 }
 
@@ -227,9 +227,9 @@
 	return s.set.Listing != RateUnlisted && p.rate > 0 && p.limit == 0
 }
 
-// hold takes in the share of a limit that this sender has alone, or that it has none for now. Without
+// applyLimit takes in the share of a limit that this sender has alone, or that it has none for now. Without
 // one any more, a path goes on from the slice that it has. Of an idle one the last share alone counts.
-func (s *Sender) hold(p *path, entry Entry) {
+func (s *Sender) applyLimit(p *path, entry Entry) {
 	switch {
 	case entry.State == Gone:
 	case p.traffic == nil && p.limit != entry.Limit:
@@ -263,8 +263,8 @@
 	if s.now < p.closedUntil || p.part.ClosedFor(s.now) > 0 {
 		return false
 	}
-	if _, out := p.outSince(); out && p.part != nil && !p.part.Alone() {
-		return p.inFlight < s.bound(p) // trials have spaces of their own; stretched logs would hold them back
+	if _, down := p.downSince(); down && p.part != nil && !p.part.Alone() {
+		return p.inFlight < s.bound(p) // probes have spaces of their own; stretched logs would hold them back
 	}
 	if s.now < s.due(p) || float64(p.narrow.Count(s.now)) > slice-1 ||
 		float64(p.wide.Count(s.now)) > slice*float64(wideWindow/narrowWindow)-1 {
@@ -308,18 +308,18 @@
 	return max(2, (s.set.Slots+1)/2)
 }
 
-// full cuts a slice after a full, or sets it from the narrow count the first
-// time, and closes the logs for the told wait.
-func (s *Sender) full(p *path, e *endpoint, sent Time, wait time.Duration) {
+// rateLimited cuts a slice after a rate-limit rejection, or sets it from the narrow count the first
+// time, and closes the logs for the wait that it gives.
+func (s *Sender) rateLimited(p *path, e *endpoint, sent Time, wait time.Duration) {
 	if p.part != nil {
-		s.refused(e, !p.part.Alone() && (!s.tell(e, Jam) || !s.notesCome()))
-		e.fullRun++
-	} else if sent >= e.fullAt { // calls that were out together count as one refusal
+		s.recordRejection(e, !p.part.Alone() && (!s.report(e, Jam) || !s.receivesReports()))
+		e.consecutiveRejections++
+	} else if sent >= e.lastRejectionAt { // calls that were out together count as one refusal
 		if math.IsInf(p.slice, 1) {
 			s.resize(p, max(1, float64(p.narrow.Count(s.now))))
 		} else {
 			cut := jamCut
-			if e.fullRun == 0 {
+			if e.consecutiveRejections == 0 {
 				cut, p.beforeRun = sliceCut, p.slice
 			}
 			if p.slice <= 1 {
@@ -328,18 +328,18 @@
 			// Down to one call in a window for all senders together.
 			s.resize(p, max(1/float64(s.set.Senders), p.slice*cut))
 		}
-		e.fullRun++
-		e.fullAt = s.now
+		e.consecutiveRejections++
+		e.lastRejectionAt = s.now
 	}
 	if p.part == nil && p.slice <= 1 && s.set.MayTell && s.jam(p) {
-		s.tell(e, Jam)
+		s.report(e, Jam)
 	}
-	pause := cmp.Or(wait, min(maxFullPause, fullPause<<min(e.fullRun, 6)))
+	pause := cmp.Or(wait, min(maxRejectionPause, rejectionPause<<min(e.consecutiveRejections, 6)))
 	p.closedUntil = max(p.closedUntil, s.now+pause+estimate.Jitter(s.rng, waitJitter))
 }
 
 // jam closes the logs of all who send less than a call a window, each for a part
-// of a span that doubles while fulls go on: where refused calls use up the limit,
+// of a span that doubles while rejections go on: where refused calls use up the limit,
 // first calls alone keep it full. It tells whether the jam was news.
 func (s *Sender) jam(p *path) bool {
 	news := p.jams.Again(s.now, narrowWindow, wideWindow)
@@ -349,9 +349,9 @@
 	return news
 }
 
-func (s *Sender) passedOne(p *path, took time.Duration) {
+func (s *Sender) recordSuccess(p *path, took time.Duration) {
 	p.taken.Pass(s.now)
-	s.usual += (took.Seconds() - s.usual) * estimate.SlowGain
+	s.meanLatency += (took.Seconds() - s.meanLatency) * estimate.SlowGain
 	if p.part == nil && !math.IsInf(p.slice, 1) && float64(p.narrow.Count(s.now)) >= p.slice-1 {
 		share := growthShare
 		if p.slice < 1 {
@@ -365,11 +365,11 @@
 }
 
 // dispatch sends while there are slots and some message has a way: next the one
-// that would lose most worth for the slot time it takes, if it had to wait.
+// that would lose most value for the slot time it takes, if it had to wait.
 func (s *Sender) dispatch() {
 	s.share = s.set.Slots / evenShare / max(1, s.queued.Len())
 	for s.inFlight < s.set.Slots {
-		s.doubts = uncounted
+		s.suspectMessages = uncounted
 		var best pick
 		for _, d := range s.queued.Values() {
 			if len(d.paths) > 0 {
@@ -410,7 +410,7 @@
 		return best
 	}
 	for _, p := range d.ranked {
-		if !best.over(p) && !s.gathers(p.m) {
+		if !best.over(p) && !s.waitsForBundle(p.m) {
 			if p.at = s.choose(p.m); p.at != nil {
 				best = p
 			}
@@ -440,9 +440,9 @@
 	}
 	d.queue.Odd()(add)
 	latency := d.paths[0].latency.Mean
-	for i := range s.worths {
-		ages := s.worths[i].LossBends(latency, narrowWindow)
-		d.queue.Spans(i, s.now, n, add, append(ages, s.worths[i].Deadline/2+1)...) // see fitForTrial
+	for i := range s.values {
+		ages := s.values[i].LossBends(latency, narrowWindow)
+		d.queue.Spans(i, s.now, n, add, append(ages, s.values[i].Deadline/2+1)...) // see fitForProbe
 	}
 	return to
 }
@@ -456,27 +456,27 @@
 	return m.key.First(m) && (m.attempts > 0 || !m.key.Rests(s.now))
 }
 
-// gathers holds a message back for others to share its call, while a slice binds:
+// waitsForBundle holds a message back for others to share its call, while a slice binds:
 // many senders get few messages each, and each call counts for the limit.
-func (s *Sender) gathers(m *message) bool {
+func (s *Sender) waitsForBundle(m *message) bool {
 	p := m.dest.paths[0]
 	if m.attempts > 0 || m.dest.queue.Len() >= p.kind.BundleMax || math.IsInf(p.slice, 1) {
 		return false
 	}
-	return s.now-m.born < time.Duration(gatherShare*float64(m.class.Aim))-p.latency.Mean/2
+	return s.now-m.createdAt < time.Duration(bundleWaitShare*float64(m.class.Aim))-p.latency.Mean/2
 }
 
-// score is the worth lost by waiting a window longer, for each second of a
+// score is the value lost by waiting a window longer, for each second of a
 // slot; ties go to the message that has waited longest.
 func (s *Sender) score(m *message) float64 {
 	latency := m.dest.paths[0].latency.Mean
-	age := s.now - m.born
-	loss := m.worth.At(age+latency) - m.worth.At(age+latency+narrowWindow)
+	age := s.now - m.createdAt
+	loss := m.value.At(age+latency) - m.value.At(age+latency+narrowWindow)
 	return loss/latency.Seconds() + 1e-6*age.Seconds()
 }
 
-// drain guesses how long a destination's queue takes.
-func (s *Sender) drain(d *destination) time.Duration {
+// queueDelay guesses how long a destination's queue takes.
+func (s *Sender) queueDelay(d *destination) time.Duration {
 	rate, outage := 0.0, time.Duration(math.MaxInt64)
 	for _, p := range d.paths {
 		rate += s.rate(p)
@@ -500,7 +500,7 @@
 // outage guesses how long a path stays closed: an outage that has lasted for some time lasts as long again.
 func (s *Sender) outage(p *path) time.Duration {
 	wait := max(p.part.ClosedFor(s.now), p.closedUntil-s.now)
-	if from, out := p.outSince(); out {
+	if from, down := p.downSince(); down {
 		wait = max(wait, s.now-from, s.set.FallWindow)
 	}
 	return wait
@@ -516,8 +516,8 @@
 			continue
 		}
 		if p.fee > 0 && free >= 0 && !s.scarce() {
-			age := s.now - m.born + p.latency.Mean
-			if m.worth.At(age)-m.worth.At(age+free) < p.fee*m.class.Worth {
+			age := s.now - m.createdAt + p.latency.Mean
+			if m.value.At(age)-m.value.At(age+free) < p.fee*m.class.Worth {
 				continue
 			}
 		}
@@ -555,7 +555,7 @@
 	if x, y := a == m.failedAt, b == m.failedAt; x != y {
 		return y // leave out the endpoint that was just seen failing
 	}
-	if x, y := s.sick(a), s.sick(b); x != y {
+	if x, y := s.rejecting(a), s.rejecting(b); x != y {
 		return y
 	}
 	if a.path.fee != b.path.fee {
@@ -564,8 +564,8 @@
 		}
 		return a.path.fee < b.path.fee
 	}
-	if a.out != b.out {
-		return a.out // a trial that is due
+	if a.down != b.down {
+		return a.down // a probe that is due
 	}
 	if len(a.calls) != len(b.calls) {
 		return len(a.calls) < len(b.calls)
@@ -575,16 +575,16 @@
 
 // usable tells whether an endpoint may take a message now.
 func (s *Sender) usable(e *endpoint, m *message) bool {
-	if !s.mayRepeat(m, e) || (e.out || e.suspect) && !s.fitForTrial(m, e) || !s.opens(e) {
+	if !s.mayRepeat(m, e) || (e.down || e.suspect) && !s.fitForProbe(m, e) || !s.opens(e) {
 		return false
 	}
-	return e.out && (e.lead || !s.notesCome()) || !e.out && !e.warming || s.coldRoom(e)
+	return e.down && (e.probeLeader || !s.receivesReports()) || !e.down && !e.slowStart || s.coldRoom(e)
 }
 
 // opens tells whether an endpoint may take some message now, as far as its listing and its health go.
 func (s *Sender) opens(e *endpoint) bool {
-	return s.listedFor(e) && !s.stalled(e) && (!e.out && !e.suspect || s.roomForDoubt()) &&
-		(!e.out || s.trialDue(e)) && (!e.suspect || len(e.calls) == 0)
+	return s.listedFor(e) && !s.stalled(e) && (!e.down && !e.suspect || s.roomForSuspects()) &&
+		(!e.down || s.probeDue(e)) && (!e.suspect || len(e.calls) == 0)
 }
 
 // listedFor keeps drains: nothing goes to an endpoint from the notice on,
@@ -593,7 +593,7 @@
 	if e.state == Ready {
 		return true
 	}
-	if e.state == Gone || s.now-e.told >= s.set.DrainGrace/2 {
+	if e.state == Gone || s.now-e.stateChangedAt >= s.set.DrainGrace/2 {
 		return false
 	}
 	return !slices.ContainsFunc(e.path.dest.paths, func(p *path) bool { return p.readyEndpoints() > 0 })
@@ -605,18 +605,18 @@
 	c := &call{endpoint: e, sent: s.now}
 	e.calls = append(e.calls, c)
 	s.calling.Add(uint64(e.id), e)
-	s.count(p, 1)
+	s.countCalls(p, 1)
 	p.narrow.Record(s.now)
 	p.wide.Record(s.now)
 	e.lastSent = s.now
-	if e.out {
-		p.nextTrial = s.now + s.trialGap(e)
+	if e.down {
+		p.nextProbe = s.now + s.probeInterval(e)
 	}
 	bundle := []*message{m}
 	s.take(m, c)
 	room := p.kind.BundleMax
-	if e.out || e.suspect {
-		room = 1 // a trial risks one message only
+	if e.down || e.suspect {
+		room = 1 // a probe risks one message only
 	}
 	if room > 1 {
 		for _, p := range s.bundled(e, room-1) {
@@ -635,7 +635,7 @@
 	}
 	for _, n := range bundle {
 		left := s.answerAt(n) - s.set.Tick - s.now
-		s.out = append(s.out, Send{Message: n.id, Endpoint: e.id, Timeout: min(timeout, left)})
+		s.actions = append(s.actions, Send{Message: n.id, Endpoint: e.id, Timeout: min(timeout, left)})
 	}
 }
 
@@ -674,8 +674,8 @@
 	if s.inFlight <= s.set.Slots/2 {
 		t *= 2
 	}
-	if e.warming {
-		t /= s.warmth(e.warmFrom)
+	if e.slowStart {
+		t /= s.warmUpFactor(e.slowStartFrom)
 	}
 	first := max(min(minTimeout, timeoutLatencies*e.path.latency.Mean), time.Duration(t), s.set.LeastTimeout)
 	d := min(first<<min(e.timeouts, 4), max(first, (m.class.Deadline-m.class.Aim)/4))
@@ -687,38 +687,38 @@
 	return d
 }
 
-// roomForDoubt leaves the slots to endpoints that answer, however many hang.
-// While half of them lie idle doubt may have the rest: calls may get lost anywhere.
-func (s *Sender) roomForDoubt() bool {
-	if s.doubts == uncounted {
-		s.doubts = s.doubtful()
+// roomForSuspects leaves the slots to endpoints that answer, however many hang. While half
+// of them lie idle suspect ones may have the rest: calls may get lost anywhere.
+func (s *Sender) roomForSuspects() bool {
+	if s.suspectMessages == uncounted {
+		s.suspectMessages = s.countSuspectMessages()
 	}
-	n := s.doubts
-	return n < max(1, s.set.Slots/doubtShare) || n < s.set.Slots/2 && s.inFlight <= s.set.Slots/2
+	n := s.suspectMessages
+	return n < max(1, s.set.Slots/suspectShare) || n < s.set.Slots/2 && s.inFlight <= s.set.Slots/2
 }
 
-// joined starts an endpoint that is added to a path which is out as out too: a
-// cold replacement must not get the whole queue of the outage; it is tried first.
-func (s *Sender) joined(e *endpoint) {
-	out := false
+// inheritOutage starts an endpoint that is added to a path which is down as down too: a
+// cold replacement must not get the whole queue of the outage; it is probed first.
+func (s *Sender) inheritOutage(e *endpoint) {
+	down := false
 	for _, o := range e.path.endpoints {
-		if o != e && o.state == Ready && !o.out {
+		if o != e && o.state == Ready && !o.down {
 			return
 		}
-		out = out || o.out
+		down = down || o.down
 	}
-	e.out, e.since = out, s.now
+	e.down, e.downSince = down, s.now
 }
 
-// trialDue allows one spaced trial for each path: refused calls push it too.
-func (s *Sender) trialDue(e *endpoint) bool {
-	trying := func(o *endpoint) bool { return o.out && len(o.calls) > 0 }
-	return s.now >= e.path.nextTrial && !slices.ContainsFunc(e.path.endpoints, trying)
+// probeDue allows one spaced probe for each path: refused calls push it too.
+func (s *Sender) probeDue(e *endpoint) bool {
+	probed := func(o *endpoint) bool { return o.down && len(o.calls) > 0 }
+	return s.now >= e.path.nextProbe && !slices.ContainsFunc(e.path.endpoints, probed)
 }
 
-// fitForTrial keeps messages that a time-out would end out of early trials.
-func (s *Sender) fitForTrial(m *message, e *endpoint) bool {
-	return m.class.Repeat != AtMostOnce || s.now-m.born > m.class.Deadline/2
+// fitForProbe keeps messages that a time-out would end out of early probes.
+func (s *Sender) fitForProbe(m *message, e *endpoint) bool {
+	return m.class.Repeat != AtMostOnce || s.now-m.createdAt > m.class.Deadline/2
 }
 
 // ownRate is how many calls a second a path took from this sender: all senders' sum to what it took.
@@ -728,10 +728,10 @@
 // while it may be cold: the larger of its part of what the path surely takes and one call
 // for the time in which messages gathered. All senders' budgets together stay under what it
 // falls over at, though none knows what the others do; docs/design/core.md has the proof.
-func (s *Sender) coldBudget(e *endpoint, warmth float64) float64 {
+func (s *Sender) coldBudget(e *endpoint, warmUpFactor float64) float64 {
 	sure := max(e.path.sureRate, leastRate/float64(s.set.Senders))
-	gathered := min(s.longest, max(s.set.FallWindow, s.now-e.troubled)).Seconds()
-	bears := coldMargin * s.set.FallMultiple * warmth * s.set.FallWindow.Seconds()
+	gathered := min(s.longest, max(s.set.FallWindow, s.now-e.unhealthySince)).Seconds()
+	bears := coldMargin * s.set.FallMultiple * warmUpFactor * s.set.FallWindow.Seconds()
 	return bears * max(sure, e.path.part.Cap(s.ownRate(e.path)), 1/gathered)
 }
 
@@ -740,10 +740,10 @@
 // budget is kept as one call in so long a time, so there is nothing to round up.
 func (s *Sender) coldRoom(e *endpoint) bool {
 	from := s.now
-	if e.warming {
-		from = e.warmFrom
+	if e.slowStart {
+		from = e.slowStartFrom
 	}
-	b := s.coldBudget(e, s.warmth(from)) / float64(e.path.most)
+	b := s.coldBudget(e, s.warmUpFactor(from)) / float64(e.path.most)
 	if b <= 0 {
 		return true // the settings tell of no such rule
 	}
@@ -755,34 +755,37 @@
 	return e.cold.Count(s.now) < 1
 }
 
-// doubted tells that one error is taken for an outage: what passed before is too
-// old to tell, and without notes nobody else tells. The next call may be one of
+// presumedDown tells that one error is taken for an outage: what passed before is too
+// old to tell, and without reports nobody else tells. The next call may be one of
 // hundreds by senders that saw one failure each; where its part is a call, it may.
-func (s *Sender) doubted(e *endpoint) bool {
+func (s *Sender) presumedDown(e *endpoint) bool {
 	old := s.now-e.lastOK >= outageFalls*s.set.FallWindow
-	return e.broken && old && !s.notesCome() && s.coldBudget(e, s.warmth(s.now)) < 1
+	return e.broken && old && !s.receivesReports() && s.coldBudget(e, s.warmUpFactor(s.now)) < 1
 }
 
-// notesCome tells that notes of others were heard of late. Without, nobody knows
-// whether its own are heard, and none may lead.
-func (s *Sender) notesCome() bool { return s.heardAt > 0 && s.now-s.heardAt < s.set.FallWindow }
+// receivesReports tells that reports of others came of late. Without, nobody knows
+// whether its own arrive, and none may be the probe leader.
+func (s *Sender) receivesReports() bool {
+	return s.lastReportReceivedAt > 0 && s.now-s.lastReportReceivedAt < s.set.FallWindow
+}
 
-// tell sends a note where senders may, and tells whether it did. While none come all senders
-// together tell one a tick: each goes to all, and in an outage hundreds would tell what is lost anyway.
-func (s *Sender) tell(e *endpoint, news News) bool {
-	may := s.set.MayTell && (s.notesCome() || s.now-s.toldAt >= time.Duration(s.set.Senders)*s.set.Tick)
+// report sends a report to the other senders where it may, and returns whether it did. While none come
+// all senders together send one a tick: each goes to all, and in an outage hundreds would be lost anyway.
+func (s *Sender) report(e *endpoint, news News) bool {
+	gap := time.Duration(s.set.Senders) * s.set.Tick
+	may := s.set.MayTell && (s.receivesReports() || s.now-s.lastReportSentAt >= gap)
 	if may {
-		s.toldAt = s.now
-		s.out = append(s.out, Tell{Tag: terms.TagOf(e.id), News: news})
+		s.lastReportSentAt = s.now
+		s.actions = append(s.actions, Tell{Tag: terms.TagOf(e.id), News: news})
 	}
 	return may
 }
 
-// trialGap spaces the trials of one sender: by the fall window for a lead, by its
-// part of the cold budget of all endpoints for others.
-func (s *Sender) trialGap(e *endpoint) time.Duration {
+// probeInterval spaces the probes of one sender: by the fall window for a probe leader, by
+// its part of the cold budget of all endpoints for others.
+func (s *Sender) probeInterval(e *endpoint) time.Duration {
 	gap := s.set.FallWindow + estimate.Jitter(s.rng, s.set.FallWindow/2)
-	if b := s.coldBudget(e, s.warmth(s.now)); b > 0 && !(e.lead && s.notesCome()) {
+	if b := s.coldBudget(e, s.warmUpFactor(s.now)); b > 0 && !(e.probeLeader && s.receivesReports()) {
 		gap = max(gap, time.Duration(float64(s.set.FallWindow)*s.drawPhase()/b))
 	}
 	return gap
@@ -794,14 +797,15 @@
 	weight := 0.0
 	switch outcome {
 	case Delivered:
-		s.wellDone(e, time.Duration(float64(took)/bundleWork(c.size)))
+		s.succeeded(e, time.Duration(float64(took)/bundleWork(c.size)))
 		return
 	case Full:
-		s.full(p, e, c.sent, wait)
-		if e.fullRun >= shutRun && (p.part == nil || p.part.Least(s.now)) || wait > narrowWindow {
+		s.rateLimited(p, e, c.sent, wait)
+		opensCircuit := e.consecutiveRejections >= openCircuitRejections
+		if opensCircuit && (p.part == nil || p.part.Least(s.now)) || wait > narrowWindow {
 			weight = 1
-			if p.part == nil && p.beforeRun > 0 && !e.out && wait > narrowWindow {
-				s.resize(p, p.beforeRun) // shut: its refusals told nothing of the limit
+			if p.part == nil && p.beforeRun > 0 && !e.down && wait > narrowWindow {
+				s.resize(p, p.beforeRun) // circuit open: its refusals told nothing of the limit
 			}
 		}
 	case Failed:
@@ -812,7 +816,7 @@
 		}
 		weight = errorWeight
 	case Unreachable:
-		weight = outScore
+		weight = downScore
 	case TimedOut:
 		if e.lastOK > c.sent {
 			return // the call was lost alone: the endpoint has answered since
@@ -820,52 +824,52 @@
 		weight = timeoutWeight
 		e.timeouts++
 		p.unanswered++
-		s.out = append(s.out, CloseIdle{Endpoint: e.id}) // what was silent may be the connection alone
+		s.actions = append(s.actions, CloseIdle{Endpoint: e.id}) // what was silent may be the connection alone
 	}
 	if weight == 0 {
 		return
 	}
 	again := e.suspect
-	e.suspect, e.troubled = true, cmp.Or(e.troubled, s.now)
+	e.suspect, e.unhealthySince = true, cmp.Or(e.unhealthySince, s.now)
 	e.score += weight * (1 - e.score)
 	if outcome != TimedOut && outcome != Reset {
 		e.broken = true
 	}
-	if e.warming && c.sent >= e.warmFrom && again {
-		e.warmFrom = s.now // what fails twice in a row was not back yet
+	if e.slowStart && c.sent >= e.slowStartFrom && again {
+		e.slowStartFrom = s.now // what fails twice in a row was not back yet
 	}
 	// Lost calls alone are an outage when nothing else has come for long.
 	answered := func(o *endpoint) bool { return s.now-o.lastOK < outageFalls*s.set.FallWindow }
-	if sure := e.score >= outScore || e.timeouts > 1 && !answered(e); !e.out && (sure || s.doubted(e)) {
-		s.fails(e, sure)
-		p.nextTrial = s.now
+	if sure := e.score >= downScore || e.timeouts > 1 && !answered(e); !e.down && (sure || s.presumedDown(e)) {
+		s.markDown(e, sure)
+		p.nextProbe = s.now
 		if outcome != Reset { // after a reset the next connection tells more
-			p.nextTrial += s.trialGap(e)
+			p.nextProbe += s.probeInterval(e)
 		}
 	}
 	// Of endpoints that fall silent together each is asked too seldom: what all leave unanswered counts.
 	young := s.now-s.started < outageFalls*s.set.FallWindow
 	if p.part != nil && p.unanswered > 1 && !young && !slices.ContainsFunc(p.endpoints, answered) {
 		for _, o := range p.endpoints {
-			if o.timeouts > 0 && !o.out && o.state == Ready {
-				s.fails(o, true)
-				p.nextTrial = s.now + s.trialGap(o)
+			if o.timeouts > 0 && !o.down && o.state == Ready {
+				s.markDown(o, true)
+				p.nextProbe = s.now + s.probeInterval(o)
 			}
 		}
 	}
 }
 
-// fails takes an endpoint out of service, and tells the others where that is sure.
-func (s *Sender) fails(e *endpoint, sure bool) {
-	e.lead = sure && s.tell(e, Down)
-	e.out, e.since = true, s.now
-	e.troubled = cmp.Or(e.troubled, s.now)
+// markDown takes an endpoint out of service, and reports it to the others where that is sure.
+func (s *Sender) markDown(e *endpoint, sure bool) {
+	e.probeLeader = sure && s.report(e, Down)
+	e.down, e.downSince = true, s.now
+	e.unhealthySince = cmp.Or(e.unhealthySince, s.now)
 	e.path.part.Restore(s.now)
 }
 
-// heard takes in what another sender has seen; an own success of late weighs more.
-// Trials of an outage are left to who told it, but for rare ones: notes get lost.
-func (s *Sender) heard(n Told) {
+// receiveReport takes in what another sender has seen; an own success of late weighs more.
+// Probes of an outage are left to who reported it, but for rare ones: reports get lost.
+func (s *Sender) receiveReport(n Told) {
 	e := s.endpoints.Named(n.Tag)
 	if n.Endpoint != 0 {
 		e = s.endpoint(n.Endpoint)
@@ -873,52 +877,53 @@
 	if e != nil {
 		s.activate(e.path.dest)
 	}
-	s.heardAt = s.now
+	s.lastReportReceivedAt = s.now
 	switch {
 	case e == nil || n.News == Jam && e.path.part.Alone(): // others have shares of their own
 	case n.News == Jam:
 		if p := e.path; p.part != nil {
-			s.refused(e, false)
+			s.recordRejection(e, false)
 		} else if p.slice <= 1 || math.IsInf(p.slice, 1) && s.rate(p) <= 1/narrowWindow.Seconds() {
 			s.jam(p)
 		}
 	case n.News == Down:
-		if e.out && n.Spare == 0 || s.now-e.lastOK < minStall && e.lastOK > 0 {
+		if e.down && n.Spare == 0 || s.now-e.lastOK < minStall && e.lastOK > 0 {
 			return
 		}
-		if !e.out {
-			s.fails(e, false)
-			s.counted(e)
+		if !e.down {
+			s.markDown(e, false)
+			s.countReportAsCall(e)
 		}
-		e.path.nextTrial = s.now + max(n.Spare, s.trialGap(e))
-	case e.out || e.suspect:
-		s.returned(e, n.News)
-		s.counted(e)
-		e.suspect, e.timeouts, e.fullRun, e.score = false, 0, 0, 0
+		e.path.nextProbe = s.now + max(n.Spare, s.probeInterval(e))
+	case e.down || e.suspect:
+		s.markUp(e, n.News)
+		s.countReportAsCall(e)
+		e.suspect, e.timeouts, e.consecutiveRejections, e.score = false, 0, 0, 0
 	}
 }
 
-func (s *Sender) wellDone(e *endpoint, took time.Duration) {
+func (s *Sender) succeeded(e *endpoint, took time.Duration) {
 	p := e.path
-	if e.out {
+	if e.down {
 		// A few lost calls between two answers are no outage.
 		news := Back
 		if e.broken || s.now-e.lastOK >= outageFalls*s.set.FallWindow {
 			news = BackCold
 		}
-		s.tell(e, news)
-		s.returned(e, news)
-		if p.part == nil && p.beforeRun > p.slice && e.fullRun >= shutRun {
-			s.resize(p, p.beforeRun) // it was shut: its refusals told nothing of the limit
+		s.report(e, news)
+		s.markUp(e, news)
+		if p.part == nil && p.beforeRun > p.slice && e.consecutiveRejections >= openCircuitRejections {
+			s.resize(p, p.beforeRun) // its circuit was open: its refusals told nothing of the limit
 		}
 	}
-	e.suspect, e.broken, e.timeouts, p.unanswered, e.fullRun, e.lastOK = false, false, 0, 0, 0, s.now
-	e.heat.Answered(s.now)
+	e.suspect, e.broken, e.lastOK = false, false, s.now
+	e.timeouts, p.unanswered, e.consecutiveRejections = 0, 0, 0
+	e.rejections.Answered(s.now)
 	e.score *= successShrink
-	if e.warming = e.warming && s.warmth(e.warmFrom) < 1; !e.warming {
-		e.troubled = 0
+	if e.slowStart = e.slowStart && s.warmUpFactor(e.slowStartFrom) < 1; !e.slowStart {
+		e.unhealthySince = 0
 	}
-	s.passedOne(p, took)
+	s.recordSuccess(p, took)
 }
 
 // Retries
@@ -952,7 +957,7 @@
 		s.judge(c.endpoint, o.Outcome, o.Wait, c, o.Took)
 	}
 	if p := c.endpoint.path; o.Wait > 0 {
-		// Messages of one call may end apart, so each told wait is heeded.
+		// Messages of one call may end apart, so each given wait is heeded.
 		p.closedUntil = max(p.closedUntil, s.now+o.Wait)
 	}
 	switch o.Outcome {
@@ -991,10 +996,10 @@
 
 // answerDue answers before the deadline, and at once what can't be sent again.
 func (s *Sender) answerDue() {
-	due := s.hopeless
+	due := s.undeliverable
 	add := func(m *message) { due = append(due, m) }
 	s.deadline.PopUntil(int64(s.now+s.set.Tick), add)
-	s.oblivion.PopUntil(int64(s.now), add)
+	s.dedupExpiry.PopUntil(int64(s.now), add)
 	slices.SortFunc(due, func(a, b *message) int { return cmp.Compare(a.held.Number, b.held.Number) })
 	for _, m := range due {
 		if !m.ended {
@@ -1002,7 +1007,7 @@
 		}
 	}
 	clear(due)
-	s.hopeless = due[:0]
+	s.undeliverable = due[:0]
 }
 
 // neverAgain tells that no endpoint may be sent the message any more.
@@ -1016,11 +1021,11 @@
 	if s.mayRefuse(m) {
 		var wait time.Duration
 		if s.set.AdviseWait {
-			wait = min(s.set.MaxWait, s.drain(m.dest))
+			wait = min(s.set.MaxWait, s.queueDelay(m.dest))
 		}
-		s.out = append(s.out, Refuse{Message: m.id, Wait: wait})
+		s.actions = append(s.actions, Refuse{Message: m.id, Wait: wait})
 	} else {
-		s.out = append(s.out, Fail{Message: m.id})
+		s.actions = append(s.actions, Fail{Message: m.id})
 	}
 	s.end(m)
 }
@@ -1038,43 +1043,43 @@
 		return
 	}
 	for _, d := range s.queued.Values() {
-		s.findWorst(d)
+		s.findShedCandidate(d)
 	}
 	for s.deadline.Len() > keep {
-		var worst pick
+		var candidate pick
 		for _, d := range s.queued.Values() {
-			if worst.m == nil || d.worst.over(worst) {
-				worst = d.worst
+			if candidate.m == nil || d.shedCandidate.over(candidate) {
+				candidate = d.shedCandidate
 			}
 		}
-		if worst.m == nil {
+		if candidate.m == nil {
 			return
 		}
-		s.answer(worst.m)
-		s.findWorst(worst.m.dest)
+		s.answer(candidate.m)
+		s.findShedCandidate(candidate.m.dest)
 	}
 }
 
-// findWorst finds the message of a destination that is likely to earn the least share of its
-// worth, if that is little: of plain ones of a class the oldest, since worth falls with age
+// findShedCandidate finds the message of a destination that is likely to earn the least share of its
+// value, if that is little: of plain ones of a class the oldest, since value falls with age
 // alone. Its score is that share, negative.
-func (s *Sender) findWorst(d *destination) {
+func (s *Sender) findShedCandidate(d *destination) {
 	if d.backlog == nil {
 		return
 	}
-	d.worst = pick{}
-	wait, share := s.drain(d), 1.0
+	d.shedCandidate = pick{}
+	wait, share := s.queueDelay(d), 1.0
 	if s.inFlight >= s.set.Slots && len(d.paths) > 0 {
-		share = min(1, s.usual/d.paths[0].latency.Mean.Seconds())
+		share = min(1, s.meanLatency/d.paths[0].latency.Mean.Seconds())
 	}
 	weigh := func(m *message) bool {
-		v := m.worth.At(s.now-m.born+wait) / m.class.Worth * share
+		v := m.value.At(s.now-m.createdAt+wait) / m.class.Worth * share
 		if !s.mayRefuse(m) {
 			v += 0.1
 		}
 		p := pick{m: m, score: -v}
-		if m.class.Worth > 0 && v < shedBelow && (d.worst.m == nil || p.over(d.worst)) {
-			d.worst = p
+		if m.class.Worth > 0 && v < shedBelow && (d.shedCandidate.m == nil || p.over(d.shedCandidate)) {
+			d.shedCandidate = p
 		}
 		return true
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -275,7 +275,7 @@
 	}
 }
 
-// Many endpoints may hang at once; trials of them leave slots.
+// Many endpoints may hang at once; probes of them leave slots.
 func TestDoubtLeavesSlots(t *testing.T) {
 	set := testSettings()
 	set.Slots = 8
@@ -286,7 +286,7 @@
 		list = append(list, Entry{Endpoint: EndpointID(i + 1), Destination: i, State: Ready})
 	}
 	s.Step(now, []Event{Listed{Whole: true, Entries: list}}, nil)
-	for _, d := range s.dests {
+	for _, d := range s.destinations {
 		s.activate(d)
 		d.paths[0].endpoints[0].suspect = true
 	}
@@ -295,7 +295,7 @@
 		arrivals = append(arrivals, Arrived{Message: MessageID(i + 1), Destination: i, GiveUpAt: now + 5*time.Second})
 	}
 	if n := count[Send](s.Step(now, arrivals, nil)); n != 4 {
-		t.Errorf("%d calls to endpoints in doubt with 8 slots, want 4", n)
+		t.Errorf("%d calls to suspect endpoints with 8 slots, want 4", n)
 	}
 }
 
@@ -304,7 +304,7 @@
 	for range 8 {
 		b.arrive(0)
 	}
-	for b.path().endpoints[0].out == false || b.path().endpoints[1].out == false {
+	for b.path().endpoints[0].down == false || b.path().endpoints[1].down == false {
 		if len(b.sent) > 0 {
 			b.finish(Unreachable, 0)
 		}
@@ -318,7 +318,7 @@
 		b.wait(100 * time.Millisecond)
 		sends += len(b.sent)
 		if len(b.sent) > 1 {
-			t.Fatalf("%d trials at once", len(b.sent))
+			t.Fatalf("%d probes at once", len(b.sent))
 		}
 		for len(b.sent) > 0 {
 			b.finish(Unreachable, 0)
@@ -326,7 +326,7 @@
 		b.arrive(0)
 	}
 	if most := int(10 * time.Second / b.s.set.FallWindow); sends > most || sends == 0 {
-		t.Errorf("%d trials in 10 s, want 1 to %d", sends, most)
+		t.Errorf("%d probes in 10 s, want 1 to %d", sends, most)
 	}
 }
 
@@ -335,13 +335,13 @@
 	b := with(t, testSettings(), 0, 1, 0)
 	p, e := b.path(), b.path().endpoints[0]
 	p.taken.Peak = 24 // calls of this sender in a narrow window before
-	e.out, e.broken, e.since, e.troubled = true, true, b.now-10*time.Second, b.now-10*time.Second
+	e.down, e.broken, e.downSince, e.unhealthySince = true, true, b.now-10*time.Second, b.now-10*time.Second
 	e.score = 1
 	for range 30 {
 		b.arrive(1)
 	}
-	b.finish(Delivered, 0) // the trial
-	if !e.warming {
+	b.finish(Delivered, 0) // the probe
+	if !e.slowStart {
 		t.Fatal("not taken for a cold return")
 	}
 	start, set := b.now, b.s.set
@@ -357,7 +357,7 @@
 				n++
 			}
 		}
-		bears := set.FallMultiple * b.s.warmth(start) * float64(p.taken.Peak) / narrowWindow.Seconds() * set.FallWindow.Seconds()
+		bears := set.FallMultiple * b.s.warmUpFactor(start) * float64(p.taken.Peak) / narrowWindow.Seconds() * set.FallWindow.Seconds()
 		if float64(n) > bears {
 			t.Fatalf("%v after the return: %d calls in a fall window, it bears %.1f from this sender",
 				b.now-start, n, bears)
@@ -368,8 +368,8 @@
 		t.Errorf("%d calls in two fall windows: it does not reopen", len(sent))
 	}
 	b.s.now = start + set.WarmUp
-	if w := b.s.warmth(start); w != 1 {
-		t.Errorf("warmth %v after the warm-up, want 1", w)
+	if w := b.s.warmUpFactor(start); w != 1 {
+		t.Errorf("warm-up factor %v after the warm-up, want 1", w)
 	}
 }
 
@@ -388,10 +388,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			b := with(t, testSettings(), 0, 1, 0)
 			e := b.path().endpoints[0]
-			e.out, e.broken, e.lastOK = true, c.broken, b.now-c.silent
-			b.s.wellDone(e, 100*time.Millisecond)
-			if e.warming != c.cold {
-				t.Errorf("warming %v, want %v", e.warming, c.cold)
+			e.down, e.broken, e.lastOK = true, c.broken, b.now-c.silent
+			b.s.succeeded(e, 100*time.Millisecond)
+			if e.slowStart != c.cold {
+				t.Errorf("warming %v, want %v", e.slowStart, c.cold)
 			}
 		})
 	}
@@ -402,7 +402,7 @@
 	b.path().slice = 5
 	b.arrive(0)
 	b.finish(Full, 4*time.Second)
-	if e := b.path().endpoints[0]; !e.out {
+	if e := b.path().endpoints[0]; !e.down {
 		t.Error("a wait longer than a window is not taken for a shut destination")
 	}
 	if b.path().slice != 5 {
@@ -410,12 +410,12 @@
 	}
 }
 
-// Trials of one endpoint must not be put off by sends to the others.
+// Probes of one endpoint must not be put off by sends to the others.
 func TestPartialOutageIsTried(t *testing.T) {
 	b := with(t, testSettings(), 0, 2, 0)
 	e := b.path().endpoints[0]
-	e.out, e.score = true, 1
-	b.path().nextTrial = b.now + b.s.set.FallWindow
+	e.down, e.score = true, 1
+	b.path().nextProbe = b.now + b.s.set.FallWindow
 	tried := false
 	for range 40 {
 		b.arrive(0)
@@ -485,7 +485,7 @@
 			b.now += b.s.set.Tick
 			b.finish(Delivered, 0) // the second
 			b.finish(o, 0)
-			if e.out || e.suspect || e.warming || e.score > 0 {
+			if e.down || e.suspect || e.slowStart || e.score > 0 {
 				t.Fatalf("outcome %v of a lost call was held against the endpoint", o)
 			}
 			b.wait(backoffMax)
@@ -504,12 +504,12 @@
 	for range 2 {
 		b.now += outageFalls * b.s.set.FallWindow
 		b.arrive(0)
-		if e.out {
+		if e.down {
 			t.Fatal("out too early")
 		}
 		b.finish(TimedOut, 0)
 	}
-	if !e.out {
+	if !e.down {
 		t.Error("two time-outs with nothing answered for long are no outage")
 	}
 }
@@ -519,16 +519,16 @@
 	b := with(t, testSettings(), 0, 1, 0)
 	e := b.path().endpoints[0]
 	from := b.now
-	e.warming, e.warmFrom, e.lastOK = true, from, from
+	e.slowStart, e.slowStartFrom, e.lastOK = true, from, from
 	c := &call{endpoint: e, sent: from, size: 1}
 	b.now += b.s.set.Tick
 	b.step(Woken{})
 	b.s.judge(e, TimedOut, 0, c, 0)
-	if e.warmFrom != from {
+	if e.slowStartFrom != from {
 		t.Error("one failure restarted the warm-up")
 	}
 	b.s.judge(e, TimedOut, 0, c, 0)
-	if e.warmFrom == from {
+	if e.slowStartFrom == from {
 		t.Error("two failures in a row did not restart the warm-up")
 	}
 }
@@ -592,10 +592,10 @@
 	b.finish(Reset, 0)
 	b.wait(backoffBase)
 	if len(b.sent) != 1 {
-		t.Fatalf("%d sends after the backoff, want a trial at once", len(b.sent))
+		t.Fatalf("%d sends after the backoff, want a probe at once", len(b.sent))
 	}
 	b.finish(Delivered, 0)
-	if b.path().endpoints[0].warming {
+	if b.path().endpoints[0].slowStart {
 		t.Error("taken for a cold return after one reset between two answers")
 	}
 }
@@ -610,7 +610,7 @@
 		s := b.sent[0]
 		b.sent = b.sent[1:]
 		b.step(Ended{Message: s.Message, Endpoint: s.Endpoint, Outcome: Reset, Stale: true})
-		if e.suspect || e.out || e.score > 0 {
+		if e.suspect || e.down || e.score > 0 {
 			t.Fatalf("a stale reset was held against the endpoint: %+v", e)
 		}
 		b.wait(backoffMax)
@@ -618,12 +618,12 @@
 	}
 	b.arrive(0)
 	b.finish(Reset, 0)
-	if !e.suspect || e.out {
-		t.Errorf("suspect %v, out %v after one reset, want a suspicion", e.suspect, e.out)
+	if !e.suspect || e.down {
+		t.Errorf("suspect %v, out %v after one reset, want a suspicion", e.suspect, e.down)
 	}
 	b.wait(backoffMax)
 	b.finish(Reset, 0)
-	if !e.out {
+	if !e.down {
 		t.Error("not out after two resets in a row")
 	}
 }
@@ -653,7 +653,7 @@
 	e := b.path().endpoints[0]
 	whole := b.s.coldBudget(e, 1)
 	b.step(Listed{Entries: []Entry{{Endpoint: 2, State: Gone}, {Endpoint: 3, State: Gone}, {Endpoint: 4, State: Gone}}})
-	e.warming, e.warmFrom, b.s.now = true, b.now-b.s.set.WarmUp, b.now
+	e.slowStart, e.slowStartFrom, b.s.now = true, b.now-b.s.set.WarmUp, b.now
 	e.cold.Record(b.now)
 	b.s.coldRoom(e)
 	if got, want := e.cold.Span, time.Duration(4*float64(b.s.set.FallWindow)/whole); got < want-1 || got > want+1 {
@@ -674,15 +674,15 @@
 	for _, state := range []EndpointState{Ready, Draining, Gone} {
 		b := with(t, testSettings(), 0, 1, 0)
 		e := b.path().endpoints[0]
-		e.out, e.suspect, e.score = true, true, 1
-		b.path().nextTrial = b.now + time.Second
+		e.down, e.suspect, e.score = true, true, 1
+		b.path().nextProbe = b.now + time.Second
 		for range 8 {
 			b.arrive(1)
 		}
 		b.step(Listed{Entries: []Entry{{Endpoint: 1, State: state}, {Endpoint: 9, State: Ready}}})
 		b.wait(time.Second)
 		if len(b.sent) != 1 {
-			t.Errorf("state %d of the old endpoint: %d sends to the new one, want a trial", state, len(b.sent))
+			t.Errorf("state %d of the old endpoint: %d sends to the new one, want a probe", state, len(b.sent))
 		}
 		b.sent = b.sent[len(b.sent):]
 	}
@@ -690,9 +690,9 @@
 
 func TestEndpointThatJoinsAHealthyDestinationIsUsed(t *testing.T) {
 	b := with(t, testSettings(), 0, 2, 0)
-	b.path().endpoints[0].out = true
+	b.path().endpoints[0].down = true
 	b.step(Listed{Entries: []Entry{{Endpoint: 9, State: Ready}}})
-	if b.s.activeEndpoint(9).out {
+	if b.s.activeEndpoint(9).down {
 		t.Error("taken to be out though another endpoint of the destination works")
 	}
 }
@@ -738,7 +738,7 @@
 	if b.s.now++; !b.s.hasRoom(p) {
 		t.Error("no room after it")
 	}
-	b.s.full(p, p.endpoints[0], b.s.now, 0)
+	b.s.rateLimited(p, p.endpoints[0], b.s.now, 0)
 	if want := 0.25 * b.s.smallCut; math.Abs(p.slice-want) > 1e-9 {
 		t.Errorf("slice %v after a full, want %v", p.slice, want)
 	}
@@ -752,13 +752,13 @@
 		set.Senders = senders
 		b := with(t, set, 0, 1, 0)
 		e := b.path().endpoints[0]
-		e.out, e.since, e.troubled, b.s.now = true, b.now-10*time.Second, b.now-10*time.Second, b.now
+		e.down, e.downSince, e.unhealthySince, b.s.now = true, b.now-10*time.Second, b.now-10*time.Second, b.now
 		least := set.FallWindow
 		if senders > 10 {
 			least = 10 * time.Second // as long as the outage has lasted
 		}
-		if gap := b.s.trialGap(e); gap < least || senders == 2 && gap > 3*least {
-			t.Errorf("%d senders: trials %v apart, want %v at least", senders, gap, least)
+		if gap := b.s.probeInterval(e); gap < least || senders == 2 && gap > 3*least {
+			t.Errorf("%d senders: probes %v apart, want %v at least", senders, gap, least)
 		}
 	}
 }
@@ -784,38 +784,38 @@
 		}
 	}
 	e := c.path().endpoints[0]
-	if !e.out {
+	if !e.down {
 		t.Fatal("an outage that was told is not heeded")
 	}
 	if c.arrive(0); len(c.sent) != 0 {
 		t.Error("sent at once to an endpoint that was told to be down")
 	}
 	c.step(Told{Tag: terms.TagOf(e.id), News: BackCold})
-	if e.out || !e.warming {
+	if e.down || !e.slowStart {
 		t.Error("a cold return that was told is not heeded")
 	}
 	c.step(Told{Tag: 1<<TagBits - 1, News: Down}) // an endpoint that is not listed
 }
 
-// Where others try an endpoint, as a note says that names it, this sender leaves trials to them for that long,
+// Where others try an endpoint, as a note says that names it, this sender leaves probes to them for that long,
 // also when it found the outage itself; an own success of late still weighs more.
 func TestTrialsAreLeftToOthers(t *testing.T) {
 	b := with(t, testSettings(), 0, 1, 0)
 	e := b.path().endpoints[0]
 	b.arrive(0)
 	b.finish(Unreachable, 0)
-	had := e.path.nextTrial
-	if b.step(Told{Endpoint: e.id, News: Down}); !e.out || e.path.nextTrial != had {
-		t.Errorf("a note of what is known moved the trial from %v to %v", had, e.path.nextTrial)
+	had := e.path.nextProbe
+	if b.step(Told{Endpoint: e.id, News: Down}); !e.down || e.path.nextProbe != had {
+		t.Errorf("a note of what is known moved the probe from %v to %v", had, e.path.nextProbe)
 	}
-	if b.step(Told{Endpoint: e.id, News: Down, Spare: time.Minute}); e.path.nextTrial != b.now+time.Minute {
-		t.Errorf("the next trial at %v, now it is %v", e.path.nextTrial, b.now)
+	if b.step(Told{Endpoint: e.id, News: Down, Spare: time.Minute}); e.path.nextProbe != b.now+time.Minute {
+		t.Errorf("the next probe at %v, now it is %v", e.path.nextProbe, b.now)
 	}
 	c := with(t, testSettings(), 0, 1, 0)
 	e = c.path().endpoints[0]
 	c.arrive(0)
 	c.finish(Delivered, 0)
-	if c.step(Told{Endpoint: e.id, News: Down, Spare: time.Minute}); e.out {
+	if c.step(Told{Endpoint: e.id, News: Down, Spare: time.Minute}); e.down {
 		t.Error("one that answered a moment ago is taken for out")
 	}
 	c.step(Told{Endpoint: e.id + 1000, News: Down, Spare: time.Minute}) // one that is not listed
--- a/policy/restart_test.go
+++ b/policy/restart_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// What an earlier life saw fail last gets no backlog at the start: first one trial.
+// What an earlier incarnation saw fail last gets no backlog at the start: first one probe.
 func TestRestoredBacklogWaitsForATrial(t *testing.T) {
 	start := time.Hour
 	events := []Event{Listed{Whole: true, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 100}}},
--- a/policy/shut_test.go
+++ b/policy/shut_test.go
@@ -7,7 +7,7 @@
 	"wingmount/decide/terms"
 )
 
-// What a destination refuses before it is known to be shut, and in trials after that, tells nothing of
+// What a destination refuses before it is known to be shut, and in probes after that, tells nothing of
 // its limit: the part of it that nodes share is what it was of late.
 func TestRefusalsOfAnOutageCostNoPart(t *testing.T) {
 	set := testSettings()
@@ -26,18 +26,18 @@
 		s.Step(now, []Event{Told{Tag: terms.TagOf(1), News: Jam}}, nil)
 	}
 	jammed := rate()
-	if jammed > 0.8*sound || e.out {
-		t.Fatalf("twenty refusals took the part from %v to %v, out %v", sound, jammed, e.out)
+	if jammed > 0.8*sound || e.down {
+		t.Fatalf("twenty refusals took the part from %v to %v, out %v", sound, jammed, e.down)
 	}
 	s.Step(now, []Event{Told{Tag: terms.TagOf(1), News: Down}}, nil)
-	if r := rate(); !e.out || r < 0.9*sound {
-		t.Errorf("out %v, and the part is %v of %v", e.out, r, sound)
+	if r := rate(); !e.down || r < 0.9*sound {
+		t.Errorf("out %v, and the part is %v of %v", e.down, r, sound)
 	}
-	for range 20 { // trials are refused
+	for range 20 { // probes are refused
 		now += 20 * time.Millisecond
 		s.Step(now, []Event{Told{Tag: terms.TagOf(1), News: Jam}}, nil)
 	}
 	if r := rate(); r < 0.9*sound {
-		t.Errorf("refused trials took the part to %v of %v", r, sound)
+		t.Errorf("refused probes took the part to %v of %v", r, sound)
 	}
 }
--- a/policy/silence_test.go
+++ b/policy/silence_test.go
@@ -42,18 +42,18 @@
 				e := s.activeEndpoint(id)
 				k := &call{endpoint: e, sent: now, size: 1}
 				s.now = now
-				s.heardAt = now // notes come
+				s.lastReportReceivedAt = now // notes come
 				s.judge(e, TimedOut, 0, k, time.Second)
 				now += time.Millisecond
 			}
-			for _, a := range s.out {
+			for _, a := range s.actions {
 				if t, ok := a.(Tell); ok && t.News == Down {
 					told = append(told, t.Tag)
 				}
 			}
 			for id := EndpointID(1); id <= 3; id++ {
 				want := slices.Contains(c.out, id)
-				if out := s.activeEndpoint(id).out; out != want || slices.Contains(told, terms.TagOf(id)) != want {
+				if out := s.activeEndpoint(id).down; out != want || slices.Contains(told, terms.TagOf(id)) != want {
 					t.Errorf("endpoint %d: out %v, told %v, want %v", id, out, slices.Contains(told, terms.TagOf(id)), want)
 				}
 			}
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,17 +23,17 @@
 
 // Sender decides for one node. It is not safe for concurrent use.
 type Sender struct {
-	set   Settings
-	rng   *rand.Rand
-	now   Time
-	out   []Action
-	armed Time // the earliest wake that was asked for, or 0
-
-	endpoints index.Tags[Tag, *endpoint]
-	dests     map[int]*destination
-	mentions  uint64 // destinations mentioned so far
-	messages  map[MessageID]*message
-	keys      index.KeyQueues[*message] // of those whose key keeps them in order
+	set     Settings
+	rng     *rand.Rand
+	now     Time
+	actions []Action
+	armed   Time // the earliest wake that was asked for, or 0
+
+	endpoints    index.Tags[Tag, *endpoint]
+	destinations map[int]*destination
+	mentions     uint64 // destinations mentioned so far
+	messages     map[MessageID]*message
+	keys         index.KeyQueues[*message] // of those whose key keeps them in order
 
 	// What a step walks, so that it costs nothing for what is merely configured.
 	queued   index.Ordered[*destination] // with messages in their queues, in order of first mention
@@ -42,13 +42,16 @@
 	unlisted index.Expiry[*destination]  // without endpoints, by when they may be evicted
 	backlogs index.Pool[backlog]
 
-	worths   []estimate.Worth     // by class
-	arrivals uint64               // messages so far
-	waiting  int                  // those of them in the queues
-	closing  index.Heap[*message] // those that are plain, by when they are not ready any more
-	deadline index.Heap[*message] // those that have not ended, by giveUpAt
-	oblivion index.Heap[*message] // those in the queues whose key is remembered until then
-	hopeless []*message           // those that can't be sent any more; some may have ended
+	values        []estimate.Worth     // by class
+	arrivals      uint64               // messages so far
+	waiting       int                  // those of them in the queues
+	closing       index.Heap[*message] // those that are plain, by when they are not ready any more
+	deadline      index.Heap[*message] // those that have not ended, by giveUpAt
+	dedupExpiry   index.Heap[*message] // those in the queues, by when their key may be forgotten
+	undeliverable []*message           // those that can't be sent any more; some may have ended
+
+	// When the last report of another sender came, and when this one sent its last.
+	lastReportReceivedAt, lastReportSentAt Time
 
 	subscribed  bool // changes to the list come, or the answer is on its way
 	subscribeAt Time // when to ask again
@@ -56,12 +59,11 @@
 	steps           int           // so far
 	started         Time          // the first
 	smallCut        float64       // so many cuts take a slice of one call to one call for all senders
-	usual           float64       // mean latency of calls in seconds
-	heardAt, toldAt Time          // when the last note came, and was told
+	meanLatency     float64       // mean latency of calls in seconds
 	longest         time.Duration // the longest time that a message may wait
-	logsLast        time.Duration // how long the logs of a destination may matter after its last endpoint went
+	logRetention    time.Duration // how long the logs of a destination may matter after its last endpoint went
 	sweepAt         Time          // when to look again for what can be let go of
-	doubts          int           // see doubtful; counted once between sends, which alone change it in a step
+	suspectMessages int           // see countSuspectMessages; counted once between sends
 	inFlight        int           // calls out
 	share           int           // of the slots that each destination has at least, in this step
 	pace            float64       // how much slower than their own estimates all destinations answer of late
@@ -74,20 +76,23 @@
 	settings.Kinds = append(slices.Clone(settings.Kinds), Kind{BundleMax: 1}) // of entries of no kind
 	settings.ZoneFee = append(slices.Clone(settings.ZoneFee), 0)              // of entries of no zone
 	longest := settings.FallWindow
-	var worths []estimate.Worth
+	var values []estimate.Worth
 	for _, c := range settings.Classes {
 		longest = max(longest, c.Deadline)
-		worths = append(worths, estimate.Worth{Aim: c.Aim, Deadline: c.Deadline, Full: c.Worth, Late: c.LateWorth, Halves: settings.HalvesLate})
+		values = append(values, estimate.Worth{Aim: c.Aim, Deadline: c.Deadline, Full: c.Worth,
+			Late: c.LateWorth, Halves: settings.HalvesLate})
 	}
 	return &Sender{
-		longest: longest, worths: worths, set: settings, smallCut: math.Pow(float64(settings.Senders), -1.0/smallCuts),
-		rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), pace: 1, usual: firstLatency.Seconds(),
-		logsLast: time.Duration(settings.Senders) * 2 * wideWindow, dests: map[int]*destination{},
+		longest: longest, values: values, set: settings,
+		smallCut: math.Pow(float64(settings.Senders), -1.0/smallCuts),
+		rng:      rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), pace: 1,
+		meanLatency:  firstLatency.Seconds(),
+		logRetention: time.Duration(settings.Senders) * 2 * wideWindow, destinations: map[int]*destination{},
 		backlogs: index.Pool[backlog]{Most: mostSpare}, messages: map[MessageID]*message{},
 	}
 }
 
-// uncounted says that nobody has asked for the number of doubtful messages since the last send.
+// uncounted says that nobody has asked for the number of suspect messages since the last send.
 const uncounted = -1
 
 // call is one call that is out: one message, or a bundle with one fate.
@@ -101,35 +106,35 @@
 
 // endpoint is one address of a destination.
 type endpoint struct {
-	id    EndpointID
-	path  *path
-	older *endpoint // see Link
-	told  Time      // when it was told to be draining or gone
-	zone  int32
-	state EndpointState
+	id             EndpointID
+	path           *path
+	older          *endpoint // see Link
+	stateChangedAt Time      // when it was listed as draining or gone
+	zone           int32
+	state          EndpointState
 
 	*health // nil while its destination is idle
 }
 
 // health is what the calls to an endpoint have told of it.
 type health struct {
-	calls            []*call // out, oldest first
-	lastSent, lastOK Time
-	score            float64      // failure score
-	suspect          bool         // its last outcome was a failure
-	out              bool         // an outage is on
-	lead             bool         // this sender told the others of it
-	broken           bool         // an error, a refusal or no connection came since its last success
-	warming          bool         // back from an outage
-	since            Time         // when the outage was noticed
-	timeouts         int          // time-outs in a row
-	fullRun          int          // fulls in a row, of calls sent after the one before was heard
-	fullAt           Time         // when the last full was heard
-	warmFrom         Time         // when it was first seen back
-	cold             index.Window // calls, while it may be cold
-	phase            float64      // drawn with each call: how long a stretched window is, about 1
-	troubled         Time         // when it was first seen or heard to fail since it was sound, or 0
-	heat             share.Heat   // what it refuses, where parts of a limit are shared
+	calls                 []*call // out, oldest first
+	lastSent, lastOK      Time
+	score                 float64      // failure score
+	suspect               bool         // its last outcome was a failure
+	down                  bool         // out of service, during an outage
+	probeLeader           bool         // this sender reported the outage to the others
+	broken                bool         // an error, a refusal or no connection came since its last success
+	slowStart             bool         // back from an outage, and may be cold
+	downSince             Time         // when the outage was noticed
+	timeouts              int          // time-outs in a row
+	consecutiveRejections int          // rate-limit rejections in a row, of calls sent after the one before came
+	lastRejectionAt       Time         // when the last rate-limit rejection came
+	slowStartFrom         Time         // when it was first seen back
+	cold                  index.Window // calls, while it may be cold
+	phase                 float64      // drawn with each call: how long a stretched window is, about 1
+	unhealthySince        Time         // when it was first seen or reported to fail since it was healthy, or 0
+	rejections            share.Heat   // rejection score, where parts of a limit are shared
 }
 
 // path is what shares one limit: a destination, or a route where routes are apart.
@@ -151,7 +156,7 @@
 type traffic struct {
 	kind     Kind
 	fee      float64
-	jams     estimate.Doubling // fulls that were told or heard of, and the span for which the logs closed then
+	jams     estimate.Doubling // rejections that were reported, and the span for which the logs closed then
 	inFlight int               // calls out
 
 	narrow, wide index.Window
@@ -159,16 +164,16 @@
 	part         *share.Part   // of a limit that many senders share, or that this one holds, or nil
 	phase        float64       // drawn with each call: how long a stretched window is, about 1
 	slice        float64       // calls in a narrow window; infinite while unbound
-	beforeRun    float64       // the slice before the fulls in a row of late, or 0
+	beforeRun    float64       // the slice before the rejections in a row of late, or 0
 	listed       float64       // listed part of this sender in calls a second, or 0
 	sureRate     float64       // the least that listed may mean
-	closedUntil  Time          // told wait or pause
-	nextTrial    Time          // during an outage
+	closedUntil  Time          // given wait or pause
+	nextProbe    Time          // during an outage
 	unanswered   int           // time-outs since its last success
 	latency      estimate.Latency
 }
 
-// destination is one destination. It is idle until the first message, note or record of it comes.
+// destination is one destination. It is idle until the first message, report or record of it comes.
 type destination struct {
 	number int
 	order  uint64 // of first mention
@@ -182,27 +187,27 @@
 type backlog struct {
 	inFlight int                   // calls out
 	queue    index.Queue[*message] // held; plain are those that nothing but their age tells apart
-	owed     int                   // messages that are not forgotten
+	pending  int                   // messages that are not forgotten
 
 	// What may come next of its messages in this step, the first before all others; see pickOf.
-	rankedAt int // a step
-	ranked   []pick
-	worst    pick // see makeRoom
+	rankedAt      int // a step
+	ranked        []pick
+	shedCandidate pick // see makeRoom
 }
 
 // message is one message from its arrival until it has ended and no attempt at it is out.
 type message struct {
-	id       MessageID
-	held     index.Entry[*message] // in the queue
-	due      index.Item[*message]
-	forget   index.Item[*message]
-	closes   index.Item[*message]
-	class    *Class
-	worth    *estimate.Worth
-	dest     *destination
-	born     Time // when it was first handed in
-	giveUpAt Time
-	key      *index.KeyQueue[*message] // nil for one without
+	id        MessageID
+	held      index.Entry[*message] // in the queue
+	due       index.Item[*message]
+	forget    index.Item[*message]
+	closes    index.Item[*message]
+	class     *Class
+	value     *estimate.Worth
+	dest      *destination
+	createdAt Time // when it was first handed in
+	giveUpAt  Time
+	key       *index.KeyQueue[*message] // nil for one without
 
 	attempts  int
 	call      *call // the attempt that is out
@@ -215,14 +220,14 @@
 	failedAt  *endpoint // the endpoint that failed it last
 }
 
-// outSince tells whether all endpoints of a path are out, and from when.
-func (p *path) outSince() (from Time, any bool) {
+// downSince tells whether all endpoints of a path are down, and from when.
+func (p *path) downSince() (from Time, any bool) {
 	for _, e := range p.endpoints {
-		if e.state == Ready && !e.out {
+		if e.state == Ready && !e.down {
 			return 0, false
 		}
 		if e.state == Ready {
-			from, any = max(from, e.since), true
+			from, any = max(from, e.downSince), true
 		}
 	}
 	return from, any
@@ -250,16 +255,16 @@
 	s.waiting++
 	switch {
 	case m.attempts >= s.set.MaxAttempts || m.ran && m.class.Repeat == AtMostOnce:
-		s.hopeless = append(s.hopeless, m)
+		s.undeliverable = append(s.undeliverable, m)
 	case m.ran && m.class.Repeat == Deduplicated:
-		s.oblivion.Set(&m.forget, int64(m.ranAt+m.class.Window))
+		s.dedupExpiry.Set(&m.forget, int64(m.ranAt+m.class.Window))
 	}
 }
 
 func (s *Sender) dequeue(m *message) {
 	if m.dest.queue.Remove(&m.held) {
 		s.waiting--
-		s.oblivion.Remove(&m.forget)
+		s.dedupExpiry.Remove(&m.forget)
 		if m.dest.queue.Len() == 0 {
 			s.queued.Remove(m.dest.order)
 		}
@@ -273,34 +278,34 @@
 	if len(e.calls) == 0 {
 		s.calling.Remove(uint64(e.id))
 	}
-	s.count(e.path, -1)
+	s.countCalls(e.path, -1)
 }
 
-// count keeps the calls out.
-func (s *Sender) count(p *path, n int) {
+// countCalls keeps the number of calls out.
+func (s *Sender) countCalls(p *path, n int) {
 	s.inFlight, p.inFlight, p.dest.inFlight = s.inFlight+n, p.inFlight+n, p.dest.inFlight+n
 }
 
-// counted takes a note that all hear at once as a call, for a time that differs.
-func (s *Sender) counted(e *endpoint) {
+// countReportAsCall takes a report that all receive at once as a call, for a time that differs.
+func (s *Sender) countReportAsCall(e *endpoint) {
 	e.phase = s.rng.Float64()
 	e.cold.Only(s.now)
 }
 
-// sick tells that an endpoint refuses calls by itself: another behind the same limit takes them.
-func (s *Sender) sick(e *endpoint) bool {
-	coolest := math.Inf(1)
+// rejecting tells that an endpoint refuses calls by itself: another behind the same limit takes them.
+func (s *Sender) rejecting(e *endpoint) bool {
+	least := math.Inf(1)
 	for _, o := range e.path.endpoints {
-		if o != e && o.state == Ready && !o.out {
-			coolest = min(coolest, o.heat.Now(s.now))
+		if o != e && o.state == Ready && !o.down {
+			least = min(least, o.rejections.Now(s.now))
 		}
 	}
-	return e.path.part != nil && e.heat.Sick(s.now, coolest)
+	return e.path.part != nil && e.rejections.Sick(s.now, least)
 }
 
-// refused takes in that an endpoint refused a call, of this sender or of one that told so.
-func (s *Sender) refused(e *endpoint, alone bool) {
-	if e.heat.Refused(s.now); !e.out && !s.sick(e) { // an outage's tell nothing of the limit
+// recordRejection takes in that an endpoint refused a call, of this sender or of one that reported so.
+func (s *Sender) recordRejection(e *endpoint, alone bool) {
+	if e.rejections.Refused(s.now); !e.down && !s.rejecting(e) { // an outage's tell nothing of the limit
 		e.path.part.Refused(s.now, alone)
 	}
 }
@@ -313,12 +318,12 @@
 }
 
 func (s *Sender) destination(n int) *destination {
-	d := s.dests[n]
+	d := s.destinations[n]
 	if d == nil {
 		d = &destination{number: n, order: s.mentions}
 		s.mentions++
-		s.dests[n] = d
-		s.unlisted.Set(d, s.now+s.logsLast)
+		s.destinations[n] = d
+		s.unlisted.Set(d, s.now+s.logRetention)
 	}
 	return d
 }
@@ -360,7 +365,7 @@
 func (s *Sender) forget(m *message) {
 	delete(s.messages, m.id)
 	s.keys.Remove(m.key, m, s.now)
-	if m.dest.owed--; m.dest.owed == 0 {
+	if m.dest.pending--; m.dest.pending == 0 {
 		clear(m.dest.ranked)
 		s.backlogs.Put(m.dest.backlog)
 		m.dest.backlog = nil
@@ -377,7 +382,7 @@
 		}
 		if e != nil {
 			s.setState(e, entry.State)
-			s.hold(e.path, entry)
+			s.applyLimit(e.path, entry)
 		}
 	}
 	if !l.Whole {
@@ -392,8 +397,8 @@
 
 // evict forgets endpoints that are gone. Each is kept while a call is out to it, and for the longest time
 // that a message may wait: until then a new endpoint beside it may be the cold replacement of one that was
-// out. With the last endpoint of a route apart goes its path; a shared path stays with its destination, which
-// goes when it has had no endpoint and no message for as long again as its logs may look back.
+// down. With the last endpoint of a route apart goes its path; a shared path stays with its destination,
+// which goes when it has had no endpoint and no message for as long again as its logs may look back.
 func (s *Sender) evict() {
 	if s.now < s.sweepAt {
 		return
@@ -402,7 +407,7 @@
 	s.gone.PopUntil(s.now, s.evictEndpoint)
 	s.unlisted.PopUntil(s.now, func(d *destination) {
 		if d.backlog == nil {
-			delete(s.dests, d.number)
+			delete(s.destinations, d.number)
 			return
 		}
 		s.unlisted.Set(d, s.now+1) // for the next sweep
@@ -425,16 +430,16 @@
 		d.paths = slices.DeleteFunc(d.paths, func(o *path) bool { return o == p })
 	}
 	if !slices.ContainsFunc(d.paths, func(p *path) bool { return len(p.endpoints) > 0 }) {
-		s.unlisted.Set(d, s.now+s.logsLast)
+		s.unlisted.Set(d, s.now+s.logRetention)
 	}
 }
 
 func (s *Sender) setState(e *endpoint, state EndpointState) {
 	if state == Ready || e.state == Ready {
-		e.told = s.now
+		e.stateChangedAt = s.now
 	}
 	if e.state = state; state == Gone {
-		s.gone.Set(e, e.told+s.longest)
+		s.gone.Set(e, e.stateChangedAt+s.longest)
 	} else {
 		s.gone.Remove(e)
 	}
@@ -443,20 +448,20 @@
 
 func (s *Sender) arrived(a Arrived) {
 	class := &s.set.Classes[a.Class]
-	m := &message{id: a.Message, class: class, worth: &s.worths[a.Class], dest: s.destination(a.Destination),
-		born: min(s.now, a.GiveUpAt-class.Deadline), giveUpAt: a.GiveUpAt,
+	m := &message{id: a.Message, class: class, value: &s.values[a.Class], dest: s.destination(a.Destination),
+		createdAt: min(s.now, a.GiveUpAt-class.Deadline), giveUpAt: a.GiveUpAt,
 		attempts: a.Past.Attempts, ran: a.Past.MayRun, settled: a.Past.MayRun,
 		ranAt: a.Past.RanAt, ranZone: int32(a.Past.RanZone)}
 	s.arrivals++
 	m.due.Value, m.forget.Value, m.closes.Value = m, m, m
-	m.held = index.Entry[*message]{Value: m, Class: a.Class, Born: int64(m.born), Number: s.arrivals}
+	m.held = index.Entry[*message]{Value: m, Class: a.Class, Born: int64(m.createdAt), Number: s.arrivals}
 	s.messages[m.id] = m
 	s.activate(m.dest)
 	if m.dest.backlog == nil {
 		m.dest.backlog = s.backlogs.Get()
 		m.dest.rankedAt = 0
 	}
-	m.dest.owed++
+	m.dest.pending++
 	s.deadline.Set(&m.due, int64(m.giveUpAt))
 	if class.Ordered && a.Key != 0 {
 		m.key = s.keys.Add(a.Key, m)
@@ -482,13 +487,13 @@
 	s.unlisted.Remove(d)
 	if d.active {
 		e.health = &health{phase: 1}
-		s.joined(e)
+		s.inheritOutage(e)
 	}
 	return e
 }
 
-// warmth is the share of its capacity that a destination has again, at least.
-func (s *Sender) warmth(from Time) float64 {
+// warmUpFactor is the share of its capacity that a destination has again, at least.
+func (s *Sender) warmUpFactor(from Time) float64 {
 	return estimate.Warmth(s.now-from, s.set.WarmUp, max(0.01, s.set.ColdShare))
 }
 
@@ -497,10 +502,10 @@
 	return 1 - stretchSpread + 2*stretchSpread*s.rng.Float64()
 }
 
-// doubtful counts the messages that are out to endpoints that are out, suspect or stalled.
-func (s *Sender) doubtful() (n int) {
+// countSuspectMessages counts the messages that are out to endpoints that are down, suspect or stalled.
+func (s *Sender) countSuspectMessages() (n int) {
 	for _, e := range s.calling.Values() {
-		if e.out || e.suspect || s.stalled(e) {
+		if e.down || e.suspect || s.stalled(e) {
 			for _, c := range e.calls {
 				n += c.left
 			}
@@ -509,10 +514,10 @@
 	return n
 }
 
-// remembered takes over what an earlier life of the node saw of an endpoint: its calls count for the logs
-// still, and one that failed last is out, or cold if it came back less than a warm-up ago, so that a
-// restored backlog waits for a trial.
-func (s *Sender) remembered(r Remembered) {
+// restoreHealth takes over what an earlier incarnation of the node saw of an endpoint: its calls count for
+// the logs still, and one that failed last is down, or cold if it came back less than a warm-up ago, so that
+// a restored backlog waits for a probe.
+func (s *Sender) restoreHealth(r Remembered) {
 	e := s.endpoint(r.Endpoint)
 	if e == nil {
 		return
@@ -526,20 +531,20 @@
 	switch {
 	case !r.Failed:
 	case !r.Back:
-		e.out, e.suspect, e.broken, e.since, e.score = true, true, true, s.now, outScore
-		e.troubled = cmp.Or(e.troubled, r.FailedAt)
-		p.nextTrial = max(p.nextTrial, s.now+s.trialGap(e))
-	case s.warmth(r.BackAt) < 1:
-		e.warming, e.warmFrom = true, r.BackAt
-		e.troubled = cmp.Or(e.troubled, r.FailedAt)
+		e.down, e.suspect, e.broken, e.downSince, e.score = true, true, true, s.now, downScore
+		e.unhealthySince = cmp.Or(e.unhealthySince, r.FailedAt)
+		p.nextProbe = max(p.nextProbe, s.now+s.probeInterval(e))
+	case s.warmUpFactor(r.BackAt) < 1:
+		e.slowStart, e.slowStartFrom = true, r.BackAt
+		e.unhealthySince = cmp.Or(e.unhealthySince, r.FailedAt)
 		e.cold.Add(r.Sent)
 	}
 }
 
-// returned takes an endpoint out of its outage.
-func (s *Sender) returned(e *endpoint, news News) {
-	e.out = false
+// markUp takes an endpoint out of its outage.
+func (s *Sender) markUp(e *endpoint, news News) {
+	e.down = false
 	if news == BackCold {
-		e.warming, e.warmFrom = true, s.now
+		e.slowStart, e.slowStartFrom = true, s.now
 	}
 }
