--- a/policy/policy.go
+++ b/policy/policy.go
@@ -824,7 +824,8 @@
 		weight = timeoutWeight
 		e.timeouts++
 		p.unanswered++
-		s.actions = append(s.actions, CloseIdle{Endpoint: e.id}) // what was silent may be the connection alone
+		// What was silent may be the connection alone.
+		s.actions = append(s.actions, CloseIdle{Endpoint: e.id})
 	}
 	if weight == 0 {
 		return
