lease: holders are told an assignment once more when what lies behind it changed

Nodes are to learn endpoints and limits of their destinations on the path that their leases take. Grantor.Refresh makes an assignment news for its holders under the same epoch, until they confirm it. The model, the random and the exhaustive plays have it among their actions; the sum of shares stays at 1, and the seeded faults are found still.

--- a/decide/lease/exhaustive_test.go
+++ b/decide/lease/exhaustive_test.go
@@ -29,6 +29,7 @@
 	func(m *model) { m.grantor.SetOwners(m.now, 0, ownerSets[0]) },
 	func(m *model) { m.grantor.SetOwners(m.now, 0, ownerSets[1]) },
 	func(m *model) { m.grantor.SetOwners(m.now, 0, ownerSets[2]) },
+	func(m *model) { m.grantor.Refresh(0) },
 	func(m *model) { m.releaseIf(0) },
 	func(m *model) { m.releaseIf(1) },
 }
--- a/decide/lease/grantor.go
+++ b/decide/lease/grantor.go
@@ -177,6 +177,22 @@
 	g.forgetAllotment(a)
 }
 
+// Refresh says that what holders know of a destination besides their shares has changed: each of them is told its
+// assignment once more, under the same epoch. Shares stay.
+func (g *Grantor) Refresh(destination placement.DestinationID) {
+	a := g.allotments[destination]
+	if a == nil {
+		return
+	}
+	for _, held := range a.grants {
+		if held.gone {
+			continue
+		}
+		held.session.touch(held)
+		g.tell(held.session)
+	}
+}
+
 // forgetAllotment drops an allotment that nobody has a part in.
 func (g *Grantor) forgetAllotment(a *allotment) {
 	if len(a.grants) == 0 && len(a.owners) == 0 && a.cooling == 0 {
--- a/decide/lease/property_test.go
+++ b/decide/lease/property_test.go
@@ -30,9 +30,9 @@
 func (m *model) step(c chooser) {
 	process := m.processes[c.below(len(m.processes), "process")]
 	destination := m.destinations[c.below(len(m.destinations), "destination")]
-	actions := 20
+	actions := 21
 	if m.calm {
-		actions = 16
+		actions = 17
 	}
 	switch c.below(actions, "action") {
 	case 0, 1:
@@ -63,12 +63,14 @@
 	case 15:
 		process.holder.Unfinished(destination)
 	case 16:
-		m.pauseOrWake(process)
+		m.grantor.Refresh(destination)
 	case 17:
-		m.jump(c, process)
+		m.pauseOrWake(process)
 	case 18:
-		m.restartNode(c, process)
+		m.jump(c, process)
 	case 19:
+		m.restartNode(c, process)
+	case 20:
 		if c.below(3, "control") == 0 {
 			m.restartControl(false)
 		}
