--- a/internal/config/assignment.go
+++ b/internal/config/assignment.go
@@ -42,6 +42,22 @@
 	// OwnersKeptFor is how long the owners of other destinations are kept, and OwnersMax of how many.
 	OwnersKeptFor Duration `toml:"owners_kept_for"`
 	OwnersMax     int      `toml:"owners_max"`
+	// Destinations says where the node has endpoints and limits of destinations from: "file" is its own file,
+	// "control" the control process, which tells it those of the destinations that it has a part in.
+	Destinations string `toml:"destinations"`
+	// Buildings are those that endpoints may be in, where the control process tells them.
+	Buildings []string `toml:"buildings"`
+}
+
+// The values of Assignment.Destinations.
+const (
+	destinationsFromFile    = "file"
+	destinationsFromControl = "control"
+)
+
+// Distributed says that destinations come from the control process.
+func (a *Assignment) Distributed() bool {
+	return a != nil && a.Destinations == destinationsFromControl
 }
 
 // defaults fills in what the section leaves out. A nil section stays off.
@@ -53,6 +69,7 @@
 	a.RegionShare = cmp.Or(a.RegionShare, 1)
 	a.OwnersKeptFor = cmp.Or(a.OwnersKeptFor, Duration(control.DefaultLocateFor))
 	a.OwnersMax = cmp.Or(a.OwnersMax, control.DefaultLocateMax)
+	a.Destinations = cmp.Or(a.Destinations, destinationsFromFile)
 }
 
 // check tells what is wrong with the section of a file.
@@ -80,6 +97,7 @@
 	if a.OwnersMax < 1 || a.OwnersMax > maxOwnersKept {
 		bad("assignment.owners_max", "%d is not between 1 and %d", a.OwnersMax, maxOwnersKept)
 	}
+	a.checkDistribution(f, bad)
 	if len(f.Name) > lease.MaxNameLength {
 		bad("name", "it has %d bytes, %d at most with [assignment]", len(f.Name), lease.MaxNameLength)
 	}
@@ -91,6 +109,32 @@
 	}
 }
 
+// checkDistribution tells what is wrong with where destinations come from.
+func (a *Assignment) checkDistribution(f *File, bad func(where, format string, args ...any)) {
+	switch a.Destinations {
+	case destinationsFromFile:
+		if len(a.Buildings) > 0 {
+			bad("assignment.buildings", "only with destinations = %q", destinationsFromControl)
+		}
+	case destinationsFromControl:
+		if len(f.Destinations) > 0 {
+			bad("destination", "there are %d, and assignment.destinations says that they come from the control process", len(f.Destinations))
+		}
+		if len(a.Buildings) == 0 {
+			bad("assignment.buildings", "is missing")
+		}
+	default:
+		bad("assignment.destinations", "%q is neither %q nor %q", a.Destinations, destinationsFromFile, destinationsFromControl)
+	}
+	seen := map[string]bool{}
+	for i, building := range a.Buildings {
+		if building == "" || seen[building] {
+			bad(fmt.Sprintf("assignment.buildings[%d]", i), "%q is empty, or there twice", building)
+		}
+		seen[building] = true
+	}
+}
+
 func validAddress(address string) bool {
 	_, port, err := net.SplitHostPort(address)
 	return err == nil && port != ""
--- a/internal/config/assignment_test.go
+++ b/internal/config/assignment_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wingmount/internal/control"
+	"wingmount/policy"
 )
 
 // An installation with [assignment], up to its lines.
@@ -66,8 +67,13 @@
 		`region_share = -0.5`:    "assignment.region_share: -0.5 is not above 0 and up to 1",
 		`owners_kept_for = "1h"`: "assignment.owners_kept_for",
 		`owners_max = -1`:        "assignment.owners_max: -1 is not between 1 and 1048576",
-		`region = "north"`:       "line 7, column 1: unknown key assignment.region",
-		"control = [\"h:1\"]\n[limits]\nnodes = 2": "limits.nodes: 2: with [assignment]",
+		`destinations = "moon"`:  `assignment.destinations: "moon" is neither "file" nor "control"`,
+		`buildings = ["b"]`:      `assignment.buildings: only with destinations = "control"`,
+		"destinations = \"control\"\nbuildings = [\"b\"]":        "destination: there are 1, and assignment.destinations says",
+		"destinations = \"control\"":                             "assignment.buildings: is missing",
+		"destinations = \"control\"\nbuildings = [\"b\", \"b\"]": `assignment.buildings[1]: "b" is empty, or there twice`,
+		`region = "north"`:                                       "line 7, column 1: unknown key assignment.region",
+		"control = [\"h:1\"]\n[limits]\nnodes = 2":               "limits.nodes: 2: with [assignment]",
 	} {
 		if _, err := Parse([]byte(assigned + lines + assignedRest)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, want %q", lines, err, want)
@@ -79,6 +85,27 @@
 	}
 }
 
+// A node that has its destinations from the control process is ready for any kind of them, in its buildings.
+func TestDistributedDestinations(t *testing.T) {
+	rest, _, _ := strings.Cut(assignedRest, "[[destination]]")
+	f, err := Parse([]byte(assigned + "control = [\"h:1\"]\ndestinations = \"control\"\nbuildings = [\"b\", \"annex\"]\n" + rest))
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings, words := f.Settings(f.ClassNames(), f.ZoneNames())
+	if len(settings.Kinds) != 2*control.MaxBundle || settings.Listing != policy.RateRough || len(settings.ZoneFee) != 2 {
+		t.Errorf("%d kinds, listing %v, %d zones", len(settings.Kinds), settings.Listing, len(settings.ZoneFee))
+	}
+	record := control.Record{RoutesApart: true, Bundle: 7}
+	kind := settings.Kinds[words.Kinds[record.Kind()]]
+	if !kind.RoutesApart || kind.BundleMax != 7 || words.Zones["annex"] != 1 {
+		t.Errorf("kind %+v, words %v", kind, words.Zones)
+	}
+	if members := f.List().Members; len(members) != 0 {
+		t.Errorf("the file lists %v", members)
+	}
+}
+
 func TestControl(t *testing.T) {
 	c, err := ParseControl([]byte("listen = \"127.0.0.1:7950\"\nworld = \"w\"\nstate = \"s\""))
 	if err != nil {
@@ -120,7 +147,8 @@
 	if _, err := control.LoadWorld("../../deploy/world.toml"); err != nil {
 		t.Error(err)
 	}
-	for _, key := range []string{"listen", "world", "state", "lease", "max_drift", "max_sessions", "load_bound", "debounce", "gather", "slack", "window", "restart_grace"} {
+	for _, key := range []string{"listen", "world", "state", "lease", "max_drift", "max_sessions", "load_bound", "debounce", "gather", "slack", "window", "restart_grace",
+		"#   control", "#   state", "#   region_share", "#   owners_kept_for", "#   owners_max", "#   destinations", "#   buildings"} {
 		if !strings.Contains(string(text), "\n"+key+" = ") {
 			t.Errorf("deploy/assignment.toml has no %s", key)
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"wingmount/internal/control"
 	"wingmount/internal/directory"
 	"wingmount/internal/gossip"
 	"wingmount/policy"
@@ -361,7 +362,7 @@
 			bad(where+".rest", "only an ordered class has one")
 		}
 	}
-	if len(f.Destinations) == 0 {
+	if len(f.Destinations) == 0 && !f.Assignment.Distributed() {
 		bad("destination", "there is none")
 	}
 	numbers, names := map[int]bool{}, map[string]string{}
@@ -372,7 +373,7 @@
 			bad(where+".number", "there are two with %d", d.Number)
 		}
 		numbers[d.Number] = true
-		within(where+".bundle", d.Bundle, 1, 100)
+		within(where+".bundle", d.Bundle, 1, control.MaxBundle)
 		if d.Rate < 0 {
 			bad(where+".rate", "is negative")
 		}
@@ -413,6 +414,9 @@
 // ZoneNames: see ClassNames.
 func (f *File) ZoneNames() []string {
 	var names []string
+	if f.Assignment.Distributed() {
+		names = append(names, f.Assignment.Buildings...)
+	}
 	for _, d := range f.Destinations {
 		for _, e := range d.Endpoints {
 			if !slices.Contains(names, e.Building) {
@@ -445,15 +449,25 @@
 			Worth: *c.Worth, LateWorth: c.LateWorth}
 		s.TurnGap = max(s.TurnGap, time.Duration(c.Rest))
 	}
-	for _, d := range f.Destinations {
-		if k := d.kind(); !has(w.Kinds, k) {
+	addKind := func(routesApart bool, bundle int) {
+		if k := control.KindName(routesApart, bundle); !has(w.Kinds, k) {
 			w.Kinds[k] = len(s.Kinds)
-			s.Kinds = append(s.Kinds, policy.Kind{RoutesApart: d.RoutesApart, BundleMax: d.Bundle})
+			s.Kinds = append(s.Kinds, policy.Kind{RoutesApart: routesApart, BundleMax: bundle})
 		}
+	}
+	for _, d := range f.Destinations {
+		addKind(d.RoutesApart, d.Bundle)
 		if d.Rate > 0 {
 			s.Listing = policy.RateRough
 		}
 	}
+	if f.Assignment.Distributed() { // a destination of any kind may come
+		s.Listing = policy.RateRough
+		for bundle := 1; bundle <= control.MaxBundle; bundle++ {
+			addKind(false, bundle)
+			addKind(true, bundle)
+		}
+	}
 	for _, name := range f.ZoneNames() {
 		w.Zones[name] = slices.Index(zones, name)
 	}
@@ -467,7 +481,7 @@
 }
 
 // kind names what the settings say of a destination's kind.
-func (d Destination) kind() string { return fmt.Sprintf("apart=%v bundle=%d", d.RoutesApart, d.Bundle) }
+func (d Destination) kind() string { return control.KindName(d.RoutesApart, d.Bundle) }
 
 // List is the whole list of endpoints in the file.
 func (f *File) List() directory.List {
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -25,7 +25,10 @@
 	StateFile string
 	// Apply puts changed assignments in force. Calls come one at a time and in order. Once Apply returns the node
 	// keeps to them, and the agent confirms them; so it must not wait long. It may call the agent.
-	Apply func(lease.Update)
+	Apply func(Update)
+	// Records says that the node lists no destinations of its own: the control process tells it what it needs to know
+	// of those that are assigned to it.
+	Records bool
 	// LeaseChanged tells that the lease began, or that it has ended; InForce says so without delay. Calls come
 	// one at a time, and not while Apply runs. What the lease begins with is applied before.
 	LeaseChanged func(inForce bool)
@@ -61,7 +64,7 @@
 
 func (c AgentConfig) withDefaults() AgentConfig {
 	if c.Apply == nil {
-		c.Apply = func(lease.Update) {}
+		c.Apply = func(Update) {}
 	}
 	if c.LeaseChanged == nil {
 		c.LeaseChanged = func(bool) {}
@@ -84,6 +87,14 @@
 	return c
 }
 
+// Update is what a reply of a control process changed.
+type Update struct {
+	lease.Update
+	// Records are those of assigned destinations which have changed, or may have: see AgentConfig.Records. Of one
+	// that is not among them nothing has changed.
+	Records []Record
+}
+
 // Agent keeps a node's lease and its part. Its methods may be called from any goroutine.
 type Agent struct {
 	config  AgentConfig
@@ -224,7 +235,7 @@
 	if wait > 0 {
 		a.begin(cancel)
 	}
-	reply, err := a.client.renew(ctx, request, wait)
+	reply, err := a.client.renew(ctx, renewal{Request: request, Records: a.config.Records}, wait)
 	a.finish()
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return nil // for something to report, or since Run ends
@@ -276,14 +287,16 @@
 }
 
 // receive takes in a reply.
-func (a *Agent) receive(reply lease.Reply) error {
+func (a *Agent) receive(reply renewed) error {
 	a.callbacks.Lock()
 	defer a.callbacks.Unlock()
 	a.mu.Lock()
 	heard := a.holder.Heard()
-	update, err := a.holder.Receive(a.clock.now(), reply)
+	update, err := a.holder.Receive(a.clock.now(), reply.Reply)
+	var records []Record
 	if err == nil {
 		a.duration = reply.Duration
+		records = a.usable(reply.Records)
 	}
 	newer := a.holder.Heard() > heard
 	a.mu.Unlock()
@@ -299,12 +312,29 @@
 	if err != nil {
 		return err
 	}
-	if update.Complete || len(update.Assignments) > 0 {
-		a.config.Apply(update)
+	if update.Complete || len(update.Assignments) > 0 || len(records) > 0 {
+		a.config.Apply(Update{Update: update, Records: records})
 	}
 	return nil
 }
 
+// usable are the records of a reply that can be put in force. Of a destination whose record is not valid what was
+// known before goes on. The caller has the lock.
+func (a *Agent) usable(records []Record) []Record {
+	usable := make([]Record, 0, len(records))
+	for _, record := range records {
+		if _, assigned := a.holder.Assignment(record.Destination); !assigned {
+			continue
+		}
+		if err := record.Check(); err != nil {
+			a.config.Log.Error("control: a record stays as it was", "node", a.config.Node, "err", err)
+			continue
+		}
+		usable = append(usable, record)
+	}
+	return usable
+}
+
 // keep puts the highest incarnation heard on disk.
 func (a *Agent) keep(incarnation lease.Incarnation) {
 	a.state.Incarnation = incarnation
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -20,7 +20,7 @@
 
 // Bounds of what a client reads.
 const (
-	maxReply       = 64 << 20
+	maxReply       = 128 << 20
 	maxOwnersReply = 64 << 10
 	maxFailure     = 4 << 10
 	dialTimeout    = time.Second
@@ -45,6 +45,8 @@
 	ErrOversized = errors.New("the answer is too long")
 	// ErrUnreadable says that an answer can't be read.
 	ErrUnreadable = errors.New("the answer can't be read")
+	// ErrUnknownDestination says that the world has no such destination.
+	ErrUnknownDestination = errors.New("there is no such destination")
 	// ErrLookups says that too many owners are looked up at once.
 	ErrLookups = errors.New("too many lookups of owners at once")
 )
@@ -90,16 +92,16 @@
 func (c *client) address() string { return c.addresses[int(c.at.Load())%len(c.addresses)] }
 
 // renew sends a request and reads the reply.
-func (c *client) renew(ctx context.Context, request lease.Request, wait time.Duration) (lease.Reply, error) {
+func (c *client) renew(ctx context.Context, request renewal, wait time.Duration) (renewed, error) {
 	query := url.Values{"wait": {strconv.FormatInt(wait.Milliseconds(), 10)}}
-	var reply lease.Reply
+	var reply renewed
 	err := c.post(ctx, pathRenew, query, request, &reply)
 	return reply, err
 }
 
 // leave tells that a process uses no share any more.
 func (c *client) leave(ctx context.Context, request lease.Request) error {
-	return c.post(ctx, pathRenew, nil, request, nil)
+	return c.post(ctx, pathRenew, nil, renewal{Request: request}, nil)
 }
 
 // owners looks up the owners of a destination.
@@ -118,6 +120,9 @@
 	if err == nil && owners.Destination != destination {
 		err = fmt.Errorf("%w: it is for destination %d", ErrUnreadable, owners.Destination)
 	}
+	if err == nil && owners.Unknown {
+		err = ErrUnknownDestination
+	}
 	return owners, err
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"path/filepath"
@@ -89,17 +90,21 @@
 	*Agent
 	*running
 	mu      sync.Mutex
-	updates []lease.Update
+	updates []Update
 	leased  []bool
+	records map[placement.DestinationID]Record // the latest ones
 }
 
 func startNode(t *testing.T, config AgentConfig) *testNode {
 	t.Helper()
-	n := &testNode{}
-	config.Apply = func(update lease.Update) {
+	n := &testNode{records: map[placement.DestinationID]Record{}}
+	config.Apply = func(update Update) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.updates = append(n.updates, update)
+		for _, record := range update.Records {
+			n.records[record.Destination] = record
+		}
 	}
 	config.LeaseChanged = func(inForce bool) {
 		n.mu.Lock()
@@ -435,7 +440,7 @@
 			}
 		}
 	}
-	if owners, err := nodes[0].Locate(t.Context(), 4711); err != nil || len(owners) != 0 {
+	if owners, err := nodes[0].Locate(t.Context(), 4711); !errors.Is(err, ErrUnknownDestination) || len(owners) != 0 {
 		t.Fatalf("an unknown destination: %v, %v", owners, err)
 	}
 }
--- a/internal/control/fuzz_test.go
+++ b/internal/control/fuzz_test.go
@@ -36,9 +36,9 @@
 				continue
 			}
 			now := time.Duration(i) * time.Second
-			session, err := grantor.Receive(now, request)
+			session, err := grantor.Receive(now, request.Request)
 			if err == nil && session != 0 {
-				_, _ = grantor.Answer(now, session, request)
+				_, _ = grantor.Answer(now, session, request.Request)
 			}
 		}
 		for _, destination := range []placement.DestinationID{1, 4} {
@@ -51,8 +51,9 @@
 }
 
 func FuzzReply(f *testing.F) {
-	reply := lease.Reply{Incarnation: 1, Session: 1<<40 + 1, Sequence: 1, Duration: time.Second, Version: 2, Complete: true,
-		Assignments: []lease.Assignment{{Destination: 1, Epoch: 1<<40 + 1, Share: 0.5, Accepting: true}}}
+	reply := renewed{Reply: lease.Reply{Incarnation: 1, Session: 1<<40 + 1, Sequence: 1, Duration: time.Second, Version: 2, Complete: true,
+		Assignments: []lease.Assignment{{Destination: 1, Epoch: 1<<40 + 1, Share: 0.5, Accepting: true}}},
+		Records: []Record{testRecord(1)}}
 	text, err := json.Marshal(reply)
 	if err != nil {
 		f.Fatal(err)
@@ -60,13 +61,19 @@
 	f.Add(text)
 	f.Add([]byte(`{"incarnation":1,"sequence":1,"claims_wanted":true}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		holder := lease.NewHolder(lease.HolderConfig{Node: "n1", Process: 1})
-		holder.Renew(0)
-		var reply lease.Reply
+		var reply renewed
 		if readAnswer(bytes.NewReader(text), maxReply, &reply) != nil {
 			return
 		}
-		_, err := holder.Receive(time.Millisecond, reply)
+		agent := &Agent{config: AgentConfig{Node: "n1"}.withDefaults(), holder: lease.NewHolder(lease.HolderConfig{Node: "n1", Process: 1})}
+		holder := agent.holder
+		holder.Renew(0)
+		_, err := holder.Receive(time.Millisecond, reply.Reply)
+		for _, record := range agent.usable(reply.Records) {
+			if record.Check() != nil {
+				t.Fatalf("a record that is not valid is used: %+v", record)
+			}
+		}
 		if err != nil && (holder.InForce(time.Millisecond) || holder.Len() > 0) {
 			t.Fatalf("%v, and there is a part", err)
 		}
--- a/internal/control/hard_test.go
+++ b/internal/control/hard_test.go
@@ -259,12 +259,12 @@
 	startNodes(t, server, "n1", "n2")
 	eventually(t, "two have a session", func() bool { return server.sessions() == 2 })
 	c := newClient([]string{server.Addr()}, transport(t))
-	_, err := c.renew(t.Context(), lease.Request{Node: "n3", Process: 1, Sequence: 1}, 0)
+	_, err := c.renew(t.Context(), renewal{Request: lease.Request{Node: "n3", Process: 1, Sequence: 1}}, 0)
 	var refused *ReplyError
 	if !errors.As(err, &refused) || refused.Status != http.StatusServiceUnavailable || refused.Code != codeFull {
 		t.Fatal(err)
 	}
-	_, err = c.renew(t.Context(), lease.Request{Node: "nobody", Process: 1, Sequence: 1}, 0)
+	_, err = c.renew(t.Context(), renewal{Request: lease.Request{Node: "nobody", Process: 1, Sequence: 1}}, 0)
 	if !errors.As(err, &refused) || refused.Code != codeUnknown {
 		t.Fatal(err)
 	}
--- a/internal/control/http.go
+++ b/internal/control/http.go
@@ -16,7 +16,7 @@
 
 // The paths of the control process.
 const (
-	pathRenew   = "/v1/assignment/renew"   // POST: a lease.Request; answers with a lease.Reply
+	pathRenew   = "/v1/assignment/renew"   // POST: a renewal; answers with a renewed
 	pathOwners  = "/v1/assignment/owners"  // GET ?destination=NUMBER: the owners and their addresses
 	pathState   = "/v1/assignment/state"   // GET: a State
 	pathExplain = "/v1/assignment/explain" // GET ?destination=NUMBER or NAME: an Explanation
@@ -46,6 +46,7 @@
 	codeSuperseded = "superseded"
 	codeStale      = "stale"
 	codeFull       = "full"
+	codeNoRecords  = "no_records"
 	codeFailed     = "failed"
 )
 
@@ -55,6 +56,23 @@
 	Error string `json:"error"`
 }
 
+// renewal is the body of a poll.
+type renewal struct {
+	lease.Request
+	// Records asks for the records of the destinations that the reply has.
+	Records bool `json:"records,omitempty"`
+}
+
+// renewed is the answer to a poll.
+type renewed struct {
+	lease.Reply
+	// Records are those of the destinations that the reply assigns, where the poll asks for them.
+	Records []Record `json:"records,omitempty"`
+}
+
+// ErrNoRecords says that a node asks for the records of its destinations, and the world has none.
+var ErrNoRecords = errors.New("the world has no endpoints of destinations, and the node has none of its own")
+
 // handler serves the paths. Polls end with the context.
 func (s *Server) handler(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
@@ -82,7 +100,7 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(wait + writeTimeout))
 	id, news, err := s.receive(request)
 	if errors.Is(err, lease.ErrClaimsWanted) {
-		answer(w, lease.Reply{Incarnation: s.grantor.Incarnation(), Sequence: request.Sequence, ClaimsWanted: true})
+		answer(w, renewed{Reply: lease.Reply{Incarnation: s.grantor.Incarnation(), Sequence: request.Sequence, ClaimsWanted: true}})
 		return
 	}
 	if err != nil {
@@ -136,31 +154,31 @@
 var errBusy = errors.New("too many large requests at once")
 
 // readRequest reads the body of a poll.
-func (s *Server) readRequest(w http.ResponseWriter, r *http.Request) (lease.Request, error) {
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request) (renewal, error) {
 	most := int64(maxSmallRequest)
 	if r.ContentLength > maxSmallRequest {
 		select {
 		case s.bodies <- struct{}{}:
 			defer func() { <-s.bodies }()
 		default:
-			return lease.Request{}, errBusy
+			return renewal{}, errBusy
 		}
 		most = maxRequest
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if err != nil {
-		return lease.Request{}, fmt.Errorf("%w: %w", lease.ErrMalformed, err)
+		return renewal{}, fmt.Errorf("%w: %w", lease.ErrMalformed, err)
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return parseRequest(text)
 }
 
 // parseRequest reads the text of a request.
-func parseRequest(text []byte) (lease.Request, error) {
-	var request lease.Request
+func parseRequest(text []byte) (renewal, error) {
+	var request renewal
 	if err := json.Unmarshal(text, &request); err != nil {
-		return lease.Request{}, fmt.Errorf("%w: %w", lease.ErrMalformed, err)
+		return renewal{}, fmt.Errorf("%w: %w", lease.ErrMalformed, err)
 	}
 	return request, nil
 }
@@ -177,6 +195,8 @@
 		return http.StatusConflict, codeSuperseded
 	case errors.Is(err, lease.ErrStaleRequest), errors.Is(err, lease.ErrNoSession):
 		return http.StatusConflict, codeStale
+	case errors.Is(err, ErrNoRecords):
+		return http.StatusConflict, codeNoRecords
 	case errors.Is(err, lease.ErrFull), errors.Is(err, errBusy):
 		return http.StatusServiceUnavailable, codeFull
 	default:
@@ -210,6 +230,8 @@
 type Owners struct {
 	Destination placement.DestinationID `json:"destination"`
 	Owners      []Owner                 `json:"owners"`
+	// Unknown says that the world has no such destination.
+	Unknown bool `json:"unknown,omitempty"`
 }
 
 // Owner is an owner of a destination and its address.
@@ -235,7 +257,7 @@
 	defer s.mu.Unlock()
 	var alive, silent []Owner
 	for _, id := range all {
-		owner := Owner{Node: id, Address: s.nodes[id].Address}
+		owner := Owner{Node: id, Address: s.world.nodes[id].Address}
 		if s.grantor.Alive(id) {
 			alive = append(alive, owner)
 		} else {
@@ -245,7 +267,7 @@
 	if len(alive) == 0 {
 		alive = silent
 	}
-	return Owners{Destination: destination, Owners: alive}
+	return Owners{Destination: destination, Owners: alive, Unknown: !s.world.has(destination)}
 }
 
 // destinationOf is the destination that a request names, by number or name.
@@ -257,7 +279,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if named, ok := s.names[text]; ok {
+	if named, ok := s.world.names[text]; ok {
 		return named, nil
 	}
 	return 0, fmt.Errorf("%w: destination: %q is no number, and no destination's name", lease.ErrMalformed, text)
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -18,8 +19,7 @@
 	s.mu.Lock()
 	now := s.now()
 	s.dirty = false
-	world := s.world
-	input := world.input(func(id placement.NodeID) bool { return s.takesPart(now, id) }, s.draining, s.config.LoadBound)
+	input := s.world.input(func(id placement.NodeID) bool { return s.takesPart(now, id) }, s.draining, s.config.LoadBound)
 	s.awaitReturns(now)
 	previous := s.table.Load()
 	keep := previous
@@ -99,29 +99,29 @@
 	}
 }
 
-// putWorld makes a world the present one. The caller has the lock, or is alone.
-func (s *Server) putWorld(world *World) {
-	s.world = world
-	s.nodes = make(map[placement.NodeID]Node, len(world.Nodes))
-	for _, node := range world.Nodes {
-		s.nodes[placement.NodeID(node.Name)] = node
-	}
-	s.names = make(map[string]placement.DestinationID)
-	for _, destination := range world.Destinations {
-		if destination.Name != "" {
-			s.names[destination.Name] = destination.Number
-		}
-	}
-}
+// ErrRecordsWithdrawn says that a world has no endpoints, while the nodes may live by those of the one before. A control
+// process that is started with such a world takes it.
+var ErrRecordsWithdrawn = errors.New("the world in force has endpoints of destinations, and this one has none")
 
 // SetWorld puts a world in force; where it has an error the one before goes on.
 func (s *Server) SetWorld(world *World) error {
 	if err := world.Check(); err != nil {
 		return err
 	}
+	s.worldChanges.Lock()
+	defer s.worldChanges.Unlock()
+	if s.world.distributing && !world.Distributes() {
+		return ErrRecordsWithdrawn
+	}
+	next := newWorldIndex(world)
+	changed := next.changedRecords(s.world)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.putWorld(world)
+	s.world = next
+	for _, destination := range changed {
+		s.grantor.Refresh(destination)
+	}
+	s.spread()
 	s.markDirty(s.now(), 0)
 	return nil
 }
@@ -139,7 +139,7 @@
 func (s *Server) Drain(id placement.NodeID, draining bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.nodes[id]; !known {
+	if _, known := s.world.nodes[id]; !known {
 		return &NodeError{Node: id}
 	}
 	if s.draining[id] == draining {
@@ -169,12 +169,16 @@
 
 // receive takes in a request. It returns the channel that is closed when there is news, nil where the answer can
 // be given at once.
-func (s *Server) receive(request lease.Request) (lease.SessionID, <-chan struct{}, error) {
+func (s *Server) receive(poll renewal) (lease.SessionID, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.nodes[request.Node]; !known {
+	request := poll.Request
+	if _, known := s.world.nodes[request.Node]; !known {
 		return 0, nil, &NodeError{Node: request.Node}
 	}
+	if poll.Records && !s.world.distributing {
+		return 0, nil, ErrNoRecords
+	}
 	now := s.now()
 	s.advance(now)
 	before := s.grantor.Alive(request.Node)
@@ -212,7 +216,7 @@
 }
 
 // answer renews a session.
-func (s *Server) answer(id lease.SessionID, request lease.Request, news <-chan struct{}) (lease.Reply, error) {
+func (s *Server) answer(id lease.SessionID, poll renewal, news <-chan struct{}) (renewed, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if waiting, ok := s.waiting[id]; ok && waiting == news {
@@ -220,7 +224,25 @@
 	}
 	now := s.now()
 	s.advance(now)
-	return s.grantor.Answer(now, id, request)
+	reply, err := s.grantor.Answer(now, id, poll.Request)
+	if err != nil || !poll.Records {
+		return renewed{Reply: reply}, err
+	}
+	return renewed{Reply: reply, Records: s.records(reply)}, nil
+}
+
+// records are those of the destinations that a reply assigns. The caller has the lock.
+func (s *Server) records(reply lease.Reply) []Record {
+	var records []Record
+	for _, assignment := range reply.Assignments {
+		if assignment.Gone {
+			continue
+		}
+		if record, known := s.world.record(assignment.Destination); known {
+			records = append(records, record)
+		}
+	}
+	return records
 }
 
 // giveUp ends the wait of a poll that nobody answers.
--- /dev/null
+++ b/internal/control/record_test.go
@@ -0,0 +1,353 @@
+package control
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wingmount/decide/lease"
+	"wingmount/decide/placement"
+)
+
+// testRecord is a record of a destination with two endpoints.
+func testRecord(destination placement.DestinationID) Record {
+	record := Record{Destination: destination, Limit: 20, Bundle: 1}
+	for i := range 2 {
+		record.Endpoints = append(record.Endpoints, Endpoint{Name: fmt.Sprintf("e-%d-%d", destination, i),
+			Address: fmt.Sprintf("127.0.0.1:%d", 10_000+i), Building: fmt.Sprintf("b%d", i)})
+	}
+	return record
+}
+
+// recordWorld is testWorld with a record for each destination.
+func recordWorld(nodes, destinations int) *World {
+	world := testWorld(nodes, destinations)
+	for i := range world.Destinations {
+		d := &world.Destinations[i]
+		record := testRecord(d.Number)
+		d.Limit, d.Bundle, d.Endpoints = record.Limit, record.Bundle, record.Endpoints
+	}
+	return world
+}
+
+// startRecordNodes starts agents that ask for records.
+func startRecordNodes(t *testing.T, server *Server, names ...placement.NodeID) []*testNode {
+	t.Helper()
+	var nodes []*testNode
+	for _, name := range names {
+		nodes = append(nodes, startNode(t, AgentConfig{Node: name, Addresses: []string{server.Addr()}, Records: true}))
+	}
+	return nodes
+}
+
+// record is the latest record of a destination that a node was told, and whether it has a part in it.
+func (n *testNode) record(destination placement.DestinationID) (Record, bool) {
+	_, assigned := n.Assignment(destination)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.records[destination], assigned
+}
+
+// informed tells whether each node has the record of each destination that it has a part in, and of no other.
+func informed(nodes []*testNode, world *World) bool {
+	for _, n := range nodes {
+		for i := range world.Destinations {
+			want := world.Destinations[i].record()
+			record, assigned := n.record(want.Destination)
+			if assigned && !record.equal(&want) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// clone is a world that can be changed without changing this one.
+func (w *World) clone() *World {
+	c := &World{Nodes: append([]Node(nil), w.Nodes...), Destinations: append([]Destination(nil), w.Destinations...)}
+	for i := range c.Destinations {
+		c.Destinations[i].Endpoints = append([]Endpoint(nil), c.Destinations[i].Endpoints...)
+	}
+	return c
+}
+
+// Nodes are told the records of what they own, and of nothing else; a change of a record comes to its owners alone, without
+// any change of shares.
+func TestRecordsFollowOwners(t *testing.T) {
+	t.Parallel()
+	const destinations = 20
+	world := recordWorld(4, destinations)
+	server, _ := startServer(t, testServerConfig(t, world))
+	nodes := startRecordNodes(t, server, "n1", "n2", "n3", "n4")
+	eventually(t, "all is granted and known", func() bool { return allGranted(nodes, destinations) && informed(nodes, world) })
+	for _, n := range nodes {
+		n.mu.Lock()
+		n.updates = nil
+		n.mu.Unlock()
+	}
+	next := world.clone()
+	next.Destinations[3].Endpoints[0].Address = "127.0.0.1:9"
+	next.Destinations[3].Limit = 7
+	if err := server.SetWorld(next); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "its owners know the changed record", func() bool { return informed(nodes, next) })
+	for i, n := range nodes {
+		owned := false
+		if _, assigned := n.Assignment(4); assigned {
+			owned = true
+		}
+		n.mu.Lock()
+		told := 0
+		for _, update := range n.updates {
+			told += len(update.Records)
+			if len(update.Assignments) > 0 {
+				t.Errorf("n%d: its part changed by %+v", i+1, update.Assignments)
+			}
+		}
+		n.mu.Unlock()
+		if owned != (told == 1) || told > 1 {
+			t.Errorf("n%d is told %d records, and owns the changed one: %v", i+1, told, owned)
+		}
+	}
+}
+
+// A change that is lost on its way to a node is told again within 7 s.
+func TestLostRecordIsToldAgain(t *testing.T) {
+	t.Parallel()
+	world := recordWorld(1, 3)
+	server, _ := startServer(t, testServerConfig(t, world))
+	loser := &losingTransport{RoundTripper: transport(t)}
+	node := startNode(t, AgentConfig{Node: "n1", Addresses: []string{server.Addr()}, Records: true, Transport: loser})
+	nodes := []*testNode{node}
+	eventually(t, "the node has its part", func() bool { return allGranted(nodes, 3) && informed(nodes, world) })
+	next := world.clone()
+	next.Destinations[1].Limit = 5
+	loser.lose.Store(true)
+	changed := time.Now()
+	if err := server.SetWorld(next); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the node knows the changed record", func() bool { return informed(nodes, next) })
+	if loser.lost.Load() == 0 {
+		t.Fatal("no reply was lost")
+	}
+	if took := time.Since(changed); took > 7*time.Second {
+		t.Errorf("it took %v", took)
+	}
+}
+
+// losingTransport loses the next reply with records.
+type losingTransport struct {
+	http.RoundTripper
+	lose atomic.Bool
+	lost atomic.Int32
+}
+
+func (l *losingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := l.RoundTripper.RoundTrip(request)
+	if err != nil {
+		return response, err
+	}
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	_ = response.Body.Close()
+	if bytes.Contains(text, []byte(`"records"`)) && l.lose.CompareAndSwap(true, false) {
+		l.lost.Add(1)
+		return nil, errors.New("the reply is lost")
+	}
+	response.Body = io.NopCloser(bytes.NewReader(text))
+	return response, nil
+}
+
+// A restarted node has its part and its records in one answer.
+func TestRestartedNodeHasRecordsInOneAnswer(t *testing.T) {
+	t.Parallel()
+	const destinations = 12
+	world := recordWorld(2, destinations)
+	config := testServerConfig(t, world)
+	config.RestartGrace = time.Minute
+	server, _ := startServer(t, config)
+	nodes := startRecordNodes(t, server, "n1", "n2")
+	eventually(t, "all is granted", func() bool { return allGranted(nodes, destinations) && informed(nodes, world) })
+	nodes[0].stop(t)
+	again := startRecordNodes(t, server, "n1")[0]
+	eventually(t, "it has an update", func() bool {
+		again.mu.Lock()
+		defer again.mu.Unlock()
+		return len(again.updates) > 0
+	})
+	again.mu.Lock()
+	first := again.updates[0]
+	again.mu.Unlock()
+	if !first.Complete || len(first.Assignments) != destinations || len(first.Records) != destinations {
+		t.Errorf("its first answer has %d assignments and %d records, want %d of each", len(first.Assignments), len(first.Records), destinations)
+	}
+}
+
+// A node that lists no endpoints can't live by a world without them, and the reason is told; a world in force is not
+// replaced by such a one.
+func TestWorldWithoutRecords(t *testing.T) {
+	t.Parallel()
+	server, _ := startServer(t, testServerConfig(t, testWorld(1, 1)))
+	node := startRecordNodes(t, server, "n1")[0]
+	_, err := node.client.renew(t.Context(), renewal{Request: node.holderRequest(), Records: true}, 0)
+	var refused *ReplyError
+	if !errors.As(err, &refused) || refused.Code != codeNoRecords {
+		t.Errorf("%v, want an answer of code %s", err, codeNoRecords)
+	}
+	if node.InForce() {
+		t.Error("it has a lease")
+	}
+	other, _ := startServer(t, testServerConfig(t, recordWorld(1, 1)))
+	if err := other.SetWorld(testWorld(1, 1)); !errors.Is(err, ErrRecordsWithdrawn) {
+		t.Errorf("a world without endpoints was taken: %v", err)
+	}
+}
+
+// holderRequest is a request as the agent would send it now.
+func (n *testNode) holderRequest() lease.Request {
+	n.Agent.mu.Lock()
+	defer n.Agent.mu.Unlock()
+	return n.holder.Renew(n.clock.now())
+}
+
+// A record that is not valid changes nothing: what was known before goes on, and the rest of the reply counts.
+func TestInvalidRecordIsPassedOver(t *testing.T) {
+	t.Parallel()
+	world := recordWorld(1, 2)
+	server, _ := startServer(t, testServerConfig(t, world))
+	spoiler := &spoilingTransport{RoundTripper: transport(t)}
+	node := startNode(t, AgentConfig{Node: "n1", Addresses: []string{server.Addr()}, Records: true, Transport: spoiler})
+	nodes := []*testNode{node}
+	eventually(t, "the node has its part", func() bool { return allGranted(nodes, 2) && informed(nodes, world) })
+	spoiler.spoil.Store(true)
+	next := world.clone()
+	next.Destinations[0].Endpoints[0].Address = "127.0.0.1:7001"
+	next.Destinations[1].Limit = 3
+	if err := server.SetWorld(next); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the node knows the valid record", func() bool { r, _ := node.record(2); return r.Limit == 3 })
+	if r, _ := node.record(1); r.Endpoints[0].Address != world.Destinations[0].Endpoints[0].Address {
+		t.Errorf("a spoilt record was put in force: %+v", r)
+	}
+	if !node.InForce() {
+		t.Error("it lost its lease")
+	}
+}
+
+// spoilingTransport spoils an address in replies.
+type spoilingTransport struct {
+	http.RoundTripper
+	spoil atomic.Bool
+}
+
+func (s *spoilingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := s.RoundTripper.RoundTrip(request)
+	if err != nil || !s.spoil.Load() {
+		return response, err
+	}
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	_ = response.Body.Close()
+	text = bytes.ReplaceAll(text, []byte(`"127.0.0.1:7001"`), []byte(`"nowhere"`))
+	response.Body = io.NopCloser(bytes.NewReader(text))
+	return response, nil
+}
+
+func TestRecordCheck(t *testing.T) {
+	good := testRecord(7)
+	if err := good.Check(); err != nil {
+		t.Fatal(err)
+	}
+	for says, spoil := range map[string]func(*Record){
+		"destination 7: it has no endpoint":           func(r *Record) { r.Endpoints = nil },
+		"limit: -1 is not between":                    func(r *Record) { r.Limit = -1 },
+		"bundle: 101 is not between 1 and 100":        func(r *Record) { r.Bundle = 101 },
+		`endpoint 2 (""): name: has 0 bytes`:          func(r *Record) { r.Endpoints[1].Name = "" },
+		`endpoint 1 ("e-7-0"): building: has 0 bytes`: func(r *Record) { r.Endpoints[0].Building = "" },
+		`address: "nowhere" is no HOST:PORT`:          func(r *Record) { r.Endpoints[0].Address = "nowhere" },
+		"there are 257 endpoints, 256 at most":        func(r *Record) { r.Endpoints = make([]Endpoint, 257) },
+	} {
+		bad := testRecord(7)
+		spoil(&bad)
+		if err := bad.Check(); !errors.Is(err, ErrRecord) || !strings.Contains(err.Error(), says) {
+			t.Errorf("%q: %v", says, err)
+		}
+	}
+}
+
+// An endpoint that keeps its name in another building, for another destination or of another kind has another id.
+func TestEndpointIdentity(t *testing.T) {
+	record := testRecord(7)
+	endpoint := record.Endpoints[0]
+	ids := map[string]bool{record.ID(endpoint): true}
+	moved := endpoint
+	moved.Building = "elsewhere"
+	ids[record.ID(moved)] = true
+	other := testRecord(8)
+	ids[other.ID(endpoint)] = true
+	record.Bundle = 2
+	ids[record.ID(endpoint)] = true
+	if len(ids) != 4 {
+		t.Errorf("ids %v, want four", ids)
+	}
+	record.Bundle = 1
+	endpoint.Address, endpoint.Drains = "127.0.0.1:9", true
+	if !ids[record.ID(endpoint)] {
+		t.Error("an endpoint that moves to another address, or drains, has another id")
+	}
+}
+
+func TestWorldRecords(t *testing.T) {
+	const two = "[[destination]]\nnumber=5\nrate=1\nlimit=20\n[[destination.endpoint]]\nname=\"a\"\naddress=\"h:1\"\nbuilding=\"b\"\n" +
+		"[[destination]]\nnumber=6\nrate=1\nroutes_apart=true\nbundle=3\n"
+	const second = "[[destination.endpoint]]\nname=\"c\"\naddress=\"h:2\"\nbuilding=\"b\"\ndrains=true\n"
+	world, err := ParseWorld([]byte(two + second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Record{Destination: 6, RoutesApart: true, Bundle: 3, Endpoints: []Endpoint{{Name: "c", Address: "h:2", Building: "b", Drains: true}}}
+	if got := world.Destinations[1].record(); !got.equal(&want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	for says, text := range map[string]string{
+		"destination 6: it has no endpoint":                               two,
+		`destination 6: endpoint "a": destination 5 has one of this name`: two + strings.Replace(second, `"c"`, `"a"`, 1),
+	} {
+		if _, err := ParseWorld([]byte(text)); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%q: %v", says, err)
+		}
+	}
+}
+
+func FuzzRecord(f *testing.F) {
+	text, err := json.Marshal(testRecord(1))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var record Record
+		if json.Unmarshal(text, &record) != nil || record.Check() != nil {
+			return
+		}
+		for _, endpoint := range record.Endpoints {
+			if record.ID(endpoint) == "" || endpoint.Building == "" {
+				t.Fatalf("%+v", record)
+			}
+		}
+	})
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -94,11 +94,12 @@
 	wake     chan struct{} // the loop has to look again
 	bodies   chan struct{} // places for large requests
 
+	// worldChanges is held while a world is put in force, and before mu. Who holds either may read world.
+	worldChanges sync.Mutex
+
 	mu       sync.Mutex
 	state    serverState
-	world    *World
-	nodes    map[placement.NodeID]Node
-	names    map[string]placement.DestinationID
+	world    *worldIndex
 	grantor  *lease.Grantor
 	waiting  map[lease.SessionID]chan struct{} // closed when there is news for a poll
 	left     map[placement.NodeID]time.Duration
@@ -150,6 +151,7 @@
 		wake:     make(chan struct{}, 1),
 		bodies:   make(chan struct{}, maxLargeRequests),
 		state:    state,
+		world:    newWorldIndex(config.World),
 		waiting:  map[lease.SessionID]chan struct{}{},
 		left:     map[placement.NodeID]time.Duration{},
 		draining: map[placement.NodeID]bool{},
@@ -168,7 +170,6 @@
 		MaxSessions: config.MaxSessions,
 	})
 	s.due = max(s.grantor.Ready(), config.Gather) + config.Debounce
-	s.putWorld(config.World)
 	return s, nil
 }
 
@@ -284,7 +285,7 @@
 
 // markDirty has a new placement computed, not before a time. The caller has the lock.
 func (s *Server) markDirty(now, earliest time.Duration) {
-	if s.table.Load() == nil && s.grantor.Sessions() < len(s.nodes) {
+	if s.table.Load() == nil && s.grantor.Sessions() < len(s.world.nodes) {
 		earliest = max(earliest, s.config.Gather)
 	}
 	due := max(now+s.config.Debounce, earliest, s.grantor.Ready()+s.config.Debounce)
--- a/internal/control/world.go
+++ b/internal/control/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -16,7 +17,7 @@
 // Bounds of a world.
 const (
 	// MaxWorldBytes is the longest world file.
-	MaxWorldBytes = 64 << 20
+	MaxWorldBytes = 128 << 20
 	// MaxNodes is the most nodes.
 	MaxNodes = 4096
 	// maxErrors is how many errors of a file are told.
@@ -27,6 +28,7 @@
 const (
 	defaultWeight = 1
 	defaultOwners = 2
+	defaultBundle = 1
 )
 
 // Node is a delivery node of the world.
@@ -45,6 +47,17 @@
 	Rate   float64                 `toml:"rate"`   // messages a second
 	Owners int                     `toml:"owners"` // 2 where it is left out
 	Region string                  `toml:"region"` // any where it is left out
+	// What follows is for nodes that have no destinations in their own files: see Record. Either all destinations
+	// of a world have endpoints, or none.
+	Limit       float64    `toml:"limit"`
+	RoutesApart bool       `toml:"routes_apart"`
+	Bundle      int        `toml:"bundle"` // 1 where it is left out
+	Endpoints   []Endpoint `toml:"endpoint"`
+}
+
+// record is what nodes that ask for it are told of the destination.
+func (d *Destination) record() Record {
+	return Record{Destination: d.Number, Limit: d.Limit, RoutesApart: d.RoutesApart, Bundle: d.Bundle, Endpoints: d.Endpoints}
 }
 
 // World is what a control process assigns: nodes and destinations. It is not changed once it is in force.
@@ -122,6 +135,9 @@
 		if w.Destinations[i].Owners == 0 {
 			w.Destinations[i].Owners = defaultOwners
 		}
+		if w.Destinations[i].Bundle == 0 {
+			w.Destinations[i].Bundle = defaultBundle
+		}
 	}
 }
 
@@ -145,6 +161,7 @@
 	}
 	w.checkNodes(&errs)
 	w.checkDestinations(&errs)
+	w.checkRecords(&errs)
 	return errors.Join(errs...)
 }
 
@@ -191,6 +208,31 @@
 	}
 }
 
+// Distributes tells whether the world has what nodes need to know of destinations, and not only who owns them.
+func (w *World) Distributes() bool {
+	return slices.ContainsFunc(w.Destinations, func(d Destination) bool { return len(d.Endpoints) > 0 })
+}
+
+// checkRecords tells what is wrong with the records of destinations, where the world has them.
+func (w *World) checkRecords(errs *worldErrors) {
+	if !w.Distributes() {
+		return
+	}
+	owners := make(map[string]placement.DestinationID, len(w.Destinations))
+	for i := range w.Destinations {
+		record := w.Destinations[i].record()
+		if err := record.Check(); err != nil {
+			errs.add("%w", err)
+		}
+		for _, endpoint := range record.Endpoints {
+			if other, twice := owners[endpoint.Name]; twice {
+				errs.add("destination %d: endpoint %.80q: destination %d has one of this name", record.Destination, endpoint.Name, other)
+			}
+			owners[endpoint.Name] = record.Destination
+		}
+	}
+}
+
 // input is what placement computes from, with the nodes that take part.
 func (w *World) input(takesPart func(placement.NodeID) bool, draining map[placement.NodeID]bool, loadBound float64) placement.Input {
 	input := placement.Input{LoadBound: loadBound, Destinations: make([]placement.Destination, 0, len(w.Destinations))}
--- a/internal/engine/contracts.go
+++ b/internal/engine/contracts.go
@@ -65,7 +65,7 @@
 	// tick: time to record and announce it.
 	AnswerTime time.Duration
 	// Assigned says that destinations are assigned to nodes: this one makes no call without a share of the
-	// destination's limit, see [Engine.SetShares].
+	// destination's limit, see [Engine.SetPart].
 	Assigned bool
 }
 
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -76,62 +76,26 @@
 	return h.Sum64()
 }
 
+// takeList takes in the whole list of endpoints, or changes to it.
+func (e *Engine) takeList(list directory.List) {
+	e.batch = append(e.batch, e.applyList(list))
+	if list.Fresh && !e.listComplete {
+		e.listComplete, e.destinationsChanged = true, true
+	}
+	e.publishDestinations()
+	e.restore(e.Memories)
+	e.publishEndpoints()
+}
+
 // applyList updates the node's own table of endpoints and returns the module's event for it.
 func (e *Engine) applyList(in directory.List) policy.Listed {
 	out := policy.Listed{Whole: in.Complete}
 	named := map[policy.EndpointID]bool{}
 	for _, m := range in.Members {
-		// The same at all nodes, so that they can tell each other of it.
-		id := policy.EndpointID(hash(m.ID))
-		endpoint := e.endpoints[id]
-		var state policy.EndpointState
-		switch m.Phase {
-		case directory.Active:
-			state = policy.Ready
-		case directory.Leaving:
-			state = policy.Draining
-		case directory.Left:
-			state = policy.Gone
-		default:
-			e.Log.Warn("discovery: unknown phase, nothing changes", "id", m.ID, "phase", m.Phase)
-			if endpoint != nil {
-				// The module takes what a whole list leaves out for gone.
-				state = policy.Ready
-				if endpoint.Leaves.Closing() {
-					state = policy.Draining
-				}
-				named[id] = true
-				e.shares.attach(endpoint, m.Size)
-				out.Entries = append(out.Entries, e.entry(endpoint, state, m.Size))
-			}
-			continue
-		}
-		if endpoint == nil {
-			if state != policy.Ready {
-				// An earlier process may have been told that it drains, and the grace
-				// may be over: one that is first heard of as leaving gets nothing.
-				continue
-			}
-			kind, okKind := e.kinds[m.Flavor]
-			zone, okZone := e.zones[m.Locality]
-			okKind, okZone = okKind && kind <= math.MaxUint16, okZone && zone <= math.MaxUint16
-			if !okKind || !okZone || m.ID == "" || m.Cell < 0 || m.Cell > math.MaxUint32 {
-				e.Log.Warn("discovery: an endpoint that makes no sense", "id", m.ID, "flavor", m.Flavor, "locality", m.Locality, "cell", m.Cell)
-				continue
-			}
-			endpoint = e.trackEndpoint(id, m, kind, zone)
-		}
-		if e.debug {
-			e.Log.Debug("listed", "dest", endpoint.Dest, "endpoint", endpoint.Name, "kind", endpoint.Kind, "zone", endpoint.Zone, "phase", m.Phase, "rate", m.Size)
+		if entry, known := e.applyMember(m); known {
+			named[entry.Endpoint] = true
+			out.Entries = append(out.Entries, entry)
 		}
-		e.shares.attach(endpoint, m.Size)
-		if state != policy.Gone {
-			endpoint.addr = m.HostPort
-		}
-		named[id] = true
-		e.setLeaving(endpoint, state != policy.Ready)
-		e.setDelisted(endpoint, state == policy.Gone)
-		out.Entries = append(out.Entries, e.entry(endpoint, state, m.Size))
 	}
 	if in.Complete {
 		for id, endpoint := range e.endpoints {
@@ -144,6 +108,84 @@
 	return out
 }
 
+// applyMember updates one endpoint of the table and returns the module's entry for it; false where it is none that
+// the node calls.
+func (e *Engine) applyMember(m directory.Member) (policy.Entry, bool) {
+	// The same at all nodes, so that they can tell each other of it.
+	id := policy.EndpointID(hash(m.ID))
+	endpoint := e.endpoints[id]
+	state, readable := stateOf(m.Phase)
+	if !readable {
+		e.Log.Warn("discovery: unknown phase, nothing changes", "id", m.ID, "phase", m.Phase)
+		return e.unchanged(endpoint, m)
+	}
+	if endpoint == nil && state != policy.Ready {
+		// An earlier process may have been told that it drains, and the grace
+		// may be over: one that is first heard of as leaving gets nothing.
+		return policy.Entry{}, false
+	}
+	if endpoint == nil {
+		if endpoint = e.newEndpoint(id, m); endpoint == nil {
+			return policy.Entry{}, false
+		}
+	}
+	if e.debug {
+		e.Log.Debug("listed", "dest", endpoint.Dest, "endpoint", endpoint.Name, "kind", endpoint.Kind, "zone", endpoint.Zone, "phase", m.Phase, "rate", m.Size)
+	}
+	e.shares.attach(endpoint, m.Size)
+	if state != policy.Gone {
+		endpoint.addr = m.HostPort
+	}
+	e.setLeaving(endpoint, state != policy.Ready)
+	e.setDelisted(endpoint, state == policy.Gone)
+	return e.entry(endpoint, state, m.Size), true
+}
+
+// stateOf is what a phase means to the module; false is one that is not known.
+func stateOf(phase string) (policy.EndpointState, bool) {
+	switch phase {
+	case directory.Active:
+		return policy.Ready, true
+	case directory.Leaving:
+		return policy.Draining, true
+	case directory.Left:
+		return policy.Gone, true
+	default:
+		return policy.Gone, false
+	}
+}
+
+// unchanged is the entry of an endpoint of which nothing is known anew: the module takes what a whole list leaves
+// out for gone.
+func (e *Engine) unchanged(endpoint *trackedEndpoint, m directory.Member) (policy.Entry, bool) {
+	if endpoint == nil {
+		return policy.Entry{}, false
+	}
+	e.shares.attach(endpoint, m.Size)
+	return e.entry(endpoint, endpoint.state(), m.Size), true
+}
+
+// state is that of an endpoint which the directory has.
+func (t *trackedEndpoint) state() policy.EndpointState {
+	if t.Leaves.Closing() {
+		return policy.Draining
+	}
+	return policy.Ready
+}
+
+// newEndpoint makes the entry of an endpoint that is first heard of, nil where it makes no sense.
+func (e *Engine) newEndpoint(id policy.EndpointID, m directory.Member) *trackedEndpoint {
+	kind, okKind := e.kinds[m.Flavor]
+	zone, okZone := e.zones[m.Locality]
+	okKind, okZone = okKind && kind <= math.MaxUint16, okZone && zone <= math.MaxUint16
+	if !okKind || !okZone || m.ID == "" || m.Cell < 0 || m.Cell > math.MaxUint32 {
+		e.Log.Warn("discovery: an endpoint that makes no sense", "id", m.ID, "flavor", m.Flavor, "locality", m.Locality, "cell", m.Cell)
+		return nil
+	}
+	return e.trackEndpoint(id, m, kind, zone)
+}
+
+// entry is what the module is told of an endpoint.
 func (e *Engine) entry(endpoint *trackedEndpoint, state policy.EndpointState, rate float64) policy.Entry {
 	return policy.Entry{Endpoint: endpoint.ID, Destination: endpoint.Dest, Kind: int(endpoint.Kind), Zone: int(endpoint.Zone), State: state,
 		Rate: rate, Limit: e.shares.limit(endpoint.Dest, rate)}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -31,7 +31,7 @@
 	kinds        map[string]int
 	zones        map[string]int
 	origin       time.Time
-	events       chan any      // policy.Event, directory.List, Memories, shareUpdate or *message.Message
+	events       chan any      // policy.Event, directory.List, Memories, partUpdate or *message.Message
 	done         chan struct{} // closed when the engine has ended
 	quiesced     chan struct{} // closed when no call is started any more
 	messages     map[policy.MessageID]*message.Message
@@ -172,44 +172,13 @@
 		}
 		e.batch = append(e.batch, e.arrival(event))
 	case directory.List:
-		e.batch = append(e.batch, e.applyList(event))
-		if event.Fresh && !e.listComplete {
-			e.listComplete, e.destinationsChanged = true, true
-		}
-		e.publishDestinations()
-		e.restore(e.Memories)
-		e.publishEndpoints()
+		e.takeList(event)
 	case Memories:
-		for name, m := range event {
-			if endpoint := e.endpoints[policy.EndpointID(hash(name))]; endpoint != nil && e.heardSince(endpoint, m.FailedAt) {
-				delete(event, name)
-			}
-		}
-		e.restore(event)
-	case shareUpdate:
-		e.applyShares(event)
+		e.handleMemories(event)
+	case partUpdate:
+		e.applyPart(event)
 	case policy.Ended:
-		endpoint := e.endpoints[event.Endpoint]
-		if e.debug && endpoint != nil {
-			e.Log.Debug("outcome", "n", event.Message, "dest", endpoint.Dest, "endpoint", endpoint.Name, "outcome", event.Outcome, "wait", event.Wait, "took", event.Took)
-		}
-		if endpoint != nil {
-			endpoint.inFlight--
-			endpoint.lastOutcome = e.now()
-		}
-		m := e.messages[event.Message]
-		if endpoint != nil {
-			e.observations = append(e.observations, admission.Seen{Kind: admission.Outcome, Dest: endpoint.Dest, Outcome: event.Outcome, Wait: event.Wait, Took: event.Took})
-			e.reportCall(event)
-		}
-		if event.Final {
-			if m != nil {
-				e.remove(m, event.Outcome == policy.Delivered)
-				if m.End != nil && !m.End.Implied { // set by the store, where deliveries are announced
-					e.Notifier.Add(m)
-				}
-			}
-		}
+		e.handleEnded(event)
 		e.batch = append(e.batch, event)
 	case policy.Event:
 		e.batch = append(e.batch, event)
@@ -218,3 +187,34 @@
 
 // moduleTime turns a time of the wall clock into one of the module's.
 func (e *Engine) moduleTime(t time.Time) policy.Time { return min(e.now(), e.now()-time.Since(t)) }
+
+// handleMemories takes in what others observed of endpoints, except where this node knows more.
+func (e *Engine) handleMemories(memories Memories) {
+	for name, m := range memories {
+		if endpoint := e.endpoints[policy.EndpointID(hash(name))]; endpoint != nil && e.heardSince(endpoint, m.FailedAt) {
+			delete(memories, name)
+		}
+	}
+	e.restore(memories)
+}
+
+// handleEnded notes how an attempt ended, and announces the outcome of a message that is over with it.
+func (e *Engine) handleEnded(ended policy.Ended) {
+	if endpoint := e.endpoints[ended.Endpoint]; endpoint != nil {
+		if e.debug {
+			e.Log.Debug("outcome", "n", ended.Message, "dest", endpoint.Dest, "endpoint", endpoint.Name, "outcome", ended.Outcome, "wait", ended.Wait, "took", ended.Took)
+		}
+		endpoint.inFlight--
+		endpoint.lastOutcome = e.now()
+		e.observations = append(e.observations, admission.Seen{Kind: admission.Outcome, Dest: endpoint.Dest, Outcome: ended.Outcome, Wait: ended.Wait, Took: ended.Took})
+		e.reportCall(ended)
+	}
+	m := e.messages[ended.Message]
+	if !ended.Final || m == nil {
+		return
+	}
+	e.remove(m, ended.Outcome == policy.Delivered)
+	if m.End != nil && !m.End.Implied { // set by the store, where deliveries are announced
+		e.Notifier.Add(m)
+	}
+}
--- a/internal/engine/part.go
+++ b/internal/engine/part.go
@@ -1,32 +1,42 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 
 	"wingmount/decide/terms"
+	"wingmount/internal/directory"
 	"wingmount/policy"
 )
 
-// shareUpdate is an event: what this node may use of destinations' limits from the next step on.
-type shareUpdate struct {
-	shares map[int]float64 // of the limits, by destination; 0 is none. Those that are missing stay
-	leased *bool           // whether any share may be used; nil where that stays
-	done   chan struct{}   // closed once the module follows it; nil where nobody waits
+// Part changes what this node may deliver, where destinations are assigned to nodes. What it does not name stays.
+type Part struct {
+	// Shares are of destinations' limits, by destination; 0 is none.
+	Shares map[int]float64
+	// Endpoints are all endpoints of destinations, by destination; an empty list is that of one which the node has
+	// no part in. It is nil where the node lists endpoints of its own.
+	Endpoints map[int][]directory.Member
 }
 
-// SetShares sets the shares of destinations' limits that this node may use while it has a lease, where
-// destinations are assigned to nodes; those that are not among them stay. It returns when the module follows
+// partUpdate is an event: what this node may use and call from the next step on.
+type partUpdate struct {
+	Part
+	leased *bool         // whether any share may be used; nil where that stays
+	done   chan struct{} // closed once the module follows it; nil where nobody waits
+}
+
+// SetPart changes the part of this node. Shares count while it has a lease. SetPart returns when the module follows
 // them, or the engine has ended.
-func (e *Engine) SetShares(shares map[int]float64) {
-	e.postAndWait(shareUpdate{shares: shares, done: make(chan struct{})})
+func (e *Engine) SetPart(part Part) {
+	e.postAndWait(partUpdate{Part: part, done: make(chan struct{})})
 }
 
-// SetLeased tells whether this node has a lease. Without one it makes no call. It returns as SetShares does.
+// SetLeased tells whether this node has a lease. Without one it makes no call. It returns as SetPart does.
 func (e *Engine) SetLeased(leased bool) {
-	e.postAndWait(shareUpdate{leased: &leased, done: make(chan struct{})})
+	e.postAndWait(partUpdate{leased: &leased, done: make(chan struct{})})
 }
 
-func (e *Engine) postAndWait(u shareUpdate) {
+func (e *Engine) postAndWait(u partUpdate) {
 	e.Post(u)
 	select {
 	case <-u.done:
@@ -115,10 +125,10 @@
 	s.following = s.following[:0]
 }
 
-// applyShares takes in an update, and tells the module of the endpoints whose limits it changes.
-func (e *Engine) applyShares(u shareUpdate) {
-	changed := make([]int, 0, len(u.shares))
-	for destination, share := range u.shares {
+// applyPart takes in an update, and tells the module of the endpoints that it changes.
+func (e *Engine) applyPart(u partUpdate) {
+	changed := make([]int, 0, len(u.Shares))
+	for destination, share := range u.Shares {
 		e.shares.set(destination, share)
 		changed = append(changed, destination)
 	}
@@ -128,6 +138,9 @@
 			changed = append(changed, destination)
 		}
 	}
+	if u.Endpoints != nil {
+		e.takeList(e.partList(u.Endpoints))
+	}
 	if listed := e.relisted(changed); len(listed.Entries) > 0 {
 		e.batch = append(e.batch, listed)
 	}
@@ -136,6 +149,22 @@
 	}
 }
 
+// partList is the list of changes by which destinations get endpoints, and lose those that they have besides.
+func (e *Engine) partList(endpoints map[int][]directory.Member) directory.List {
+	list := directory.List{Fresh: true}
+	for _, number := range slices.Sorted(maps.Keys(endpoints)) {
+		members := endpoints[number]
+		list.Members = append(list.Members, members...)
+		for _, known := range e.shares.endpoints[number] {
+			named := slices.ContainsFunc(members, func(m directory.Member) bool { return m.ID == known.Name })
+			if !named && !known.delisted {
+				list.Members = append(list.Members, directory.Member{ID: known.Name, Cell: number, Phase: directory.Left, Size: known.rate})
+			}
+		}
+	}
+	return list
+}
+
 // relisted are the entries of destinations' endpoints that are listed, as they are now.
 func (e *Engine) relisted(destinations []int) policy.Listed {
 	var listed policy.Listed
@@ -144,11 +173,7 @@
 			if endpoint.delisted {
 				continue
 			}
-			state := policy.Ready
-			if endpoint.Leaves.Closing() {
-				state = policy.Draining
-			}
-			listed.Entries = append(listed.Entries, e.entry(endpoint.trackedEndpoint, state, endpoint.rate))
+			listed.Entries = append(listed.Entries, e.entry(endpoint.trackedEndpoint, endpoint.state(), endpoint.rate))
 		}
 	}
 	return listed
--- a/internal/engine/part_test.go
+++ b/internal/engine/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,19 +61,19 @@
 	none := terms.NoCalls
 	wantLimits(t, "without a lease", e, map[string]float64{"a1": none, "a2": none, "b": none, "c": none})
 	yes, no := true, false
-	e.handle(shareUpdate{shares: map[int]float64{1: 0.5, 2: 0.25, 9: 1}})
+	e.handle(partUpdate{Part: Part{Shares: map[int]float64{1: 0.5, 2: 0.25, 9: 1}}})
 	wantLimits(t, "with shares and no lease", e, map[string]float64{"a1": none, "a2": none, "b": none})
-	e.handle(shareUpdate{leased: &yes})
+	e.handle(partUpdate{leased: &yes})
 	wantLimits(t, "with a lease", e, map[string]float64{"a1": 10, "a2": 10, "b": 5})
-	e.handle(shareUpdate{leased: &yes})
+	e.handle(partUpdate{leased: &yes})
 	wantLimits(t, "with the same lease", e, map[string]float64{})
-	e.handle(shareUpdate{shares: map[int]float64{2: 0, 3: 1}})
+	e.handle(partUpdate{Part: Part{Shares: map[int]float64{2: 0, 3: 1}}})
 	wantLimits(t, "with other shares", e, map[string]float64{"b": none, "c": 20})
 	left := member("a2", 1, directory.Left)
 	e.handle(directory.List{Members: []directory.Member{left, member("a3", 1, directory.Active)}})
 	wantLimits(t, "after an endpoint went and one came", e, map[string]float64{"a2": 0.5, "a3": 0.5})
 	e.evict(time.Now())
-	e.handle(shareUpdate{leased: &no})
+	e.handle(partUpdate{leased: &no})
 	wantLimits(t, "once the lease ends", e, map[string]float64{"a1": none, "a3": none, "c": none})
 	if n := len(e.shares.endpoints[1]); n != 2 {
 		t.Errorf("%d endpoints of a destination are known, want 2", n)
@@ -90,7 +91,7 @@
 	}
 	yes := true
 	done := make(chan struct{})
-	e.handle(shareUpdate{shares: map[int]float64{7: 1}, leased: &yes, done: done})
+	e.handle(partUpdate{Part: Part{Shares: map[int]float64{7: 1}}, leased: &yes, done: done})
 	select {
 	case <-done:
 		t.Fatal("an update counts as followed before the step")
@@ -104,7 +105,7 @@
 }
 
 // Who sets shares waits until the module follows them, or the engine has ended.
-func TestSetSharesWaits(t *testing.T) {
+func TestSetPartWaits(t *testing.T) {
 	e, _ := newAssignedEngine()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -112,7 +113,7 @@
 		defer close(ended)
 		e.Run(ctx, make(chan struct{}))
 	}()
-	e.SetShares(map[int]float64{7: 1})
+	e.SetPart(Part{Shares: map[int]float64{7: 1}})
 	e.SetLeased(true)
 	cancel()
 	<-ended
@@ -132,3 +133,67 @@
 		t.Error("endpoints are kept for an assignment that there is not")
 	}
 }
+
+// endpointNames are the endpoints of a destination that the directory has, by their names.
+func endpointNames(e *Engine, destination int) []string {
+	var names []string
+	for _, endpoint := range e.shares.endpoints[destination] {
+		if !endpoint.delisted {
+			names = append(names, endpoint.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// A part brings the endpoints of some destinations, and takes away those that these have besides; other destinations stay.
+func TestPartBringsEndpoints(t *testing.T) {
+	e, f := newAssignedEngine()
+	yes := true
+	e.handle(partUpdate{Part: Part{Shares: map[int]float64{1: 0.5, 2: 1}, Endpoints: map[int][]directory.Member{
+		1: {member("a1", 1, directory.Active), member("a2", 1, directory.Active)}, 2: {member("b", 2, directory.Active)}}}, leased: &yes})
+	wantLimits(t, "with the first part", e, map[string]float64{"a1": 0.5, "a2": 0.5, "b": 1})
+	if !e.listComplete {
+		t.Error("the part does not count as a list")
+	}
+	changed := member("a1", 1, directory.Active)
+	changed.Size = 8
+	e.handle(partUpdate{Part: Part{Endpoints: map[int][]directory.Member{1: {changed, member("a3", 1, directory.Active)}}}})
+	wantLimits(t, "with another record", e, map[string]float64{"a1": 4, "a2": 0.5, "a3": 0.5})
+	if got := endpointNames(e, 1); !slices.Equal(got, []string{"a1", "a3"}) {
+		t.Errorf("destination 1 has %q", got)
+	}
+	if got := endpointNames(e, 2); !slices.Equal(got, []string{"b"}) {
+		t.Errorf("destination 2 has %q", got)
+	}
+	e.handle(partUpdate{Part: Part{Shares: map[int]float64{1: 0}, Endpoints: map[int][]directory.Member{1: nil}}})
+	if got := endpointNames(e, 1); len(got) != 0 {
+		t.Errorf("a destination that is gone has %q", got)
+	}
+	e.step(context.Background())
+	e.evict(time.Now())
+	if len(e.endpoints) != 1 || len(f.calls) != 0 {
+		t.Errorf("%d endpoints are kept, want 1", len(e.endpoints))
+	}
+}
+
+// What waits for a destination that goes and comes back is sent when it is back.
+func TestMessagesWaitForTheirDestination(t *testing.T) {
+	e, f := newAssignedEngine()
+	yes := true
+	there := Part{Shares: map[int]float64{7: 1}, Endpoints: map[int][]directory.Member{7: {member("s1", 7, directory.Active)}}}
+	e.handle(partUpdate{Part: there, leased: &yes})
+	e.step(context.Background())
+	e.handle(partUpdate{Part: Part{Shares: map[int]float64{7: 0}, Endpoints: map[int][]directory.Member{7: nil}}})
+	e.handle(&message.Message{Seq: 1, ID: "m", Dest: 7, Deadline: time.Now().Add(20 * time.Second)})
+	e.step(context.Background())
+	e.evict(time.Now())
+	if len(f.calls) != 0 {
+		t.Fatalf("%d calls without an endpoint", len(f.calls))
+	}
+	e.handle(partUpdate{Part: there})
+	e.step(context.Background())
+	if len(f.calls) != 1 {
+		t.Errorf("%d calls once the destination is back, want 1", len(f.calls))
+	}
+}
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -132,12 +132,7 @@
 		in.reject(w, r, err)
 		return
 	}
-	if exists, certain := in.registry.HasDestination(m.Dest); !exists {
-		if certain {
-			in.reject(w, r, badRequest{http.StatusNotFound, "no such destination"})
-		} else {
-			in.turnAway(w, "the destination is not known yet", fullRetry)
-		}
+	if in.rejectsDestination(w, r, m.Dest) {
 		return
 	}
 	if !in.accepts(m.Dest) {
--- a/internal/front/http/redirect.go
+++ b/internal/front/http/redirect.go
@@ -30,10 +30,16 @@
 type Ownership interface {
 	// Accepts tells whether this node accepts new messages for a destination now.
 	Accepts(destination int) bool
-	// Locate returns the HOST:PORT of another node that accepts them, or an error where none is known.
+	// Locate returns the HOST:PORT of another node that accepts them, or an error where none is known; it is
+	// ErrNoDestination where there is no such destination.
 	Locate(ctx context.Context, destination int) (address string, err error)
+	// Distributed says that this node knows of no destinations but those that it has a part in.
+	Distributed() bool
 }
 
+// ErrNoDestination says that a destination does not exist.
+var ErrNoDestination = errors.New("no such destination")
+
 // errBeingAccepted says that another request with the same id is being accepted.
 var errBeingAccepted = errors.New("another request with the same id is being accepted")
 
@@ -42,6 +48,21 @@
 	return in.ownership == nil || in.ownership.Accepts(destination)
 }
 
+// rejectsDestination answers the client of a message for a destination that this node does not have, unless another one
+// may have it. It returns whether it has answered.
+func (in *Intake) rejectsDestination(w http.ResponseWriter, r *http.Request, destination int) bool {
+	exists, certain := in.registry.HasDestination(destination)
+	switch {
+	case exists || in.ownership != nil && in.ownership.Distributed() && !in.accepts(destination):
+		return false
+	case certain && (in.ownership == nil || !in.ownership.Distributed()):
+		in.reject(w, r, badRequest{http.StatusNotFound, ErrNoDestination.Error()})
+	default:
+		in.turnAway(w, "the destination is not known yet", fullRetry)
+	}
+	return true
+}
+
 // redirect answers the client of a message that this node does not accept, since it does not own the
 // destination. An id that this node has accepted, or answered, hears what it always hears; any other is
 // sent to an owner, or turned away where none is known or it was redirected too often.
@@ -62,6 +83,10 @@
 	ctx, cancel := context.WithTimeout(r.Context(), locateTime)
 	defer cancel()
 	owner, err := in.ownership.Locate(ctx, m.Dest)
+	if errors.Is(err, ErrNoDestination) {
+		in.reject(w, r, badRequest{http.StatusNotFound, ErrNoDestination.Error()})
+		return
+	}
 	if err != nil {
 		in.log.Debug("intake: no owner", "destination", m.Dest, "err", err)
 		in.turnAway(w, "this node does not own the destination, and knows no owner", noOwnerRetry)
--- a/internal/front/http/redirect_test.go
+++ b/internal/front/http/redirect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -24,18 +25,26 @@
 	accepts map[int]bool
 	owner   string // of all other destinations; none where it is empty
 	asked   int
+	// distributed says that the node knows of its own destinations alone; missing are those that nobody has.
+	distributed bool
+	missing     map[int]bool
 }
 
+func (o *owners) Distributed() bool { return o.distributed }
+
 func (o *owners) Accepts(destination int) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.accepts[destination]
 }
 
-func (o *owners) Locate(context.Context, int) (string, error) {
+func (o *owners) Locate(_ context.Context, destination int) (string, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.asked++
+	if o.missing[destination] {
+		return "", fmt.Errorf("asking for it: %w", ErrNoDestination)
+	}
 	if o.owner == "" {
 		return "", errors.New("no owner")
 	}
@@ -124,6 +133,28 @@
 	}
 }
 
+// A node that knows of its own destinations alone sends messages for all others to their owners, says 404 where nobody
+// has the destination, and turns away what comes before it has heard of an endpoint.
+func TestRedirectOfDistributedDestinations(t *testing.T) {
+	n := newAssignedNode("127.0.0.1:99")
+	n.distributed, n.missing = true, map[int]bool{9: true}
+	n.registry.SetDestinations(map[int]bool{7: true}, true)
+	n.set(6, true) // just assigned
+	for destination, want := range map[string]int{"7": 202, "8": 307, "9": 404, "6": 503} {
+		w := n.ask("/c", "m"+destination, destination)
+		if w.Code != want || want == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
+			t.Errorf("a message for destination %s: %d, want %d", destination, w.Code, want)
+		}
+	}
+	if len(n.accepted) != 1 {
+		t.Errorf("accepted %q", n.accepted)
+	}
+	n.onRecord["early"] = &store.KnownError{}
+	if w := n.ask("/c", "early", "9"); w.Code != http.StatusAccepted {
+		t.Errorf("an id on record of a destination that is gone: %d", w.Code)
+	}
+}
+
 // A message is redirected twice at most, and then turned away with a time to come back.
 func TestNoMoreRedirects(t *testing.T) {
 	n := newAssignedNode("127.0.0.1:99")
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -44,9 +44,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	f := &fleetRun{fleet: fleet, env: env, dir: dir, address: "127.0.0.1:0", events: make(chan event, 1024),
-		tracker: newTracker(fleet.Destinations, fleet.Owners), memory: time.NewTicker(memoryEvery)}
+		tracker: newTracker(fleet), memory: time.NewTicker(memoryEvery)}
 	f.result = FleetResult{Name: fleet.Name, Nodes: fleet.Nodes, Zones: fleet.Zones, Destinations: fleet.Destinations,
-		Owners: fleet.Owners, LeaseSeconds: fleet.Lease.Seconds()}
+		Owners: fleet.Owners, Endpoints: fleet.Endpoints, LeaseSeconds: fleet.Lease.Seconds()}
 	defer func() {
 		f.memory.Stop()
 		cancel()
--- a/internal/lab/scale/fleet_report.go
+++ b/internal/lab/scale/fleet_report.go
@@ -17,6 +17,7 @@
 	Zones        int     `json:"zones"`
 	Destinations int     `json:"destinations"`
 	Owners       int     `json:"owners"`
+	Endpoints    int     `json:"endpoints"` // of a destination, that nodes are told
 	LeaseSeconds float64 `json:"lease_seconds"`
 	StartSeconds float64 `json:"start_seconds"` // until all destinations are owned
 	PeakMemory   int64   `json:"peak_memory"`   // bytes, of all processes together
@@ -85,8 +86,8 @@
 }
 
 func (r *FleetResult) write(out io.Writer) error {
-	fmt.Fprintf(out, "\nfleet %s: %d nodes in %d zones, %d destinations of %d owners, leases of %.3g s\n", r.Name, r.Nodes, r.Zones,
-		r.Destinations, r.Owners, r.LeaseSeconds)
+	fmt.Fprintf(out, "\nfleet %s: %d nodes in %d zones, %d destinations of %d owners, records of %d endpoints, leases of %.3g s\n",
+		r.Name, r.Nodes, r.Zones, r.Destinations, r.Owners, r.Endpoints, r.LeaseSeconds)
 	fmt.Fprintf(out, "all is owned %.1f s after the start; all processes had %d MB at the most\n", r.StartSeconds, r.PeakMemory>>20)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "phase\tspan s\tcontrol: cores\tkB/s\tMB\tpeak MB\tnode: % of a core\tB/s\tMB")
--- a/internal/lab/scale/growth_test.go
+++ b/internal/lab/scale/growth_test.go
@@ -125,18 +125,22 @@
 	t.Log(table.String())
 	var back Report
 	testkit.Must(t, json.Unmarshal(object.Bytes(), &back))
-	f := back.Fleets[0]
-	if f.Changes.Count != 4 || f.Burst.Count != 10 || f.Restarts.Count != 2 || f.ControlRestart == nil || f.Idle.NodeBytes <= 0 {
-		t.Errorf("%+v", f)
+	if len(back.Fleets) != 2 {
+		t.Fatalf("%d fleets, want one without records and one with them", len(back.Fleets))
 	}
-	if z := f.LostZone; z.Parts == 0 || z.Gained < z.Parts || z.Reassigned.Count == 0 {
-		t.Errorf("%+v", f.LostZone)
+	for _, f := range back.Fleets {
+		if f.Changes.Count != 4 || f.Burst.Count != 10 || f.Restarts.Count != 2 || f.ControlRestart == nil || f.Idle.NodeBytes <= 0 {
+			t.Errorf("%+v", f)
+		}
+		if z := f.LostZone; z.Parts == 0 || z.Gained < z.Parts || z.Reassigned.Count == 0 {
+			t.Errorf("%+v", f.LostZone)
+		}
 	}
 }
 
 // The tracker tells when a destination has as many owners as were asked for, whose shares make up the limit.
 func TestTracker(t *testing.T) {
-	tracker := newTracker(3, 2)
+	tracker := newTracker(Fleet{Destinations: 3, Owners: 2})
 	report := func(node int, at int64, destination placement.DestinationID, share float64, state assignmentState) {
 		tracker.apply(event{Kind: eventUpdate, Node: node, At: at, IDs: []placement.DestinationID{destination}, Shares: []float64{share}, States: []assignmentState{state}})
 	}
@@ -147,7 +151,7 @@
 	if tracker.unsettled != 0 || tracker.settledAt[2] != 20 {
 		t.Fatalf("%+v", tracker)
 	}
-	tracker.expect(1, 3)
+	tracker.expect(1, 3, 0)
 	report(3, 50, 1, 1.0/3, stateAccepting)
 	report(1, 40, 1, 1.0/3, stateAccepting)
 	if tracker.unsettled != 1 {
@@ -167,6 +171,37 @@
 	}
 }
 
+// A destination with records is settled once all owners know its limit; a share that changes leaves what a node knows.
+func TestTrackerOfRecords(t *testing.T) {
+	tracker := newTracker(Fleet{Destinations: 1, Owners: 2, Endpoints: 1})
+	report := func(node int, at int64, share, limit float64) {
+		e := event{Kind: eventUpdate, Node: node, At: at, IDs: []placement.DestinationID{0}, Shares: []float64{share}, States: []assignmentState{stateAccepting}}
+		if limit > 0 {
+			e.Records, e.Limits = []placement.DestinationID{0}, []float64{limit}
+		}
+		tracker.apply(e)
+	}
+	report(1, 10, 0.5, firstLimit)
+	report(2, 20, 0.5, 0)
+	if tracker.unsettled != 1 {
+		t.Fatal("settled while one owner knows no limit")
+	}
+	report(2, 30, 0.5, firstLimit)
+	if tracker.unsettled != 0 || tracker.settledAt[0] != 30 {
+		t.Fatalf("%+v", tracker)
+	}
+	tracker.expect(0, 0, 2*firstLimit)
+	report(1, 40, 0.5, 2*firstLimit)
+	if tracker.unsettled != 1 {
+		t.Fatal("settled while one owner knows an old limit")
+	}
+	report(2, 50, 0.5, 2*firstLimit)
+	report(1, 60, 0.5, 0)
+	if tracker.unsettled != 0 || tracker.settledAt[0] != 50 {
+		t.Fatalf("%+v", tracker)
+	}
+}
+
 func TestPercentile(t *testing.T) {
 	values := []float64{5, 1, 3, 2, 4}
 	for _, c := range []struct{ part, want float64 }{{0.5, 3}, {0.99, 5}, {1, 5}, {0.2, 1}, {0.21, 2}} {
--- a/internal/lab/scale/phases.go
+++ b/internal/lab/scale/phases.go
@@ -21,14 +21,27 @@
 	return err
 }
 
-// nextChange is a change that was not made before: in turn a new destination, and one more owner for one that
-// there is.
+// nextChange is a change that was not made before: in turn a new destination, one more owner for one that there is,
+// and, where the control process tells nodes of endpoints, another limit of one that there is.
 func (f *fleetRun) nextChange() change {
+	kinds := 2
+	if f.fleet.Endpoints > 0 {
+		kinds = 3
+	}
 	made := len(f.changes)
-	total := f.fleet.Changes + f.fleet.Burst + 2
-	c := change{Destination: f.fleet.Destinations + made/2, Owners: f.fleet.Owners}
-	if made%2 == 1 {
-		c = change{Destination: made / 2 * max(1, 2*f.fleet.Destinations/total) % f.fleet.Destinations, Owners: f.fleet.Owners + 1}
+	rounds := (f.fleet.Changes + f.fleet.Burst + kinds) / kinds
+	round, stride := made/kinds, max(1, f.fleet.Destinations/rounds)
+	var c change
+	switch made % kinds {
+	case 0:
+		c = change{Destination: f.fleet.Destinations + round, Owners: f.fleet.Owners}
+		if f.fleet.Endpoints > 0 {
+			c.Limit = firstLimit
+		}
+	case 1:
+		c = change{Destination: round * stride % f.fleet.Destinations, Owners: f.fleet.Owners + 1}
+	default:
+		c = change{Destination: (round*stride + stride/2) % f.fleet.Destinations, Limit: 2 * firstLimit}
 	}
 	f.changes = append(f.changes, c)
 	return c
@@ -40,7 +53,7 @@
 		made = append(made, f.nextChange())
 	}
 	for _, c := range made {
-		f.tracker.expect(c.Destination, c.Owners)
+		f.tracker.expect(c.Destination, c.Owners, c.Limit)
 	}
 	issued = time.Now().UnixNano()
 	return issued, made, f.control.tell(command{Op: opChange, Changes: made})
--- a/internal/lab/scale/protocol.go
+++ b/internal/lab/scale/protocol.go
@@ -40,10 +40,12 @@
 	Node    int      `json:"node,omitempty"`
 }
 
-// change is one change of configuration: a destination that is new, or has another number of owners.
+// change is one change of configuration: a destination that is new, or has another number of owners or another limit.
+// What is 0 stays as it was.
 type change struct {
-	Destination int `json:"destination"`
-	Owners      int `json:"owners"`
+	Destination int     `json:"destination"`
+	Owners      int     `json:"owners,omitempty"`
+	Limit       float64 `json:"limit,omitempty"`
 }
 
 // The kinds of event that child processes report.
@@ -66,7 +68,10 @@
 	IDs      []placement.DestinationID `json:"ids,omitempty"`
 	Shares   []float64                 `json:"shares,omitempty"`
 	States   []assignmentState         `json:"states,omitempty"`
-	Error    string                    `json:"error,omitempty"`
+	// Records are the destinations whose records came, and Limits what these say.
+	Records []placement.DestinationID `json:"records,omitempty"`
+	Limits  []float64                 `json:"limits,omitempty"`
+	Error   string                    `json:"error,omitempty"`
 
 	from *child // set by who reads it
 }
--- a/internal/lab/scale/role_control.go
+++ b/internal/lab/scale/role_control.go
@@ -1,9 +1,11 @@
 package scale
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -22,7 +24,7 @@
 func runControl(ctx context.Context, config childConfig, commands <-chan command, events *eventWriter) error {
 	world := newWorld(config.Fleet, config.Seed)
 	for _, c := range config.Changes {
-		apply(world, c)
+		apply(world, c, config.Fleet)
 	}
 	server, err := control.NewServer(control.ServerConfig{Listen: config.Address, World: world, StateDir: config.StateDir, Fresh: true,
 		Lease: time.Duration(config.LeaseMS) * time.Millisecond, MaxDrift: controlDrift, MaxSessions: config.Fleet.Nodes + 16,
@@ -47,7 +49,7 @@
 			began := time.Now()
 			world = &control.World{Nodes: world.Nodes, Destinations: slices.Clone(world.Destinations)}
 			for _, one := range c.Changes {
-				apply(world, one)
+				apply(world, one, config.Fleet)
 			}
 			if err := server.SetWorld(world); err != nil {
 				return fmt.Errorf("changing the world: %w", err)
@@ -66,20 +68,34 @@
 			Address: fmt.Sprintf("127.0.0.1:%d", 1+i)})
 	}
 	for i, rate := range rates(fleet.Destinations, seed) {
-		world.Destinations = append(world.Destinations, newDestination(i, rate, fleet.Owners))
+		world.Destinations = append(world.Destinations, newDestination(i, rate, fleet))
 	}
 	return world
 }
 
-func newDestination(number int, rate float64, owners int) control.Destination {
-	return control.Destination{Number: placement.DestinationID(number), Name: fmt.Sprintf("destination-%06d", number), Rate: rate, Owners: owners}
+// firstLimit is the limit of a destination until it is changed.
+const firstLimit = 2 * meanRate
+
+func newDestination(number int, rate float64, fleet Fleet) control.Destination {
+	d := control.Destination{Number: placement.DestinationID(number), Name: fmt.Sprintf("destination-%06d", number), Rate: rate,
+		Owners: fleet.Owners, Bundle: 1}
+	if fleet.Endpoints > 0 {
+		d.Limit = firstLimit
+	}
+	for i := range fleet.Endpoints {
+		d.Endpoints = append(d.Endpoints, control.Endpoint{Name: fmt.Sprintf("endpoint-%06d-%d", number, i+1),
+			Address: fmt.Sprintf("127.0.0.1:%d", 1+number%math.MaxUint16), Building: zoneName(i)})
+	}
+	return d
 }
 
 // apply makes a change: a destination beyond those that there are is added.
-func apply(world *control.World, c change) {
-	if c.Destination < len(world.Destinations) {
-		world.Destinations[c.Destination].Owners = c.Owners
+func apply(world *control.World, c change, fleet Fleet) {
+	if c.Destination >= len(world.Destinations) {
+		world.Destinations = append(world.Destinations, newDestination(len(world.Destinations), meanRate, fleet))
 		return
 	}
-	world.Destinations = append(world.Destinations, newDestination(len(world.Destinations), meanRate, c.Owners))
+	changed := &world.Destinations[c.Destination]
+	changed.Owners = cmp.Or(c.Owners, changed.Owners)
+	changed.Limit = cmp.Or(c.Limit, changed.Limit)
 }
--- a/internal/lab/scale/role_nodes.go
+++ b/internal/lab/scale/role_nodes.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"log/slog"
 	"path/filepath"
 	"sync"
@@ -21,8 +22,9 @@
 	config childConfig
 	events *eventWriter
 
-	mu     sync.Mutex // of sender
+	mu     sync.Mutex // of sender and listed
 	sender *policy.Sender
+	listed map[placement.DestinationID]listedRecord
 	began  time.Time
 
 	agent  *control.Agent
@@ -30,6 +32,12 @@
 	done   chan error // the agent's end
 }
 
+// listedRecord is what a hollow node knows of a destination.
+type listedRecord struct {
+	endpoints []policy.EndpointID
+	limit     float64
+}
+
 // runNodes runs hollow nodes until the input ends.
 func runNodes(ctx context.Context, config childConfig, commands <-chan command, events *eventWriter) error {
 	nodes := map[int]*hollowNode{}
@@ -62,13 +70,15 @@
 
 // start starts the node's agent, and its module with an empty list.
 func (n *hollowNode) start(ctx context.Context) error {
+	n.listed = map[placement.DestinationID]listedRecord{}
 	n.began = time.Now().Add(-time.Duration(moduleStart))
 	if n.config.Fleet.Senders {
 		n.sender = policy.New(moduleSettings(1), n.config.Seed+uint64(n.number))
 	}
 	agent, err := control.NewAgent(control.AgentConfig{Node: placement.NodeID(nodeName(n.number)), Addresses: []string{n.config.Address},
-		StateFile: filepath.Join(n.config.StateDir, nodeName(n.number)), Apply: n.apply, LeaseChanged: n.leaseChanged,
-		LocateFor: time.Minute, LocateMax: 100, Log: slog.New(slog.DiscardHandler)})
+		StateFile: filepath.Join(n.config.StateDir, nodeName(n.number)), Apply: n.apply, Records: n.config.Fleet.Endpoints > 0,
+		LeaseChanged: n.leaseChanged,
+		LocateFor:    time.Minute, LocateMax: 100, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		return err
 	}
@@ -94,7 +104,7 @@
 
 // apply takes in an update, hands it to the module, and reports it. A hollow node has nothing accepted: what it
 // has to finish it releases at once.
-func (n *hollowNode) apply(update lease.Update) {
+func (n *hollowNode) apply(update control.Update) {
 	e := event{Kind: eventUpdate, Node: n.number, Complete: update.Complete}
 	for _, a := range update.Assignments {
 		e.IDs = append(e.IDs, a.Destination)
@@ -104,6 +114,10 @@
 			n.agent.Released(a.Destination)
 		}
 	}
+	for _, record := range update.Records {
+		e.Records = append(e.Records, record.Destination)
+		e.Limits = append(e.Limits, record.Limit)
+	}
 	n.list(update)
 	n.events.write(e)
 }
@@ -119,7 +133,7 @@
 }
 
 // list hands the update to the module as a change of its list.
-func (n *hollowNode) list(update lease.Update) {
+func (n *hollowNode) list(update control.Update) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.sender == nil {
@@ -127,16 +141,56 @@
 	}
 	listed := policy.Listed{}
 	for _, a := range update.Assignments {
-		state := policy.Ready
-		if a.Gone {
-			state = policy.Gone
-		}
-		listed.Entries = append(listed.Entries, policy.Entry{Endpoint: policy.EndpointID(a.Destination) + 1, Destination: int(a.Destination),
-			State: state, Rate: meanRate * a.Share})
+		listed.Entries = append(listed.Entries, n.relist(a)...)
+	}
+	for _, record := range update.Records {
+		listed.Entries = append(listed.Entries, n.listRecord(record)...)
 	}
 	n.sender.Step(policy.Time(time.Since(n.began)), []policy.Event{listed}, nil)
 }
 
+// relist are the entries of a destination whose share has changed. Without records it has one endpoint.
+func (n *hollowNode) relist(a lease.Assignment) []policy.Entry {
+	if n.config.Fleet.Endpoints == 0 {
+		n.listed[a.Destination] = listedRecord{endpoints: []policy.EndpointID{policy.EndpointID(a.Destination) + 1}, limit: meanRate}
+	}
+	return n.entries(a.Destination, a)
+}
+
+// listRecord are the entries of a destination whose record has come.
+func (n *hollowNode) listRecord(record control.Record) []policy.Entry {
+	known := listedRecord{limit: record.Limit}
+	for _, endpoint := range record.Endpoints {
+		known.endpoints = append(known.endpoints, policy.EndpointID(hash(record.ID(endpoint))))
+	}
+	n.listed[record.Destination] = known
+	assigned, _ := n.agent.Assignment(record.Destination)
+	return n.entries(record.Destination, assigned)
+}
+
+// entries are those of a destination's endpoints.
+func (n *hollowNode) entries(destination placement.DestinationID, a lease.Assignment) []policy.Entry {
+	state := policy.Ready
+	if a.Gone {
+		state = policy.Gone
+	}
+	known := n.listed[destination]
+	entries := make([]policy.Entry, 0, len(known.endpoints))
+	for _, id := range known.endpoints {
+		entries = append(entries, policy.Entry{Endpoint: id, Destination: int(destination), State: state, Rate: known.limit * a.Share})
+	}
+	if a.Gone {
+		delete(n.listed, destination)
+	}
+	return entries
+}
+
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s)) // never fails
+	return h.Sum64()
+}
+
 func (n *hollowNode) leaseChanged(inForce bool) {
 	if !inForce {
 		n.events.write(event{Kind: eventLapsed, Node: n.number})
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -23,6 +23,8 @@
 	minSizes = 4
 	// maxZones bounds the processes of a fleet: there is one for each zone.
 	maxZones = 32
+	// maxEndpoints bounds the endpoints of a destination.
+	maxEndpoints = 16
 )
 
 // ErrScenario is wrapped by all errors of a scenario's content.
@@ -61,14 +63,16 @@
 
 // Fleet is a control process and hollow nodes, one process for the nodes of each zone.
 type Fleet struct {
-	Name         string   `toml:"name"`
-	Nodes        int      `toml:"nodes"`
-	Zones        int      `toml:"zones"`
-	Destinations int      `toml:"destinations"`
-	Owners       int      `toml:"owners"`
-	Lease        Duration `toml:"lease"`
-	Senders      bool     `toml:"senders"` // each node also has a decision module with its part
-	Idle         Duration `toml:"idle"`    // a window without changes, in which the cost at rest is counted
+	Name         string `toml:"name"`
+	Nodes        int    `toml:"nodes"`
+	Zones        int    `toml:"zones"`
+	Destinations int    `toml:"destinations"`
+	Owners       int    `toml:"owners"`
+	// Endpoints is how many endpoints each destination has, which nodes are told by the control process; 0 is none.
+	Endpoints int      `toml:"endpoints"`
+	Lease     Duration `toml:"lease"`
+	Senders   bool     `toml:"senders"` // each node also has a decision module with its part
+	Idle      Duration `toml:"idle"`    // a window without changes, in which the cost at rest is counted
 	// Changes are made one by one, Every apart, and then Burst of them at once.
 	Changes int      `toml:"changes"`
 	Every   Duration `toml:"every"`
@@ -163,6 +167,7 @@
 		within("zones", f.Zones, 1, maxZones),
 		within("destinations", f.Destinations, 1, MaxDestinations),
 		within("owners", f.Owners, 1, 8),
+		within("endpoints", f.Endpoints, 0, maxEndpoints),
 		within("lease", f.Lease.Duration, 500*time.Millisecond, 10*time.Minute),
 		within("idle", f.Idle.Duration, 0, 5*time.Minute),
 		within("changes", f.Changes, 0, 10_000),
--- a/internal/lab/scale/tracker.go
+++ b/internal/lab/scale/tracker.go
@@ -1,12 +1,16 @@
 package scale
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // holding is a node's part in a destination, as the node reported it.
 type holding struct {
 	node      int
 	share     float64
 	accepting bool
+	limit     float64 // by the latest record, 0 without one
 }
 
 // shareTolerance is how far the sum of shares may be from 1 by rounding.
@@ -17,6 +21,7 @@
 type tracker struct {
 	holdings  [][]holding
 	expected  []int
+	limits    []float64 // that owners are to know of, 0 for none
 	isSettled []bool
 	lastAt    []int64 // the time of the latest report
 	settledAt []int64 // the time of the latest report when it became settled
@@ -27,24 +32,30 @@
 	reported  map[int]bool // nodes that have reported a part
 }
 
-func newTracker(destinations, owners int) *tracker {
+func newTracker(fleet Fleet) *tracker {
 	t := &tracker{restarted: map[int]bool{}, reported: map[int]bool{}}
-	for d := range destinations {
-		t.expect(d, owners)
+	limit := 0.0
+	if fleet.Endpoints > 0 {
+		limit = firstLimit
+	}
+	for d := range fleet.Destinations {
+		t.expect(d, fleet.Owners, limit)
 	}
 	return t
 }
 
-// expect sets how many owners a destination has; one that is not known yet is added.
-func (t *tracker) expect(destination, owners int) {
+// expect sets how many owners a destination has and which limit they know; 0 stays. One that is not known yet is added.
+func (t *tracker) expect(destination, owners int, limit float64) {
 	for len(t.expected) <= destination {
 		t.expected = append(t.expected, 0)
+		t.limits = append(t.limits, 0)
 		t.holdings = append(t.holdings, nil)
 		t.isSettled = append(t.isSettled, true)
 		t.lastAt = append(t.lastAt, 0)
 		t.settledAt = append(t.settledAt, 0)
 	}
-	t.expected[destination] = owners
+	t.expected[destination] = cmp.Or(owners, t.expected[destination])
+	t.limits[destination] = cmp.Or(limit, t.limits[destination])
 	t.judge(destination)
 }
 
@@ -64,7 +75,7 @@
 	for i, id := range e.IDs {
 		destination := int(id)
 		if destination >= len(t.holdings) {
-			t.expect(destination, 0)
+			t.expect(destination, 0, 0)
 		}
 		h := holding{node: e.Node, share: e.Shares[i], accepting: e.States[i] == stateAccepting}
 		if t.put(destination, h, e.States[i] == stateGone) && !e.Complete {
@@ -73,6 +84,20 @@
 		t.lastAt[destination] = max(t.lastAt[destination], e.At)
 		t.judge(destination)
 	}
+	for i, id := range e.Records {
+		t.record(int(id), e.Node, e.Limits[i], e.At)
+	}
+}
+
+// record notes which limit a node knows of a destination that it has a part in.
+func (t *tracker) record(destination, node int, limit float64, at int64) {
+	for i := range t.holdings[destination] {
+		if h := &t.holdings[destination][i]; h.node == node {
+			h.limit = limit
+		}
+	}
+	t.lastAt[destination] = max(t.lastAt[destination], at)
+	t.judge(destination)
 }
 
 // put replaces a node's part in a destination, and tells whether it had none.
@@ -83,6 +108,7 @@
 		t.holdings[destination] = slices.Delete(t.holdings[destination], at, at+1)
 	case gone:
 	case at >= 0:
+		h.limit = t.holdings[destination][at].limit
 		t.holdings[destination][at] = h
 	default:
 		t.holdings[destination] = append(t.holdings[destination], h)
@@ -93,14 +119,15 @@
 
 // judge finds out whether a destination is settled.
 func (t *tracker) judge(destination int) {
-	accepting, sum := 0, 0.0
+	accepting, sum, informed := 0, 0.0, true
 	for _, h := range t.holdings[destination] {
 		if h.accepting {
 			accepting++
 			sum += h.share
+			informed = informed && h.limit == t.limits[destination]
 		}
 	}
-	settled := accepting == t.expected[destination] && (accepting == 0 || sum > 1-shareTolerance && sum < 1+shareTolerance)
+	settled := informed && accepting == t.expected[destination] && (accepting == 0 || sum > 1-shareTolerance && sum < 1+shareTolerance)
 	if settled == t.isSettled[destination] {
 		return
 	}
--- a/internal/node/assignment.go
+++ b/internal/node/assignment.go
@@ -15,6 +15,8 @@
 	"wingmount/decide/placement"
 	"wingmount/internal/config"
 	"wingmount/internal/control"
+	"wingmount/internal/directory"
+	"wingmount/internal/engine"
 	httpfront "wingmount/internal/front/http"
 	"wingmount/internal/inflight"
 	"wingmount/internal/store"
@@ -39,9 +41,9 @@
 	Locate(ctx context.Context, destination placement.DestinationID) ([]control.Owner, error)
 }
 
-// shareSetter is what the node needs of its engine.
-type shareSetter interface {
-	SetShares(shares map[int]float64)
+// partSetter is what the node needs of its engine.
+type partSetter interface {
+	SetPart(part engine.Part)
 	SetLeased(leased bool)
 }
 
@@ -50,9 +52,10 @@
 type assignment struct {
 	node        placement.NodeID
 	regionShare float64
+	distributed bool // endpoints of destinations come from the control process, and not from the node's file
 	log         *slog.Logger
 	agent       agent
-	engine      shareSetter
+	engine      partSetter
 	registry    *inflight.Registry
 
 	mu sync.Mutex
@@ -71,10 +74,10 @@
 	if section == nil {
 		return nil, nil
 	}
-	a := &assignment{node: placement.NodeID(f.Name), regionShare: section.RegionShare, log: log,
+	a := &assignment{node: placement.NodeID(f.Name), regionShare: section.RegionShare, distributed: section.Distributed(), log: log,
 		finishing: map[placement.DestinationID]bool{}}
 	agent, err := control.NewAgent(control.AgentConfig{Node: a.node, Addresses: section.Control, StateFile: section.State,
-		Apply: a.apply, LeaseChanged: a.leaseChanged, LocateFor: time.Duration(section.OwnersKeptFor), LocateMax: section.OwnersMax, Log: log})
+		Apply: a.apply, Records: a.distributed, LeaseChanged: a.leaseChanged, LocateFor: time.Duration(section.OwnersKeptFor), LocateMax: section.OwnersMax, Log: log})
 	if err != nil {
 		return nil, fmt.Errorf("taking part in the assignment: %w", err)
 	}
@@ -83,7 +86,7 @@
 }
 
 // join sets the parts of the node that follow the assignment.
-func (a *assignment) join(engine shareSetter, registry *inflight.Registry) {
+func (a *assignment) join(engine partSetter, registry *inflight.Registry) {
 	a.engine, a.registry = engine, registry
 }
 
@@ -130,20 +133,52 @@
 }
 
 // apply puts changed assignments in force: when it returns, the module follows the new shares.
-func (a *assignment) apply(update lease.Update) {
-	changed := make(map[int]float64, len(update.Assignments))
+func (a *assignment) apply(update control.Update) {
+	part := engine.Part{Shares: make(map[int]float64, len(update.Assignments))}
+	if a.distributed {
+		part.Endpoints = endpointsOf(update)
+	}
 	a.mu.Lock()
 	for _, assigned := range update.Assignments {
 		share := assigned.Share
 		if assigned.Gone {
 			share = 0
 		}
-		changed[int(assigned.Destination)] = share * a.regionShare
+		part.Shares[int(assigned.Destination)] = share * a.regionShare
 		a.keepFinishing(assigned)
 	}
 	a.mu.Unlock()
-	a.log.Info("assignment: changed", "destinations", len(changed), "complete", update.Complete)
-	a.engine.SetShares(changed)
+	a.log.Info("assignment: changed", "destinations", len(part.Shares), "records", len(update.Records), "complete", update.Complete)
+	a.engine.SetPart(part)
+}
+
+// endpointsOf are the endpoints of the destinations whose records an update brings, and none of those that it takes
+// away.
+func endpointsOf(update control.Update) map[int][]directory.Member {
+	endpoints := make(map[int][]directory.Member, len(update.Records))
+	for _, assigned := range update.Assignments {
+		if assigned.Gone {
+			endpoints[int(assigned.Destination)] = nil
+		}
+	}
+	for _, record := range update.Records {
+		endpoints[int(record.Destination)] = members(record)
+	}
+	return endpoints
+}
+
+// members are the endpoints of a record in the form of a list.
+func members(record control.Record) []directory.Member {
+	all := make([]directory.Member, 0, len(record.Endpoints))
+	for _, endpoint := range record.Endpoints {
+		phase := directory.Active
+		if endpoint.Drains {
+			phase = directory.Leaving
+		}
+		all = append(all, directory.Member{ID: record.ID(endpoint), HostPort: endpoint.Address, Locality: endpoint.Building,
+			Flavor: record.Kind(), Cell: int(record.Destination), Phase: phase, Size: record.Limit})
+	}
+	return all
 }
 
 // keepFinishing notes whether a destination is to be released once it is empty. One that is gone may have
@@ -232,6 +267,9 @@
 	return ok && assigned.Share > 0
 }
 
+// Distributed implements [httpfront.Ownership].
+func (a *assignment) Distributed() bool { return a.distributed }
+
 // Accepts implements [httpfront.Ownership].
 func (a *assignment) Accepts(destination int) bool {
 	if !a.agent.InForce() {
@@ -247,6 +285,9 @@
 		return "", errNoLease
 	}
 	owners, err := a.agent.Locate(ctx, placement.DestinationID(destination))
+	if a.distributed && errors.Is(err, control.ErrUnknownDestination) {
+		return "", fmt.Errorf("%w: %w", httpfront.ErrNoDestination, err)
+	}
 	if err != nil {
 		return "", err
 	}
--- a/internal/node/assignment_test.go
+++ b/internal/node/assignment_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
+	"reflect"
 	"slices"
 	"sync"
 	"testing"
@@ -13,6 +16,9 @@
 	"wingmount/decide/lease"
 	"wingmount/decide/placement"
 	"wingmount/internal/control"
+	"wingmount/internal/directory"
+	"wingmount/internal/engine"
+	httpfront "wingmount/internal/front/http"
 	"wingmount/internal/inflight"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
@@ -65,16 +71,16 @@
 	return f.owners, f.err
 }
 
-// fakeEngine notes the shares that it is told.
+// fakeEngine notes the shares and endpoints that it is told.
 type fakeEngine struct {
-	shares map[int]float64
-	leased bool
+	shares    map[int]float64
+	endpoints map[int][]directory.Member // of the latest part
+	leased    bool
 }
 
-func (f *fakeEngine) SetShares(shares map[int]float64) {
-	for d, share := range shares {
-		f.shares[d] = share
-	}
+func (f *fakeEngine) SetPart(part engine.Part) {
+	maps.Copy(f.shares, part.Shares)
+	f.endpoints = part.Endpoints
 }
 
 func (f *fakeEngine) SetLeased(leased bool) { f.leased = leased }
@@ -98,7 +104,7 @@
 		}
 	}
 	agent.mu.Unlock()
-	a.apply(lease.Update{Assignments: all})
+	a.apply(control.Update{Update: lease.Update{Assignments: all}})
 }
 
 // The engine hears the region's part of each share, the front what is accepted, and the carrier what may be sent.
@@ -124,6 +130,33 @@
 	}
 }
 
+// Where the control process tells endpoints, the engine hears those of the records that come, and none of destinations that
+// are gone; nodes with lists of their own hear of none.
+func TestRecordsApply(t *testing.T) {
+	a, agent, engine := newTestAssignment()
+	record := control.Record{Destination: 1, Limit: 20, RoutesApart: true, Bundle: 3, Endpoints: []control.Endpoint{
+		{Name: "a", Address: "h:1", Building: "b1"}, {Name: "b", Address: "h:2", Building: "b2", Drains: true}}}
+	agent.assignments[1] = lease.Assignment{Destination: 1, Share: 0.5, Accepting: true}
+	update := control.Update{Update: lease.Update{Assignments: []lease.Assignment{agent.assignments[1], {Destination: 2, Gone: true}}},
+		Records: []control.Record{record}}
+	a.apply(update)
+	if engine.endpoints != nil || engine.shares[1] != 0.25 {
+		t.Errorf("a node with its own list hears of %v and %v", engine.endpoints, engine.shares)
+	}
+	a.distributed = true
+	a.apply(update)
+	want := map[int][]directory.Member{2: nil, 1: {
+		{ID: record.ID(record.Endpoints[0]), HostPort: "h:1", Locality: "b1", Flavor: record.Kind(), Cell: 1, Phase: directory.Active, Size: 20},
+		{ID: record.ID(record.Endpoints[1]), HostPort: "h:2", Locality: "b2", Flavor: record.Kind(), Cell: 1, Phase: directory.Leaving, Size: 20}}}
+	if !reflect.DeepEqual(engine.endpoints, want) {
+		t.Errorf("the engine hears of %+v, want %+v", engine.endpoints, want)
+	}
+	a.apply(control.Update{Update: lease.Update{Complete: true}})
+	if engine.endpoints == nil {
+		t.Error("an empty part is not told apart from a list of the node's own")
+	}
+}
+
 // A destination that is not accepted for is released once nothing of it is in flight, reservations among it.
 func TestRelease(t *testing.T) {
 	a, agent, _ := newTestAssignment()
@@ -174,6 +207,15 @@
 			t.Errorf("%q, %v", owner, err)
 		}
 	}
+	agent.err = fmt.Errorf("locating: %w", control.ErrUnknownDestination)
+	if _, err := a.Locate(context.Background(), 1); errors.Is(err, httpfront.ErrNoDestination) {
+		t.Error("a destination of the node's own list does not exist")
+	}
+	a.distributed = true
+	if _, err := a.Locate(context.Background(), 1); !errors.Is(err, httpfront.ErrNoDestination) {
+		t.Errorf("a destination that the control process does not know: %v", err)
+	}
+	agent.err = nil
 	agent.owners = agent.owners[:1]
 	if _, err := a.Locate(context.Background(), 1); !errors.Is(err, errNoOwner) {
 		t.Errorf("without another owner: %v", err)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -257,7 +257,8 @@
 				log.Error("reload: the configuration stays as it was", "err", err)
 				continue
 			}
-			log.Info("reload", "endpoints", len(again.List().Members))
+			list := again.List()
+			log.Info("reload", "endpoints", len(list.Members))
 			if keeper != nil {
 				if err := keeper.Reload(); err != nil {
 					log.Error("reload: the rules stay as they were", "err", err)
@@ -268,7 +269,9 @@
 					log.Error("reload: the peers stay as they were", "err", err)
 				}
 			}
-			n.engine.Post(again.List())
+			if !f.Assignment.Distributed() && !again.Assignment.Distributed() {
+				n.engine.Post(list)
+			}
 		}
 	})
 	known := f.List()
