--- a/cmd/wingmount/assignment_test.go
+++ b/cmd/wingmount/assignment_test.go
@@ -29,11 +29,18 @@
 
 func newAssigned(t *testing.T, nodes, destinations, owners int, rate float64) *assigned {
 	t.Helper()
+	return newAssignedBy(t, nodes, destinations, rate, rig.Assignment{Owners: owners})
+}
+
+// newAssignedBy has one region and short leases, whatever the assignment says else.
+func newAssignedBy(t *testing.T, nodes, destinations int, rate float64, assignment rig.Assignment) *assigned {
+	t.Helper()
+	assignment.Regions, assignment.Lease, assignment.RestartGrace = 1, testLease, 500*time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Second)
 	t.Cleanup(cancel)
 	r, err := rig.New(rig.Config{Dir: t.TempDir(), Command: []string{os.Args[0]}, Env: []string{"WINGMOUNT_TEST_NODE=1", "GORACE=atexit_sleep_ms=0"},
 		Store: "sqlite", Deadline: 30 * time.Second, Destinations: destinations, Takes: 5 * time.Millisecond, Slack: 3 * time.Second, Nodes: nodes,
-		Rate: rate, Assignment: &rig.Assignment{Regions: 1, Owners: owners, Lease: testLease, RestartGrace: 500 * time.Millisecond}})
+		Rate: rate, Assignment: &assignment})
 	testkit.Must(t, err)
 	t.Cleanup(func() { testkit.Must(t, r.Close()) })
 	a := &assigned{Rig: r, t: t, ctx: ctx}
--- a/internal/demo/assignment.go
+++ b/internal/demo/assignment.go
@@ -36,11 +36,11 @@
 
 // assignment: six nodes in two regions are assigned their destinations by one control process in each region. The
 // regions are cut from each other while a node drains on one side and one is killed on the other; a control process
-// is killed; a node is paused past its lease.
+// is killed; an endpoint moves; a node is paused past its lease. The nodes have no destinations in their files.
 func assignment(ctx context.Context, s *stage) (err error) {
 	r, err := rig.New(rig.Config{Dir: s.dir, Command: s.command, Store: "sqlite", Deadline: 20 * time.Second, Slack: 1500 * time.Millisecond,
 		Destinations: assignedDestinations, Takes: 20 * time.Millisecond, Nodes: assignedNodes, Rate: assignedRate, MaxMB: 16,
-		Assignment: &rig.Assignment{Regions: assignedRegions, Owners: assignedOwners, Lease: assignedLease, RestartGrace: time.Second}})
+		Assignment: &rig.Assignment{Regions: assignedRegions, Owners: assignedOwners, Lease: assignedLease, RestartGrace: time.Second, Distributed: true}})
 	if err != nil {
 		return err
 	}
@@ -51,7 +51,7 @@
 	}
 	sent := make(chan error, 1)
 	go func() { sent <- send(ctx, r, "m", assignedMessages, assignedSpan) }()
-	for _, act := range []func(context.Context) error{a.cutRegions, a.restartControl, a.bringBack, a.pauseOwner} {
+	for _, act := range []func(context.Context) error{a.cutRegions, a.restartControl, a.bringBack, a.moveEndpoint, a.pauseOwner} {
 		if err := act(ctx); err != nil {
 			return err
 		}
@@ -155,6 +155,15 @@
 	return pause(ctx, 3*time.Second)
 }
 
+// moveEndpoint has a partner's endpoint move to another address.
+func (a *assignedStage) moveEndpoint(ctx context.Context) error {
+	if err := a.MoveEndpoint(ctx, 1, "annex"); err != nil {
+		return err
+	}
+	a.say("partner-1 moves its endpoint in the annex: the control processes read it, and its owners call it there")
+	return pause(ctx, 500*time.Millisecond)
+}
+
 // pauseOwner pauses a node past its lease.
 func (a *assignedStage) pauseOwner(ctx context.Context) error {
 	const node = 2
--- a/internal/rig/assignment.go
+++ b/internal/rig/assignment.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,6 +31,8 @@
 	Lease   time.Duration // of the nodes
 	// RestartGrace is how long a node that has left keeps its destinations.
 	RestartGrace time.Duration
+	// Distributed says that nodes are told endpoints and limits by the control process, and have none in their files.
+	Distributed bool
 }
 
 // region is the control process of one region, and the paths to it.
@@ -95,6 +99,9 @@
 	for _, d := range r.Destinations {
 		fmt.Fprintf(&b, "[[destination]]\nnumber = %d\nname = %q\nrate = %.3f\nowners = %d\n", d.Number, d.Name,
 			max(d.Rate, 1)/float64(r.cfg.Assignment.Regions), r.cfg.Assignment.Owners)
+		if r.cfg.Assignment.Distributed {
+			fmt.Fprintf(&b, "limit = %.3f\n%s", d.Rate, d.endpointsText())
+		}
 	}
 	return b.String()
 }
@@ -102,8 +109,53 @@
 // assignmentText is the section of a node's file.
 func (r *Rig) assignmentText(node int) string {
 	g := r.control.regions[r.regionOf(node)]
-	return fmt.Sprintf("[assignment]\ncontrol = [%q]\nstate = %q\nregion_share = %v\nowners_kept_for = \"500ms\"\n",
+	text := fmt.Sprintf("[assignment]\ncontrol = [%q]\nstate = %q\nregion_share = %v\nowners_kept_for = \"500ms\"\n",
 		g.paths[node].Addr(), r.nodes[node].file+".assignment", 1/float64(r.cfg.Assignment.Regions))
+	if r.cfg.Assignment.Distributed {
+		text += fmt.Sprintf("destinations = \"control\"\nbuildings = [\"%s\"]\n", strings.Join(partnerBuildings, "\", \""))
+	}
+	return text
+}
+
+// MoveEndpoint has a destination's endpoint in a building move to another address, and the control processes read that
+// anew. Nodes with endpoints of their own in their files do not hear of it.
+func (r *Rig) MoveEndpoint(ctx context.Context, destination int, building string) error {
+	d := r.Destinations[destination-1]
+	at := slices.IndexFunc(d.endpoints, func(e endpoint) bool { return e.building == building })
+	if at < 0 {
+		return fmt.Errorf("destination %d has no endpoint in %q", destination, building)
+	}
+	address, err := d.System.Move(building)
+	if err != nil {
+		return err
+	}
+	d.endpoints[at].address = address
+	for i, g := range r.control.regions {
+		if err := os.WriteFile(g.world, []byte(r.worldText(i)), 0o600); err != nil {
+			return err
+		}
+		if err := reload(ctx, g.listen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reload has a control process read its world file again.
+func reload(ctx context.Context, control string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+control+"/v1/assignment/reload", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("reloading the world: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("reloading the world: the control process answered %d", response.StatusCode)
+	}
+	return nil
 }
 
 // close ends the paths to the control processes.
--- a/internal/rig/files.go
+++ b/internal/rig/files.go
@@ -110,8 +110,11 @@
 			fmt.Fprintf(&b, "[[gossip.peer]]\nname = %q\naddress = %q\nkeys = [%q]\n", q.name, q.gossip, q.public)
 		}
 	}
+	if r.control != nil && r.cfg.Assignment.Distributed {
+		return b.String()
+	}
 	for _, d := range r.Destinations {
-		fmt.Fprintf(&b, "[[destination]]\nnumber = %d\nname = %q\nrate = %.1f\n%s", d.Number, d.Name, d.Rate, strings.Join(d.entries, ""))
+		fmt.Fprintf(&b, "[[destination]]\nnumber = %d\nname = %q\nrate = %.1f\n%s", d.Number, d.Name, d.Rate, d.endpointsText())
 	}
 	return b.String()
 }
--- a/internal/rig/partners.go
+++ b/internal/rig/partners.go
@@ -40,8 +40,7 @@
 			d.System.Set(mode)
 		}
 		for b, building := range partnerBuildings {
-			d.entries = append(d.entries, fmt.Sprintf("  [[destination.endpoint]]\n  name = %q\n  address = %q\n  building = %q\n",
-				fmt.Sprint(d.Name, "-", building), addresses[system][b], building))
+			d.endpoints = append(d.endpoints, endpoint{name: fmt.Sprint(d.Name, "-", building), address: addresses[system][b], building: building})
 		}
 		r.Destinations = append(r.Destinations, d)
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,11 +46,29 @@
 
 // Destination is one partner system of the rig.
 type Destination struct {
-	Number  int
-	Name    string
-	System  *partner.System
-	Rate    float64
-	entries []string
+	Number int
+	Name   string
+	System *partner.System
+	Rate   float64
+	// endpoints are one in each building.
+	endpoints []endpoint
+}
+
+// endpoint is one address of a destination.
+type endpoint struct{ name, address, building string }
+
+// text is how a file lists the endpoint.
+func (e endpoint) text() string {
+	return fmt.Sprintf("  [[destination.endpoint]]\n  name = %q\n  address = %q\n  building = %q\n", e.name, e.address, e.building)
+}
+
+// endpointsText is how a file lists all endpoints of the destination.
+func (d *Destination) endpointsText() string {
+	var b strings.Builder
+	for _, e := range d.endpoints {
+		b.WriteString(e.text())
+	}
+	return b.String()
 }
 
 // Config is what a rig is told.
--- a/internal/standin/partner/partner.go
+++ b/internal/standin/partner/partner.go
@@ -52,7 +52,7 @@
 	twoOut  int
 	limiter limiter
 	early   int // calls during a wait that was told, beyond its grace
-	servers []*http.Server
+	servers []endpointServer
 	running sync.WaitGroup
 }
 
@@ -65,6 +65,32 @@
 		effects: map[string]int{}, ran: map[string]time.Time{}, calls: map[string]int{}, keyOf: map[string]string{}, out: map[string]int{}}
 }
 
+// endpointServer is an endpoint that listens.
+type endpointServer struct {
+	*http.Server
+	building string
+}
+
+// moveTime is how long calls that are out have when their endpoint moves.
+const moveTime = 2 * time.Second
+
+// Move starts the endpoint of a building at another address, which it returns, and ends the one before: calls to that
+// find no connection.
+func (s *System) Move(building string) (string, error) {
+	address, err := s.Listen(building)
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), moveTime)
+	defer cancel()
+	for _, server := range s.servers[:len(s.servers)-1] {
+		if server.building == building {
+			err = errors.Join(err, server.Shutdown(ctx))
+		}
+	}
+	return address, err
+}
+
 // Listen starts an endpoint in a building and returns its address.
 func (s *System) Listen(building string) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -73,7 +99,7 @@
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, building) }),
 		ReadHeaderTimeout: 5 * time.Second}
-	s.servers = append(s.servers, server)
+	s.servers = append(s.servers, endpointServer{server, building})
 	s.running.Go(func() { _ = server.Serve(l) }) // ends with Close
 	return l.Addr().String(), nil
 }
