--- a/decide/authority/authority_test.go
+++ b/decide/authority/authority_test.go
@@ -50,6 +50,10 @@
 	if _, some := heir.claimant.Next(heir.clock); some {
 		t.Error("the heir claims while the holder's clock may be slow")
 	}
+	heir.clock.Latest += time.Hour // its wall clock is set
+	if _, some := heir.claimant.Next(heir.clock); some {
+		t.Error("the heir claims since its clock was set")
+	}
 	m.pass(modelLength / 4)
 	m.act(heir)
 	m.commit(len(m.proposals)-1, false)
@@ -66,7 +70,7 @@
 	holder := m.processes[0]
 	for range 5 {
 		m.pass(modelLength / 2)
-		sent := holder.clock
+		sent := holder.clock.Latest
 		m.act(holder)
 		m.pass(modelLength / 4)
 		m.commit(0, false)
--- a/decide/authority/claimant.go
+++ b/decide/authority/claimant.go
@@ -28,6 +28,15 @@
 	DefaultSlack    = 250 * time.Millisecond
 )
 
+// Reading is the time of a member, from any fixed origins. A machine that is suspended, or whose clock is set, has no
+// clock that is right; a holder's time must not be too long then, nor a wait too short.
+type Reading struct {
+	// Latest never shows that less time has passed than has, but for drift.
+	Latest time.Duration
+	// Earliest never shows that more time has passed than has, but for drift.
+	Earliest time.Duration
+}
+
 // renewalParts is in how many parts of its time a holder renews it, and retryParts after how large a part it
 // proposes again what had no effect yet.
 const (
@@ -46,25 +55,24 @@
 }
 
 // Claimant is one process of a member: it claims the member's region, holds it, and consents to another's holding. It
-// is not safe for concurrent use. Times are from any fixed origin.
+// is not safe for concurrent use.
 type Claimant struct {
 	config    Config
 	member    MemberID
 	region    string
 	process   ProcessID
-	began     time.Duration
 	latest    time.Duration // the latest time seen
 	joined    bool          // the process has joined in the book
 	book      *Book         // as applied
 	held      Holding       // of the region, as applied
-	appliedAt time.Duration // when the present stamp was
+	appliedAt time.Duration // when the present stamp was, by Earliest
 	proposals []underWay
-	proposed  time.Duration // when the latest proposal was made
+	proposed  time.Duration // when the latest proposal was made, by Latest
 	nonce     Nonce
-	claiming  bool  // a claim is under way
-	claimed   Stamp // that it follows
-	ends      time.Duration
-	promised  time.Duration // no claim before it
+	claiming  bool          // a claim is under way
+	claimed   Stamp         // that it follows
+	ends      time.Duration // of the holder's time, by Latest
+	promised  time.Duration // no claim before it, by Earliest
 	round     round
 	settled   bool
 	faults    faults
@@ -80,10 +88,10 @@
 
 // NewClaimant returns a claimant that begins now. What its earlier processes promised may be in force, so it claims
 // nothing of another member before that has surely ended.
-func NewClaimant(now time.Duration, member Member, process ProcessID, config Config) *Claimant {
-	c := &Claimant{config: config, member: member.ID, region: member.Region, process: process, began: now, latest: now}
-	c.promised = now + c.wait(config.Length)
-	c.proposed = now - config.Length
+func NewClaimant(now Reading, member Member, process ProcessID, config Config) *Claimant {
+	c := &Claimant{config: config, member: member.ID, region: member.Region, process: process, latest: now.Latest}
+	c.promised = now.Earliest + c.wait(config.Length)
+	c.proposed = now.Latest - config.Length
 	return c
 }
 
@@ -93,24 +101,24 @@
 }
 
 // observe takes in the time. A clock that goes back ends the time of a holder, and with it what is under way.
-func (c *Claimant) observe(now time.Duration) {
-	if now < c.latest {
+func (c *Claimant) observe(now Reading) {
+	if now.Latest < c.latest {
 		c.ends, c.proposals, c.round = 0, nil, round{}
-		c.appliedAt, c.promised = now, now+c.wait(max(c.config.Length, c.held.Length))
-		c.proposed = now - c.config.Length
+		c.appliedAt, c.promised = now.Earliest, now.Earliest+c.wait(max(c.config.Length, c.held.Length))
+		c.proposed = now.Latest - c.config.Length
 	}
-	c.latest = now
+	c.latest = now.Latest
 }
 
 // Apply takes in the book once entries were applied. Effect is the nonce of the claim or renewal of this process that
 // took effect with it, 0 for none.
-func (c *Claimant) Apply(now time.Duration, book *Book, effect Nonce) {
+func (c *Claimant) Apply(now Reading, book *Book, effect Nonce) {
 	c.observe(now)
 	c.book = book
 	c.joined = book.Members[c.member].Process == c.process
 	held := book.Regions[c.region]
 	if held.Stamp != c.held.Stamp {
-		c.appliedAt = now
+		c.appliedAt = now.Earliest
 	}
 	c.held = held
 	if effect != 0 && c.isHolder() {
@@ -130,23 +138,23 @@
 }
 
 // extend counts the holder's time from the sending of a proposal.
-func (c *Claimant) extend(now time.Duration, effect Nonce) {
+func (c *Claimant) extend(now Reading, effect Nonce) {
 	at := slices.IndexFunc(c.proposals, func(u underWay) bool { return u.nonce == effect })
 	if at < 0 {
 		return
 	}
 	sent := c.proposals[at].sent
 	if c.faults.countFromApply {
-		sent = now
+		sent = now.Latest
 	}
 	c.ends = max(c.ends, sent+c.held.Length)
 	c.proposals = nil // the others follow a state that has passed
 }
 
 // Holds tells whether this process may grant now, and as which incarnation.
-func (c *Claimant) Holds(now time.Duration) (lease.Incarnation, bool) {
+func (c *Claimant) Holds(now Reading) (lease.Incarnation, bool) {
 	c.observe(now)
-	return c.held.Incarnation, c.isHolder() && now < c.ends
+	return c.held.Incarnation, c.isHolder() && now.Latest < c.ends
 }
 
 // Holding is what the log says of the region, as applied.
@@ -155,7 +163,7 @@
 // IsHolder tells whether the log says that this process holds the region, whether its time has ended or not.
 func (c *Claimant) IsHolder() bool { return c.isHolder() }
 
-// Ends is when the holder's time ends.
+// Ends is when the holder's time ends, by Reading.Latest.
 func (c *Claimant) Ends() time.Duration { return c.ends }
 
 // Settled says that no lease of an earlier holder is in force, which the next renewal tells.
@@ -168,13 +176,13 @@
 }
 
 // Next returns what to propose now, false where there is nothing. What it returned counts as under way from then on.
-func (c *Claimant) Next(now time.Duration) (Proposal, bool) {
+func (c *Claimant) Next(now Reading) (Proposal, bool) {
 	c.observe(now)
-	if !c.joined || now < c.proposed+c.config.Length/retryParts {
+	if !c.joined || now.Latest < c.proposed+c.config.Length/retryParts {
 		return Proposal{}, false
 	}
 	if c.isHolder() {
-		if c.ends > 0 && now < c.ends-c.held.Length+c.held.Length/renewalParts && len(c.proposals) == 0 {
+		if c.ends > 0 && now.Latest < c.ends-c.held.Length+c.held.Length/renewalParts && len(c.proposals) == 0 {
 			return Proposal{}, false
 		}
 		nonce := c.note(now)
@@ -191,10 +199,10 @@
 }
 
 // note remembers a proposal that is about to be sent.
-func (c *Claimant) note(now time.Duration) Nonce {
+func (c *Claimant) note(now Reading) Nonce {
 	c.nonce++
-	c.proposed = now
-	c.proposals = append(c.proposals, underWay{nonce: c.nonce, sent: now, after: c.held.Stamp})
+	c.proposed = now.Latest
+	c.proposals = append(c.proposals, underWay{nonce: c.nonce, sent: now.Latest, after: c.held.Stamp})
 	if len(c.proposals) > maxUnderWay {
 		c.proposals = c.proposals[1:]
 	}
@@ -202,17 +210,17 @@
 }
 
 // mayClaim tells whether nobody else may hold the region any more. An earlier process of this member has ended.
-func (c *Claimant) mayClaim(now time.Duration) bool {
+func (c *Claimant) mayClaim(now Reading) bool {
 	if c.held.Holder == 0 || c.held.Holder == c.member {
 		return true
 	}
 	if c.faults.claimEarly {
 		return true
 	}
-	if now < c.promised && !c.faults.forgetPromise {
+	if now.Earliest < c.promised && !c.faults.forgetPromise {
 		return false
 	}
-	return now >= c.appliedAt+c.wait(c.held.Length)
+	return now.Earliest >= c.appliedAt+c.wait(c.held.Length)
 }
 
 // Consent asks a member to let the holder go on without the quorum.
@@ -226,13 +234,13 @@
 
 // Ask begins a round of consent. It returns whom to ask, and false where this process is no holder, or its time is
 // long enough still. Where there is no other member in the region the round has succeeded at once.
-func (c *Claimant) Ask(now time.Duration) (Consent, []MemberID, bool) {
+func (c *Claimant) Ask(now Reading) (Consent, []MemberID, bool) {
 	c.observe(now)
-	if !c.isHolder() || now < c.ends-c.held.Length/renewalParts {
+	if !c.isHolder() || now.Latest < c.ends-c.held.Length/renewalParts {
 		return Consent{}, nil, false
 	}
 	c.nonce++
-	c.round = round{nonce: c.nonce, sent: now, stamp: c.held.Stamp, need: c.others()}
+	c.round = round{nonce: c.nonce, sent: now.Latest, stamp: c.held.Stamp, need: c.others()}
 	request := Consent{Region: c.region, Holder: c.member, Process: c.process, Stamp: c.held.Stamp, Nonce: c.nonce}
 	need := slices.Clone(c.round.need)
 	c.complete()
@@ -252,7 +260,7 @@
 }
 
 // Consents tells whether this member consents to a holder's request, and promises not to claim the region for its time.
-func (c *Claimant) Consents(now time.Duration, request Consent) bool {
+func (c *Claimant) Consents(now Reading, request Consent) bool {
 	c.observe(now)
 	if !c.joined || request.Region != c.region || request.Holder == c.member {
 		return false
@@ -263,12 +271,12 @@
 	if c.claiming && !c.faults.consentAnyway {
 		return false
 	}
-	c.promised = max(c.promised, now+c.wait(c.held.Length))
+	c.promised = max(c.promised, now.Earliest+c.wait(c.held.Length))
 	return true
 }
 
 // Consented takes in that a member consented to the request of a nonce.
-func (c *Claimant) Consented(now time.Duration, nonce Nonce, from MemberID) {
+func (c *Claimant) Consented(now Reading, nonce Nonce, from MemberID) {
 	c.observe(now)
 	if nonce != c.round.nonce || c.round.nonce == 0 {
 		return
@@ -287,7 +295,7 @@
 }
 
 // Leave ends the holder's time for good, and returns the release to propose; false where there is none.
-func (c *Claimant) Leave(now time.Duration) (Release, bool) {
+func (c *Claimant) Leave(now Reading) (Release, bool) {
 	c.observe(now)
 	if !c.isHolder() {
 		return Release{}, false
--- a/decide/authority/model_test.go
+++ b/decide/authority/model_test.go
@@ -60,7 +60,7 @@
 	book     *Book
 	applied  int
 	rate     float64
-	clock    time.Duration
+	clock    Reading
 	left     bool
 }
 
@@ -101,7 +101,7 @@
 	m.nextID++
 	p := &process{member: member, id: m.nextID, rate: rate, book: NewBook(m.first)}
 	p.book.faults = m.faults
-	p.claimant = NewClaimant(0, Member{ID: member, Region: modelRegion}, p.id, modelConfig)
+	p.claimant = NewClaimant(Reading{}, Member{ID: member, Region: modelRegion}, p.id, modelConfig)
 	p.claimant.faults = m.faults
 	m.processes = append(m.processes, p)
 	m.propose(entry{join: &Member{ID: member, Process: p.id}})
@@ -212,7 +212,9 @@
 // pass lets time go by.
 func (m *model) pass(elapsed time.Duration) {
 	for _, p := range m.processes {
-		p.clock += time.Duration(float64(elapsed) * p.rate)
+		passed := time.Duration(float64(elapsed) * p.rate)
+		p.clock.Latest += passed
+		p.clock.Earliest += passed
 	}
 }
 
@@ -285,8 +287,10 @@
 		case 2:
 			m.remove(p)
 		case 3:
-			p.clock -= time.Duration(c.below(30, "back")) * time.Second
+			p.clock.Latest -= time.Duration(c.below(30, "back")) * time.Second
 			p.claimant.Holds(p.clock)
+		case 4:
+			p.clock.Latest += time.Duration(c.below(60, "forward")) * time.Second
 		}
 	}
 }
