--- a/decide/authority/authority.go
+++ b/decide/authority/authority.go
@@ -69,6 +69,13 @@
 	Members uint64 `json:"members"`
 }
 
+// Join says that a process of a member begins.
+type Join struct {
+	Member  MemberID  `json:"member"`
+	Process ProcessID `json:"process"`
+	After   ProcessID `json:"after"` // the one that joined before
+}
+
 // Claim makes a member the holder of its region.
 type Claim struct {
 	Member    MemberID      `json:"member"`
@@ -149,14 +156,15 @@
 	return true
 }
 
-// Join notes that a process of a member begins. Claims of its earlier ones are void from then on.
-func (b *Book) Join(id MemberID, process ProcessID) bool {
-	m, known := b.Members[id]
-	if !known {
+// Join notes that a process of a member begins, unless another one did so meanwhile. Claims of earlier processes are
+// void from then on.
+func (b *Book) Join(j Join) bool {
+	m, known := b.Members[j.Member]
+	if !known || m.Process != j.After && !b.faults.joinAgain {
 		return false
 	}
-	m.Process = process
-	b.Members[id] = m
+	m.Process = j.Process
+	b.Members[j.Member] = m
 	return true
 }
 
@@ -218,6 +226,7 @@
 
 // faults are seeded by the tests of the checker.
 type faults struct {
+	joinAgain      bool // a process joins though another one did meanwhile
 	anyProcess     bool // claims of earlier processes count
 	unknownMembers bool // members that the holder does not know may claim
 	claimEarly     bool // a claim does not wait
--- a/decide/authority/authority_test.go
+++ b/decide/authority/authority_test.go
@@ -8,12 +8,12 @@
 // settle commits all that is proposed and lets everybody apply it, until the first process holds the region.
 func (m *model) settle(t *testing.T) {
 	t.Helper()
-	for len(m.proposals) > 0 {
-		m.commit(0, false)
-	}
 	for _, p := range m.processes {
-		p.catchUp(m.log, len(m.log))
+		m.act(p) // it joins
+		m.commit(0, false)
 	}
+	m.pass(modelLength / retryParts)
+	m.processes[0].catchUp(m.log, len(m.log))
 	m.act(m.processes[0])
 	m.commit(0, false)
 	for _, p := range m.processes {
@@ -150,9 +150,12 @@
 		late := m.proposals[0]
 		m.proposals = nil
 		m.restart(m.processes[1], 1)
-		m.commit(0, false)
 		heir := m.processes[1]
 		heir.catchUp(m.log, len(m.log))
+		m.act(heir) // it joins
+		m.commit(0, false)
+		heir.catchUp(m.log, len(m.log))
+		m.pass(modelLength / retryParts)
 		m.consent()
 		if !m.holds(m.processes[0]) {
 			t.Fatal("the next process does not consent")
@@ -181,6 +184,9 @@
 		}
 		added := m.processes[2]
 		added.catchUp(m.log, len(m.log))
+		m.act(added) // it joins
+		m.commit(0, false)
+		added.catchUp(m.log, len(m.log))
 		for range 4 {
 			m.pass(modelLength / 2)
 			m.consent()
@@ -227,10 +233,26 @@
 	if book.Add(1, "other") || book.Add(0, "other") || !book.Add(2, "other") || book.Version != 2 {
 		t.Errorf("%+v", book)
 	}
-	if book.Claim(Claim{Member: 9}) || book.Renew(Renew{Member: 9}) || book.Release(Release{Member: 9}) || book.Join(9, 1) || book.Remove(9) {
+	if book.Claim(Claim{Member: 9}) || book.Renew(Renew{Member: 9}) || book.Release(Release{Member: 9}) || book.Join(Join{Member: 9, Process: 1}) || book.Remove(9) {
 		t.Error("a member that is not known did something")
 	}
 	if !book.Claim(Claim{Member: 1}) || !book.Remove(1) || book.Regions[modelRegion].Holder != 0 {
 		t.Errorf("a member that was removed holds its region: %+v", book.Regions)
 	}
 }
+
+// A process that joined long ago does not count again when its entry comes twice.
+func TestJoinComesTwice(t *testing.T) {
+	for _, injected := range []faults{{}, {joinAgain: true}} {
+		book := NewBook([]Member{{ID: 1, Region: modelRegion}})
+		book.faults = injected
+		first := Join{Member: 1, Process: 5}
+		if !book.Join(first) || !book.Join(Join{Member: 1, Process: 6, After: 5}) {
+			t.Fatal("a process did not join")
+		}
+		book.Join(first)
+		if old := book.Members[1].Process == 5; old != injected.joinAgain {
+			t.Errorf("faults %+v: process %d counts", injected, book.Members[1].Process)
+		}
+	}
+}
--- a/decide/authority/claimant.go
+++ b/decide/authority/claimant.go
@@ -75,6 +75,7 @@
 	promised  time.Duration // no claim before it, by Earliest
 	round     round
 	settled   bool
+	left      bool // nothing more is claimed
 	faults    faults
 }
 
@@ -121,7 +122,7 @@
 		c.appliedAt = now.Earliest
 	}
 	c.held = held
-	if effect != 0 && c.isHolder() {
+	if effect != 0 && c.isHolder() && !c.left {
 		c.extend(now, effect)
 	}
 	if c.claiming && held.Stamp != c.claimed {
@@ -171,6 +172,7 @@
 
 // Proposal is what a claimant wants to be proposed. One of the fields is set.
 type Proposal struct {
+	Join  *Join
 	Claim *Claim
 	Renew *Renew
 }
@@ -178,9 +180,12 @@
 // Next returns what to propose now, false where there is nothing. What it returned counts as under way from then on.
 func (c *Claimant) Next(now Reading) (Proposal, bool) {
 	c.observe(now)
-	if !c.joined || now.Latest < c.proposed+c.config.Length/retryParts {
+	if c.book == nil || c.left || now.Latest < c.proposed+c.config.Length/retryParts {
 		return Proposal{}, false
 	}
+	if !c.joined {
+		return c.join(now)
+	}
 	if c.isHolder() {
 		if c.ends > 0 && now.Latest < c.ends-c.held.Length+c.held.Length/renewalParts && len(c.proposals) == 0 {
 			return Proposal{}, false
@@ -198,6 +203,16 @@
 		Length: c.config.Length, NodeLease: c.config.NodeLease, Members: c.book.Version}}, true
 }
 
+// join proposes that this process begins, where its member is known.
+func (c *Claimant) join(now Reading) (Proposal, bool) {
+	m, known := c.book.Members[c.member]
+	if !known {
+		return Proposal{}, false
+	}
+	c.proposed = now.Latest
+	return Proposal{Join: &Join{Member: c.member, Process: c.process, After: m.Process}}, true
+}
+
 // note remembers a proposal that is about to be sent.
 func (c *Claimant) note(now Reading) Nonce {
 	c.nonce++
@@ -236,7 +251,10 @@
 // long enough still. Where there is no other member in the region the round has succeeded at once.
 func (c *Claimant) Ask(now Reading) (Consent, []MemberID, bool) {
 	c.observe(now)
-	if !c.isHolder() || now.Latest < c.ends-c.held.Length/renewalParts {
+	if !c.isHolder() || c.left || now.Latest < c.ends-c.held.Length/renewalParts {
+		return Consent{}, nil, false
+	}
+	if c.round.nonce != 0 && now.Latest < c.round.sent+c.held.Length/retryParts {
 		return Consent{}, nil, false
 	}
 	c.nonce++
@@ -287,7 +305,7 @@
 
 // complete extends the holder's time once all have consented, and nothing was claimed or renewed since they were asked.
 func (c *Claimant) complete() {
-	if len(c.round.need) > 0 || c.round.nonce == 0 || !c.isHolder() || c.round.stamp != c.held.Stamp {
+	if c.left || len(c.round.need) > 0 || c.round.nonce == 0 || !c.isHolder() || c.round.stamp != c.held.Stamp {
 		return
 	}
 	c.ends = max(c.ends, c.round.sent+c.held.Length)
@@ -297,10 +315,10 @@
 // Leave ends the holder's time for good, and returns the release to propose; false where there is none.
 func (c *Claimant) Leave(now Reading) (Release, bool) {
 	c.observe(now)
+	c.left = true
 	if !c.isHolder() {
 		return Release{}, false
 	}
 	c.ends = 0
-	c.joined = false // nothing more is claimed
 	return Release{Member: c.member, Process: c.process, After: c.held.Stamp}, true
 }
--- a/decide/authority/model_test.go
+++ b/decide/authority/model_test.go
@@ -28,7 +28,7 @@
 	claim   *Claim
 	renew   *Renew
 	release *Release
-	join    *Member // ID and Process
+	join    *Join
 	add     MemberID
 	remove  MemberID
 }
@@ -43,7 +43,7 @@
 	case e.release != nil:
 		book.Release(*e.release)
 	case e.join != nil:
-		book.Join(e.join.ID, e.join.Process)
+		book.Join(*e.join)
 	case e.add != 0:
 		book.Add(e.add, modelRegion)
 	case e.remove != 0:
@@ -96,15 +96,15 @@
 	return m
 }
 
-// start begins a process of a member, which joins once its entry is committed.
+// start begins a process of a member.
 func (m *model) start(member MemberID, rate float64) {
 	m.nextID++
 	p := &process{member: member, id: m.nextID, rate: rate, book: NewBook(m.first)}
 	p.book.faults = m.faults
 	p.claimant = NewClaimant(Reading{}, Member{ID: member, Region: modelRegion}, p.id, modelConfig)
 	p.claimant.faults = m.faults
+	p.claimant.Apply(p.clock, p.book.Clone(), 0)
 	m.processes = append(m.processes, p)
-	m.propose(entry{join: &Member{ID: member, Process: p.id}})
 }
 
 func (m *model) propose(e entry) {
@@ -142,7 +142,7 @@
 	if !some {
 		return
 	}
-	m.propose(entry{claim: proposal.Claim, renew: proposal.Renew})
+	m.propose(entry{join: proposal.Join, claim: proposal.Claim, renew: proposal.Renew})
 }
 
 // askAll lets a holder ask for consent.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -84,12 +84,20 @@
 	return c
 }
 
-// Server is a control process.
+// stateKeeper keeps what a control process needs after its end.
+type stateKeeper interface {
+	write(state serverState) error
+	close() error
+}
+
+// Server assigns destinations to the nodes of a region: a control process by itself, or the part of a [Member] that
+// holds its region.
 type Server struct {
 	config   ServerConfig
 	origin   time.Time
-	folder   *stateFolder
-	listener net.Listener
+	folder   stateKeeper
+	holds    func() bool  // whether it may grant now
+	listener net.Listener // nil for the part of a member
 	table    atomic.Pointer[placement.Table]
 	wake     chan struct{} // the loop has to look again
 	bodies   chan struct{} // places for large requests
@@ -143,11 +151,19 @@
 	if err != nil {
 		return nil, errors.Join(err, listener.Close())
 	}
+	s := newGranting(config, state, before.LongestLease, config.Fresh && before.Incarnation == 0, folder)
+	s.listener = newBoundedListener(listener, 2*config.MaxSessions+extraConnections)
+	return s, nil
+}
+
+// newGranting returns a server without a listener, that grants as an incarnation. Earlier is the longest lease that an
+// earlier one may have given.
+func newGranting(config ServerConfig, state serverState, earlier time.Duration, fresh bool, folder stateKeeper) *Server {
 	s := &Server{
 		config:   config,
 		origin:   time.Now(),
 		folder:   folder,
-		listener: newBoundedListener(listener, 2*config.MaxSessions+extraConnections),
+		holds:    func() bool { return true },
 		wake:     make(chan struct{}, 1),
 		bodies:   make(chan struct{}, maxLargeRequests),
 		state:    state,
@@ -165,12 +181,12 @@
 		MaxDrift:    config.MaxDrift,
 		Slack:       config.Slack,
 		Window:      config.Window,
-		Earlier:     before.LongestLease,
-		Fresh:       config.Fresh && before.Incarnation == 0,
+		Earlier:     earlier,
+		Fresh:       fresh,
 		MaxSessions: config.MaxSessions,
 	})
 	s.due = max(s.grantor.Ready(), config.Gather) + config.Debounce
-	return s, nil
+	return s
 }
 
 // Addr is the address that the server listens on.
@@ -183,39 +199,45 @@
 func (s *Server) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	looped := make(chan struct{})
+	go func() {
+		defer close(looped)
+		s.loop(ctx)
+	}()
+	err := serve(ctx, s.listener, s.handler(ctx), s.config.Log)
+	cancel()
+	<-looped
+	return errors.Join(err, s.folder.close())
+}
+
+// serve serves a listener until the context ends.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler, log *slog.Logger) error {
 	server := &http.Server{
-		Handler:           s.handler(ctx),
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(s.config.Log.Handler(), slog.LevelDebug),
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(s.listener) }()
-	looped := make(chan struct{})
-	go func() {
-		defer close(looped)
-		s.loop(ctx)
-	}()
+	go func() { served <- server.Serve(listener) }()
 	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-served:
-		cancel()
 	}
 	stopping, stopped := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer stopped()
 	if shutdown := server.Shutdown(stopping); shutdown != nil {
 		_ = server.Close()
 	}
-	<-looped
 	if err == nil {
 		err = <-served
 	}
 	if errors.Is(err, http.ErrServerClosed) {
 		err = nil
 	}
-	return errors.Join(err, s.folder.close())
+	return err
 }
 
 // loop does what is due: it ends sessions, and computes placements.
--- a/internal/control/world.go
+++ b/internal/control/world.go
@@ -33,26 +33,26 @@
 
 // Node is a delivery node of the world.
 type Node struct {
-	Name    string  `toml:"name"`
-	Region  string  `toml:"region"`
-	Zone    string  `toml:"zone"`
-	Weight  float64 `toml:"weight"`  // 1 where it is left out
-	Address string  `toml:"address"` // HOST:PORT that clients are sent to
+	Name    string  `toml:"name" json:"name"`
+	Region  string  `toml:"region" json:"region"`
+	Zone    string  `toml:"zone" json:"zone"`
+	Weight  float64 `toml:"weight" json:"weight"`   // 1 where it is left out
+	Address string  `toml:"address" json:"address"` // HOST:PORT that clients are sent to
 }
 
 // Destination is a destination of the world.
 type Destination struct {
-	Number placement.DestinationID `toml:"number"`
-	Name   string                  `toml:"name"`
-	Rate   float64                 `toml:"rate"`   // messages a second
-	Owners int                     `toml:"owners"` // 2 where it is left out
-	Region string                  `toml:"region"` // any where it is left out
+	Number placement.DestinationID `toml:"number" json:"number"`
+	Name   string                  `toml:"name" json:"name,omitempty"`
+	Rate   float64                 `toml:"rate" json:"rate"`               // messages a second
+	Owners int                     `toml:"owners" json:"owners"`           // 2 where it is left out
+	Region string                  `toml:"region" json:"region,omitempty"` // any where it is left out
 	// What follows is for nodes that have no destinations in their own files: see Record. Either all destinations
 	// of a world have endpoints, or none.
-	Limit       float64    `toml:"limit"`
-	RoutesApart bool       `toml:"routes_apart"`
-	Bundle      int        `toml:"bundle"` // 1 where it is left out
-	Endpoints   []Endpoint `toml:"endpoint"`
+	Limit       float64    `toml:"limit" json:"limit,omitempty"`
+	RoutesApart bool       `toml:"routes_apart" json:"routes_apart,omitempty"`
+	Bundle      int        `toml:"bundle" json:"bundle"` // 1 where it is left out
+	Endpoints   []Endpoint `toml:"endpoint" json:"endpoints,omitempty"`
 }
 
 // record is what nodes that ask for it are told of the destination.
