control: control machines that agree on world, drains and who grants

A Member is one control machine of a quorum: it follows the log, claims its region, and runs the server of before while it holds it, under the incarnation that the log gave it. World, drains and members are changed through the log, from any machine; a change of the world comes in parts and counts whole, after the version that it was made for, or not at all. Nodes that ask a machine which does not hold their region hear which one does. A member is added as a learner, and counts for a majority once it has learnt the log.

--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -438,6 +438,7 @@
 	added := &simMember{id: 4, dir: filepath.Join(t.TempDir(), "m4")}
 	s.start(added)
 	s.members = append(s.members, added)
+	s.change(pb.ConfChangeAddLearnerNode, 4)
 	s.change(pb.ConfChangeAddNode, 4)
 	testMust(t, s.quiet())
 	if added.machine.restores == 0 {
@@ -465,7 +466,12 @@
 		for range 30 {
 			s.round()
 		}
-		if has := slices.Contains(s.members[1].core.confState.GetVoters(), id); has == (kind == pb.ConfChangeAddNode) {
+		state := s.members[1].core.confState
+		in := slices.Contains(state.GetVoters(), id)
+		if kind == pb.ConfChangeAddLearnerNode {
+			in = slices.Contains(state.GetLearners(), id)
+		}
+		if in == (kind != pb.ConfChangeRemoveNode) {
 			return
 		}
 	}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,8 @@
 	Applied uint64 `json:"applied"`
 	Commit  uint64 `json:"commit"`
 	LogSize int64  `json:"log_size"` // bytes of the file
+	// Learner says that the member follows, and does not count for a majority yet: see ProposeVoter.
+	Learner bool   `json:"learner,omitempty"`
 	Stopped string `json:"stopped,omitempty"`
 }
 
@@ -129,7 +132,7 @@
 func (n *Node) publish(stopped error) {
 	basic := n.core.raw.BasicStatus()
 	s := &Status{ID: n.core.config.ID, Leader: basic.Lead, Term: basic.HardState.GetTerm(), Applied: n.core.applied,
-		Commit: basic.HardState.GetCommit(), LogSize: n.core.disk.size}
+		Commit: basic.HardState.GetCommit(), LogSize: n.core.disk.size, Learner: slices.Contains(n.core.confState.GetLearners(), n.core.config.ID)}
 	if stopped != nil {
 		s.Stopped = stopped.Error()
 	}
@@ -169,8 +172,14 @@
 	})
 }
 
-// ProposeAdd proposes to add a member, with an entry for the state machine.
-func (n *Node) ProposeAdd(id uint64, data []byte) error {
+// ProposeLearner proposes to add a member that follows, with an entry for the state machine. It does not count for a
+// majority before it is made a voter: one that does not run yet takes nothing from the others.
+func (n *Node) ProposeLearner(id uint64, data []byte) error {
+	return n.proposeChange(pb.ConfChangeAddLearnerNode, id, data)
+}
+
+// ProposeVoter proposes that a member counts for a majority, with an entry for the state machine.
+func (n *Node) ProposeVoter(id uint64, data []byte) error {
 	return n.proposeChange(pb.ConfChangeAddNode, id, data)
 }
 
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -64,7 +64,6 @@
 	*Node
 	machine   *lockedRecorder
 	transport *Transport
-	server    *httptest.Server
 	cancel    context.CancelFunc
 	ended     chan error
 }
@@ -99,7 +98,7 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-	ServeMessages(w, r, to)
+	ServeMessages(w, r, "one", to)
 }
 
 func newTestQuorum(t *testing.T, members int) *testQuorum {
@@ -124,7 +123,7 @@
 
 func (q *testQuorum) start(id uint64) {
 	q.t.Helper()
-	n := &testNode{machine: &lockedRecorder{}, transport: NewTransport(Config{}.withDefaults().Log), ended: make(chan error, 1)}
+	n := &testNode{machine: &lockedRecorder{}, transport: NewTransport("one", nil, Config{}.withDefaults().Log), ended: make(chan error, 1)}
 	n.transport.SetMembers(q.addresses)
 	var err error
 	n.Node, err = Open(Config{ID: id, Dir: filepath.Join(q.dir, fmt.Sprint(id)), First: q.first, Machine: n.machine, Tick: 5 * time.Millisecond,
@@ -249,6 +248,27 @@
 	http.DefaultClient.CloseIdleConnections()
 }
 
+// Members that began with different logs take nothing of each other.
+func TestOrigin(t *testing.T) {
+	q := newTestQuorum(t, 1)
+	q.propose("first")
+	for origin, want := range map[string]int{"": http.StatusNoContent, "one": http.StatusNoContent, "other": http.StatusConflict} {
+		request, err := http.NewRequest(http.MethodPost, "http://"+q.addresses[1]+MessagesPath, nil)
+		testMust(t, err)
+		request.Header.Set(originHeader, origin)
+		response, err := http.DefaultClient.Do(request)
+		testMust(t, err)
+		testMust(t, response.Body.Close())
+		if response.StatusCode != want {
+			t.Errorf("messages of origin %q: %d, want %d", origin, response.StatusCode, want)
+		}
+	}
+	if a, b := Origin([]uint64{1, 2}, []byte("x")), Origin([]uint64{1, 2}, []byte("y")); a == b || a == "" || Origin(nil, nil) != "" {
+		t.Errorf("origins %q and %q", a, b)
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
 // A member that has stopped says so.
 func TestStopped(t *testing.T) {
 	q := newTestQuorum(t, 1)
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -43,6 +45,7 @@
 // Transport carries messages to members over HTTP. Its methods may be called from any goroutine.
 type Transport struct {
 	client *http.Client
+	origin string
 	log    *slog.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -62,19 +65,42 @@
 	stop     context.CancelFunc
 }
 
-// NewTransport returns a transport without members. It is closed by the node that sends by it.
-func NewTransport(log *slog.Logger) *Transport {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Transport{
-		client: &http.Client{Transport: &http.Transport{
+// NewTransport returns a transport without members. It is closed by the node that sends by it. Origin names the log
+// that this member began with, where it did: see [ServeMessages]. The requests go by a round tripper; nil is one of
+// the transport's own.
+func NewTransport(origin string, tripper http.RoundTripper, log *slog.Logger) *Transport {
+	if tripper == nil {
+		tripper = &http.Transport{
 			DisableCompression:  true,
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: 2,
-		}},
-		log: log, ctx: ctx, cancel: cancel, members: map[uint64]*peer{},
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Transport{
+		client: &http.Client{Transport: tripper},
+		origin: origin, log: log, ctx: ctx, cancel: cancel, members: map[uint64]*peer{},
 	}
 }
 
+// originHeader says which log the sender of messages began with.
+const originHeader = "X-Quorum-Origin"
+
+// Origin names the log that members begin with. Members that were told different first members, or another state, have
+// different logs, and must not take each other's messages.
+func Origin(first []uint64, initialState []byte) string {
+	if len(first) == 0 {
+		return ""
+	}
+	sum := sha256.New()
+	fmt.Fprintln(sum, first) // never fails
+	sum.Write(initialState)
+	return hex.EncodeToString(sum.Sum(nil)[:originBytes])
+}
+
+// originBytes is how much of the digest is told.
+const originBytes = 12
+
 // Report sets who is told what became of messages.
 func (t *Transport) Report(to Reporter) {
 	t.mu.Lock()
@@ -221,6 +247,7 @@
 	if err != nil {
 		return err
 	}
+	request.Header.Set(originHeader, t.origin)
 	response, err := t.client.Do(request)
 	if err != nil {
 		return err
@@ -235,8 +262,12 @@
 // Receiver takes messages in.
 type Receiver interface{ Receive(text []byte) error }
 
-// ServeMessages takes the messages of a request in.
-func ServeMessages(w http.ResponseWriter, r *http.Request, to Receiver) {
+// ServeMessages takes the messages of a request in, unless its sender began with another log than this member.
+func ServeMessages(w http.ResponseWriter, r *http.Request, origin string, to Receiver) {
+	if other := r.Header.Get(originHeader); other != "" && origin != "" && other != origin {
+		http.Error(w, "this member began with another log", http.StatusConflict)
+		return
+	}
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/control/agreed.go
+++ b/internal/control/agreed.go
@@ -7,8 +7,10 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"wingmount/decide/authority"
+	"wingmount/decide/lease"
 	"wingmount/decide/placement"
 )
 
@@ -16,7 +18,7 @@
 type command struct {
 	// ID tells who proposed it what became of it.
 	ID      uint64             `json:"id"`
-	Join    *joinCommand       `json:"join,omitempty"`
+	Join    *authority.Join    `json:"join,omitempty"`
 	Claim   *authority.Claim   `json:"claim,omitempty"`
 	Renew   *authority.Renew   `json:"renew,omitempty"`
 	Release *authority.Release `json:"release,omitempty"`
@@ -26,12 +28,6 @@
 	World   *worldChange       `json:"world,omitempty"`
 }
 
-// joinCommand says that a process of a member begins.
-type joinCommand struct {
-	Member  authority.MemberID  `json:"member"`
-	Process authority.ProcessID `json:"process"`
-}
-
 // addCommand adds a control machine.
 type addCommand struct {
 	Member  authority.MemberID `json:"member"`
@@ -143,7 +139,7 @@
 	s := &a.state
 	switch {
 	case c.Join != nil:
-		return effect(s.Book.Join(c.Join.Member, c.Join.Process))
+		return effect(s.Book.Join(*c.Join))
 	case c.Claim != nil:
 		return a.own(s.Book.Claim(*c.Claim), c.Claim.Process, c.Claim.Nonce)
 	case c.Renew != nil:
@@ -302,7 +298,7 @@
 }
 
 // initialState is what the first control machines agree on before the first entry. It is the same at all of them.
-func initialState(first []QuorumMember, above incarnations) ([]byte, error) {
+func initialState(first []QuorumMember, above lease.Incarnation, longest time.Duration) ([]byte, error) {
 	state := agreedState{Addresses: map[authority.MemberID]string{}, World: &World{}}
 	var members []authority.Member
 	for _, m := range first {
@@ -311,8 +307,8 @@
 	}
 	state.Book = authority.NewBook(members)
 	for _, m := range first {
-		if above.Incarnation > 0 {
-			state.Book.Regions[m.Region] = authority.Holding{Stamp: authority.Stamp{Incarnation: above.Incarnation}, LongestLease: above.Lease}
+		if above > 0 {
+			state.Book.Regions[m.Region] = authority.Holding{Stamp: authority.Stamp{Incarnation: above}, LongestLease: longest}
 		}
 	}
 	return json.Marshal(state)
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -88,6 +89,13 @@
 // turn goes on to the next address.
 func (c *client) turn() { c.at.Add(1) }
 
+// turnTo goes on to an address, if it is one of those that may be asked.
+func (c *client) turnTo(address string) {
+	if at := slices.Index(c.addresses, address); at >= 0 {
+		c.at.Store(uint32(at))
+	}
+}
+
 // address is the one that is asked.
 func (c *client) address() string { return c.addresses[int(c.at.Load())%len(c.addresses)] }
 
@@ -165,6 +173,7 @@
 	var told failure
 	if text, err := io.ReadAll(io.LimitReader(response.Body, maxFailure)); err == nil && json.Unmarshal(text, &told) == nil {
 		refused.Code, refused.Text = told.Code, told.Error
+		c.turnTo(told.Holder)
 	}
 	return refused
 }
--- a/internal/control/http.go
+++ b/internal/control/http.go
@@ -12,6 +12,7 @@
 
 	"wingmount/decide/lease"
 	"wingmount/decide/placement"
+	"wingmount/internal/consensus"
 )
 
 // The paths of the control process.
@@ -47,6 +48,9 @@
 	codeStale      = "stale"
 	codeFull       = "full"
 	codeNoRecords  = "no_records"
+	codeNotHolder  = "not_holder"
+	codeConflict   = "conflict"
+	codeNoQuorum   = "no_quorum"
 	codeFailed     = "failed"
 )
 
@@ -54,6 +58,8 @@
 type failure struct {
 	Code  string `json:"code"`
 	Error string `json:"error"`
+	// Holder is the address of the control machine that grants in the region, where it is another one that is known.
+	Holder string `json:"holder,omitempty"`
 }
 
 // renewal is the body of a poll.
@@ -197,6 +203,12 @@
 		return http.StatusConflict, codeStale
 	case errors.Is(err, ErrNoRecords):
 		return http.StatusConflict, codeNoRecords
+	case errors.Is(err, errNotHolder):
+		return http.StatusServiceUnavailable, codeNotHolder
+	case errors.Is(err, ErrNoQuorum), errors.Is(err, consensus.ErrStopped):
+		return http.StatusServiceUnavailable, codeNoQuorum
+	case errors.Is(err, ErrConflict), errors.Is(err, ErrNoEffect), errors.Is(err, ErrRecordsWithdrawn):
+		return http.StatusConflict, codeConflict
 	case errors.Is(err, lease.ErrFull), errors.Is(err, errBusy):
 		return http.StatusServiceUnavailable, codeFull
 	default:
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -135,6 +135,17 @@
 	return s.SetWorld(world)
 }
 
+// setDraining sets which nodes are taken out of all owner sets.
+func (s *Server) setDraining(nodes []placement.NodeID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = make(map[placement.NodeID]bool, len(nodes))
+	for _, id := range nodes {
+		s.draining[id] = true
+	}
+	s.markDirty(s.now(), 0)
+}
+
 // Drain takes a node out of all owner sets, or lets it back. It is on disk when Drain returns.
 func (s *Server) Drain(id placement.NodeID, draining bool) error {
 	s.mu.Lock()
@@ -179,6 +190,9 @@
 	if poll.Records && !s.world.distributing {
 		return 0, nil, ErrNoRecords
 	}
+	if !s.holds() {
+		return 0, nil, errNotHolder
+	}
 	now := s.now()
 	s.advance(now)
 	before := s.grantor.Alive(request.Node)
@@ -224,6 +238,9 @@
 	}
 	now := s.now()
 	s.advance(now)
+	if !s.holds() { // looked at last: what is granted before counts from the sending of the request
+		return renewed{}, errNotHolder
+	}
 	reply, err := s.grantor.Answer(now, id, poll.Request)
 	if err != nil || !poll.Records {
 		return renewed{Reply: reply}, err
