--- a/cmd/wingmount/assignment.go
+++ b/cmd/wingmount/assignment.go
@@ -52,11 +52,15 @@
 	if err != nil {
 		return err
 	}
-	server, err := control.NewServer(control.ServerConfig{Listen: c.Listen, WorldFile: c.World, StateDir: c.State, Fresh: a.Fresh,
+	settings := control.ServerConfig{Listen: c.Listen, WorldFile: c.World, StateDir: c.State, Fresh: a.Fresh,
 		Above: lease.Incarnation(a.Above), Lease: time.Duration(c.Lease), MaxDrift: c.MaxDrift, Slack: time.Duration(c.Slack),
 		Window: time.Duration(c.Window), Gather: time.Duration(c.Gather),
 		MaxSessions: c.MaxSessions, LoadBound: c.LoadBound, Debounce: time.Duration(c.Debounce),
-		RestartGrace: time.Duration(c.RestartGrace), ReloadOn: reload, Log: log})
+		RestartGrace: time.Duration(c.RestartGrace), ReloadOn: reload, Log: log}
+	if c.Quorum != nil {
+		return runMember(ctx, c, a, settings, log)
+	}
+	server, err := control.NewServer(settings)
 	if err != nil {
 		return err
 	}
@@ -64,6 +68,19 @@
 	return server.Run(ctx)
 }
 
+// runMember runs a control machine that is one of a quorum.
+func runMember(ctx context.Context, c *config.Control, a controlArgs, settings control.ServerConfig, log *slog.Logger) error {
+	if a.Above > 0 {
+		return errors.New("with [quorum] the incarnation to begin above is quorum.above, the same in each file")
+	}
+	member, err := control.NewMember(c.MemberConfig(settings))
+	if err != nil {
+		return err
+	}
+	log.Info("control: ready", "listen", member.Addr(), "quorum", c.Quorum.ID, "region", c.Quorum.Region)
+	return member.Run(ctx)
+}
+
 // assignmentArgs are the arguments of 'wingmount assignment'.
 type assignmentArgs struct {
 	Config  string `placeholder:"FILE" help:"The file of the control process, or of a node with [assignment]."`
@@ -156,9 +173,9 @@
 }
 
 // ask sends a request and returns the body of its answer.
-func (o operator) ask(ctx context.Context, method, path string, query url.Values) ([]byte, error) {
+func (o operator) ask(ctx context.Context, method, path string, query url.Values, body io.Reader) ([]byte, error) {
 	target := url.URL{Scheme: "http", Host: o.address, Path: path, RawQuery: query.Encode()}
-	request, err := http.NewRequestWithContext(ctx, method, target.String(), nil)
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), body)
 	if err != nil {
 		return nil, err
 	}
@@ -179,13 +196,13 @@
 
 // drain takes a node out of all owner sets, or lets it back.
 func (o operator) drain(ctx context.Context, node string, draining bool) error {
-	_, err := o.ask(ctx, http.MethodPost, drainPath, url.Values{"node": {node}, "draining": {fmt.Sprint(draining)}})
+	_, err := o.ask(ctx, http.MethodPost, drainPath, url.Values{"node": {node}, "draining": {fmt.Sprint(draining)}}, nil)
 	return err
 }
 
 // explain prints why a destination has its owners.
 func (o operator) explain(ctx context.Context, destination string, out io.Writer) error {
-	text, err := o.ask(ctx, http.MethodGet, explainPath, url.Values{"destination": {destination}})
+	text, err := o.ask(ctx, http.MethodGet, explainPath, url.Values{"destination": {destination}}, nil)
 	if err != nil {
 		return err
 	}
@@ -194,7 +211,7 @@
 
 // show prints the state of the control process.
 func (o operator) show(ctx context.Context, asJSON bool, out io.Writer) error {
-	text, err := o.ask(ctx, http.MethodGet, statePath, nil)
+	text, err := o.ask(ctx, http.MethodGet, statePath, nil, nil)
 	if err != nil {
 		return err
 	}
--- a/cmd/wingmount/main.go
+++ b/cmd/wingmount/main.go
@@ -34,6 +34,8 @@
   wingmount control --config FILE assigns destinations to nodes, see docs/operate/assignment.md
   wingmount assignment show|drain NODE|explain DESTINATION --config FILE
                                   looks at the assignment of destinations, and drains a node
+  wingmount quorum show|world FILE|add ID REGION ADDRESS|remove ID --config FILE
+                                  looks at control machines that agree, see docs/operate/quorum.md
   wingmount replay RECORD         plays what 'run --record RECORD' recorded of decisions, and reports
   wingmount fleet [--span 1s] [--endpoints] LOG...
                                   counts over nodes' logs (WINGMOUNT_DEBUG=1) what went to each destination
@@ -101,6 +103,8 @@
 		return controlCommand(ctx, args[1:], reload, out, log)
 	case "assignment":
 		return assignmentCommand(ctx, args[1:], out)
+	case "quorum":
+		return quorumCommand(ctx, args[1:], out)
 	case "replay":
 		return replay(args[1:], out)
 	case "fleet":
--- a/decide/authority/claimant.go
+++ b/decide/authority/claimant.go
@@ -164,6 +164,9 @@
 // IsHolder tells whether the log says that this process holds the region, whether its time has ended or not.
 func (c *Claimant) IsHolder() bool { return c.isHolder() }
 
+// Joined tells whether this process has joined: before that it claims nothing and consents to nothing.
+func (c *Claimant) Joined() bool { return c.joined }
+
 // Ends is when the holder's time ends, by Reading.Latest.
 func (c *Claimant) Ends() time.Duration { return c.ends }
 
--- a/internal/config/assignment.go
+++ b/internal/config/assignment.go
@@ -155,6 +155,7 @@
 	Debounce     Duration `toml:"debounce"`
 	Gather       Duration `toml:"gather"`
 	RestartGrace Duration `toml:"restart_grace"`
+	Quorum       *Quorum  `toml:"quorum"` // nil for a control process by itself
 }
 
 // LoadControl reads the file of a control process and checks it whole. Paths in it are relative to the file.
@@ -198,6 +199,7 @@
 	c.Debounce = cmp.Or(c.Debounce, Duration(control.DefaultDebounce))
 	c.Gather = cmp.Or(c.Gather, Duration(control.DefaultGather))
 	c.RestartGrace = cmp.Or(c.RestartGrace, Duration(control.DefaultRestartGrace))
+	c.Quorum.defaults()
 }
 
 func (c *Control) check() error {
@@ -229,6 +231,7 @@
 	if c.Window < Duration(control.DefaultWindow) || c.Window > Duration(maxControlDelay) {
 		bad("window", "%v is not between %v and %v", time.Duration(c.Window), control.DefaultWindow, maxControlDelay)
 	}
+	c.Quorum.check(c, bad)
 	for _, delay := range []struct {
 		where string
 		value Duration
--- a/internal/config/assignment_test.go
+++ b/internal/config/assignment_test.go
@@ -126,7 +126,7 @@
 		`window = "1s"`:         "window: 1s is not between 2s and 1h0m0s",
 		`slack = "-1s"`:         "slack: -1s is not between 0 and 1h0m0s",
 		`restart_grace = "-1s"`: "restart_grace",
-		`quorum = 3`:            "line 1, column 1: unknown key quorum",
+		`majority = 3`:          "line 1, column 1: unknown key majority",
 		`[[node]]` + "\nname=3": "unknown key node",
 	} {
 		if _, err := ParseControl([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
--- /dev/null
+++ b/internal/config/quorum_test.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"wingmount/internal/control"
+)
+
+const quorumFile = `listen = "127.0.0.1:7950"
+world = "world.toml"
+state = "state"
+`
+
+const quorumSection = `[quorum]
+id = 2
+region = "south"
+above = 17
+[[quorum.member]]
+id = 1
+region = "north"
+address = "h1:1"
+via = "127.0.0.1:9"
+[[quorum.member]]
+id = 2
+region = "south"
+address = "h2:1"
+`
+
+func TestQuorum(t *testing.T) {
+	c, err := ParseControl([]byte(quorumFile + quorumSection))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := c.MemberConfig(control.ServerConfig{Listen: c.Listen})
+	if m.ID != 2 || m.Region != "south" || m.Above != 17 || len(m.First) != 2 || m.First[1].Address != "h2:1" || m.Via[1] != "127.0.0.1:9" || len(m.Via) != 1 {
+		t.Errorf("%+v", m)
+	}
+	if m.Authority.Length != 2*time.Minute || m.Tick != 100*time.Millisecond || m.ElectionTicks != 15 {
+		t.Errorf("defaults: %+v", m)
+	}
+	alone, err := ParseControl([]byte(quorumFile))
+	if err != nil || alone.Quorum != nil {
+		t.Errorf("without the section: %+v, %v", alone.Quorum, err)
+	}
+}
+
+func TestQuorumRefused(t *testing.T) {
+	for old, c := range map[string]struct{ with, want string }{
+		"id = 2\nregion = \"south\"\nabove":   {"above", "quorum.id: is missing"},
+		"above = 17":                          {"above = 17000000", "quorum.above: 17000000 is more than"},
+		"id = 2\nregion = \"south\"\naddress": {"id = 1\nregion = \"south\"\naddress", "quorum.member 2 (id 1).id: is 0, or there twice"},
+		"\"h1:1\"":                            {"\"h1\"", "quorum.member 1 (id 1).address: \"h1\" is no HOST:PORT"},
+		"\"127.0.0.1:9\"":                     {"\"nowhere\"", "quorum.member 1 (id 1).via: \"nowhere\" is no HOST:PORT"},
+		"[quorum]":                            {"[quorum]\nlength = \"3m\"", "quorum.length: 3m0s is not between 1s and the lease of 3m0s"},
+		"[quorum]\n":                          {"[quorum]\ntick = \"1us\"\n", "quorum.tick: 1µs is not between"},
+		"[quorum]\nid":                        {"[quorum]\nelection_ticks = 3\nid", "quorum.election_ticks: 3 is not between"},
+		"[[quorum.member]]\nid = 1":           {"[[quorum.member]]\nname = \"x\"\nid = 1", "unknown key quorum.member.name"},
+	} {
+		text := quorumFile + strings.Replace(quorumSection, old, c.with, 1)
+		if _, err := ParseControl([]byte(text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %q", c.with, err, c.want)
+		}
+	}
+}
+
+// The file under deploy is good, and names each key.
+func TestDeployedQuorum(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/quorum.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := ParseControl(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	regions := map[string]int{}
+	for _, m := range c.Quorum.Members {
+		regions[m.Region]++
+	}
+	for region, members := range regions {
+		if 2*(len(c.Quorum.Members)-members) <= len(c.Quorum.Members) {
+			t.Errorf("without region %s there is no majority", region)
+		}
+	}
+	for _, key := range []string{"id", "region", "length", "tick", "election_ticks", "# above", "address", "# via"} {
+		if !strings.Contains(string(text), "\n"+key+" = ") {
+			t.Errorf("deploy/quorum.toml has no %s", key)
+		}
+	}
+}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -491,7 +491,8 @@
 type QuorumState struct {
 	Consensus    consensus.Status             `json:"consensus"`
 	Region       string                       `json:"region"`
-	Holds        bool                         `json:"holds"` // this machine grants in its region
+	Joined       bool                         `json:"joined"` // the others know of this process: it may hold its region, and consent
+	Holds        bool                         `json:"holds"`  // this machine grants in its region
 	Members      []MemberState                `json:"members"`
 	Regions      map[string]authority.Holding `json:"regions"`
 	WorldVersion uint64                       `json:"world_version"`
@@ -512,6 +513,9 @@
 	view := m.agreed.now()
 	s := QuorumState{Consensus: m.node.Status(), Region: m.config.Region, Regions: view.Book.Regions, WorldVersion: view.WorldVersion,
 		Nodes: len(view.World.Nodes), Destinations: len(view.World.Destinations)}
+	m.mu.Lock()
+	s.Joined = m.claimant.Joined()
+	m.mu.Unlock()
 	if g := m.serving.Load(); g != nil {
 		s.Holds = m.holds(g.incarnation)
 	}
