--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -164,7 +164,7 @@
 		return policy.Arrived{Message: policy.MessageID(e.Tid), Destination: int(e.Destination),
 			Class: int(e.Class), Key: e.Key, GiveUpAt: time.Duration(e.GiveUpAtUs) * time.Microsecond}, nil
 	case wire.CodeDone:
-		return policy.Ended{Message: policy.MessageID(e.Tid), Attempt: int(e.Attempt),
+		return policy.AttemptCompleted{Message: policy.MessageID(e.Tid), Attempt: int(e.Attempt),
 			Endpoint: policy.EndpointID(e.Endpoint), Outcome: toOutcome(e.Result), Final: e.Final,
 			Wait: time.Duration(e.HoldMs) * time.Millisecond,
 			Took: time.Duration(e.TimeTakenUs) * time.Microsecond}, nil
@@ -209,7 +209,7 @@
 	case wire.ResultError:
 		return policy.Failed
 	case wire.ResultFull:
-		return policy.Full
+		return policy.RateLimited
 	case wire.ResultTimeout:
 		return policy.TimedOut
 	case wire.ResultConnectFailed:
@@ -219,7 +219,7 @@
 	case wire.ResultCancelled:
 		return policy.Cancelled
 	case wire.ResultMoot:
-		return policy.Moot
+		return policy.NotSent
 	}
 	panic(fmt.Sprintf("result %d passed the decoder", result))
 }
@@ -237,7 +237,7 @@
 		return wire.Action{Code: wire.CodeSubscribe, On: true}
 	case policy.CloseIdle:
 		return wire.Action{Code: wire.CodeShutIdle, Endpoint: wire.Endpoint(a.Endpoint)}
-	case policy.Tell:
+	case policy.NotifyPeers:
 		return wire.Action{Code: wire.CodeTell, Whom: wire.AllPeers, Data: wire.EncodeNote(a)}
 	case policy.Wake:
 		return wire.Action{Code: wire.CodeTimer, TimeUs: uint64(a.At.Microseconds())}
--- a/decide/admission/admission.go
+++ b/decide/admission/admission.go
@@ -283,7 +283,7 @@
 			}
 			d.took += time.Duration(callGain * float64(s.Took-d.took))
 			d.delivered(now)
-		case policy.Moot, policy.Cancelled: // tell nothing of the destination
+		case policy.NotSent, policy.Cancelled: // tell nothing of the destination
 		default:
 			if !d.failing {
 				c.engine.setFailing(d, true)
--- a/decide/admission/admission_test.go
+++ b/decide/admission/admission_test.go
@@ -222,7 +222,7 @@
 		t.Errorf("after its return: %v", d)
 	}
 	// A wait that was told counts from the first moment.
-	w.c.See(w.now, Seen{Kind: Outcome, Dest: 1, Outcome: policy.Full, Wait: 20 * time.Second})
+	w.c.See(w.now, Seen{Kind: Outcome, Dest: 1, Outcome: policy.RateLimited, Wait: 20 * time.Second})
 	d := w.offer(1, 0, 1, 28*time.Second)
 	if d.Reason != TooLate || d.Retry < 5*time.Second {
 		t.Errorf("within a told wait of 20 s, with 14 to wait at most: %v", d)
@@ -341,7 +341,7 @@
 			},
 			"see": func(t *rapid.T) {
 				c.See(now, Seen{Kind: Kind(rapid.IntRange(0, 1).Draw(t, "kind")), Dest: rapid.IntRange(0, 4).Draw(t, "dest"),
-					Outcome: policy.Outcome(rapid.IntRange(0, int(policy.Moot)).Draw(t, "outcome")),
+					Outcome: policy.Outcome(rapid.IntRange(0, int(policy.NotSent)).Draw(t, "outcome")),
 					Wait:    time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "wait"))})
 			},
 			"wait": func(t *rapid.T) { now += time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "time")) },
--- a/decide/gossip/return_test.go
+++ b/decide/gossip/return_test.go
@@ -26,7 +26,7 @@
 )
 
 func settings() policy.Settings {
-	return policy.Settings{Senders: 10, Classes: []policy.Class{{Repeat: policy.Idempotent, Aim: 5 * second, Deadline: 28 * second, Worth: 1, LateWorth: 0.5}},
+	return policy.Settings{Senders: 10, Classes: []policy.Class{{Repeat: policy.Idempotent, SoftDeadline: 5 * second, Deadline: 28 * second, Value: 1, LateValue: 0.5}},
 		Kinds: []policy.Kind{{BundleMax: 1}}, Listing: policy.RateRough, Slots: 32, MaxHeld: 2000, MaxAttempts: 6, ConnectTimeout: second, Tick: ms,
 		DrainGrace: second, ColdShare: 0.2, WarmUp: 15 * second, FallMultiple: 2, FallWindow: 1500 * ms}
 }
@@ -44,7 +44,7 @@
 type outcome struct {
 	at, began time.Duration
 	by        membership.Peer
-	ended     policy.Ended
+	ended     policy.AttemptCompleted
 }
 
 type outcomes []outcome
@@ -77,9 +77,9 @@
 		for _, p := range s.names {
 			if s.share {
 				for _, e := range s.effects[p] {
-					told := policy.Told{Endpoint: 1, News: policy.BackCold, Spare: e.Spare}
+					told := policy.PeerMessage{Endpoint: 1, News: policy.PeerSlowStart, Spare: e.Spare}
 					if e.Down {
-						told.News = policy.Down
+						told.News = policy.PeerDown
 					}
 					s.next[p] = append(s.next[p], told)
 				}
@@ -94,7 +94,7 @@
 					if s.down[1] {
 						result = policy.Failed
 					}
-					heap.Push(out, outcome{s.now + 20*ms, s.now, p, policy.Ended{Message: send.Message, Endpoint: 1, Outcome: result, Took: 20 * ms, Final: result == policy.Delivered}})
+					heap.Push(out, outcome{s.now + 20*ms, s.now, p, policy.AttemptCompleted{Message: send.Message, Endpoint: 1, Outcome: result, Took: 20 * ms, Final: result == policy.Delivered}})
 				}
 			}
 		}
--- a/decide/terms/exchange.go
+++ b/decide/terms/exchange.go
@@ -38,8 +38,8 @@
 	RanZone  int  // where it was sent
 }
 
-// Ended tells how an attempt ended. Every [Send] has exactly one.
-type Ended struct {
+// AttemptCompleted tells how an attempt ended. Every [Send] has exactly one.
+type AttemptCompleted struct {
 	Message  MessageID
 	Attempt  int // from 0
 	Endpoint EndpointID
@@ -55,17 +55,17 @@
 // Withdrawn says that nobody wants a message any more.
 type Withdrawn struct{ Message MessageID }
 
-// Told brings a note of another sender. Notes may be lost or late.
-type Told struct {
+// PeerMessage brings what another sender observed. Such messages may be lost or late.
+type PeerMessage struct {
 	Tag      Tag
 	Endpoint EndpointID // 0 where only the Tag is known
-	News     News
-	Spare    time.Duration // Down: others try it, so this sender waits so long at least
+	News     PeerEvent
+	Spare    time.Duration // PeerDown: others try it, so this sender waits so long at least
 }
 
-// Remembered tells what an earlier life of the node saw of an endpoint. It comes
+// HealthRestored tells what an earlier process of the node observed of an endpoint. It comes
 // before the first call to it.
-type Remembered struct {
+type HealthRestored struct {
 	Endpoint EndpointID
 	Sent     []Time // calls, oldest first
 	Failed   bool
@@ -77,14 +77,14 @@
 // Woken says that the time of a [Wake] has come.
 type Woken struct{}
 
-func (Listed) event()     {}
-func (ListFailed) event() {}
-func (Arrived) event()    {}
-func (Ended) event()      {}
-func (Withdrawn) event()  {}
-func (Told) event()       {}
-func (Remembered) event() {}
-func (Woken) event()      {}
+func (Listed) event()           {}
+func (ListFailed) event()       {}
+func (Arrived) event()          {}
+func (AttemptCompleted) event() {}
+func (Withdrawn) event()        {}
+func (PeerMessage) event()      {}
+func (HealthRestored) event()   {}
+func (Woken) event()            {}
 
 // Action is something that the node shall do, at once and in the order given.
 type Action interface{ action() }
@@ -111,19 +111,19 @@
 // CloseIdle closes the idle connections to an endpoint.
 type CloseIdle struct{ Endpoint EndpointID }
 
-// Tell sends a note to all other senders. It comes only with Settings.MayTell.
-type Tell struct {
+// NotifyPeers sends a message to all other senders. It comes only with Settings.PeerMessages.
+type NotifyPeers struct {
 	Tag  Tag
-	News News
+	News PeerEvent
 }
 
 // Wake asks for a [Woken] at the first step at or after a time.
 type Wake struct{ At Time }
 
-func (Send) action()      {}
-func (Refuse) action()    {}
-func (Fail) action()      {}
-func (Subscribe) action() {}
-func (CloseIdle) action() {}
-func (Tell) action()      {}
-func (Wake) action()      {}
+func (Send) action()        {}
+func (Refuse) action()      {}
+func (Fail) action()        {}
+func (Subscribe) action()   {}
+func (CloseIdle) action()   {}
+func (NotifyPeers) action() {}
+func (Wake) action()        {}
--- a/decide/terms/terms.go
+++ b/decide/terms/terms.go
@@ -21,15 +21,15 @@
 
 // Class is what the settings say of one class of message.
 type Class struct {
-	Repeat    Repeat
-	GroupAll  bool          // Deduplicated: every endpoint of the destination drops repeats
-	GroupZone bool          // Deduplicated: the endpoints of one zone drop repeats
-	Window    time.Duration // Deduplicated: how long repeats are dropped
-	Ordered   bool          // messages with the same key go one at a time, in order
-	Aim       time.Duration // delivered within this time, a message earns its full worth
-	Deadline  time.Duration // a message is given up this long after it was first handed in
-	Worth     float64       // full worth
-	LateWorth float64       // the share of Worth that is left at the deadline
+	Repeat       Repeat
+	GroupAll     bool          // Deduplicated: every endpoint of the destination drops repeats
+	GroupZone    bool          // Deduplicated: the endpoints of one zone drop repeats
+	Window       time.Duration // Deduplicated: how long repeats are dropped
+	Ordered      bool          // messages with the same key go one at a time, in order
+	SoftDeadline time.Duration // delivered within this time, a message earns its full value
+	Deadline     time.Duration // a message is given up this long after it was first handed in
+	Value        float64       // for the delivery of one message
+	LateValue    float64       // the share of Value that is left at the deadline
 }
 
 // Kind is what the settings say of one kind of destination.
@@ -66,16 +66,16 @@
 	Kinds   []Kind
 	// MustSubscribe says that changes to the list come only to who asked.
 	MustSubscribe bool
-	ZoneFee       []float64 // per zone: worth lost for each message that a route apart there takes
+	ZoneFee       []float64 // per zone: value lost for each message that a route apart there takes
 	Listing       Listing
 
-	HalvesLate  bool          // worth halves with each aim after the first, instead of falling evenly
-	Slots       int           // calls that may be out at once
-	MaxHeld     int           // messages held at most, sent or not
-	MaxAttempts int           // attempts for a message at most
-	MayTell     bool          // senders may send each other notes
-	MaxWait     time.Duration // the longest wait that a client heeds
-	AdviseWait  bool          // clients are told how long to wait
+	HalvesLate   bool          // value halves with each soft deadline after the first, instead of falling evenly
+	Slots        int           // calls that may be out at once
+	MaxHeld      int           // messages held at most, sent or not
+	MaxAttempts  int           // attempts for a message at most
+	PeerMessages bool          // senders may send each other notes
+	MaxWait      time.Duration // the longest wait that a client heeds
+	AdviseWait   bool          // clients are told how long to wait
 	// ConnectTimeout is when an attempt without a connection is Unreachable.
 	ConnectTimeout time.Duration
 	// LeastTimeout is the least time-out of an attempt: no pause of this machine, of the network or of a
@@ -88,7 +88,7 @@
 	WarmUp       time.Duration // the time within which it is back to all of it
 	FallMultiple float64       // sent more than this multiple of its present capacity
 	FallWindow   time.Duration // for this long, it falls over
-	TurnGap      time.Duration // Ordered: how long a key rests after an attempt that may still run
+	KeyRest      time.Duration // Ordered: how long a key rests after an attempt that may still run
 }
 
 // EndpointID names an endpoint. It is the node's own name for it and carries no meaning.
@@ -126,27 +126,27 @@
 // Outcome says how an attempt ended.
 type Outcome int
 
-// The outcomes. Full, Unreachable and Moot prove that the attempt never ran.
+// The outcomes. RateLimited, Unreachable and NotSent prove that the attempt never ran.
 const (
 	Delivered   Outcome = iota
 	Failed              // the destination answered with an error
-	Full                // turned away unseen
+	RateLimited         // turned away unseen
 	TimedOut            // no answer in time
 	Unreachable         // no connection could be made
 	Reset               // the connection broke
 	Cancelled           // called off
-	Moot                // not sent at all
+	NotSent             // not sent at all
 )
 
-// News is what one sender tells the others of an endpoint.
-type News int
+// PeerEvent is what one sender tells the others of an endpoint.
+type PeerEvent int
 
-// The news.
+// The kinds of event.
 const (
-	Down     News = iota // an outage is on
-	Back                 // it answers again
-	BackCold             // it answers again and is cold
-	Jam                  // it refuses calls as full
+	PeerDown        PeerEvent = iota // an outage is on
+	PeerRecovered                    // it answers again
+	PeerSlowStart                    // it answers again and is cold
+	PeerRateLimited                  // it turns calls away at its rate limit
 )
 
 // TagBits is the size of a [Tag].
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -236,7 +236,7 @@
 
 // Finish puts the outcome of one message on record and tells it, once. Message, Attempt,
 // Endpoint and Took of the event are filled in.
-func (r *Recorder) Finish(k *Call, p *Part, e policy.Ended) {
+func (r *Recorder) Finish(k *Call, p *Part, e policy.AttemptCompleted) {
 	k.mu.Lock()
 	first := !p.over
 	p.over = true
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -84,11 +84,11 @@
 // the record failed.
 func TestFinish(t *testing.T) {
 	k, b := newCall(), &book{}
-	var told []policy.Ended
-	r := &Recorder{Store: b, Log: testkit.QuietLog(), Tell: func(e policy.Event) { told = append(told, e.(policy.Ended)) }}
-	r.Finish(k, k.Parts[1], policy.Ended{Outcome: policy.Delivered, Final: true})
-	r.Finish(k, k.Parts[1], policy.Ended{Outcome: policy.TimedOut})
-	r.Finish(k, k.Parts[0], policy.Ended{Outcome: policy.Moot, Final: true})
+	var told []policy.AttemptCompleted
+	r := &Recorder{Store: b, Log: testkit.QuietLog(), Tell: func(e policy.Event) { told = append(told, e.(policy.AttemptCompleted)) }}
+	r.Finish(k, k.Parts[1], policy.AttemptCompleted{Outcome: policy.Delivered, Final: true})
+	r.Finish(k, k.Parts[1], policy.AttemptCompleted{Outcome: policy.TimedOut})
+	r.Finish(k, k.Parts[0], policy.AttemptCompleted{Outcome: policy.NotSent, Final: true})
 	if len(b.outcomes) != 2 || b.outcomes[0].Over || !b.outcomes[1].Over || b.outcomes[0].Endpoint != "e1" {
 		t.Errorf("recorded %+v, want a delivery, and one that is over", b.outcomes)
 	}
--- a/internal/carrier/http1/calls.go
+++ b/internal/carrier/http1/calls.go
@@ -116,7 +116,7 @@
 			if errors.Is(err, errShortage) || try == 0 && ctx.Err() != nil && k.CutShort() {
 				// Given up because a message has no time left or this machine no descriptor, before it could be
 				// told whether anybody is there: nothing was sent, and nothing is known of the endpoint.
-				outcome = policy.Moot
+				outcome = policy.NotSent
 			}
 			c.log.Debug("call: no connection", "endpoint", k.Endpoint.Name, "outcome", outcome, "err", err)
 			c.endAll(k, outcome, 0, false)
@@ -126,7 +126,7 @@
 		// it has been sent.
 		if !c.ready(life, k, try == 0) {
 			c.pool.put(conn)
-			c.endAll(k, policy.Moot, 0, false)
+			c.endAll(k, policy.NotSent, 0, false)
 			return
 		}
 		if try == 0 {
@@ -138,7 +138,7 @@
 		if e != nil {
 			c.pool.put(conn)
 			c.log.Error("call: no request", "err", e)
-			c.endAll(k, policy.Moot, 0, false)
+			c.endAll(k, policy.NotSent, 0, false)
 			return
 		}
 		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -189,7 +189,7 @@
 	}
 	c.log.Debug("call: no answer", "endpoint", k.Endpoint.Name, "err", err)
 	for _, p := range k.Parts {
-		c.record.Finish(k, p, policy.Ended{Outcome: outcome, Wait: wait, Stale: stale})
+		c.record.Finish(k, p, policy.AttemptCompleted{Outcome: outcome, Wait: wait, Stale: stale})
 	}
 }
 
@@ -310,16 +310,16 @@
 	case http.StatusOK:
 		return policy.Delivered, false
 	case http.StatusTooManyRequests:
-		return policy.Full, false
+		return policy.RateLimited, false
 	case http.StatusServiceUnavailable:
 		if a.header.Get("X-Egress-Full") == "1" {
-			return policy.Moot, false
+			return policy.NotSent, false
 		}
-		return policy.Full, false
+		return policy.RateLimited, false
 	case http.StatusGone:
-		return policy.Moot, true
+		return policy.NotSent, true
 	case http.StatusGatewayTimeout:
-		return policy.Moot, false
+		return policy.NotSent, false
 	case http.StatusInternalServerError:
 		return policy.Failed, false
 	}
@@ -349,11 +349,11 @@
 	case "failed":
 		return itemEnd{policy.Failed, false}, true
 	case "busy":
-		return itemEnd{policy.Full, false}, true
+		return itemEnd{policy.RateLimited, false}, true
 	case "void":
-		return itemEnd{policy.Moot, true}, true
+		return itemEnd{policy.NotSent, true}, true
 	case "used_up":
-		return itemEnd{policy.Moot, false}, true
+		return itemEnd{policy.NotSent, false}, true
 	}
 	return itemEnd{}, false
 }
@@ -385,5 +385,5 @@
 }
 
 func (c *Carrier) end(k *carrier.Call, p *carrier.Part, outcome policy.Outcome, wait time.Duration, over bool) {
-	c.record.Finish(k, p, policy.Ended{Outcome: outcome, Wait: wait, Final: over || outcome == policy.Delivered})
+	c.record.Finish(k, p, policy.AttemptCompleted{Outcome: outcome, Wait: wait, Final: over || outcome == policy.Delivered})
 }
--- a/internal/carrier/http1/calls_test.go
+++ b/internal/carrier/http1/calls_test.go
@@ -34,18 +34,18 @@
 	caller   *Carrier
 	endpoint *carrier.Endpoint
 	addr     string
-	outcomes chan policy.Ended
+	outcomes chan policy.AttemptCompleted
 	store    store.Store
 	seq      int
 }
 
 func newCallRig(t *testing.T, addr string) *callRig {
-	r := &callRig{t: t, addr: addr, outcomes: make(chan policy.Ended, 16)}
+	r := &callRig{t: t, addr: addr, outcomes: make(chan policy.AttemptCompleted, 16)}
 	j, _, err := journal.Open(journal.Config{Dir: t.TempDir(), MaxBytes: journal.MinDisk}, testkit.QuietLog())
 	testkit.Must(t, err)
 	t.Cleanup(func() { _ = j.Close() })
 	r.store = j
-	record := &carrier.Recorder{Store: j, Log: testkit.QuietLog(), Tell: func(e policy.Event) { r.outcomes <- e.(policy.Ended) }}
+	record := &carrier.Recorder{Store: j, Log: testkit.QuietLog(), Tell: func(e policy.Event) { r.outcomes <- e.(policy.AttemptCompleted) }}
 	r.caller = New(Config{ConnectTimeout: time.Second, IdleClose: 15 * time.Second}, record, testkit.QuietLog())
 	r.endpoint = &carrier.Endpoint{ID: 1, Name: "e1", Waits: &carrier.Gate{}}
 	t.Cleanup(func() { r.caller.running.Wait() })
@@ -73,14 +73,14 @@
 	return messages
 }
 
-func (r *callRig) next() policy.Ended {
+func (r *callRig) next() policy.AttemptCompleted {
 	r.t.Helper()
 	select {
 	case e := <-r.outcomes:
 		return e
 	case <-time.After(patience):
 		r.t.Fatal("no outcome came")
-		return policy.Ended{}
+		return policy.AttemptCompleted{}
 	}
 }
 
@@ -253,7 +253,7 @@
 	for _, c := range []struct {
 		left time.Duration
 		want policy.Outcome
-	}{{patience, policy.Unreachable}, {60 * time.Millisecond, policy.Moot}} {
+	}{{patience, policy.Unreachable}, {60 * time.Millisecond, policy.NotSent}} {
 		r := newCallRig(t, "127.0.0.1:1")
 		r.noDial()
 		m := newMessage("a", 20)
@@ -300,7 +300,7 @@
 	r.caller.pool.closeIdle(time.Now(), nil)
 	short.Store(1 << 30)
 	m := r.start(100*time.Millisecond, 1)[0]
-	if e := r.next(); e.Outcome != policy.Moot || e.Final || m.Past.MayRun {
+	if e := r.next(); e.Outcome != policy.NotSent || e.Final || m.Past.MayRun {
 		t.Errorf("a shortage that does not end: %+v, past %+v", e, m.Past)
 	}
 }
@@ -385,7 +385,7 @@
 			r := newCallRig(t, addr)
 			tell(r.endpoint)
 			m := r.start(5*time.Second, 1)[0]
-			if e := r.next(); e.Outcome != policy.Moot || e.Final {
+			if e := r.next(); e.Outcome != policy.NotSent || e.Final {
 				t.Errorf("outcome %+v, want moot", e)
 			}
 			if m.Past.MayRun {
@@ -406,22 +406,22 @@
 	for name, c := range map[string]struct {
 		answer string
 		n      int
-		want   []policy.Ended
+		want   []policy.AttemptCompleted
 	}{
-		"delivered":    {"200 OK\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Delivered, Final: true}}},
-		"error":        {"500 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Failed}}},
-		"wait":         {"429 X\r\n" + wait + "Content-Length: 0", 1, []policy.Ended{{Outcome: policy.Full, Wait: 250 * time.Millisecond}}},
-		"nonsense":     {"429 X\r\nX-Backoff-Ms: soon\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Full}}},
-		"full":         {"503 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Full}}},
-		"no slot":      {"503 X\r\nX-Egress-Full: 1\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Moot}}},
-		"used up":      {"504 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Moot}}},
-		"over":         {"410 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Moot, Final: true}}},
-		"teapot":       {"418 X\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Failed}}},
-		"bundle full":  {"503 X\r\nContent-Length: 0", 2, []policy.Ended{{Outcome: policy.Full}, {Outcome: policy.Full}}},
-		"bundle mixed": {"200 OK\r\n" + wait + "Content-Length: 55\r\n\r\nid1 done\r\nid2 failed\r\nid3 busy\r\nid4 void\r\nid5 used_up\r\n", 5, []policy.Ended{{Outcome: policy.Delivered, Final: true, Wait: 250 * time.Millisecond}, {Outcome: policy.Failed, Wait: 250 * time.Millisecond}, {Outcome: policy.Full, Wait: 250 * time.Millisecond}, {Outcome: policy.Moot, Final: true, Wait: 250 * time.Millisecond}, {Outcome: policy.Moot, Wait: 250 * time.Millisecond}}},
-		"bundle torn":  {"200 OK\r\nContent-Length: 61\r\n\r\nid1 done\r\nid2 do", 2, []policy.Ended{{Outcome: policy.Reset}, {Outcome: policy.Reset}}},
-		"days of wait": {"429 X\r\nX-Backoff-Ms: 2073600000\r\nContent-Length: 0", 1, []policy.Ended{{Outcome: policy.Full}}},
-		"interim":      {"100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", 1, []policy.Ended{{Outcome: policy.Full}}},
+		"delivered":    {"200 OK\r\nContent-Length: 0", 1, []policy.AttemptCompleted{{Outcome: policy.Delivered, Final: true}}},
+		"error":        {"500 X\r\nContent-Length: 0", 1, []policy.AttemptCompleted{{Outcome: policy.Failed}}},
+		"wait":         {"429 X\r\n" + wait + "Content-Length: 0", 1, []policy.AttemptCompleted{{Outcome: policy.RateLimited, Wait: 250 * time.Millisecond}}},
+		"nonsense":     {"429 X\r\nX-Backoff-Ms: soon\r\nContent-Length: 0", 1, []policy.AttemptCompleted{{Outcome: policy.RateLimited}}},
+		"full":         {"503 X\r\nContent-Length: 0", 1, []policy.AttemptCompleted{{Outcome: policy.RateLimited}}},
+		"no slot":      {"503 X\r\nX-Egress-Full: 1\r\nContent-Length: 0", 1, []policy.AttemptCompleted{{Outcome: policy.NotSent}}},
+		"used up":      {"504 X\r\nContent-Length: 0", 1, []policy.AttemptCompleted{{Outcome: policy.NotSent}}},
+		"over":         {"410 X\r\nContent-Length: 0", 1, []policy.AttemptCompleted{{Outcome: policy.NotSent, Final: true}}},
+		"teapot":       {"418 X\r\nContent-Length: 0", 1, []policy.AttemptCompleted{{Outcome: policy.Failed}}},
+		"bundle full":  {"503 X\r\nContent-Length: 0", 2, []policy.AttemptCompleted{{Outcome: policy.RateLimited}, {Outcome: policy.RateLimited}}},
+		"bundle mixed": {"200 OK\r\n" + wait + "Content-Length: 55\r\n\r\nid1 done\r\nid2 failed\r\nid3 busy\r\nid4 void\r\nid5 used_up\r\n", 5, []policy.AttemptCompleted{{Outcome: policy.Delivered, Final: true, Wait: 250 * time.Millisecond}, {Outcome: policy.Failed, Wait: 250 * time.Millisecond}, {Outcome: policy.RateLimited, Wait: 250 * time.Millisecond}, {Outcome: policy.NotSent, Final: true, Wait: 250 * time.Millisecond}, {Outcome: policy.NotSent, Wait: 250 * time.Millisecond}}},
+		"bundle torn":  {"200 OK\r\nContent-Length: 61\r\n\r\nid1 done\r\nid2 do", 2, []policy.AttemptCompleted{{Outcome: policy.Reset}, {Outcome: policy.Reset}}},
+		"days of wait": {"429 X\r\nX-Backoff-Ms: 2073600000\r\nContent-Length: 0", 1, []policy.AttemptCompleted{{Outcome: policy.RateLimited}}},
+		"interim":      {"100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", 1, []policy.AttemptCompleted{{Outcome: policy.RateLimited}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr := rawServer(t, func(_ int64, conn net.Conn) {
@@ -469,7 +469,7 @@
 		"refusal torn":       {"HTTP/1.1 503 X\r\nno colon\r\n\r\n", 1, policy.Failed},
 		"refusal unfinished": {"HTTP/1.1 429 X\r\nContent-Length: 9\r\n\r\nhello", 1, policy.Failed},
 		"refusal and noise":  {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\nhello", 1, policy.Failed},
-		"refusal and a copy": {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", 1, policy.Full},
+		"refusal and a copy": {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", 1, policy.RateLimited},
 		"over, endless":      {"HTTP/1.1 410 X\r\nContent-Length: 3000000000\r\n\r\n", 1, policy.Failed},
 		"interim for ever":   {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100), 1, policy.Failed},
 		"list too short":     {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nid1 done\r\n", 2, policy.Failed},
@@ -583,7 +583,7 @@
 	for name, c := range map[string]struct {
 		ago  time.Duration
 		want policy.Outcome
-	}{"within": {5 * time.Second, policy.Delivered}, "after": {13 * time.Second, policy.Moot}} {
+	}{"within": {5 * time.Second, policy.Delivered}, "after": {13 * time.Second, policy.NotSent}} {
 		m := newMessage(name, 5)
 		m.Window = 12 * time.Second
 		ctx, at := context.Background(), time.Now().Add(-c.ago)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -437,7 +437,7 @@
 		DrainGrace: time.Duration(f.Partners.Drain), ColdShare: f.Partners.ColdShare, WarmUp: time.Duration(f.Partners.WarmUp),
 		FallMultiple: f.Partners.FallsAt, FallWindow: time.Duration(f.Partners.FallsIn)}
 	for range classes {
-		s.Classes = append(s.Classes, policy.Class{Repeat: policy.AtMostOnce, Aim: time.Second, Deadline: time.Second, Worth: 1})
+		s.Classes = append(s.Classes, policy.Class{Repeat: policy.AtMostOnce, SoftDeadline: time.Second, Deadline: time.Second, Value: 1})
 	}
 	for _, c := range f.Classes {
 		i := slices.Index(classes, c.Name)
@@ -445,9 +445,9 @@
 		s.Classes[i] = policy.Class{
 			Repeat:   map[string]policy.Repeat{"idempotent": policy.Idempotent, "keyed": policy.Deduplicated, "unsafe": policy.AtMostOnce}[c.Repeat],
 			GroupAll: c.Repeat == "keyed" && c.Group == "destination", GroupZone: c.Repeat == "keyed" && c.Group == "building",
-			Window: time.Duration(c.Window), Ordered: c.Ordered, Aim: time.Duration(c.Wanted), Deadline: time.Duration(c.Deadline),
-			Worth: *c.Worth, LateWorth: c.LateWorth}
-		s.TurnGap = max(s.TurnGap, time.Duration(c.Rest))
+			Window: time.Duration(c.Window), Ordered: c.Ordered, SoftDeadline: time.Duration(c.Wanted), Deadline: time.Duration(c.Deadline),
+			Value: *c.Worth, LateValue: c.LateWorth}
+		s.KeyRest = max(s.KeyRest, time.Duration(c.Rest))
 	}
 	addKind := func(routesApart bool, bundle int) {
 		if k := control.KindName(routesApart, bundle); !has(w.Kinds, k) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -26,7 +26,7 @@
 	}
 	s, w := f.Settings(f.ClassNames(), f.ZoneNames())
 	c := s.Classes[w.Classes["meter-message"]]
-	if c.Repeat != policy.Deduplicated || !c.GroupZone || c.GroupAll || c.Window != 12*time.Second || c.Deadline != 28*time.Second || c.Worth != 1 {
+	if c.Repeat != policy.Deduplicated || !c.GroupZone || c.GroupAll || c.Window != 12*time.Second || c.Deadline != 28*time.Second || c.Value != 1 {
 		t.Errorf("class %+v", c)
 	}
 	l := f.List()
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -68,7 +68,7 @@
 			class.Keep = s.Window
 		}
 		if s.Ordered {
-			class.Keep = max(class.Keep, settings.TurnGap)
+			class.Keep = max(class.Keep, settings.KeyRest)
 		}
 		all = append(all, class)
 	}
--- a/internal/engine/contracts.go
+++ b/internal/engine/contracts.go
@@ -12,7 +12,7 @@
 	"wingmount/policy"
 )
 
-// Carrier makes calls. Each part of a call that is started gets one policy.Ended by
+// Carrier makes calls. Each part of a call that is started gets one policy.AttemptCompleted by
 // [Engine.Post], whenever that is.
 type Carrier interface {
 	// Start makes a call, and does not wait.
@@ -46,7 +46,7 @@
 }
 
 // PeerMessenger sends messages to the other nodes. Send does not wait.
-type PeerMessenger interface{ Send(policy.Tell) }
+type PeerMessenger interface{ Send(policy.NotifyPeers) }
 
 // Peers are given what this node observes of endpoints, to share it. Neither call waits.
 type Peers interface {
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -200,7 +200,7 @@
 		if e.endpoints[id] == nil {
 			continue
 		}
-		r := policy.Remembered{Endpoint: id}
+		r := policy.HealthRestored{Endpoint: id}
 		for _, at := range m.Sent {
 			r.Sent = append(r.Sent, e.moduleTime(at))
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -177,7 +177,7 @@
 		e.handleMemories(event)
 	case partUpdate:
 		e.applyPart(event)
-	case policy.Ended:
+	case policy.AttemptCompleted:
 		e.handleEnded(event)
 		e.batch = append(e.batch, event)
 	case policy.Event:
@@ -199,7 +199,7 @@
 }
 
 // handleEnded notes how an attempt ended, and announces the outcome of a message that is over with it.
-func (e *Engine) handleEnded(ended policy.Ended) {
+func (e *Engine) handleEnded(ended policy.AttemptCompleted) {
 	if endpoint := e.endpoints[ended.Endpoint]; endpoint != nil {
 		if e.debug {
 			e.Log.Debug("outcome", "n", ended.Message, "dest", endpoint.Dest, "endpoint", endpoint.Name, "outcome", ended.Outcome, "wait", ended.Wait, "took", ended.Took)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -79,7 +79,7 @@
 var keyed = policy.Settings{Senders: 1, Slots: 8, MaxHeld: 100, MaxAttempts: 6, Tick: 5 * time.Millisecond,
 	Kinds: []policy.Kind{{RoutesApart: true, BundleMax: 5}}, ConnectTimeout: time.Second, DrainGrace: time.Second,
 	Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 12 * time.Second,
-		Aim: 3 * time.Second, Deadline: 28 * time.Second, Worth: 1}}}
+		SoftDeadline: 3 * time.Second, Deadline: 28 * time.Second, Value: 1}}}
 
 // A message is given up early enough for the record and the telling of its answer.
 func TestAnswerTime(t *testing.T) {
@@ -187,7 +187,7 @@
 		if e.endpoints[endpoint.ID] == nil {
 			t.Fatal("forgotten with a call out")
 		}
-		e.handle(policy.Ended{Endpoint: endpoint.ID})
+		e.handle(policy.AttemptCompleted{Endpoint: endpoint.ID})
 		e.evict(now)
 		if len(f.idle) != i+1 || f.idle[i] != &endpoint.Endpoint {
 			t.Fatal("the connections of an endpoint that is gone were kept")
@@ -253,10 +253,10 @@
 		t.Fatalf("%d endpoints", len(e.endpoints))
 	}
 	failed := time.Now()
-	e.handle(policy.Ended{Endpoint: policy.EndpointID(hash("known")), Outcome: policy.Delivered})
+	e.handle(policy.AttemptCompleted{Endpoint: policy.EndpointID(hash("known")), Outcome: policy.Delivered})
 	e.batch = nil
 	e.handle(Memories{"known": {FailedAt: failed}, "unheard": {FailedAt: failed}, "unlisted": {FailedAt: failed}})
-	if len(e.batch) != 1 || e.batch[0].(policy.Remembered).Endpoint != policy.EndpointID(hash("unheard")) || !e.batch[0].(policy.Remembered).Failed {
+	if len(e.batch) != 1 || e.batch[0].(policy.HealthRestored).Endpoint != policy.EndpointID(hash("unheard")) || !e.batch[0].(policy.HealthRestored).Failed {
 		t.Errorf("the module hears %+v", e.batch)
 	}
 }
--- a/internal/engine/stall_test.go
+++ b/internal/engine/stall_test.go
@@ -47,7 +47,7 @@
 func (c *deliveringCarrier) Start(_ context.Context, k *carrier.Call) {
 	go func() {
 		for _, p := range k.Parts {
-			c.engine.Post(policy.Ended{Message: p.Message.Seq, Attempt: p.Attempt, Endpoint: k.Endpoint.ID, Outcome: policy.Delivered, Final: true, Took: time.Millisecond})
+			c.engine.Post(policy.AttemptCompleted{Message: p.Message.Seq, Attempt: p.Attempt, Endpoint: k.Endpoint.ID, Outcome: policy.Delivered, Final: true, Took: time.Millisecond})
 			c.delivered.Add(1)
 		}
 	}()
--- a/internal/engine/step.go
+++ b/internal/engine/step.go
@@ -13,7 +13,7 @@
 
 // reportCall tells peers how a call ended, where that says something of the endpoint. One that was turned away as
 // full, called off or never sent says nothing, and neither does a kept connection that broke.
-func (e *Engine) reportCall(ended policy.Ended) {
+func (e *Engine) reportCall(ended policy.AttemptCompleted) {
 	if e.Peers == nil {
 		return
 	}
@@ -82,7 +82,7 @@
 			if endpoint := e.endpoints[a.Endpoint]; endpoint != nil {
 				e.Carrier.CloseIdle(&endpoint.Endpoint)
 			}
-		case policy.Tell:
+		case policy.NotifyPeers:
 			if e.PeerMessages != nil {
 				if e.debug {
 					e.Log.Debug("note", "tag", a.Tag, "news", a.News)
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -1,5 +1,5 @@
 // Package estimate has what the decision module learns by and reckons with: how long answers take,
-// how many calls something takes, and what worth is left at an age. It does no I/O and reads no
+// how many calls something takes, and what value is left at an age. It does no I/O and reads no
 // clock.
 package estimate
 
@@ -95,16 +95,16 @@
 	return max(mean, (float64(r.Peak)-chance)/span.Seconds())
 }
 
-// Worth is what a message earns when it is delivered at an age: Full until Aim, then less and less
+// Value is what a message earns when it is delivered at an age: Full until Aim, then less and less
 // until the share Late at Deadline, and nothing from there on.
-type Worth struct {
+type Value struct {
 	Aim, Deadline time.Duration
 	Full, Late    float64
 	Halves        bool // it halves with each further aim, down to Late, instead of falling evenly
 }
 
-// At is the worth at an age.
-func (w *Worth) At(age time.Duration) float64 {
+// At is the value at an age.
+func (w *Value) At(age time.Duration) float64 {
 	switch {
 	case age >= w.Deadline:
 		return 0
@@ -116,10 +116,10 @@
 	return w.Full * (1 - (1-w.Late)*float64(age-w.Aim)/float64(w.Deadline-w.Aim))
 }
 
-// Bends are the ages at which the worth changes its course. Between two of them the loss over any
+// Bends are the ages at which the value changes its course. Between two of them the loss over any
 // one time, At(age) - At(age+time), is convex or rises, where neither age nor age+time passes one.
-func (w *Worth) Bends() []time.Duration {
-	floor := w.Deadline // where worth that halves ceases to fall
+func (w *Value) Bends() []time.Duration {
+	floor := w.Deadline // where value that halves ceases to fall
 	if w.Halves && w.Late > 0 {
 		floor = w.Aim + time.Duration(float64(w.Aim)*-math.Log2(w.Late))
 	}
@@ -127,7 +127,7 @@
 }
 
 // LossBends are the ages at which the loss over a time that begins later by a delay changes its course.
-func (w *Worth) LossBends(delay, over time.Duration) (ages []time.Duration) {
+func (w *Value) LossBends(delay, over time.Duration) (ages []time.Duration) {
 	for _, bend := range w.Bends() {
 		ages = append(ages, bend-delay, bend-delay-over)
 	}
--- a/internal/fleetlog/fleetlog.go
+++ b/internal/fleetlog/fleetlog.go
@@ -140,7 +140,7 @@
 				cell.Sent += n
 			}
 		case "outcome":
-			if o, err := strconv.Atoi(fields["outcome"]); err == nil && o >= 0 && o <= int(policy.Moot) {
+			if o, err := strconv.Atoi(fields["outcome"]); err == nil && o >= 0 && o <= int(policy.NotSent) {
 				cell.Outcomes[policy.Outcome(o)]++
 			}
 		}
@@ -170,7 +170,7 @@
 		n := c.cells[k]
 		o := n.Outcomes
 		fmt.Fprintf(t, "%d\t%.1f\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", k.Dest, (time.Duration(k.Span) * c.span).Seconds(), cmp.Or(k.Endpoint, "all"),
-			n.Taken, n.Calls, n.Sent, o[policy.Delivered], o[policy.Failed], o[policy.Full], o[policy.TimedOut], o[policy.Unreachable], o[policy.Reset], n.Ended)
+			n.Taken, n.Calls, n.Sent, o[policy.Delivered], o[policy.Failed], o[policy.RateLimited], o[policy.TimedOut], o[policy.Unreachable], o[policy.Reset], n.Ended)
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- a/internal/fleetlog/fleetlog_test.go
+++ b/internal/fleetlog/fleetlog_test.go
@@ -28,7 +28,7 @@
 	testkit.Must(t, c.Read(strings.NewReader(lines)))
 	testkit.Must(t, c.Read(strings.NewReader(junk+lines)))
 	all, later := c.Cell(Key{Dest: 3}), c.Cell(Key{Dest: 3, Span: 1})
-	if all.Taken != 2 || all.Calls != 2 || all.Sent != 4 || all.Outcomes[policy.Full] != 2 || len(all.Outcomes) != 1 {
+	if all.Taken != 2 || all.Calls != 2 || all.Sent != 4 || all.Outcomes[policy.RateLimited] != 2 || len(all.Outcomes) != 1 {
 		t.Errorf("the first second: %+v", all)
 	}
 	if later.Outcomes[policy.Delivered] != 2 || later.Ended != 2 || c.Cell(Key{3, "b", 1}).Outcomes[policy.Delivered] != 2 {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -210,12 +210,12 @@
 	nodes []*Node
 	ends  []func()
 	mu    sync.Mutex
-	told  map[int][]policy.Told
+	told  map[int][]policy.PeerMessage
 	peers []Peer
 }
 
 func newTier(t *testing.T, size int) *tier {
-	r := &tier{t: t, dir: t.TempDir(), nodes: make([]*Node, size), ends: make([]func(), size), told: map[int][]policy.Told{}}
+	r := &tier{t: t, dir: t.TempDir(), nodes: make([]*Node, size), ends: make([]func(), size), told: map[int][]policy.PeerMessage{}}
 	var ports loopback.Ports
 	t.Cleanup(func() { testkit.Must(t, ports.Close()) })
 	for i := range size {
@@ -236,7 +236,7 @@
 
 func (r *tier) config(i int, key ed25519.PrivateKey) Config {
 	return Config{Name: r.peers[i].Name, Listen: r.peers[i].Address, Cluster: "c", Building: "ops", Key: key, Peers: r.peers,
-		State: filepath.Join(r.dir, fmt.Sprint(i, ".json")), Log: testkit.QuietLog(), Tell: func(told policy.Told) {
+		State: filepath.Join(r.dir, fmt.Sprint(i, ".json")), Log: testkit.QuietLog(), Tell: func(told policy.PeerMessage) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.told[i] = append(r.told[i], told)
@@ -260,7 +260,7 @@
 	}
 }
 
-func (r *tier) heard(i int) []policy.Told {
+func (r *tier) heard(i int) []policy.PeerMessage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.Clone(r.told[i])
@@ -294,7 +294,7 @@
 	}
 	testkit.Eventually(t, "the outage is known", func() bool {
 		told := r.heard(3)
-		return len(told) == 1 && told[0].Endpoint == 1 && told[0].News == policy.Down && told[0].Spare > 0
+		return len(told) == 1 && told[0].Endpoint == 1 && told[0].News == policy.PeerDown && told[0].Spare > 0
 	})
 	if s := r.nodes[3].Status(); !slices.Equal(s.Suspected, []string{"e1"}) {
 		t.Errorf("suspected %v", s.Suspected)
@@ -302,7 +302,7 @@
 	r.nodes[0].Saw(1, ms, true)
 	testkit.Eventually(t, "the return is known", func() bool {
 		told := r.heard(3)
-		return len(told) == 2 && told[1] == policy.Told{Endpoint: 1, News: policy.BackCold}
+		return len(told) == 2 && told[1] == policy.PeerMessage{Endpoint: 1, News: policy.PeerSlowStart}
 	})
 
 	// A datagram as n0 would send it to n3 now, kept by somebody who listens.
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -68,7 +68,7 @@
 	State                           string // the file of [Status]
 	Datagrams                       int    // in a second at most; DefaultDatagrams where it is 0
 	Log                             *slog.Logger
-	Tell                            func(policy.Told) // hears what peers' evidence means; it may wait
+	Tell                            func(policy.PeerMessage) // hears what peers' evidence means; it may wait
 }
 
 // call is how one call of this node ended.
@@ -262,9 +262,9 @@
 	n.mu.Unlock()
 	for _, e := range effects {
 		n.cfg.Log.Info("gossip: what peers saw", "endpoint", known[e.Endpoint], "down", e.Down, "spare", e.Spare)
-		told := policy.Told{Endpoint: policy.EndpointID(e.Endpoint), News: policy.BackCold}
+		told := policy.PeerMessage{Endpoint: policy.EndpointID(e.Endpoint), News: policy.PeerSlowStart}
 		if e.Down {
-			told.News, told.Spare = policy.Down, e.Spare
+			told.News, told.Spare = policy.PeerDown, e.Spare
 		}
 		n.cfg.Tell(told)
 	}
--- a/internal/inflight/registry_test.go
+++ b/internal/inflight/registry_test.go
@@ -103,7 +103,7 @@
 	if r.Count() != 1 || c.Held() != 1 {
 		t.Errorf("%d held, %d counted, want 1", r.Count(), c.Held())
 	}
-	r.Observe([]admission.Seen{{Kind: admission.Outcome, Dest: 7, Outcome: policy.Full, Wait: time.Minute}})
+	r.Observe([]admission.Seen{{Kind: admission.Outcome, Dest: 7, Outcome: policy.RateLimited, Wait: time.Minute}})
 	if v, retry := r.Reserve("d", 7, 0, 20*time.Second); v != TooLate || retry < 20*time.Second {
 		t.Errorf("for a destination that waits for a minute: verdict %d, %v", v, retry)
 	}
--- a/internal/lab/fleet/check.go
+++ b/internal/lab/fleet/check.go
@@ -161,7 +161,7 @@
 // rests takes in that a key rests after an attempt that may still run.
 func (c *Check) rests(now policy.Time, n *node, m *message, o policy.Outcome) {
 	if c.set.Classes[m.class].Ordered && (o == policy.TimedOut || o == policy.Reset) {
-		c.rested[line{n.number, m.key}] = now + c.set.TurnGap - slack
+		c.rested[line{n.number, m.key}] = now + c.set.KeyRest - slack
 	}
 }
 
@@ -254,7 +254,7 @@
 }
 
 // outcome takes in what a node heard of a call.
-func (c *Check) outcome(now policy.Time, n *node, e *endpoint, o policy.Ended) {
+func (c *Check) outcome(now policy.Time, n *node, e *endpoint, o policy.AttemptCompleted) {
 	if o.Wait > 0 {
 		k := told{node: n, dest: e.dest}
 		if w := c.waits[k]; now+o.Wait > w.until {
--- a/internal/lab/fleet/check_test.go
+++ b/internal/lab/fleet/check_test.go
@@ -12,7 +12,7 @@
 // it; without the lie the same play breaks none.
 func TestCheckerFindsFaults(t *testing.T) {
 	ordered := func(c *Config) {
-		c.Settings.Classes[0].Ordered, c.Settings.TurnGap = true, time.Second
+		c.Settings.Classes[0].Ordered, c.Settings.KeyRest = true, time.Second
 		c.AnswersLost = 0.1
 	}
 	struck := func(h Health, before, during, after float64) func(*World) {
@@ -48,7 +48,7 @@
 			return a
 		}}, busy},
 		{"dup", func(c *Config) { c.AnswersLost = 0.3 }, Fault{Event: func(e policy.Event) policy.Event {
-			if o, ok := e.(policy.Ended); ok && o.Outcome == policy.Reset {
+			if o, ok := e.(policy.AttemptCompleted); ok && o.Outcome == policy.Reset {
 				o.Outcome = policy.Unreachable // it may have run, and the module hears that it has not
 				return o
 			}
@@ -68,11 +68,11 @@
 			c.Destinations[0].Depth, c.Destinations[0].Capacity = 10*time.Second, c.Destinations[0].Limit
 		}, Fault{Event: func(e policy.Event) policy.Event {
 			switch o := e.(type) {
-			case policy.Told:
+			case policy.PeerMessage:
 				return nil
-			case policy.Ended:
+			case policy.AttemptCompleted:
 				if o.Outcome == policy.Unreachable {
-					o.Outcome = policy.Moot // nobody hears of the outage
+					o.Outcome = policy.NotSent // nobody hears of the outage
 					return o
 				}
 			}
@@ -84,7 +84,7 @@
 			return s
 		}}, busy},
 		{"wait", func(c *Config) { c.Destinations[0].Wait = 1800 * time.Millisecond }, Fault{Event: func(e policy.Event) policy.Event {
-			if o, ok := e.(policy.Ended); ok {
+			if o, ok := e.(policy.AttemptCompleted); ok {
 				o.Wait = 0
 				return o
 			}
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -23,11 +23,11 @@
 
 // usual are settings as the platform gives them.
 func usual(told int) policy.Settings {
-	return policy.Settings{Senders: told, Slots: 4, MaxHeld: 60, MaxAttempts: maxAttempts, Tick: time.Millisecond, MayTell: true,
+	return policy.Settings{Senders: told, Slots: 4, MaxHeld: 60, MaxAttempts: maxAttempts, Tick: time.Millisecond, PeerMessages: true,
 		Listing: policy.RateRough, DrainGrace: time.Second, ColdShare: 0.21, WarmUp: 14 * time.Second, FallMultiple: 2,
 		FallWindow: 1500 * time.Millisecond, ConnectTimeout: time.Second, Kinds: []policy.Kind{{BundleMax: 1}}, AdviseWait: true, MaxWait: 2 * time.Second,
-		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 5150 * time.Millisecond, Aim: 3 * time.Second,
-			Deadline: 12 * time.Second, Worth: 1, LateWorth: 0.5}}}
+		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 5150 * time.Millisecond, SoftDeadline: 3 * time.Second,
+			Deadline: 12 * time.Second, Value: 1, LateValue: 0.5}}}
 }
 
 // day is a play with a load of its own.
@@ -220,7 +220,7 @@
 						worst := 0.0
 						for seed := range uint64(max(1, 40/nodes)) {
 							c := conf(nodes, seed)
-							c.Settings.MayTell = notes != "no notes"
+							c.Settings.PeerMessages = notes != "no notes"
 							if notes == "notes lost" {
 								c.NotesLost = 1
 							}
@@ -271,7 +271,7 @@
 		class := &c.Settings.Classes[0]
 		class.Repeat = rapid.SampledFrom([]policy.Repeat{policy.Deduplicated, policy.Idempotent, policy.AtMostOnce}).Draw(t, "repeat")
 		class.Ordered = rapid.Bool().Draw(t, "ordered")
-		c.Settings.TurnGap = time.Second
+		c.Settings.KeyRest = time.Second
 		w := New(c)
 		load := rapid.Float64Range(0.2, 1.4).Draw(t, "load")
 		for range rapid.IntRange(1, 8).Draw(t, "troubles") {
--- a/internal/lab/fleet/lease.go
+++ b/internal/lab/fleet/lease.go
@@ -232,7 +232,7 @@
 	w.Counts.Barred++
 	w.lapse(n)
 	life := n.life
-	o := policy.Ended{Endpoint: k.end.id, Outcome: policy.Moot}
+	o := policy.AttemptCompleted{Endpoint: k.end.id, Outcome: policy.NotSent}
 	w.after(0, func() { n.awake(life, func() { w.ended(n, k, o) }) })
 }
 
--- a/internal/lab/fleet/load.go
+++ b/internal/lab/fleet/load.go
@@ -76,10 +76,10 @@
 	c := w.conf.Settings.Classes[m.class]
 	age := w.now - m.born
 	switch {
-	case age <= c.Aim:
-		return c.Worth
+	case age <= c.SoftDeadline:
+		return c.Value
 	case age >= c.Deadline:
 		return 0
 	}
-	return c.Worth * (1 - (1-c.LateWorth)*float64(age-c.Aim)/float64(c.Deadline-c.Aim))
+	return c.Value * (1 - (1-c.LateValue)*float64(age-c.SoftDeadline)/float64(c.Deadline-c.SoftDeadline))
 }
--- a/internal/lab/fleet/node.go
+++ b/internal/lab/fleet/node.go
@@ -108,7 +108,7 @@
 					w.step(n, policy.Woken{})
 				}
 			})
-		case policy.Tell:
+		case policy.NotifyPeers:
 			w.tell(n, a)
 		case policy.Refuse:
 			w.end(n, a.Message, true)
@@ -142,14 +142,14 @@
 	}
 }
 
-func (w *World) tell(n *node, t policy.Tell) {
+func (w *World) tell(n *node, t policy.NotifyPeers) {
 	w.Counts.Notes++
 	for _, o := range w.nodes {
 		if o != n && o.up && !o.cut && !n.cut && w.rng.Float64() >= w.conf.NotesLost {
 			life := o.life
 			w.after(time.Millisecond+time.Duration(w.rng.Int64N(int64(34*time.Millisecond))), func() {
 				if o.life == life && !o.cut {
-					w.step(o, policy.Told{Tag: t.Tag, News: t.News})
+					w.step(o, policy.PeerMessage{Tag: t.Tag, News: t.News})
 				}
 			})
 		}
@@ -238,7 +238,7 @@
 	events := []policy.Event{list}
 	for _, e := range w.order {
 		if m := n.memories[e.id]; m != nil {
-			events = append(events, policy.Remembered{Endpoint: e.id, Sent: slices.Clone(m.sent), Failed: m.failed, FailedAt: m.failedAt, Back: m.back, BackAt: m.backAt})
+			events = append(events, policy.HealthRestored{Endpoint: e.id, Sent: slices.Clone(m.sent), Failed: m.failed, FailedAt: m.failedAt, Back: m.back, BackAt: m.backAt})
 		}
 	}
 	owed := make([]*message, 0, len(n.owed))
--- a/internal/lab/fleet/partner.go
+++ b/internal/lab/fleet/partner.go
@@ -89,7 +89,7 @@
 	mem := n.memory(k.end.id)
 	mem.sent = append(slices.DeleteFunc(mem.sent, func(t policy.Time) bool { return w.now-t > kept }), w.now)
 	d := k.end.dest
-	o := policy.Ended{Endpoint: k.end.id, Outcome: policy.Delivered, Final: true,
+	o := policy.AttemptCompleted{Endpoint: k.end.id, Outcome: policy.Delivered, Final: true,
 		Took: time.Duration(float64(d.Took) * (0.3 + 0.7*w.rng.ExpFloat64()))}
 	d.tokens = min(d.Limit*d.Depth.Seconds(), d.tokens+d.Limit*(w.now-d.filled).Seconds())
 	d.filled = w.now
@@ -102,7 +102,7 @@
 	case health == Failing:
 		o.Outcome = policy.Failed
 	case k.end.state == policy.Draining || d.tokens < 1 || w.Check.cold(k.end).over(w.now):
-		o.Outcome, o.Took, o.Wait, runs = policy.Full, refusal, d.Wait, false
+		o.Outcome, o.Took, o.Wait, runs = policy.RateLimited, refusal, d.Wait, false
 		w.Counts.Refused++
 		d.tokens = max(0, d.tokens-1)
 	default:
@@ -127,14 +127,14 @@
 	w.after(o.Took, func() { n.awake(life, func() { w.ended(n, k, o) }) })
 }
 
-func (w *World) ended(n *node, k *call, o policy.Ended) {
+func (w *World) ended(n *node, k *call, o policy.AttemptCompleted) {
 	n.calls = slices.DeleteFunc(n.calls, func(c *call) bool { return c == k })
 	mem := n.memory(k.end.id)
 	if o.Outcome == policy.Delivered {
 		if mem.failed && !mem.back {
 			mem.back, mem.backAt = true, w.now
 		}
-	} else if o.Outcome != policy.Full && o.Outcome != policy.Moot {
+	} else if o.Outcome != policy.RateLimited && o.Outcome != policy.NotSent {
 		mem.failed, mem.failedAt, mem.back = true, w.now, false
 	}
 	w.Check.outcome(w.now, n, k.end, o)
@@ -143,7 +143,7 @@
 	for _, m := range k.parts {
 		m.out = nil
 		w.Check.rests(w.now, n, m, o.Outcome)
-		if o.Outcome == policy.Full || o.Outcome == policy.Unreachable || o.Outcome == policy.Moot {
+		if o.Outcome == policy.RateLimited || o.Outcome == policy.Unreachable || o.Outcome == policy.NotSent {
 			m.mayRun = m.ranAt < k.at // an earlier attempt may have run, this one did not
 		}
 		if o.Outcome == policy.Delivered && !m.over {
--- a/internal/lab/scale/module.go
+++ b/internal/lab/scale/module.go
@@ -24,10 +24,10 @@
 func moduleSettings(senders int) policy.Settings {
 	return policy.Settings{Senders: senders, Slots: 256, MaxAttempts: 6, Tick: time.Millisecond, MaxWait: 30 * time.Second,
 		ConnectTimeout: time.Second, DrainGrace: time.Second, ColdShare: 0.2, WarmUp: 15 * time.Second, FallMultiple: 2,
-		FallWindow: 1500 * time.Millisecond, Listing: policy.RateNominal, MayTell: true,
+		FallWindow: 1500 * time.Millisecond, Listing: policy.RateNominal, PeerMessages: true,
 		Kinds: []policy.Kind{{BundleMax: 1}}, ZoneFee: []float64{0},
-		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupAll: true, Window: time.Hour, Aim: 3 * time.Second,
-			Deadline: time.Hour, Worth: 1, LateWorth: 0.5}}}
+		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupAll: true, Window: time.Hour, SoftDeadline: 3 * time.Second,
+			Deadline: time.Hour, Value: 1, LateValue: 0.5}}}
 }
 
 // module is a decision module whose partners answer within the next step.
@@ -69,9 +69,9 @@
 		case policy.Send:
 			m.sent++
 			if outcome != nil {
-				m.events = append(m.events, policy.Ended{Message: a.Message, Endpoint: a.Endpoint, Outcome: outcome(), Took: time.Millisecond})
+				m.events = append(m.events, policy.AttemptCompleted{Message: a.Message, Endpoint: a.Endpoint, Outcome: outcome(), Took: time.Millisecond})
 			}
-		case policy.Tell:
+		case policy.NotifyPeers:
 			m.tells++
 		}
 	}
@@ -167,7 +167,7 @@
 		calls++
 		if calls%notesRefused == 0 {
 			refused++
-			return policy.Full
+			return policy.RateLimited
 		}
 		return policy.Delivered
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -116,7 +116,7 @@
 
 // NeverRan tells which outcomes prove that an attempt has not run.
 func NeverRan(o policy.Outcome) bool {
-	return o == policy.Full || o == policy.Unreachable || o == policy.Moot
+	return o == policy.RateLimited || o == policy.Unreachable || o == policy.NotSent
 }
 
 // Kind is what the final answer of a message says.
--- a/internal/message/message_test.go
+++ b/internal/message/message_test.go
@@ -44,7 +44,7 @@
 				if !p.Out {
 					t.Skip("none is out")
 				}
-				o := policy.Outcome(rapid.IntRange(int(policy.Delivered), int(policy.Moot)).Draw(t, "outcome"))
+				o := policy.Outcome(rapid.IntRange(int(policy.Delivered), int(policy.NotSent)).Draw(t, "outcome"))
 				p.Outcome(o)
 				as[len(as)-1].ended, as[len(as)-1].o = true, o
 			},
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -149,7 +149,7 @@
 	}
 	a := admission.Settings{Places: policy.Places(s.MaxHeld)}
 	for _, c := range s.Classes {
-		a.Worths = append(a.Worths, c.Worth)
+		a.Worths = append(a.Worths, c.Value)
 	}
 	return admission.New(a)
 }
@@ -177,7 +177,7 @@
 		return nil, err
 	}
 	return gossip.Open(gossip.Config{Name: f.Name, Listen: f.Gossip.Listen, Cluster: f.Gossip.Cluster, Building: f.Gossip.Building, Key: key,
-		Peers: f.GossipPeers(), State: f.Gossip.State, Datagrams: f.Gossip.Datagrams, Log: log, Tell: func(t policy.Told) { tell(t) }})
+		Peers: f.GossipPeers(), State: f.Gossip.State, Datagrams: f.Gossip.Datagrams, Log: log, Tell: func(t policy.PeerMessage) { tell(t) }})
 }
 
 // newStore tells that a file of our own names a store that is not there yet.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,7 +91,7 @@
 		return errors.Join(err, records.Close())
 	}
 	n.beside(finals.Run)
-	if c.Settings.MayTell && c.PeerBind != "" && c.PeersAll != "" {
+	if c.Settings.PeerMessages && c.PeerBind != "" && c.PeersAll != "" {
 		peers, err := platform.OpenPeers(c, log, n.event)
 		if err != nil {
 			return errors.Join(err, n.listener.Close(), records.Close())
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -55,7 +55,7 @@
 func (c *Config) Renumber(n store.Names) {
 	old, classes := c.Settings.Classes, make([]policy.Class, len(n.Classes))
 	for i := range classes {
-		classes[i] = policy.Class{Repeat: policy.AtMostOnce, Aim: time.Second, Deadline: time.Second, Worth: 1}
+		classes[i] = policy.Class{Repeat: policy.AtMostOnce, SoftDeadline: time.Second, Deadline: time.Second, Value: 1}
 	}
 	for i, name := range n.Classes {
 		if at, ok := c.Classes[name]; ok {
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -71,7 +71,7 @@
 }
 
 // Send tells all others; a note may be lost.
-func (p *Peers) Send(t policy.Tell) {
+func (p *Peers) Send(t policy.NotifyPeers) {
 	if _, err := p.conn.WriteToUDPAddrPort(wire.EncodeNote(t), p.all); err != nil {
 		p.log.Debug("peers: sending", "err", err)
 	}
--- a/internal/platform/peers_test.go
+++ b/internal/platform/peers_test.go
@@ -32,7 +32,7 @@
 	done := make(chan struct{})
 	go func() { p.Run(ctx); close(done) }()
 
-	p.Send(policy.Tell{Tag: 77, News: policy.BackCold})
+	p.Send(policy.NotifyPeers{Tag: 77, News: policy.PeerSlowStart})
 	note := make([]byte, 300)
 	testkit.Must(t, other.SetReadDeadline(time.Now().Add(patience)))
 	n, _, err := other.ReadFromUDPAddrPort(note)
@@ -48,7 +48,7 @@
 	}
 	select {
 	case e := <-told:
-		if e != (policy.Told{Tag: 77, News: policy.BackCold}) {
+		if e != (policy.PeerMessage{Tag: 77, News: policy.PeerSlowStart}) {
 			t.Errorf("told %+v", e)
 		}
 	case <-time.After(patience):
--- a/internal/steps/form.go
+++ b/internal/steps/form.go
@@ -28,10 +28,10 @@
 	Bare       bare
 	Listed     *policy.Listed
 	Arrived    *policy.Arrived
-	Ended      *policy.Ended
+	Ended      *policy.AttemptCompleted
 	Withdrawn  *policy.Withdrawn
-	Told       *policy.Told
-	Remembered *policy.Remembered
+	Told       *policy.PeerMessage
+	Remembered *policy.HealthRestored
 }
 
 type action struct {
@@ -40,7 +40,7 @@
 	Refuse    *policy.Refuse
 	Fail      *policy.Fail
 	CloseIdle *policy.CloseIdle
-	Tell      *policy.Tell
+	Tell      *policy.NotifyPeers
 	Wake      *policy.Wake
 }
 
@@ -54,13 +54,13 @@
 			p.Events = append(p.Events, event{Bare: listFailed})
 		case policy.Arrived:
 			p.Events = append(p.Events, event{Arrived: &e})
-		case policy.Ended:
+		case policy.AttemptCompleted:
 			p.Events = append(p.Events, event{Ended: &e})
 		case policy.Withdrawn:
 			p.Events = append(p.Events, event{Withdrawn: &e})
-		case policy.Told:
+		case policy.PeerMessage:
 			p.Events = append(p.Events, event{Told: &e})
-		case policy.Remembered:
+		case policy.HealthRestored:
 			p.Events = append(p.Events, event{Remembered: &e})
 		case policy.Woken:
 			p.Events = append(p.Events, event{Bare: woken})
@@ -80,7 +80,7 @@
 			p.Actions = append(p.Actions, action{Bare: subscribe})
 		case policy.CloseIdle:
 			p.Actions = append(p.Actions, action{CloseIdle: &a})
-		case policy.Tell:
+		case policy.NotifyPeers:
 			p.Actions = append(p.Actions, action{Tell: &a})
 		case policy.Wake:
 			p.Actions = append(p.Actions, action{Wake: &a})
--- a/internal/steps/report.go
+++ b/internal/steps/report.go
@@ -92,7 +92,7 @@
 		case policy.Arrived:
 			r.messages[e.Message] = &open{arrived: e, at: s.Now, sends: e.Past.Attempts, ran: e.Past.MayRun}
 			r.dest(e.Destination).Arrived++
-		case policy.Ended:
+		case policy.AttemptCompleted:
 			r.end(s.Now, e)
 		case policy.Withdrawn:
 			delete(r.messages, e.Message)
@@ -138,11 +138,11 @@
 	}
 }
 
-func (r *Report) end(now policy.Time, e policy.Ended) {
+func (r *Report) end(now policy.Time, e policy.AttemptCompleted) {
 	r.out--
 	dest := r.endpoints[e.Endpoint]
 	switch e.Outcome {
-	case policy.Moot, policy.Cancelled:
+	case policy.NotSent, policy.Cancelled:
 	default:
 		r.failing[dest] = e.Outcome != policy.Delivered
 	}
@@ -151,7 +151,7 @@
 		return
 	}
 	switch e.Outcome {
-	case policy.Full, policy.Unreachable, policy.Moot:
+	case policy.RateLimited, policy.Unreachable, policy.NotSent:
 	default:
 		m.ran = true
 	}
--- a/internal/steps/steps.go
+++ b/internal/steps/steps.go
@@ -21,7 +21,7 @@
 )
 
 // version is that of the form. A record of another is refused.
-const version = 1
+const version = 2 // 2: fields of classes and notes have other names
 
 // backlog is how many steps may wait to be written.
 const backlog = 1024
--- a/internal/steps/steps_test.go
+++ b/internal/steps/steps_test.go
@@ -40,7 +40,7 @@
 
 var settings = policy.Settings{Senders: 1, Slots: 4, MaxHeld: 40, MaxAttempts: 3, Tick: 5 * time.Millisecond, DrainGrace: time.Second,
 	FallWindow: time.Second, Kinds: []policy.Kind{{BundleMax: 1}},
-	Classes: []policy.Class{{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.5}}}
+	Classes: []policy.Class{{SoftDeadline: time.Second, Deadline: 3 * time.Second, Value: 1, LateValue: 0.5}}}
 
 // dayDestinations are those of a day: one is beyond 16 bits, and the last has no endpoint.
 var dayDestinations = []int{1, 169_999, 3}
@@ -61,7 +61,7 @@
 		}
 		for len(out) > 0 && rng.IntN(3) > 0 {
 			o := policy.Outcome(rng.IntN(3))
-			events = append(events, policy.Ended{Message: out[0].Message, Attempt: tries[out[0].Message], Endpoint: out[0].Endpoint, Outcome: o,
+			events = append(events, policy.AttemptCompleted{Message: out[0].Message, Attempt: tries[out[0].Message], Endpoint: out[0].Endpoint, Outcome: o,
 				Final: o == policy.Delivered, Took: 20 * time.Millisecond})
 			tries[out[0].Message]++
 			out = out[1:]
@@ -172,10 +172,10 @@
 // Every event and action that the module has comes back as it was.
 func TestForms(t *testing.T) {
 	events := []policy.Event{policy.Listed{Whole: true, Entries: []policy.Entry{{Endpoint: 1, Zone: 2, Rate: 0.5}}}, policy.ListFailed{},
-		policy.Arrived{Message: 1, Key: 9, Past: policy.Past{MayRun: true}}, policy.Arrived{}, policy.Ended{Message: 3, Stale: true}, policy.Ended{},
-		policy.Withdrawn{Message: 4}, policy.Withdrawn{}, policy.Told{Tag: 1, News: policy.Jam}, policy.Remembered{Endpoint: 3, Sent: []policy.Time{4}}, policy.Woken{}}
+		policy.Arrived{Message: 1, Key: 9, Past: policy.Past{MayRun: true}}, policy.Arrived{}, policy.AttemptCompleted{Message: 3, Stale: true}, policy.AttemptCompleted{},
+		policy.Withdrawn{Message: 4}, policy.Withdrawn{}, policy.PeerMessage{Tag: 1, News: policy.PeerRateLimited}, policy.HealthRestored{Endpoint: 3, Sent: []policy.Time{4}}, policy.Woken{}}
 	actions := []policy.Action{policy.Send{Message: 1, Timeout: 4}, policy.Send{}, policy.Refuse{Message: 1}, policy.Fail{Message: 2}, policy.Subscribe{},
-		policy.CloseIdle{Endpoint: 4}, policy.Tell{News: policy.Back}, policy.Wake{At: 9}, policy.Wake{}}
+		policy.CloseIdle{Endpoint: 4}, policy.NotifyPeers{News: policy.PeerRecovered}, policy.Wake{At: 9}, policy.Wake{}}
 	named := map[string]bool{}
 	for _, e := range events {
 		named["event "+reflect.TypeOf(e).Name()] = true
--- a/internal/store/group/group_test.go
+++ b/internal/store/group/group_test.go
@@ -131,7 +131,7 @@
 	m := taken(t, q, g, "a")
 	first := async(func() error { return q.Attempt(ctx, store.Attempt{Endpoint: "e", Messages: []*message.Message{m}}) })
 	<-g.entered
-	testkit.Must(t, q.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Full, Endpoint: "e"}))
+	testkit.Must(t, q.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.RateLimited, Endpoint: "e"}))
 	second := async(func() error { return q.End(ctx, store.Ending{Message: m, End: message.End{Kind: message.Refused}}) })
 	testkit.Eventually(t, "the end in the queue", func() bool { return q.Pending() == 3 })
 	testkit.Must(t, q.Told(ctx, m))
@@ -332,7 +332,7 @@
 	q, g := start(t, true)
 	at := time.Now()
 	var got []bool
-	for i, o := range []policy.Outcome{policy.Delivered, policy.Failed, policy.Full, policy.Delivered, policy.Delivered, policy.TimedOut} {
+	for i, o := range []policy.Outcome{policy.Delivered, policy.Failed, policy.RateLimited, policy.Delivered, policy.Delivered, policy.TimedOut} {
 		m := taken(t, q, g, fmt.Sprint("m", i))
 		done := async(func() error {
 			return errors.Join(q.Outcome(ctx, store.Outcome{Message: m, Outcome: o, Endpoint: "e", At: at}), q.End(ctx))
--- a/internal/store/intents/intents_test.go
+++ b/internal/store/intents/intents_test.go
@@ -78,7 +78,7 @@
 			testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Failed, Endpoint: "e1", At: at}))
 			testkit.Must(t, s.End(ctx, store.Ending{Message: m}))
 		case 2:
-			testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Full, Endpoint: "e1", At: at}))
+			testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.RateLimited, Endpoint: "e1", At: at}))
 			testkit.Must(t, s.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: []*message.Message{m}}))
 		}
 	}
--- a/internal/store/journal/journal_test.go
+++ b/internal/store/journal/journal_test.go
@@ -59,10 +59,10 @@
 	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: []*message.Message{tried}}))
 	testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.TimedOut, Endpoint: "e1", At: at}))
 	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at.Add(time.Second), Messages: []*message.Message{tried}}))
-	testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.Full, Endpoint: "e1", At: at.Add(time.Second)}))
+	testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.RateLimited, Endpoint: "e1", At: at.Add(time.Second)}))
 	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e2", Zone: 1, At: at, Messages: []*message.Message{out}}))
 	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e2", Zone: 1, At: at, Messages: []*message.Message{turned}}))
-	testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: turned, Outcome: policy.Full, Endpoint: "e2", At: at}))
+	testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: turned, Outcome: policy.RateLimited, Endpoint: "e2", At: at}))
 	testkit.Must(t, j.End(ctx, store.Ending{Message: over, End: message.End{Kind: message.Refused, RetryAfter: 500 * time.Millisecond}}))
 	testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "e3", Zone: 0, At: at, Messages: []*message.Message{done}}))
 	testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: done, Outcome: policy.Delivered, Endpoint: "e3", At: at}))
@@ -166,7 +166,7 @@
 			open = append(open, m)
 			for range 6 {
 				testkit.Must(t, j.Attempt(ctx, store.Attempt{Endpoint: "endpoint", Zone: 1, At: time.Now(), Messages: []*message.Message{m}}))
-				testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.Full, Endpoint: "endpoint", At: time.Now()}))
+				testkit.Must(t, j.Outcome(ctx, store.Outcome{Message: m, Outcome: policy.RateLimited, Endpoint: "endpoint", At: time.Now()}))
 			}
 		}
 		if size := dirSize(t, dir); size > limit {
--- a/internal/store/sqlite/trouble_test.go
+++ b/internal/store/sqlite/trouble_test.go
@@ -188,7 +188,7 @@
 	if err := s.Attempt(gone, store.Attempt{Endpoint: "e1", At: time.Now(), Messages: ms[:1]}); !errors.Is(err, store.ErrUnavailable) {
 		t.Errorf("an attempt: %v", err)
 	}
-	testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: ms[0], Outcome: policy.Moot, Endpoint: "e1", At: time.Now()}))
+	testkit.Must(t, s.Outcome(ctx, store.Outcome{Message: ms[0], Outcome: policy.NotSent, Endpoint: "e1", At: time.Now()}))
 	ended := make(chan error, len(ms))
 	for _, m := range ms[1:] {
 		go func() { ended <- s.End(ctx, store.Ending{Message: m, End: message.End{Kind: message.Refused}}) }()
--- a/internal/store/storetest/storetest.go
+++ b/internal/store/storetest/storetest.go
@@ -153,7 +153,7 @@
 	must(t, s.Attempt(ctx, attempt(at, 1, tried, out)))
 	must(t, s.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.TimedOut, Endpoint: "e1", At: at.Add(time.Second)}))
 	must(t, s.Attempt(ctx, attempt(at.Add(time.Second), 0, tried)))
-	must(t, s.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.Full, Endpoint: "e1", At: at.Add(time.Second)}))
+	must(t, s.Outcome(ctx, store.Outcome{Message: tried, Outcome: policy.RateLimited, Endpoint: "e1", At: at.Add(time.Second)}))
 	must(t, s.Attempt(ctx, attempt(at, 1, refused)))
 	must(t, s.Outcome(ctx, store.Outcome{Message: refused, Outcome: policy.Unreachable, Endpoint: "e2", At: at}))
 	must(t, s.End(ctx, store.Ending{Message: refused, End: message.End{Kind: message.Refused, RetryAfter: 500 * time.Millisecond}},
@@ -177,7 +177,7 @@
 	}
 	must(t, s.End(ctx, store.Ending{Message: done, End: message.End{Kind: message.Failed}}))
 	must(t, s.Attempt(ctx, attempt(at, 0, over)))
-	must(t, s.Outcome(ctx, store.Outcome{Message: over, Outcome: policy.Moot, Endpoint: "e1", At: at, Over: true}))
+	must(t, s.Outcome(ctx, store.Outcome{Message: over, Outcome: policy.NotSent, Endpoint: "e1", At: at, Over: true}))
 	late := NewMessage("late", 1)
 	must(t, s.Take(ctx, late))
 	late.Window = 2 * time.Second
@@ -461,8 +461,8 @@
 			if x == nil {
 				return
 			}
-			o := policy.Outcome(rapid.IntRange(int(policy.Delivered), int(policy.Moot)).Draw(t, "outcome"))
-			over := o == policy.Moot && rapid.Bool().Draw(t, "over")
+			o := policy.Outcome(rapid.IntRange(int(policy.Delivered), int(policy.NotSent)).Draw(t, "outcome"))
+			over := o == policy.NotSent && rapid.Bool().Draw(t, "over")
 			must(t, s.Outcome(ctx, store.Outcome{Message: live[x.m.ID], Outcome: o, Endpoint: "e1", At: tick(), Over: over}))
 			change(o == policy.Delivered, func(w *world) {
 				x := w.byID[x.m.ID]
@@ -641,7 +641,7 @@
 			continue
 		}
 		do(true, func() error { return s.Attempt(ctx, attempt(at, 0, x)) }, func(w *world) { w.byID[id].m.Past.Attempt(0, at) })
-		outcome := []policy.Outcome{policy.Delivered, policy.Full, policy.TimedOut}[i%4]
+		outcome := []policy.Outcome{policy.Delivered, policy.RateLimited, policy.TimedOut}[i%4]
 		do(outcome == policy.Delivered, func() error {
 			return s.Outcome(ctx, store.Outcome{Message: x, Outcome: outcome, Endpoint: "e1", At: at})
 		}, func(w *world) {
@@ -717,7 +717,7 @@
 					errs = append(errs, s.Outcome(ctx, store.Outcome{Message: x, Outcome: policy.Failed, Endpoint: "e1", At: at}),
 						s.End(ctx, store.Ending{Message: x}))
 				default:
-					errs = append(errs, s.Outcome(ctx, store.Outcome{Message: x, Outcome: policy.Full, Endpoint: "e1", At: at}))
+					errs = append(errs, s.Outcome(ctx, store.Outcome{Message: x, Outcome: policy.RateLimited, Endpoint: "e1", At: at}))
 				}
 				if i%3 < 2 && x.End != nil {
 					errs = append(errs, s.Told(ctx, x))
--- a/internal/wire/note_test.go
+++ b/internal/wire/note_test.go
@@ -7,12 +7,12 @@
 )
 
 func TestNotesKeepTheirContent(t *testing.T) {
-	want := policy.Tell{Tag: 1<<policy.TagBits - 3, News: policy.Jam}
+	want := policy.NotifyPeers{Tag: 1<<policy.TagBits - 3, News: policy.PeerRateLimited}
 	data := EncodeNote(want)
 	if len(data) != noteSize {
 		t.Fatalf("a note of %d bytes, want %d", len(data), noteSize)
 	}
-	if got, ok := DecodeNote(data); !ok || got != (policy.Told{Tag: want.Tag, News: want.News}) {
+	if got, ok := DecodeNote(data); !ok || got != (policy.PeerMessage{Tag: want.Tag, News: want.News}) {
 		t.Errorf("note %+v came back as %+v, %v", want, got, ok)
 	}
 	if got, ok := DecodeNote([]byte("what?")); ok {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -55,13 +55,13 @@
 	}
 	s := policy.Settings{
 		Senders: *c.NInstances, ZoneFee: c.Extra.FeeByZone,
-		MayTell: c.PolicyLimits.MayTell,
-		Slots:   c.Extra.MaxCalls, MaxHeld: c.PolicyLimits.MaxOpen, MaxAttempts: c.PolicyLimits.MaxAttempts,
+		PeerMessages: c.PolicyLimits.MayTell,
+		Slots:        c.Extra.MaxCalls, MaxHeld: c.PolicyLimits.MaxOpen, MaxAttempts: c.PolicyLimits.MaxAttempts,
 		MaxWait: us(c.PolicyLimits.MaxRetryAfterUs), AdviseWait: c.PolicyLimits.RetryAfter,
 		Tick: us(c.TickUs), ConnectTimeout: us(c.PolicyLimits.ConnectTimeoutUs),
 		DrainGrace: us(c.Obligations.DrainGraceUs), ColdShare: c.Obligations.ColdFrom,
 		WarmUp: us(c.Obligations.WarmUpUs), FallMultiple: c.Obligations.FallMultiple,
-		FallWindow: us(c.Obligations.FallUs), TurnGap: us(c.Obligations.TurnGapUs),
+		FallWindow: us(c.Obligations.FallUs), KeyRest: us(c.Obligations.TurnGapUs),
 	}
 	switch c.Extra.Late {
 	case "even", "":
@@ -88,8 +88,8 @@
 	}
 	for i, k := range c.Classes {
 		class := policy.Class{
-			Window: us(k.WindowUs), Ordered: k.Sequential, Aim: us(k.AimUs), Deadline: us(k.DeadlineUs),
-			Worth: k.Worth, LateWorth: k.LateWorth,
+			Window: us(k.WindowUs), Ordered: k.Sequential, SoftDeadline: us(k.AimUs), Deadline: us(k.DeadlineUs),
+			Value: k.Worth, LateValue: k.LateWorth,
 			GroupAll: k.Group == "all", GroupZone: k.Group == "zone",
 		}
 		if class.Deadline <= 0 {
--- a/policy/api.go
+++ b/policy/api.go
@@ -22,15 +22,15 @@
 	Entry         = terms.Entry
 	Outcome       = terms.Outcome
 	Tag           = terms.Tag
-	News          = terms.News
+	PeerEvent     = terms.PeerEvent
 )
 
 // The states of an endpoint in the list, and how an attempt ended.
 const (
 	Gone, Ready, Draining = terms.Gone, terms.Ready, terms.Draining
 
-	Delivered, Failed, Full, TimedOut   = terms.Delivered, terms.Failed, terms.Full, terms.TimedOut
-	Unreachable, Reset, Cancelled, Moot = terms.Unreachable, terms.Reset, terms.Cancelled, terms.Moot
+	Delivered, Failed, RateLimited, TimedOut = terms.Delivered, terms.Failed, terms.RateLimited, terms.TimedOut
+	Unreachable, Reset, Cancelled, NotSent   = terms.Unreachable, terms.Reset, terms.Cancelled, terms.NotSent
 )
 
 // What a repeat does, what a listed rate is worth, and what senders tell each other.
@@ -38,32 +38,32 @@
 	Idempotent, Deduplicated, AtMostOnce = terms.Idempotent, terms.Deduplicated, terms.AtMostOnce
 	RateUnlisted, RateNominal, RateRough = terms.RateUnlisted, terms.RateNominal, terms.RateRough
 
-	Down, Back, BackCold, Jam = terms.Down, terms.Back, terms.BackCold, terms.Jam
-	TagBits                   = terms.TagBits
+	PeerDown, PeerRecovered, PeerSlowStart, PeerRateLimited = terms.PeerDown, terms.PeerRecovered, terms.PeerSlowStart, terms.PeerRateLimited
+	TagBits                                                 = terms.TagBits
 )
 
 // The events that a node hands in.
 type (
-	Event      = terms.Event
-	Listed     = terms.Listed
-	ListFailed = terms.ListFailed
-	Arrived    = terms.Arrived
-	Past       = terms.Past
-	Ended      = terms.Ended
-	Withdrawn  = terms.Withdrawn
-	Told       = terms.Told
-	Remembered = terms.Remembered
-	Woken      = terms.Woken
+	Event            = terms.Event
+	Listed           = terms.Listed
+	ListFailed       = terms.ListFailed
+	Arrived          = terms.Arrived
+	Past             = terms.Past
+	AttemptCompleted = terms.AttemptCompleted
+	Withdrawn        = terms.Withdrawn
+	PeerMessage      = terms.PeerMessage
+	HealthRestored   = terms.HealthRestored
+	Woken            = terms.Woken
 )
 
 // The actions that a node carries out.
 type (
-	Action    = terms.Action
-	Send      = terms.Send
-	Refuse    = terms.Refuse
-	Fail      = terms.Fail
-	Subscribe = terms.Subscribe
-	CloseIdle = terms.CloseIdle
-	Tell      = terms.Tell
-	Wake      = terms.Wake
+	Action      = terms.Action
+	Send        = terms.Send
+	Refuse      = terms.Refuse
+	Fail        = terms.Fail
+	Subscribe   = terms.Subscribe
+	CloseIdle   = terms.CloseIdle
+	NotifyPeers = terms.NotifyPeers
+	Wake        = terms.Wake
 )
--- a/policy/coldreturn_test.go
+++ b/policy/coldreturn_test.go
@@ -58,8 +58,8 @@
 			if f.aware[i] {
 				f.sent = append(f.sent, f.now)
 			}
-		case Tell:
-			f.notes, f.by = append(f.notes, Told{Tag: a.Tag, News: a.News}), append(f.by, i)
+		case NotifyPeers:
+			f.notes, f.by = append(f.notes, PeerMessage{Tag: a.Tag, News: a.News}), append(f.by, i)
 		}
 	}
 }
@@ -88,7 +88,7 @@
 			}
 			o := result()
 			f.aware[c.sender] = f.aware[c.sender] || o != Delivered
-			events[c.sender] = append(events[c.sender], Ended{Message: c.send.Message,
+			events[c.sender] = append(events[c.sender], AttemptCompleted{Message: c.send.Message,
 				Endpoint: c.send.Endpoint, Outcome: o, Final: o == Delivered, Took: answerTime})
 		}
 		f.out = kept
@@ -147,7 +147,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			set := testSettings()
-			set.Senders, set.MayTell, set.Listing = 400, c.tell, c.listing
+			set.Senders, set.PeerMessages, set.Listing = 400, c.tell, c.listing
 			f := newFleet(set, c.endpoints, traffic)
 			well := func() Outcome { return Delivered }
 			f.run(8*time.Second, traffic, c.loseNotes, well)
@@ -190,14 +190,14 @@
 func TestOneErrorWithoutNotesIsAnOutage(t *testing.T) {
 	b := with(t, toldSettings(), 0, 1, 0)
 	b.arrive(1)
-	if n := count[Tell](b.finish(Failed, 0)); n != 0 {
+	if n := count[NotifyPeers](b.finish(Failed, 0)); n != 0 {
 		t.Errorf("%d notes of an outage after one error", n)
 	}
 	e := b.path().endpoints[0]
 	if !e.down {
 		t.Fatal("an error where nothing ever passed, with no notes, is not taken for an outage")
 	}
-	b.step(Told{Tag: 1<<TagBits - 1, News: Down})
+	b.step(PeerMessage{Tag: 1<<TagBits - 1, News: PeerDown})
 	if b.wait(backoffBase); len(b.sent) != 0 {
 		t.Error("a note on something else let it go")
 	}
@@ -219,7 +219,7 @@
 	if gap := b.s.probeInterval(e); gap < 2*b.s.set.FallWindow {
 		t.Errorf("tries again after %v though nobody is heard", gap)
 	}
-	b.step(Told{Tag: 1<<TagBits - 1, News: Jam})
+	b.step(PeerMessage{Tag: 1<<TagBits - 1, News: PeerRateLimited})
 	if gap := b.s.probeInterval(e); gap > 2*b.s.set.FallWindow {
 		t.Errorf("tries again after %v though it leads", gap)
 	}
@@ -230,8 +230,8 @@
 	b := with(t, toldSettings(), 0, 1, 0)
 	e := b.path().endpoints[0]
 	start := b.now
-	for _, news := range []News{Down, BackCold, Down, BackCold} {
-		b.step(Told{Tag: terms.TagOf(e.id), News: news})
+	for _, news := range []PeerEvent{PeerDown, PeerSlowStart, PeerDown, PeerSlowStart} {
+		b.step(PeerMessage{Tag: terms.TagOf(e.id), News: news})
 		b.now += 4 * time.Second
 	}
 	if e.unhealthySince != start {
@@ -267,19 +267,19 @@
 	b := with(t, toldSettings(), 0, 1, 0)
 	e := b.path().endpoints[0]
 	b.s.now = b.now
-	if !b.s.report(e, Down) {
+	if !b.s.report(e, PeerDown) {
 		t.Fatal("the first note is not told")
 	}
-	if b.s.report(e, Down) {
+	if b.s.report(e, PeerDown) {
 		t.Error("a second note at once though nobody is heard")
 	}
 	b.s.now += 400 * b.s.set.Tick
-	if !b.s.report(e, Down) {
+	if !b.s.report(e, PeerDown) {
 		t.Error("no note after a tick for each sender")
 	}
-	b.step(Told{Tag: 1<<TagBits - 1, News: Jam})
+	b.step(PeerMessage{Tag: 1<<TagBits - 1, News: PeerRateLimited})
 	for range 2 {
-		if !b.s.report(e, Down) {
+		if !b.s.report(e, PeerDown) {
 			t.Error("held back though notes come")
 		}
 	}
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -12,8 +12,8 @@
 	s := policy.New(policy.Settings{
 		Senders: 1, Slots: 4, MaxHeld: 100, MaxAttempts: 5, Tick: 5 * time.Millisecond,
 		Kinds: []policy.Kind{{BundleMax: 1}},
-		Classes: []policy.Class{{Repeat: policy.Idempotent, Aim: time.Second,
-			Deadline: 10 * time.Second, Worth: 1}},
+		Classes: []policy.Class{{Repeat: policy.Idempotent, SoftDeadline: time.Second,
+			Deadline: 10 * time.Second, Value: 1}},
 		DrainGrace: time.Second, ColdShare: 0.2, WarmUp: 10 * time.Second,
 		FallMultiple: 2, FallWindow: 2 * time.Second,
 	}, 1)
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -64,11 +64,11 @@
 func newFleet(t *testing.T, nodes, told int, listed, rate, notes float64, seed uint64) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 7)), now: policy.Time(time.Hour), rate: rate, tokens: rate * bucketDepth, notes: notes}
 	f.filled = f.now
-	set := policy.Settings{Senders: told, Slots: 5, MaxHeld: 100, MaxAttempts: 6, Tick: fleetTick, MayTell: true,
+	set := policy.Settings{Senders: told, Slots: 5, MaxHeld: 100, MaxAttempts: 6, Tick: fleetTick, PeerMessages: true,
 		Listing: policy.RateRough, DrainGrace: time.Second, ColdShare: 0.21, WarmUp: 14 * time.Second, FallMultiple: 2,
 		FallWindow: 1500 * time.Millisecond, ConnectTimeout: time.Second, Kinds: []policy.Kind{{BundleMax: 1}},
-		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 5 * time.Second, Aim: 3 * time.Second,
-			Deadline: 12 * time.Second, Worth: 1, LateWorth: 0.5}}}
+		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 5 * time.Second, SoftDeadline: 3 * time.Second,
+			Deadline: 12 * time.Second, Value: 1, LateValue: 0.5}}}
 	f.set, f.seed, f.listed = set, seed, listed
 	f.nodes, f.gone = make([]*policy.Sender, nodes), make([]bool, nodes)
 	for i := range nodes {
@@ -130,11 +130,11 @@
 		heap.Push(&f.due, happening{max(a.At, f.now+fleetTick), node, policy.Woken{}})
 	case policy.Refuse, policy.Fail:
 		f.answers++
-	case policy.Tell:
+	case policy.NotifyPeers:
 		for i := range f.nodes {
 			if i != node && !f.gone[i] && f.rng.Float64() < f.notes {
 				delay := time.Millisecond + time.Duration(f.rng.Int64N(int64(34*time.Millisecond)))
-				heap.Push(&f.due, happening{f.now + delay, i, policy.Told{Tag: a.Tag, News: a.News}})
+				heap.Push(&f.due, happening{f.now + delay, i, policy.PeerMessage{Tag: a.Tag, News: a.News}})
 			}
 		}
 	case policy.Send:
@@ -142,15 +142,15 @@
 		if a.Endpoint == f.ill {
 			f.wasted++
 			heap.Push(&f.due, happening{f.now + 10*time.Millisecond, node,
-				policy.Ended{Message: a.Message, Endpoint: a.Endpoint, Outcome: policy.Full, Took: 10 * time.Millisecond}})
+				policy.AttemptCompleted{Message: a.Message, Endpoint: a.Endpoint, Outcome: policy.RateLimited, Took: 10 * time.Millisecond}})
 			return
 		}
 		f.tokens = min(f.rate*bucketDepth, f.tokens+f.rate*(f.now-f.filled).Seconds())
 		f.filled = f.now
-		ended := policy.Ended{Message: a.Message, Endpoint: a.Endpoint, Outcome: policy.Delivered, Final: true, Took: fleetLatency}
+		ended := policy.AttemptCompleted{Message: a.Message, Endpoint: a.Endpoint, Outcome: policy.Delivered, Final: true, Took: fleetLatency}
 		if f.tokens < 1 {
 			f.refused++
-			ended.Outcome, ended.Final, ended.Took = policy.Full, false, 10*time.Millisecond
+			ended.Outcome, ended.Final, ended.Took = policy.RateLimited, false, 10*time.Millisecond
 		} else {
 			f.taken++
 		}
--- a/policy/growth_test.go
+++ b/policy/growth_test.go
@@ -11,8 +11,8 @@
 	set := Settings{Senders: 2, Slots: 8, MaxHeld: 100, MaxAttempts: 6, Tick: 5 * time.Millisecond,
 		DrainGrace: time.Second, ColdShare: 0.2, WarmUp: 14 * time.Second, FallMultiple: 2, FallWindow: 1500 * time.Millisecond,
 		Kinds: []Kind{{RoutesApart: true, BundleMax: 5}, {BundleMax: 1}},
-		Classes: []Class{{Repeat: Deduplicated, GroupZone: true, Window: 5 * time.Second, Aim: 3 * time.Second,
-			Deadline: 12 * time.Second, Worth: 1, LateWorth: 0.5}}}
+		Classes: []Class{{Repeat: Deduplicated, GroupZone: true, Window: 5 * time.Second, SoftDeadline: 3 * time.Second,
+			Deadline: 12 * time.Second, Value: 1, LateValue: 0.5}}}
 	s := New(set, 1)
 	now, last := Time(time.Hour), 0
 	var id EndpointID
@@ -37,7 +37,7 @@
 			now += 10 * time.Millisecond
 			for _, a := range actions {
 				if send, ok := a.(Send); ok {
-					events = append(events, Ended{Message: send.Message, Endpoint: send.Endpoint, Outcome: Delivered, Final: true, Took: 10 * time.Millisecond})
+					events = append(events, AttemptCompleted{Message: send.Message, Endpoint: send.Endpoint, Outcome: Delivered, Final: true, Took: 10 * time.Millisecond})
 				}
 			}
 		}
--- a/policy/idle_test.go
+++ b/policy/idle_test.go
@@ -46,7 +46,7 @@
 		for _, n := range sizes {
 			t.Run(fmt.Sprintf("senders=%d/limit=%v/destinations=%d", c.senders, c.limit, n), func(t *testing.T) {
 				set := testSettings()
-				set.Senders, set.Listing, set.MayTell = c.senders, RateRough, true
+				set.Senders, set.Listing, set.PeerMessages = c.senders, RateRough, true
 				s := New(set, 1)
 				before := heapBytes()
 				actions := s.Step(time.Hour, []Event{idleList(n, c.limit)}, nil)
@@ -78,7 +78,7 @@
 		id := MessageID(i + 1)
 		for _, a := range s.Step(now, []Event{Arrived{Message: id, Destination: i, GiveUpAt: now + time.Second}}, nil) {
 			if send, ok := a.(Send); ok {
-				s.Step(now, []Event{Ended{Message: send.Message, Endpoint: send.Endpoint, Outcome: Delivered, Took: time.Millisecond}}, nil)
+				s.Step(now, []Event{AttemptCompleted{Message: send.Message, Endpoint: send.Endpoint, Outcome: Delivered, Took: time.Millisecond}}, nil)
 			}
 		}
 	}
@@ -110,7 +110,7 @@
 		for _, a := range s.Step(now, []Event{Arrived{Message: id, GiveUpAt: now + time.Second}}, nil) {
 			if send, ok := a.(Send); ok {
 				calls++
-				s.Step(now, []Event{Ended{Message: send.Message, Endpoint: send.Endpoint, Took: time.Millisecond}}, nil)
+				s.Step(now, []Event{AttemptCompleted{Message: send.Message, Endpoint: send.Endpoint, Took: time.Millisecond}}, nil)
 			}
 		}
 		now += 100 * time.Millisecond
@@ -140,7 +140,7 @@
 	}
 	now += time.Minute
 	for id := range MessageID(3 * mostSpare) {
-		s.Step(now, []Event{Withdrawn{Message: id}, Ended{Message: id, Endpoint: EndpointID(id + 1), Outcome: Moot}}, nil)
+		s.Step(now, []Event{Withdrawn{Message: id}, AttemptCompleted{Message: id, Endpoint: EndpointID(id + 1), Outcome: NotSent}}, nil)
 	}
 	if len(s.messages) > 0 || s.queued.Len() > 0 || s.calling.Len() > 0 || s.backlogs.Len() != mostSpare {
 		t.Errorf("%d messages, %d queued, %d calling, %d spare are kept", len(s.messages), s.queued.Len(), s.calling.Len(), s.backlogs.Len())
@@ -159,7 +159,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		set := testSettings()
 		set.Senders = rapid.SampledFrom([]int{1, 3, 16, 300}).Draw(t, "senders")
-		set.Listing, set.MayTell = Listing(rapid.IntRange(0, 2).Draw(t, "listing")), rapid.Bool().Draw(t, "tell")
+		set.Listing, set.PeerMessages = Listing(rapid.IntRange(0, 2).Draw(t, "listing")), rapid.Bool().Draw(t, "tell")
 		lazy, eager := New(set, 1), New(set, 1)
 		now, next := Time(time.Hour), MessageID(0)
 		entry := func(endpoint EndpointID, state EndpointState) Entry {
@@ -181,9 +181,9 @@
 				state := EndpointState(rapid.IntRange(0, 2).Draw(t, "state"))
 				events = append(events, Listed{Entries: []Entry{entry(endpoint, state)}})
 			case 1:
-				events = append(events, Told{Endpoint: endpoint, News: News(rapid.IntRange(0, 3).Draw(t, "news"))})
+				events = append(events, PeerMessage{Endpoint: endpoint, News: PeerEvent(rapid.IntRange(0, 3).Draw(t, "news"))})
 			case 2:
-				events = append(events, Remembered{Endpoint: endpoint, Sent: []Time{now - time.Second}, Failed: rapid.Bool().Draw(t, "failed"), FailedAt: now - time.Second})
+				events = append(events, HealthRestored{Endpoint: endpoint, Sent: []Time{now - time.Second}, Failed: rapid.Bool().Draw(t, "failed"), FailedAt: now - time.Second})
 			default:
 				next++
 				class := rapid.IntRange(0, len(set.Classes)-1).Draw(t, "class")
@@ -199,8 +199,8 @@
 			for _, a := range got {
 				if send, ok := a.(Send); ok {
 					sends++
-					pending = append(pending, Ended{Message: send.Message, Endpoint: send.Endpoint, Took: 10 * time.Millisecond,
-						Outcome: Outcome(rapid.IntRange(int(Delivered), int(Moot)).Draw(t, "outcome"))})
+					pending = append(pending, AttemptCompleted{Message: send.Message, Endpoint: send.Endpoint, Took: 10 * time.Millisecond,
+						Outcome: Outcome(rapid.IntRange(int(Delivered), int(NotSent)).Draw(t, "outcome"))})
 				}
 			}
 			now += time.Duration(rapid.SampledFrom([]int{1, 20, 500, 30_000}).Draw(t, "pause")) * time.Millisecond
@@ -225,7 +225,7 @@
 		for id := range MessageID(rapid.IntRange(1, 200).Draw(t, "steps")) {
 			events := []Event{Arrived{Message: id, Destination: rng.IntN(8), GiveUpAt: now + time.Second}}
 			for len(out) > 0 && rng.IntN(2) == 0 {
-				events = append(events, Ended{Message: out[0].Message, Endpoint: out[0].Endpoint, Outcome: Outcome(rng.IntN(int(Moot) + 1))})
+				events = append(events, AttemptCompleted{Message: out[0].Message, Endpoint: out[0].Endpoint, Outcome: Outcome(rng.IntN(int(NotSent) + 1))})
 				out = out[1:]
 			}
 			for _, a := range s.Step(now, events, nil) {
@@ -278,7 +278,7 @@
 	for i := range set.Classes {
 		set.Classes[i].Ordered = true
 	}
-	set.TurnGap = 10 * time.Second
+	set.KeyRest = 10 * time.Second
 	s := New(set, 1)
 	now := Time(time.Hour)
 	s.Step(now, []Event{idleList(1, 0)}, nil)
@@ -288,13 +288,13 @@
 		if id%2 == 0 {
 			outcome = TimedOut
 		}
-		s.Step(now, []Event{Ended{Message: id, Endpoint: 1, Outcome: outcome}, Withdrawn{Message: id}}, nil)
+		s.Step(now, []Event{AttemptCompleted{Message: id, Endpoint: 1, Outcome: outcome}, Withdrawn{Message: id}}, nil)
 		now += set.Tick
 	}
 	if n := s.keys.Len(); n > 500 {
 		t.Errorf("%d keys are kept, want those that rest", n)
 	}
-	now += set.TurnGap
+	now += set.KeyRest
 	s.Step(now, []Event{Woken{}}, nil)
 	if n := s.keys.Len(); n > 0 || len(s.messages) > 0 {
 		t.Errorf("%d keys and %d messages are kept, want none", n, len(s.messages))
--- a/policy/internal/reference/api.go
+++ b/policy/internal/reference/api.go
@@ -23,12 +23,12 @@
 	Arrived       = policy.Arrived
 	Past          = policy.Past
 	Outcome       = policy.Outcome
-	Ended         = policy.Ended
+	Ended         = policy.AttemptCompleted
 	Withdrawn     = policy.Withdrawn
-	News          = policy.News
+	News          = policy.PeerEvent
 	Tag           = policy.Tag
-	Told          = policy.Told
-	Remembered    = policy.Remembered
+	Told          = policy.PeerMessage
+	Remembered    = policy.HealthRestored
 	Woken         = policy.Woken
 	Action        = policy.Action
 	Send          = policy.Send
@@ -36,7 +36,7 @@
 	Fail          = policy.Fail
 	Subscribe     = policy.Subscribe
 	CloseIdle     = policy.CloseIdle
-	Tell          = policy.Tell
+	Tell          = policy.NotifyPeers
 	Wake          = policy.Wake
 )
 
@@ -53,15 +53,15 @@
 	Draining     = policy.Draining
 	Delivered    = policy.Delivered
 	Failed       = policy.Failed
-	Full         = policy.Full
+	Full         = policy.RateLimited
 	TimedOut     = policy.TimedOut
 	Unreachable  = policy.Unreachable
 	Reset        = policy.Reset
 	Cancelled    = policy.Cancelled
-	Moot         = policy.Moot
-	Down         = policy.Down
-	Back         = policy.Back
-	BackCold     = policy.BackCold
-	Jam          = policy.Jam
+	Moot         = policy.NotSent
+	Down         = policy.PeerDown
+	Back         = policy.PeerRecovered
+	BackCold     = policy.PeerSlowStart
+	Jam          = policy.PeerRateLimited
 	TagBits      = policy.TagBits
 )
--- a/policy/internal/reference/policy.go
+++ b/policy/internal/reference/policy.go
@@ -278,7 +278,7 @@
 		e.fullRun++
 		e.fullAt = s.now
 	}
-	if p.slice <= 1 && s.set.MayTell && s.jam(p) {
+	if p.slice <= 1 && s.set.PeerMessages && s.jam(p) {
 		s.tell(e, Jam)
 	}
 	pause := wait
@@ -399,7 +399,7 @@
 	if m.attempts > 0 || len(m.dest.queue) >= p.kind.BundleMax || math.IsInf(p.slice, 1) {
 		return false
 	}
-	return s.now-m.born < time.Duration(gatherShare*float64(m.class.Aim))-p.latency/2
+	return s.now-m.born < time.Duration(gatherShare*float64(m.class.SoftDeadline))-p.latency/2
 }
 
 // score is the worth lost by waiting a window longer, for each second of a
@@ -455,7 +455,7 @@
 		}
 		if p.fee > 0 && free >= 0 && !s.scarce() {
 			age := s.now - m.born + p.latency
-			if s.worth(m.class, age)-s.worth(m.class, age+free) < p.fee*m.class.Worth {
+			if s.worth(m.class, age)-s.worth(m.class, age+free) < p.fee*m.class.Value {
 				continue
 			}
 		}
@@ -610,7 +610,7 @@
 		t /= s.warmth(e.warmFrom)
 	}
 	first := max(min(minTimeout, timeoutLatencies*e.path.latency), time.Duration(t))
-	d := min(first<<min(e.timeouts, 4), max(first, (m.class.Deadline-m.class.Aim)/4))
+	d := min(first<<min(e.timeouts, 4), max(first, (m.class.Deadline-m.class.SoftDeadline)/4))
 	if m.class.Repeat == AtMostOnce {
 		// A time-out is its end: it can be neither resent nor refused. That no
 		// connection was made proves that it never ran, and must come first.
@@ -720,7 +720,7 @@
 // Each note goes to all, and in an outage hundreds would tell what is lost anyway.
 func (s *Sender) mayTell() bool {
 	alone := s.now - s.toldAt
-	return s.set.MayTell && (s.notesCome() || alone >= time.Duration(s.set.Senders)*s.set.Tick)
+	return s.set.PeerMessages && (s.notesCome() || alone >= time.Duration(s.set.Senders)*s.set.Tick)
 }
 
 // trialGap spaces the trials of one sender: by the fall window for a lead, by its
@@ -882,7 +882,7 @@
 	case TimedOut, Reset, Cancelled:
 		m.settled = true
 		if m.turn != nil {
-			m.turn.restUntil = max(m.turn.restUntil, s.now+s.set.TurnGap)
+			m.turn.restUntil = max(m.turn.restUntil, s.now+s.set.KeyRest)
 		}
 	default:
 		m.settled = true
@@ -955,10 +955,10 @@
 		var worst *message
 		least := shedBelow
 		for _, m := range s.open {
-			if m.call != nil || m.class.Worth <= 0 {
+			if m.call != nil || m.class.Value <= 0 {
 				continue
 			}
-			v := s.worth(m.class, s.now-m.born+s.drain(m.dest)) / m.class.Worth
+			v := s.worth(m.class, s.now-m.born+s.drain(m.dest)) / m.class.Value
 			if s.inFlight >= s.set.Slots && len(m.dest.paths) > 0 {
 				v *= min(1, s.usual/m.dest.paths[0].latency.Seconds())
 			}
--- a/policy/internal/reference/state.go
+++ b/policy/internal/reference/state.go
@@ -424,12 +424,12 @@
 	switch {
 	case age >= c.Deadline:
 		return 0
-	case age <= c.Aim:
-		return c.Worth
+	case age <= c.SoftDeadline:
+		return c.Value
 	case s.set.HalvesLate:
-		return c.Worth * max(c.LateWorth, math.Exp2(-float64(age-c.Aim)/float64(c.Aim)))
+		return c.Value * max(c.LateValue, math.Exp2(-float64(age-c.SoftDeadline)/float64(c.SoftDeadline)))
 	}
-	return c.Worth * (1 - (1-c.LateWorth)*float64(age-c.Aim)/float64(c.Deadline-c.Aim))
+	return c.Value * (1 - (1-c.LateValue)*float64(age-c.SoftDeadline)/float64(c.Deadline-c.SoftDeadline))
 }
 
 // warmth is the share of its capacity that a destination has again, at least.
--- a/policy/limit_test.go
+++ b/policy/limit_test.go
@@ -24,10 +24,10 @@
 const ownShareTick = 5 * time.Millisecond
 
 func newOwnShare(limit float64, change func(*Settings)) *ownShare {
-	set := Settings{Senders: 1500, Slots: 64, MaxHeld: 400, MaxAttempts: 6, Tick: ownShareTick, MayTell: true, AdviseWait: true,
+	set := Settings{Senders: 1500, Slots: 64, MaxHeld: 400, MaxAttempts: 6, Tick: ownShareTick, PeerMessages: true, AdviseWait: true,
 		MaxWait: 30 * time.Second, Listing: RateRough, ConnectTimeout: time.Second, DrainGrace: time.Second, ColdShare: 0.2,
 		WarmUp: 15 * time.Second, FallMultiple: 2, FallWindow: 1500 * time.Millisecond, Kinds: []Kind{{BundleMax: 1}},
-		Classes: []Class{{Aim: 3 * time.Second, Deadline: 12 * time.Second, Worth: 1, LateWorth: 0.5}}}
+		Classes: []Class{{SoftDeadline: 3 * time.Second, Deadline: 12 * time.Second, Value: 1, LateValue: 0.5}}}
 	if change != nil {
 		change(&set)
 	}
@@ -48,10 +48,10 @@
 			switch a := a.(type) {
 			case Send:
 				o.sent = append(o.sent, o.now)
-				e := Ended{Message: a.Message, Endpoint: a.Endpoint, Outcome: Delivered, Final: true, Took: 10 * time.Millisecond}
+				e := AttemptCompleted{Message: a.Message, Endpoint: a.Endpoint, Outcome: Delivered, Final: true, Took: 10 * time.Millisecond}
 				if o.refuse != nil && o.refuse(o.now) {
 					o.refused++
-					e.Outcome, e.Final = Full, false
+					e.Outcome, e.Final = RateLimited, false
 				}
 				next = append(next, e)
 			case Refuse:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -111,7 +111,7 @@
 	}
 	onlyReports := len(events) > 0 // reports alone make no room: what waits has its wake
 	for _, e := range events {
-		_, report := e.(Told)
+		_, report := e.(PeerMessage)
 		onlyReports = onlyReports && report
 		switch e := e.(type) {
 		case Listed:
@@ -120,15 +120,15 @@
 			s.subscribed, s.subscribeAt = false, now+backoffMax/2+estimate.Jitter(s.rng, backoffMax/2)
 		case Arrived:
 			s.arrived(e)
-		case Ended:
+		case AttemptCompleted:
 			s.finished(e)
 		case Withdrawn:
 			if m := s.messages[e.Message]; m != nil && !m.ended {
 				s.end(m)
 			}
-		case Told:
+		case PeerMessage:
 			s.receiveReport(e)
-		case Remembered:
+		case HealthRestored:
 			s.restoreHealth(e)
 		case Woken:
 			if s.armed <= now {
@@ -312,7 +312,7 @@
 // time, and closes the logs for the wait that it gives.
 func (s *Sender) rateLimited(p *path, e *endpoint, sent Time, wait time.Duration) {
 	if p.part != nil {
-		s.recordRejection(e, !p.part.Alone() && (!s.report(e, Jam) || !s.receivesReports()))
+		s.recordRejection(e, !p.part.Alone() && (!s.report(e, PeerRateLimited) || !s.receivesReports()))
 		e.consecutiveRejections++
 	} else if sent >= e.lastRejectionAt { // calls that were out together count as one refusal
 		if math.IsInf(p.slice, 1) {
@@ -331,8 +331,8 @@
 		e.consecutiveRejections++
 		e.lastRejectionAt = s.now
 	}
-	if p.part == nil && p.slice <= 1 && s.set.MayTell && s.jam(p) {
-		s.report(e, Jam)
+	if p.part == nil && p.slice <= 1 && s.set.PeerMessages && s.jam(p) {
+		s.report(e, PeerRateLimited)
 	}
 	pause := cmp.Or(wait, min(maxRejectionPause, rejectionPause<<min(e.consecutiveRejections, 6)))
 	p.closedUntil = max(p.closedUntil, s.now+pause+estimate.Jitter(s.rng, waitJitter))
@@ -463,7 +463,7 @@
 	if m.attempts > 0 || m.dest.queue.Len() >= p.kind.BundleMax || math.IsInf(p.slice, 1) {
 		return false
 	}
-	return s.now-m.createdAt < time.Duration(bundleWaitShare*float64(m.class.Aim))-p.latency.Mean/2
+	return s.now-m.createdAt < time.Duration(bundleWaitShare*float64(m.class.SoftDeadline))-p.latency.Mean/2
 }
 
 // score is the value lost by waiting a window longer, for each second of a
@@ -517,7 +517,7 @@
 		}
 		if p.fee > 0 && free >= 0 && !s.scarce() {
 			age := s.now - m.createdAt + p.latency.Mean
-			if m.value.At(age)-m.value.At(age+free) < p.fee*m.class.Worth {
+			if m.value.At(age)-m.value.At(age+free) < p.fee*m.class.Value {
 				continue
 			}
 		}
@@ -678,7 +678,7 @@
 		t /= s.warmUpFactor(e.slowStartFrom)
 	}
 	first := max(min(minTimeout, timeoutLatencies*e.path.latency.Mean), time.Duration(t), s.set.LeastTimeout)
-	d := min(first<<min(e.timeouts, 4), max(first, (m.class.Deadline-m.class.Aim)/4))
+	d := min(first<<min(e.timeouts, 4), max(first, (m.class.Deadline-m.class.SoftDeadline)/4))
 	if m.class.Repeat == AtMostOnce {
 		// A time-out is its end: it can be neither resent nor refused. That no
 		// connection was made proves that it never ran, and must come first.
@@ -771,12 +771,12 @@
 
 // report sends a report to the other senders where it may, and returns whether it did. While none come
 // all senders together send one a tick: each goes to all, and in an outage hundreds would be lost anyway.
-func (s *Sender) report(e *endpoint, news News) bool {
+func (s *Sender) report(e *endpoint, news PeerEvent) bool {
 	gap := time.Duration(s.set.Senders) * s.set.Tick
-	may := s.set.MayTell && (s.receivesReports() || s.now-s.lastReportSentAt >= gap)
+	may := s.set.PeerMessages && (s.receivesReports() || s.now-s.lastReportSentAt >= gap)
 	if may {
 		s.lastReportSentAt = s.now
-		s.actions = append(s.actions, Tell{Tag: terms.TagOf(e.id), News: news})
+		s.actions = append(s.actions, NotifyPeers{Tag: terms.TagOf(e.id), News: news})
 	}
 	return may
 }
@@ -799,7 +799,7 @@
 	case Delivered:
 		s.succeeded(e, time.Duration(float64(took)/bundleWork(c.size)))
 		return
-	case Full:
+	case RateLimited:
 		s.rateLimited(p, e, c.sent, wait)
 		opensCircuit := e.consecutiveRejections >= openCircuitRejections
 		if opensCircuit && (p.part == nil || p.part.Least(s.now)) || wait > narrowWindow {
@@ -841,7 +841,8 @@
 	}
 	// Lost calls alone are an outage when nothing else has come for long.
 	answered := func(o *endpoint) bool { return s.now-o.lastOK < outageFalls*s.set.FallWindow }
-	if sure := e.score >= downScore || e.timeouts > 1 && !answered(e); !e.down && (sure || s.presumedDown(e)) {
+	sure := e.score >= downScore || e.timeouts > 1 && !answered(e)
+	if !e.down && (sure || s.presumedDown(e)) {
 		s.markDown(e, sure)
 		p.nextProbe = s.now
 		if outcome != Reset { // after a reset the next connection tells more
@@ -862,7 +863,7 @@
 
 // markDown takes an endpoint out of service, and reports it to the others where that is sure.
 func (s *Sender) markDown(e *endpoint, sure bool) {
-	e.probeLeader = sure && s.report(e, Down)
+	e.probeLeader = sure && s.report(e, PeerDown)
 	e.down, e.downSince = true, s.now
 	e.unhealthySince = cmp.Or(e.unhealthySince, s.now)
 	e.path.part.Restore(s.now)
@@ -870,7 +871,7 @@
 
 // receiveReport takes in what another sender has seen; an own success of late weighs more.
 // Probes of an outage are left to who reported it, but for rare ones: reports get lost.
-func (s *Sender) receiveReport(n Told) {
+func (s *Sender) receiveReport(n PeerMessage) {
 	e := s.endpoints.Named(n.Tag)
 	if n.Endpoint != 0 {
 		e = s.endpoint(n.Endpoint)
@@ -880,14 +881,14 @@
 	}
 	s.lastReportReceivedAt = s.now
 	switch {
-	case e == nil || n.News == Jam && e.path.part.Alone(): // others have shares of their own
-	case n.News == Jam:
+	case e == nil || n.News == PeerRateLimited && e.path.part.Alone(): // others have shares of their own
+	case n.News == PeerRateLimited:
 		if p := e.path; p.part != nil {
 			s.recordRejection(e, false)
 		} else if p.slice <= 1 || math.IsInf(p.slice, 1) && s.rate(p) <= 1/narrowWindow.Seconds() {
 			s.jam(p)
 		}
-	case n.News == Down:
+	case n.News == PeerDown:
 		if e.down && n.Spare == 0 || s.now-e.lastOK < minStall && e.lastOK > 0 {
 			return
 		}
@@ -907,9 +908,9 @@
 	p := e.path
 	if e.down {
 		// A few lost calls between two answers are no outage.
-		news := Back
+		news := PeerRecovered
 		if e.broken || s.now-e.lastOK >= outageFalls*s.set.FallWindow {
-			news = BackCold
+			news = PeerSlowStart
 		}
 		s.report(e, news)
 		s.markUp(e, news)
@@ -943,7 +944,7 @@
 	return !m.ran || m.class.Repeat == Idempotent || m.class.Repeat == Deduplicated && m.class.GroupAll
 }
 
-func (s *Sender) finished(o Ended) {
+func (s *Sender) finished(o AttemptCompleted) {
 	m := s.messages[o.Message]
 	if m == nil || m.call == nil {
 		return
@@ -953,7 +954,7 @@
 	if c.left--; c.left == 0 {
 		s.returnCall(c)
 	}
-	if !c.judged && o.Outcome != Moot && o.Outcome != Cancelled && !o.Stale {
+	if !c.judged && o.Outcome != NotSent && o.Outcome != Cancelled && !o.Stale {
 		c.judged = true
 		s.judge(c.endpoint, o.Outcome, o.Wait, c, o.Took)
 	}
@@ -962,13 +963,13 @@
 		p.closedUntil = max(p.closedUntil, s.now+o.Wait)
 	}
 	switch o.Outcome {
-	case Full, Unreachable, Moot:
+	case RateLimited, Unreachable, NotSent:
 		if !m.settled {
 			m.ran = false
 		}
 	case TimedOut, Reset, Cancelled:
 		m.settled = true
-		m.key.Rest(s.now + s.set.TurnGap)
+		m.key.Rest(s.now + s.set.KeyRest)
 	default:
 		m.settled = true
 	}
@@ -981,7 +982,7 @@
 		return
 	}
 	m.failedAt = nil
-	if o.Outcome != Full && o.Outcome != Moot {
+	if o.Outcome != RateLimited && o.Outcome != NotSent {
 		m.failedAt = c.endpoint
 		backoff := min(backoffMax, backoffBase<<min(m.attempts-1, 10))
 		m.notBefore = s.now + backoff/2 + estimate.Jitter(s.rng, backoff/2)
@@ -1074,12 +1075,12 @@
 		share = min(1, s.meanLatency/d.paths[0].latency.Mean.Seconds())
 	}
 	weigh := func(m *message) bool {
-		v := m.value.At(s.now-m.createdAt+wait) / m.class.Worth * share
+		v := m.value.At(s.now-m.createdAt+wait) / m.class.Value * share
 		if !s.mayRefuse(m) {
 			v += 0.1
 		}
 		p := pick{m: m, score: -v}
-		if m.class.Worth > 0 && v < shedBelow && (d.shedCandidate.m == nil || p.over(d.shedCandidate)) {
+		if m.class.Value > 0 && v < shedBelow && (d.shedCandidate.m == nil || p.over(d.shedCandidate)) {
 			d.shedCandidate = p
 		}
 		return true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -53,7 +53,7 @@
 	}
 	s := b.sent[0]
 	b.sent = b.sent[1:]
-	return b.step(Ended{Message: s.Message, Endpoint: s.Endpoint, Outcome: o, Wait: wait,
+	return b.step(AttemptCompleted{Message: s.Message, Endpoint: s.Endpoint, Outcome: o, Wait: wait,
 		Final: o == Delivered, Took: 100 * time.Millisecond})
 }
 
@@ -141,19 +141,19 @@
 		b.finish(Delivered, 0)
 	}
 	b.arrive(1)
-	b.finish(Full, 0)
+	b.finish(RateLimited, 0)
 	if p.slice != 4 {
 		t.Fatalf("slice %v after the first full, want the narrow count 4", p.slice)
 	}
 	b.wait(3 * time.Second)
-	b.finish(Full, 0)
+	b.finish(RateLimited, 0)
 	if want := 4 * jamCut; math.Abs(p.slice-want) > 1e-9 {
 		t.Errorf("slice %v after a full right after a full, want %v", p.slice, want)
 	}
 	p.slice, p.beforeRun = 1/float64(b.s.set.Senders), 0
 	p.wide = index.Window{Span: p.wide.Span} // the wide window remembers what the cut slice let through
 	b.wait(4 * time.Second)
-	b.finish(Full, 0)
+	b.finish(RateLimited, 0)
 	if p.slice < 1/float64(b.s.set.Senders) {
 		t.Errorf("slice %v fell below one call for all senders", p.slice)
 	}
@@ -194,7 +194,7 @@
 func TestToldWaitClosesAllOfTheDestination(t *testing.T) {
 	b := with(t, testSettings(), 0, 2, 0)
 	b.arrive(0)
-	b.finish(Full, time.Second)
+	b.finish(RateLimited, time.Second)
 	b.arrive(0)
 	b.wait(time.Second - 1)
 	if len(b.sent) != 0 {
@@ -214,7 +214,7 @@
 	b.arrive(1)
 	b.wait(time.Millisecond)
 	b.finish(TimedOut, 0)
-	b.finish(Full, 3*time.Second)
+	b.finish(RateLimited, 3*time.Second)
 	if until := b.path().closedUntil; until < b.now+3*time.Second {
 		t.Errorf("closed until %v, told to wait from %v for 3 s", until, b.now)
 	}
@@ -224,7 +224,7 @@
 	b := with(t, testSettings(), 2, 2, 0)
 	b.arrive(0)
 	first := b.sent[0].Endpoint
-	b.finish(Full, 2*time.Second)
+	b.finish(RateLimited, 2*time.Second)
 	if len(b.sent) != 1 || b.sent[0].Endpoint == first {
 		t.Errorf("sends %v after a wait of route %d, want the other route", b.sent, first)
 	}
@@ -401,7 +401,7 @@
 	b := with(t, testSettings(), 0, 1, 0)
 	b.path().slice = 5
 	b.arrive(0)
-	b.finish(Full, 4*time.Second)
+	b.finish(RateLimited, 4*time.Second)
 	if e := b.path().endpoints[0]; !e.down {
 		t.Error("a wait longer than a window is not taken for a shut destination")
 	}
@@ -609,7 +609,7 @@
 		b.arrive(0)
 		s := b.sent[0]
 		b.sent = b.sent[1:]
-		b.step(Ended{Message: s.Message, Endpoint: s.Endpoint, Outcome: Reset, Stale: true})
+		b.step(AttemptCompleted{Message: s.Message, Endpoint: s.Endpoint, Outcome: Reset, Stale: true})
 		if e.suspect || e.down || e.score > 0 {
 			t.Fatalf("a stale reset was held against the endpoint: %+v", e)
 		}
@@ -765,7 +765,7 @@
 
 func toldSettings() Settings {
 	set := testSettings()
-	set.Senders, set.MayTell = 400, true
+	set.Senders, set.PeerMessages = 400, true
 	return set
 }
 
@@ -774,13 +774,13 @@
 	b := with(t, toldSettings(), 0, 1, 0)
 	b.arrive(0)
 	told := b.finish(Unreachable, 0)
-	if count[Tell](told) != 1 {
-		t.Fatalf("%d notes for an outage, want 1", count[Tell](told))
+	if count[NotifyPeers](told) != 1 {
+		t.Fatalf("%d notes for an outage, want 1", count[NotifyPeers](told))
 	}
 	c := with(t, toldSettings(), 0, 1, 0)
 	for _, a := range told {
-		if n, ok := a.(Tell); ok {
-			c.step(Told{Tag: n.Tag, News: n.News})
+		if n, ok := a.(NotifyPeers); ok {
+			c.step(PeerMessage{Tag: n.Tag, News: n.News})
 		}
 	}
 	e := c.path().endpoints[0]
@@ -790,11 +790,11 @@
 	if c.arrive(0); len(c.sent) != 0 {
 		t.Error("sent at once to an endpoint that was told to be down")
 	}
-	c.step(Told{Tag: terms.TagOf(e.id), News: BackCold})
+	c.step(PeerMessage{Tag: terms.TagOf(e.id), News: PeerSlowStart})
 	if e.down || !e.slowStart {
 		t.Error("a cold return that was told is not heeded")
 	}
-	c.step(Told{Tag: 1<<TagBits - 1, News: Down}) // an endpoint that is not listed
+	c.step(PeerMessage{Tag: 1<<TagBits - 1, News: PeerDown}) // an endpoint that is not listed
 }
 
 // Where others try an endpoint, as a note says that names it, this sender leaves probes to them for that long,
@@ -805,27 +805,27 @@
 	b.arrive(0)
 	b.finish(Unreachable, 0)
 	had := e.path.nextProbe
-	if b.step(Told{Endpoint: e.id, News: Down}); !e.down || e.path.nextProbe != had {
+	if b.step(PeerMessage{Endpoint: e.id, News: PeerDown}); !e.down || e.path.nextProbe != had {
 		t.Errorf("a note of what is known moved the probe from %v to %v", had, e.path.nextProbe)
 	}
-	if b.step(Told{Endpoint: e.id, News: Down, Spare: time.Minute}); e.path.nextProbe != b.now+time.Minute {
+	if b.step(PeerMessage{Endpoint: e.id, News: PeerDown, Spare: time.Minute}); e.path.nextProbe != b.now+time.Minute {
 		t.Errorf("the next probe at %v, now it is %v", e.path.nextProbe, b.now)
 	}
 	c := with(t, testSettings(), 0, 1, 0)
 	e = c.path().endpoints[0]
 	c.arrive(0)
 	c.finish(Delivered, 0)
-	if c.step(Told{Endpoint: e.id, News: Down, Spare: time.Minute}); e.down {
+	if c.step(PeerMessage{Endpoint: e.id, News: PeerDown, Spare: time.Minute}); e.down {
 		t.Error("one that answered a moment ago is taken for out")
 	}
-	c.step(Told{Endpoint: e.id + 1000, News: Down, Spare: time.Minute}) // one that is not listed
+	c.step(PeerMessage{Endpoint: e.id + 1000, News: PeerDown, Spare: time.Minute}) // one that is not listed
 }
 
 // First calls of many senders alone keep a limit full that refusals use up.
 func TestJamIsToldOnceAndClosesTheLogs(t *testing.T) {
 	b := with(t, toldSettings(), 0, 1, 0)
 	b.arrive(1)
-	if n := count[Tell](b.finish(Full, 0)); n != 1 {
+	if n := count[NotifyPeers](b.finish(RateLimited, 0)); n != 1 {
 		t.Errorf("%d notes for a full under one call a window, want 1", n)
 	}
 	p := b.path()
@@ -858,7 +858,7 @@
 // A step for each note in hundreds of nodes is paid for hundreds of times.
 func TestNotesAloneDecideNothing(t *testing.T) {
 	b := with(t, toldSettings(), 0, 1, 0)
-	if actions := b.step(Told{Tag: 1, News: Jam}); len(actions) != 0 {
+	if actions := b.step(PeerMessage{Tag: 1, News: PeerRateLimited}); len(actions) != 0 {
 		t.Errorf("%d actions on a note about nothing", len(actions))
 	}
 }
--- a/policy/reference_test.go
+++ b/policy/reference_test.go
@@ -35,15 +35,15 @@
 // flight is an attempt that is out.
 type flight struct {
 	at  policy.Time
-	end policy.Ended
+	end policy.AttemptCompleted
 }
 
 func drawSettings(t *rapid.T) policy.Settings {
 	class := func(r policy.Repeat) policy.Class {
-		c := policy.Class{Repeat: r, Aim: time.Duration(rapid.SampledFrom([]int{200, 1000, 3000}).Draw(t, "aim")) * time.Millisecond,
-			Worth: rapid.SampledFrom([]float64{1, 1, 5, 0}).Draw(t, "worth"), LateWorth: rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "late worth"),
+		c := policy.Class{Repeat: r, SoftDeadline: time.Duration(rapid.SampledFrom([]int{200, 1000, 3000}).Draw(t, "aim")) * time.Millisecond,
+			Value: rapid.SampledFrom([]float64{1, 1, 5, 0}).Draw(t, "worth"), LateValue: rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "late worth"),
 			Ordered: rapid.IntRange(0, 5).Draw(t, "ordered") == 0}
-		c.Deadline = c.Aim * time.Duration(rapid.IntRange(1, 10).Draw(t, "deadline"))
+		c.Deadline = c.SoftDeadline * time.Duration(rapid.IntRange(1, 10).Draw(t, "deadline"))
 		if r == policy.Deduplicated {
 			c.Window = c.Deadline / time.Duration(rapid.IntRange(1, 3).Draw(t, "window"))
 			c.GroupAll = rapid.Bool().Draw(t, "group all")
@@ -53,10 +53,10 @@
 	}
 	s := policy.Settings{Senders: rapid.IntRange(1, 4).Draw(t, "senders"), Slots: rapid.SampledFrom([]int{1, 2, 3, 5, 8, 12, 40}).Draw(t, "slots"),
 		MaxHeld: rapid.SampledFrom([]int{0, 12, 40, 400}).Draw(t, "held"), MaxAttempts: rapid.IntRange(1, 6).Draw(t, "attempts"),
-		MayTell: rapid.Bool().Draw(t, "may tell"), AdviseWait: rapid.Bool().Draw(t, "advise"), MaxWait: 5 * time.Second, HalvesLate: rapid.Bool().Draw(t, "halves"),
+		PeerMessages: rapid.Bool().Draw(t, "may tell"), AdviseWait: rapid.Bool().Draw(t, "advise"), MaxWait: 5 * time.Second, HalvesLate: rapid.Bool().Draw(t, "halves"),
 		MustSubscribe: rapid.Bool().Draw(t, "subscribe"), Listing: policy.Listing(rapid.IntRange(0, 2).Draw(t, "listing")),
 		ConnectTimeout: 250 * time.Millisecond, Tick: time.Duration(rapid.SampledFrom([]int{1, 5}).Draw(t, "tick")) * time.Millisecond,
-		DrainGrace: time.Second, ColdShare: 0.2, WarmUp: 8 * time.Second, FallMultiple: 2, FallWindow: 1500 * time.Millisecond, TurnGap: 300 * time.Millisecond,
+		DrainGrace: time.Second, ColdShare: 0.2, WarmUp: 8 * time.Second, FallMultiple: 2, FallWindow: 1500 * time.Millisecond, KeyRest: 300 * time.Millisecond,
 		ZoneFee: []float64{0.06, 0}, Kinds: []policy.Kind{{RoutesApart: true, BundleMax: rapid.IntRange(1, 5).Draw(t, "bundle")}, {BundleMax: 1}},
 		Classes: []policy.Class{class(policy.Idempotent), class(policy.Deduplicated), class(policy.AtMostOnce)}}
 	return s
@@ -103,9 +103,9 @@
 		e.State = policy.EndpointState(rapid.IntRange(0, 2).Draw(w.t, "idle state"))
 		return policy.Listed{Entries: []policy.Entry{e}}
 	case 2:
-		return policy.Told{Tag: terms.TagOf(e.Endpoint), News: policy.News(rapid.IntRange(0, 3).Draw(w.t, "idle news"))}
+		return policy.PeerMessage{Tag: terms.TagOf(e.Endpoint), News: policy.PeerEvent(rapid.IntRange(0, 3).Draw(w.t, "idle news"))}
 	case 3:
-		return policy.Remembered{Endpoint: e.Endpoint, Failed: rapid.Bool().Draw(w.t, "idle failed"), FailedAt: w.now - time.Second, Sent: []policy.Time{w.now - time.Second}}
+		return policy.HealthRestored{Endpoint: e.Endpoint, Failed: rapid.Bool().Draw(w.t, "idle failed"), FailedAt: w.now - time.Second, Sent: []policy.Time{w.now - time.Second}}
 	}
 	w.next++
 	w.held = append(w.held, w.next)
@@ -115,16 +115,16 @@
 // outcome draws what becomes of a send; a destination has moods that last.
 func (w *drawn) outcome(s policy.Send) flight {
 	e := w.zones[s.Endpoint]
-	o := policy.Ended{Message: s.Message, Endpoint: s.Endpoint, Outcome: policy.Delivered}
+	o := policy.AttemptCompleted{Message: s.Message, Endpoint: s.Endpoint, Outcome: policy.Delivered}
 	took := time.Duration(rapid.IntRange(1, 400).Draw(w.t, "ms")) * time.Millisecond
 	switch w.mood[e.Destination] {
 	case 1:
-		o.Outcome, took = policy.Full, took/10
+		o.Outcome, took = policy.RateLimited, took/10
 		if rapid.Bool().Draw(w.t, "told") {
 			o.Wait = time.Duration(rapid.IntRange(1, 3000).Draw(w.t, "wait")) * time.Millisecond
 		}
 	case 2:
-		o.Outcome = policy.Outcome(rapid.IntRange(int(policy.Delivered), int(policy.Moot)).Draw(w.t, "outcome"))
+		o.Outcome = policy.Outcome(rapid.IntRange(int(policy.Delivered), int(policy.NotSent)).Draw(w.t, "outcome"))
 		o.Stale, o.Final = o.Outcome == policy.Reset && rapid.Bool().Draw(w.t, "stale"), rapid.IntRange(0, 20).Draw(w.t, "final") == 0
 	case 3:
 		o.Outcome, took = policy.TimedOut, s.Timeout
@@ -187,12 +187,12 @@
 			}
 		case 4:
 			tag := terms.TagOf(rapid.SampledFrom(w.ends).Draw(w.t, "tagged"))
-			es = append(es, policy.Told{Tag: tag, News: policy.News(rapid.IntRange(0, 3).Draw(w.t, "news"))})
+			es = append(es, policy.PeerMessage{Tag: tag, News: policy.PeerEvent(rapid.IntRange(0, 3).Draw(w.t, "news"))})
 		case 5:
 			ago := func(what string) policy.Time {
 				return w.now - time.Duration(rapid.IntRange(0, 9000).Draw(w.t, what))*time.Millisecond
 			}
-			r := policy.Remembered{Endpoint: rapid.SampledFrom(w.ends).Draw(w.t, "remembered"), Failed: rapid.Bool().Draw(w.t, "failed"), FailedAt: ago("failed at"), Sent: []policy.Time{ago("sent")}}
+			r := policy.HealthRestored{Endpoint: rapid.SampledFrom(w.ends).Draw(w.t, "remembered"), Failed: rapid.Bool().Draw(w.t, "failed"), FailedAt: ago("failed at"), Sent: []policy.Time{ago("sent")}}
 			if r.Failed && rapid.Bool().Draw(w.t, "back") {
 				r.Back, r.BackAt = true, r.FailedAt
 			}
--- a/policy/restart_test.go
+++ b/policy/restart_test.go
@@ -12,7 +12,7 @@
 		Senders: 2, Slots: 8, MaxHeld: 100, MaxAttempts: 6, Tick: 5 * time.Millisecond,
 		Listing: RateRough, Kinds: []Kind{{BundleMax: 1}},
 		Classes: []Class{{Repeat: Deduplicated, GroupZone: true, Window: 12 * time.Second,
-			Aim: 3 * time.Second, Deadline: 28 * time.Second, Worth: 1, LateWorth: 0.5}},
+			SoftDeadline: 3 * time.Second, Deadline: 28 * time.Second, Value: 1, LateValue: 0.5}},
 		DrainGrace: time.Second, ColdShare: 0.21, WarmUp: 14 * time.Second, FallMultiple: 2,
 		FallWindow: 1500 * time.Millisecond, ConnectTimeout: time.Second,
 	}
@@ -58,7 +58,7 @@
 func TestRestoredBacklogWaitsForATrial(t *testing.T) {
 	start := time.Hour
 	events := []Event{Listed{Whole: true, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 100}}},
-		Remembered{Endpoint: 1, Failed: true, FailedAt: start - time.Second, Sent: []Time{start - time.Second}}}
+		HealthRestored{Endpoint: 1, Failed: true, FailedAt: start - time.Second, Sent: []Time{start - time.Second}}}
 	for i := range 50 {
 		events = append(events, Arrived{Message: MessageID(i + 1), GiveUpAt: start + 20*time.Second})
 	}
@@ -89,7 +89,7 @@
 	}
 	actions := s.Step(start, []Event{
 		Listed{Whole: true, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 10}}},
-		Remembered{Endpoint: 1, Sent: sent},
+		HealthRestored{Endpoint: 1, Sent: sent},
 		Arrived{Message: 1, GiveUpAt: start + 20*time.Second}}, nil)
 	if sends := sendsOf(actions); len(sends) > 0 {
 		t.Errorf("sent %v over a full narrow window", sends)
--- a/policy/return_test.go
+++ b/policy/return_test.go
@@ -18,11 +18,11 @@
 	)
 	s := policy.New(policy.Settings{Senders: 1, Slots: 64, MaxAttempts: 1000, Tick: tick, Listing: policy.RateRough, DrainGrace: time.Second,
 		ColdShare: 0.2, WarmUp: 15 * time.Second, FallMultiple: 2, FallWindow: 1500 * time.Millisecond,
-		Kinds: []policy.Kind{{BundleMax: 1}}, Classes: []policy.Class{{Aim: time.Second, Deadline: time.Minute, Worth: 1, LateWorth: 0.5}}}, 1)
+		Kinds: []policy.Kind{{BundleMax: 1}}, Classes: []policy.Class{{SoftDeadline: time.Second, Deadline: time.Minute, Value: 1, LateValue: 0.5}}}, 1)
 	const start = time.Hour
 	type end struct {
 		at policy.Time
-		e  policy.Ended
+		e  policy.AttemptCompleted
 	}
 	var out []end // calls take alike, so they end in the order in which they began
 	var wake policy.Time
@@ -51,9 +51,9 @@
 		for _, a := range s.Step(now, events, nil) {
 			switch a := a.(type) {
 			case policy.Send:
-				e := policy.Ended{Message: a.Message, Attempt: attempts[a.Message], Endpoint: 1, Outcome: policy.Delivered, Final: true, Took: takes}
+				e := policy.AttemptCompleted{Message: a.Message, Attempt: attempts[a.Message], Endpoint: 1, Outcome: policy.Delivered, Final: true, Took: takes}
 				if since >= shut && since < back {
-					e.Outcome, e.Final = policy.Full, false
+					e.Outcome, e.Final = policy.RateLimited, false
 				} else {
 					done++
 					ran[int(since.Seconds())]++
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -59,18 +59,18 @@
 		Tick: 5 * time.Millisecond, ConnectTimeout: time.Second,
 		Kinds: []Kind{{BundleMax: 1}, {BundleMax: 4}, {BundleMax: 3, RoutesApart: true}},
 		Classes: []Class{
-			{Repeat: Idempotent, Aim: time.Second, Deadline: 5 * time.Second, Worth: 1},
-			{Repeat: Deduplicated, GroupAll: true, Window: 4 * time.Second, Aim: 2 * time.Second,
-				Deadline: 12 * time.Second, Worth: 3, LateWorth: 0.4},
-			{Repeat: Deduplicated, GroupZone: true, Window: 6 * time.Second, Aim: 2 * time.Second,
-				Deadline: 12 * time.Second, Worth: 1, LateWorth: 0.4},
-			{Repeat: AtMostOnce, Aim: 2 * time.Second, Deadline: 9 * time.Second, Worth: 4, LateWorth: 0.2},
+			{Repeat: Idempotent, SoftDeadline: time.Second, Deadline: 5 * time.Second, Value: 1},
+			{Repeat: Deduplicated, GroupAll: true, Window: 4 * time.Second, SoftDeadline: 2 * time.Second,
+				Deadline: 12 * time.Second, Value: 3, LateValue: 0.4},
+			{Repeat: Deduplicated, GroupZone: true, Window: 6 * time.Second, SoftDeadline: 2 * time.Second,
+				Deadline: 12 * time.Second, Value: 1, LateValue: 0.4},
+			{Repeat: AtMostOnce, SoftDeadline: 2 * time.Second, Deadline: 9 * time.Second, Value: 4, LateValue: 0.2},
 			{Repeat: Deduplicated, GroupAll: true, Window: 6 * time.Second, Ordered: true,
-				Aim: 2 * time.Second, Deadline: 10 * time.Second, Worth: 1, LateWorth: 0.4},
-			{Repeat: AtMostOnce, Ordered: true, Aim: 2 * time.Second, Deadline: 10 * time.Second, Worth: 1},
+				SoftDeadline: 2 * time.Second, Deadline: 10 * time.Second, Value: 1, LateValue: 0.4},
+			{Repeat: AtMostOnce, Ordered: true, SoftDeadline: 2 * time.Second, Deadline: 10 * time.Second, Value: 1},
 		},
 		ZoneFee: []float64{0.05, 0}, DrainGrace: time.Second, ColdShare: 0.2, WarmUp: 8 * time.Second,
-		FallMultiple: 2, FallWindow: 2 * time.Second, TurnGap: 300 * time.Millisecond,
+		FallMultiple: 2, FallWindow: 2 * time.Second, KeyRest: 300 * time.Millisecond,
 	}
 }
 
@@ -102,10 +102,10 @@
 		m := a.m
 		m.out = nil
 		final := a.result == Delivered && !m.ended
-		events = append(events, Ended{Message: m.id, Attempt: a.n, Endpoint: a.entry.Endpoint,
+		events = append(events, AttemptCompleted{Message: m.id, Attempt: a.n, Endpoint: a.entry.Endpoint,
 			Outcome: a.result, Wait: a.wait, Final: final || m.ended, Took: l.now - a.sent})
 		switch a.result {
-		case Full, Unreachable, Moot:
+		case RateLimited, Unreachable, NotSent:
 			if a.wait > 0 {
 				p := l.path(a.entry)
 				l.waits[p] = max(l.waits[p], l.now+a.wait)
@@ -116,7 +116,7 @@
 			}
 		}
 		if a.result == TimedOut || a.result == Reset || a.result == Cancelled {
-			l.rest[m.key] = max(l.rest[m.key], l.now+l.set.TurnGap)
+			l.rest[m.key] = max(l.rest[m.key], l.now+l.set.KeyRest)
 		}
 		if final {
 			l.end(m)
@@ -290,7 +290,7 @@
 	if len(calls) > l.set.Slots {
 		bad("%d calls are out, %d slots", len(calls), l.set.Slots)
 	}
-	at.result = Outcome(l.rng.IntN(int(Moot)))
+	at.result = Outcome(l.rng.IntN(int(NotSent)))
 	if l.rng.IntN(3) > 0 {
 		at.result = Delivered
 	}
@@ -298,7 +298,7 @@
 	if at.result == TimedOut || at.due > l.now+a.Timeout {
 		at.result, at.due = TimedOut, l.now+a.Timeout
 	}
-	if at.result == Full && l.rng.IntN(2) == 0 {
+	if at.result == RateLimited && l.rng.IntN(2) == 0 {
 		at.wait = time.Duration(1+l.rng.IntN(4000)) * time.Millisecond
 	}
 	m.attempts++
--- a/policy/shut_test.go
+++ b/policy/shut_test.go
@@ -11,7 +11,7 @@
 // its limit: the part of it that nodes share is what it was of late.
 func TestRefusalsOfAnOutageCostNoPart(t *testing.T) {
 	set := testSettings()
-	set.Senders, set.MayTell, set.Listing = 80, true, RateRough
+	set.Senders, set.PeerMessages, set.Listing = 80, true, RateRough
 	s := New(set, 1)
 	now := Time(time.Hour)
 	s.Step(now, []Event{Listed{Whole: true, Entries: []Entry{{Endpoint: 1, State: Ready, Rate: 60}}}}, nil)
@@ -23,19 +23,19 @@
 	sound := rate()
 	for range 20 { // others are refused
 		now += 20 * time.Millisecond
-		s.Step(now, []Event{Told{Tag: terms.TagOf(1), News: Jam}}, nil)
+		s.Step(now, []Event{PeerMessage{Tag: terms.TagOf(1), News: PeerRateLimited}}, nil)
 	}
 	jammed := rate()
 	if jammed > 0.8*sound || e.down {
 		t.Fatalf("twenty refusals took the part from %v to %v, out %v", sound, jammed, e.down)
 	}
-	s.Step(now, []Event{Told{Tag: terms.TagOf(1), News: Down}}, nil)
+	s.Step(now, []Event{PeerMessage{Tag: terms.TagOf(1), News: PeerDown}}, nil)
 	if r := rate(); !e.down || r < 0.9*sound {
 		t.Errorf("out %v, and the part is %v of %v", e.down, r, sound)
 	}
 	for range 20 { // probes are refused
 		now += 20 * time.Millisecond
-		s.Step(now, []Event{Told{Tag: terms.TagOf(1), News: Jam}}, nil)
+		s.Step(now, []Event{PeerMessage{Tag: terms.TagOf(1), News: PeerRateLimited}}, nil)
 	}
 	if r := rate(); r < 0.9*sound {
 		t.Errorf("refused probes took the part to %v of %v", r, sound)
--- a/policy/state.go
+++ b/policy/state.go
@@ -42,7 +42,7 @@
 	unlisted index.Expiry[*destination]  // without endpoints, by when they may be evicted
 	backlogs index.Pool[backlog]
 
-	values        []estimate.Worth     // by class
+	values        []estimate.Value     // by class
 	arrivals      uint64               // messages so far
 	waiting       int                  // those of them in the queues
 	closing       index.Heap[*message] // those that are plain, by when they are not ready any more
@@ -76,11 +76,11 @@
 	settings.Kinds = append(slices.Clone(settings.Kinds), Kind{BundleMax: 1}) // of entries of no kind
 	settings.ZoneFee = append(slices.Clone(settings.ZoneFee), 0)              // of entries of no zone
 	longest := settings.FallWindow
-	var values []estimate.Worth
+	var values []estimate.Value
 	for _, c := range settings.Classes {
 		longest = max(longest, c.Deadline)
-		values = append(values, estimate.Worth{Aim: c.Aim, Deadline: c.Deadline, Full: c.Worth,
-			Late: c.LateWorth, Halves: settings.HalvesLate})
+		values = append(values, estimate.Value{Aim: c.SoftDeadline, Deadline: c.Deadline, Full: c.Value,
+			Late: c.LateValue, Halves: settings.HalvesLate})
 	}
 	return &Sender{
 		longest: longest, values: values, set: settings,
@@ -203,7 +203,7 @@
 	forget    index.Item[*message]
 	closes    index.Item[*message]
 	class     *Class
-	value     *estimate.Worth
+	value     *estimate.Value
 	dest      *destination
 	createdAt Time // when it was first handed in
 	giveUpAt  Time
@@ -517,7 +517,7 @@
 // restoreHealth takes over what an earlier incarnation of the node saw of an endpoint: its calls count for
 // the logs still, and one that failed last is down, or cold if it came back less than a warm-up ago, so that
 // a restored backlog waits for a probe.
-func (s *Sender) restoreHealth(r Remembered) {
+func (s *Sender) restoreHealth(r HealthRestored) {
 	e := s.endpoint(r.Endpoint)
 	if e == nil {
 		return
@@ -542,9 +542,9 @@
 }
 
 // markUp takes an endpoint out of its outage.
-func (s *Sender) markUp(e *endpoint, news News) {
+func (s *Sender) markUp(e *endpoint, news PeerEvent) {
 	e.down = false
-	if news == BackCold {
+	if news == PeerSlowStart {
 		e.slowStart, e.slowStartFrom = true, s.now
 	}
 }
--- a/policy/step_test.go
+++ b/policy/step_test.go
@@ -31,7 +31,7 @@
 	b := &busy{dests: dests, now: time.Hour, set: policy.Settings{Senders: 1, Slots: 64, MaxHeld: maxHeld, MaxAttempts: 6, Tick: 5 * time.Millisecond, MaxWait: 30 * time.Second,
 		ConnectTimeout: time.Second, DrainGrace: time.Second, ColdShare: 0.2, WarmUp: 15 * time.Second, FallMultiple: 2, FallWindow: 1500 * time.Millisecond,
 		Listing: policy.RateRough, Kinds: []policy.Kind{{BundleMax: 1}}, ZoneFee: []float64{0},
-		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 1000 * time.Second, Aim: 3 * time.Second, Deadline: 1000 * time.Second, Worth: 1, LateWorth: 0.5}}}}
+		Classes: []policy.Class{{Repeat: policy.Deduplicated, GroupZone: true, Window: 1000 * time.Second, SoftDeadline: 3 * time.Second, Deadline: 1000 * time.Second, Value: 1, LateValue: 0.5}}}}
 	b.module = module(b.set, 1)
 	l := policy.Listed{Whole: true}
 	for d := range dests + idle {
@@ -69,7 +69,7 @@
 	if len(b.out) > 0 {
 		s := b.out[0]
 		b.out = b.out[1:]
-		es = append(es, policy.Ended{Message: s.Message, Endpoint: s.Endpoint, Outcome: policy.Delivered, Took: time.Millisecond})
+		es = append(es, policy.AttemptCompleted{Message: s.Message, Endpoint: s.Endpoint, Outcome: policy.Delivered, Took: time.Millisecond})
 	}
 	b.step(es)
 }
