Scale runs with control machines that agree by a quorum

A fleet with machines = N has as many, less than half of them in the region of the nodes; the one that holds the region is told from the others in the figures. restart_control kills that one and waits for its heir. The small fleet of the tests runs so as well.

--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -487,6 +487,9 @@
 	return view.Addresses[holder]
 }
 
+// World is what was agreed on, as far as this machine has followed. It must not be changed.
+func (m *Member) World() *World { return m.agreed.now().World }
+
 // QuorumState is what a control machine knows of the quorum.
 type QuorumState struct {
 	Consensus    consensus.Status             `json:"consensus"`
--- a/internal/control/member_http.go
+++ b/internal/control/member_http.go
@@ -212,9 +212,19 @@
 		fail(w, fmt.Errorf("%w: %w", lease.ErrMalformed, err))
 		return
 	}
+	done(w, m.applyDelta(r.Context(), delta))
+}
+
+// Change proposes nodes and destinations that are new, or have changed, as SetWorld does.
+func (m *Member) Change(ctx context.Context, nodes []Node, destinations []Destination) error {
+	return m.applyDelta(ctx, worldDelta{Nodes: nodes, Destinations: destinations})
+}
+
+// applyDelta proposes differences, and fills in what they leave out.
+func (m *Member) applyDelta(ctx context.Context, delta worldDelta) error {
 	changed := World{Nodes: delta.Nodes, Destinations: delta.Destinations}
 	changed.setDefaults()
-	done(w, m.changeWorld(r.Context(), func(*World) worldDelta { return delta }))
+	return m.changeWorld(ctx, func(*World) worldDelta { return delta })
 }
 
 // memberOf is the member that a request names.
--- a/internal/lab/scale/child.go
+++ b/internal/lab/scale/child.go
@@ -90,9 +90,9 @@
 	return err
 }
 
-// usage is what the process has used.
+// usage is what the process has used; nothing, where there is none.
 func (c *child) usage() (Usage, error) {
-	if c.ended {
+	if c == nil || c.ended {
 		return Usage{}, nil
 	}
 	return processUsage(c.process.Process.Pid)
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"slices"
 	"time"
+
+	"wingmount/internal/loopback"
 )
 
 var errChildEnded = errors.New("a process of the run has ended")
@@ -20,16 +22,19 @@
 
 // fleetRun is a fleet while it runs. It belongs to one goroutine.
 type fleetRun struct {
-	fleet   Fleet
-	env     environment
-	dir     string
-	address string // of the control process
-	events  chan event
-	control *child
-	zones   []*child
-	tracker *tracker
-	changes []change // all that were made
-	result  FleetResult
+	fleet    Fleet
+	env      environment
+	dir      string
+	address  string   // of the control process
+	machines []*child // control machines that agree, where there are; control is the one that holds the region
+	listens  []string // where they listen
+	ports    loopback.Ports
+	events   chan event
+	control  *child
+	zones    []*child
+	tracker  *tracker
+	changes  []change // all that were made
+	result   FleetResult
 
 	memory *time.Ticker
 	// onEvent hears of events while a phase waits for something of its own.
@@ -46,7 +51,7 @@
 	f := &fleetRun{fleet: fleet, env: env, dir: dir, address: "127.0.0.1:0", events: make(chan event, 1024),
 		tracker: newTracker(fleet), memory: time.NewTicker(memoryEvery)}
 	f.result = FleetResult{Name: fleet.Name, Nodes: fleet.Nodes, Zones: fleet.Zones, Destinations: fleet.Destinations,
-		Owners: fleet.Owners, Endpoints: fleet.Endpoints, LeaseSeconds: fleet.Lease.Seconds()}
+		Owners: fleet.Owners, Endpoints: fleet.Endpoints, Machines: fleet.Machines, LeaseSeconds: fleet.Lease.Seconds()}
 	defer func() {
 		f.memory.Stop()
 		cancel()
@@ -68,7 +73,8 @@
 
 // end ends all processes.
 func (f *fleetRun) end() (err error) {
-	for _, c := range append(f.zones, f.control) {
+	defer func() { err = errors.Join(err, f.ports.Close()) }()
+	for _, c := range slices.Concat(f.zones, f.machines, []*child{f.control}) {
 		if c != nil {
 			err = errors.Join(err, c.kill())
 		}
@@ -118,11 +124,78 @@
 }
 
 func (f *fleetRun) config() childConfig {
-	return childConfig{Fleet: f.fleet, Seed: f.env.scenario.Seed, StateDir: f.dir, Address: f.address, LeaseMS: f.fleet.Lease.Milliseconds()}
+	return childConfig{Fleet: f.fleet, Seed: f.env.scenario.Seed, StateDir: f.dir, Address: f.address, Machines: f.listens, LeaseMS: f.fleet.Lease.Milliseconds()}
+}
+
+// startMachines starts control machines, waits until one holds the region, and has the world agreed on.
+func (f *fleetRun) startMachines(ctx context.Context) error {
+	for range f.fleet.Machines {
+		address, err := f.ports.Next()
+		if err != nil {
+			return err
+		}
+		f.listens = append(f.listens, address)
+	}
+	for i := range f.fleet.Machines {
+		config := f.config()
+		config.Machine = i + 1
+		config.StateDir = filepath.Join(f.dir, fmt.Sprint(RoleControl, "-", i+1))
+		c, err := startChild(ctx, fmt.Sprint(RoleControl, "-", i+1), RoleControl, config, f.env.options, f.events)
+		if c != nil {
+			f.machines = append(f.machines, c)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if err := f.awaitHolder(ctx); err != nil {
+		return err
+	}
+	if err := f.control.tell(command{Op: opWorld}); err != nil {
+		return err
+	}
+	agreed := false
+	f.onEvent = func(e event) { agreed = agreed || e.Kind == eventChanged }
+	return f.until(ctx, func() bool { return agreed })
+}
+
+// awaitHolder waits until a control machine holds the region.
+func (f *fleetRun) awaitHolder(ctx context.Context) error {
+	f.control = nil
+	f.onEvent = func(e event) {
+		if e.Kind == eventHolds && !e.from.ended {
+			f.control = e.from
+		}
+	}
+	return f.until(ctx, func() bool { return f.control != nil })
+}
+
+// others is what the control machines have used on average that do not hold the region.
+func (f *fleetRun) others() (Usage, error) {
+	var sum Usage
+	count := 0
+	for _, m := range f.machines {
+		if m == f.control || m.ended {
+			continue
+		}
+		u, err := m.usage()
+		if err != nil {
+			return sum, err
+		}
+		sum = sum.plus(u)
+		count++
+	}
+	if count == 0 {
+		return sum, nil
+	}
+	return Usage{CPU: sum.CPU / time.Duration(count), Resident: sum.Resident / int64(count), Peak: sum.Peak / int64(count), IO: sum.IO / int64(count)}, nil
 }
 
 // startControl starts the control process and waits until it listens.
 func (f *fleetRun) startControl(ctx context.Context) error {
+	if f.fleet.Machines > 0 {
+		return f.startMachines(ctx)
+	}
 	config := f.config()
 	config.Changes = f.changes
 	config.StateDir = filepath.Join(f.dir, RoleControl)
@@ -241,7 +314,11 @@
 	if err != nil {
 		return err
 	}
-	used := control.Resident + nodes.Resident + residentMemory()
+	others, err := f.others()
+	if err != nil {
+		return err
+	}
+	used := control.Resident + nodes.Resident + residentMemory() + others.Resident*int64(max(0, len(f.machines)-1))
 	f.result.PeakMemory = max(f.result.PeakMemory, used)
 	if used > int64(f.env.scenario.MemoryMB)<<20 {
 		return fmt.Errorf("%w: %d MB", ErrMemory, used>>20)
@@ -255,6 +332,10 @@
 	if err != nil {
 		return nil, err
 	}
+	others, err := f.others()
+	if err != nil {
+		return nil, err
+	}
 	began := time.Now()
 	return func() (*Cost, error) {
 		seconds := time.Since(began).Seconds()
@@ -262,11 +343,17 @@
 		if err != nil {
 			return nil, err
 		}
+		othersNow, err := f.others()
+		if err != nil {
+			return nil, err
+		}
+		othersUsed := othersNow.since(others)
 		count := float64(f.running())
 		controlUsed, nodesUsed := controlNow.since(control), nodesNow.since(nodes)
 		bytes := float64(controlUsed.IO) / seconds
 		return &Cost{Seconds: seconds,
 			ControlCores: controlUsed.CPU.Seconds() / seconds, ControlBytes: bytes, ControlMemory: controlNow.Resident, ControlPeak: controlNow.Peak,
-			NodeCores: nodesUsed.CPU.Seconds() / seconds / count, NodeBytes: bytes / count, NodeMemory: float64(nodesNow.Resident) / count}, nil
+			NodeCores: nodesUsed.CPU.Seconds() / seconds / count, NodeBytes: bytes / count, NodeMemory: float64(nodesNow.Resident) / count,
+			OtherCores: othersUsed.CPU.Seconds() / seconds, OtherBytes: float64(othersUsed.IO) / seconds, OtherMemory: othersNow.Resident}, nil
 	}, nil
 }
--- a/internal/lab/scale/fleet_report.go
+++ b/internal/lab/scale/fleet_report.go
@@ -18,6 +18,7 @@
 	Destinations int     `json:"destinations"`
 	Owners       int     `json:"owners"`
 	Endpoints    int     `json:"endpoints"` // of a destination, that nodes are told
+	Machines     int     `json:"machines"`  // that agree by a quorum; 0 for a control process by itself
 	LeaseSeconds float64 `json:"lease_seconds"`
 	StartSeconds float64 `json:"start_seconds"` // until all destinations are owned
 	PeakMemory   int64   `json:"peak_memory"`   // bytes, of all processes together
@@ -46,6 +47,10 @@
 	NodeCores     float64 `json:"node_cores"`
 	NodeBytes     float64 `json:"node_bytes_per_second"`
 	NodeMemory    float64 `json:"node_memory"`
+	// Other is a control machine that does not hold the region, on average; 0 without a quorum.
+	OtherCores  float64 `json:"other_cores,omitempty"`
+	OtherBytes  float64 `json:"other_bytes_per_second,omitempty"`
+	OtherMemory int64   `json:"other_memory,omitempty"`
 }
 
 // Latencies are times in seconds.
@@ -86,18 +91,18 @@
 }
 
 func (r *FleetResult) write(out io.Writer) error {
-	fmt.Fprintf(out, "\nfleet %s: %d nodes in %d zones, %d destinations of %d owners, records of %d endpoints, leases of %.3g s\n",
-		r.Name, r.Nodes, r.Zones, r.Destinations, r.Owners, r.Endpoints, r.LeaseSeconds)
+	fmt.Fprintf(out, "\nfleet %s: %d nodes in %d zones, %d destinations of %d owners, records of %d endpoints, %d control machines, leases of %.3g s\n",
+		r.Name, r.Nodes, r.Zones, r.Destinations, r.Owners, r.Endpoints, max(1, r.Machines), r.LeaseSeconds)
 	fmt.Fprintf(out, "all is owned %.1f s after the start; all processes had %d MB at the most\n", r.StartSeconds, r.PeakMemory>>20)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "phase\tspan s\tcontrol: cores\tkB/s\tMB\tpeak MB\tnode: % of a core\tB/s\tMB")
+	fmt.Fprintln(w, "phase\tspan s\tcontrol: cores\tkB/s\tMB\tpeak MB\tother machine: cores\tkB/s\tMB\tnode: % of a core\tB/s\tMB")
 	for _, phase := range []struct {
 		name string
 		cost *Cost
 	}{{"idle", r.Idle}, {"changes", r.ChangesCost}, {"burst", r.BurstCost}, {"restarts", r.RestartsCost}, {"lost zone", r.LostZoneCost}} {
 		if c := phase.cost; c != nil {
-			fmt.Fprintf(w, "%s\t%.1f\t%.3f\t%.1f\t%d\t%d\t%.3f\t%.0f\t%.2f\n", phase.name, c.Seconds, c.ControlCores, c.ControlBytes/1000,
-				c.ControlMemory>>20, c.ControlPeak>>20, 100*c.NodeCores, c.NodeBytes, c.NodeMemory/(1<<20))
+			fmt.Fprintf(w, "%s\t%.1f\t%.3f\t%.1f\t%d\t%d\t%.3f\t%.1f\t%d\t%.3f\t%.0f\t%.2f\n", phase.name, c.Seconds, c.ControlCores, c.ControlBytes/1000,
+				c.ControlMemory>>20, c.ControlPeak>>20, c.OtherCores, c.OtherBytes/1000, c.OtherMemory>>20, 100*c.NodeCores, c.NodeBytes, c.NodeMemory/(1<<20))
 		}
 	}
 	fmt.Fprintln(w, "\ntimes, s\tcount\tp50\tp99\tworst\twithin 7 s")
--- a/internal/lab/scale/growth_test.go
+++ b/internal/lab/scale/growth_test.go
@@ -125,8 +125,8 @@
 	t.Log(table.String())
 	var back Report
 	testkit.Must(t, json.Unmarshal(object.Bytes(), &back))
-	if len(back.Fleets) != 2 {
-		t.Fatalf("%d fleets, want one without records and one with them", len(back.Fleets))
+	if len(back.Fleets) != 3 {
+		t.Fatalf("%d fleets, want one without records, one with them and one with a quorum", len(back.Fleets))
 	}
 	for _, f := range back.Fleets {
 		if f.Changes.Count != 4 || f.Burst.Count != 10 || f.Restarts.Count != 2 || f.ControlRestart == nil || f.Idle.NodeBytes <= 0 {
--- a/internal/lab/scale/phases.go
+++ b/internal/lab/scale/phases.go
@@ -172,7 +172,8 @@
 	return err
 }
 
-// restartControl kills the control process and starts it again at once. Then a change is made.
+// restartControl kills the control process and starts it again at once, or kills the control machine that holds the
+// region and waits until another one does. Then a change is made.
 func (f *fleetRun) restartControl(ctx context.Context) error {
 	if !f.fleet.RestartControl {
 		return nil
@@ -181,7 +182,11 @@
 	if err := f.control.kill(); err != nil {
 		return err
 	}
-	if err := f.startControl(ctx); err != nil {
+	again := f.startControl
+	if f.fleet.Machines > 0 {
+		again = f.awaitHolder // another machine takes its place
+	}
+	if err := again(ctx); err != nil {
 		return err
 	}
 	result := &ControlRestart{ListensSeconds: time.Since(killed).Seconds()}
--- a/internal/lab/scale/protocol.go
+++ b/internal/lab/scale/protocol.go
@@ -21,6 +21,8 @@
 	Seed     uint64   `json:"seed"`
 	StateDir string   `json:"state_dir"`
 	Address  string   `json:"address"`         // where the control process listens
+	Machine  int      `json:"machine"`         // this one of the control machines, from 1; 0 for a control process by itself
+	Machines []string `json:"machines"`        // where control machines listen
 	Nodes    []int    `json:"nodes,omitempty"` // the hollow nodes of this process
 	LeaseMS  int64    `json:"lease_ms"`
 	Changes  []change `json:"changes,omitempty"` // made before, for a control process that starts again
@@ -29,6 +31,7 @@
 // The operations of a command.
 const (
 	opChange  = "change"  // to the control process
+	opWorld   = "world"   // to a control machine: have the first world agreed on
 	opRestart = "restart" // to the process of a node
 	opStop    = "stop"
 )
@@ -52,6 +55,7 @@
 const (
 	eventReady   = "ready"   // the control process listens
 	eventChanged = "changed" // the control process has taken in a command
+	eventHolds   = "holds"   // the control machine holds the region
 	eventUpdate  = "update"  // a node has applied an update
 	eventLapsed  = "lapsed"  // a node's lease is not in force any more
 	eventFailed  = "failed"  // the child process ends with an error
@@ -107,7 +111,11 @@
 	var err error
 	switch role {
 	case RoleControl:
-		err = runControl(ctx, config, commands, events)
+		if config.Machine > 0 {
+			err = runMachine(ctx, config, commands, events)
+		} else {
+			err = runControl(ctx, config, commands, events)
+		}
 	case RoleNodes:
 		err = runNodes(ctx, config, commands, events)
 	default:
--- a/internal/lab/scale/role_control.go
+++ b/internal/lab/scale/role_control.go
@@ -64,7 +64,11 @@
 	world := &control.World{}
 	for i := range fleet.Nodes {
 		zone := zoneOf(i, fleet.Zones)
-		world.Nodes = append(world.Nodes, control.Node{Name: nodeName(i), Region: regionName(zone), Zone: zoneName(zone), Weight: 1,
+		region := regionName(zone)
+		if fleet.Machines > 0 {
+			region = quorumRegion
+		}
+		world.Nodes = append(world.Nodes, control.Node{Name: nodeName(i), Region: region, Zone: zoneName(zone), Weight: 1,
 			Address: fmt.Sprintf("127.0.0.1:%d", 1+i)})
 	}
 	for i, rate := range rates(fleet.Destinations, seed) {
--- a/internal/lab/scale/role_nodes.go
+++ b/internal/lab/scale/role_nodes.go
@@ -75,7 +75,7 @@
 	if n.config.Fleet.Senders {
 		n.sender = policy.New(moduleSettings(1), n.config.Seed+uint64(n.number))
 	}
-	agent, err := control.NewAgent(control.AgentConfig{Node: placement.NodeID(nodeName(n.number)), Addresses: []string{n.config.Address},
+	agent, err := control.NewAgent(control.AgentConfig{Node: placement.NodeID(nodeName(n.number)), Addresses: n.controls(),
 		StateFile: filepath.Join(n.config.StateDir, nodeName(n.number)), Apply: n.apply, Records: n.config.Fleet.Endpoints > 0,
 		LeaseChanged: n.leaseChanged,
 		LocateFor:    time.Minute, LocateMax: 100, Log: slog.New(slog.DiscardHandler)})
@@ -89,6 +89,14 @@
 	return nil
 }
 
+// controls are the addresses that the node's agent asks.
+func (n *hollowNode) controls() []string {
+	if len(n.config.Machines) > 0 {
+		return homeMachines(n.config.Machines)
+	}
+	return []string{n.config.Address}
+}
+
 // restart stops the agent in good order and starts another one.
 func (n *hollowNode) restart(ctx context.Context) error {
 	n.cancel()
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -25,6 +25,8 @@
 	maxZones = 32
 	// maxEndpoints bounds the endpoints of a destination.
 	maxEndpoints = 16
+	// maxMachines bounds the control machines.
+	maxMachines = 15
 )
 
 // ErrScenario is wrapped by all errors of a scenario's content.
@@ -69,10 +71,12 @@
 	Destinations int    `toml:"destinations"`
 	Owners       int    `toml:"owners"`
 	// Endpoints is how many endpoints each destination has, which nodes are told by the control process; 0 is none.
-	Endpoints int      `toml:"endpoints"`
-	Lease     Duration `toml:"lease"`
-	Senders   bool     `toml:"senders"` // each node also has a decision module with its part
-	Idle      Duration `toml:"idle"`    // a window without changes, in which the cost at rest is counted
+	Endpoints int `toml:"endpoints"`
+	// Machines is how many control machines agree by a quorum; 0 is one control process by itself.
+	Machines int      `toml:"machines"`
+	Lease    Duration `toml:"lease"`
+	Senders  bool     `toml:"senders"` // each node also has a decision module with its part
+	Idle     Duration `toml:"idle"`    // a window without changes, in which the cost at rest is counted
 	// Changes are made one by one, Every apart, and then Burst of them at once.
 	Changes int      `toml:"changes"`
 	Every   Duration `toml:"every"`
@@ -168,6 +172,7 @@
 		within("destinations", f.Destinations, 1, MaxDestinations),
 		within("owners", f.Owners, 1, 8),
 		within("endpoints", f.Endpoints, 0, maxEndpoints),
+		within("machines", f.Machines, 0, maxMachines),
 		within("lease", f.Lease.Duration, 500*time.Millisecond, 10*time.Minute),
 		within("idle", f.Idle.Duration, 0, 5*time.Minute),
 		within("changes", f.Changes, 0, 10_000),
