--- a/cmd/wingmount/quorum_test.go
+++ b/cmd/wingmount/quorum_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -57,31 +56,15 @@
 
 // state is what a control machine knows of the quorum.
 func (q *quorumRig) state(machine int) (control.QuorumState, error) {
-	var state control.QuorumState
-	var out bytes.Buffer
-	if err := quorumCommand(q.ctx, []string{"show", "--json", "--control", q.ControlAddress(machine)}, &out); err != nil {
-		return state, err
-	}
-	return state, json.Unmarshal(out.Bytes(), &state)
+	return q.QuorumState(q.ctx, machine)
 }
 
 // holder waits for a machine that holds a region, counted from 0, other than one.
 func (q *quorumRig) holder(region, but int) int {
 	q.t.Helper()
-	found := -1
-	q.until(fmt.Sprintf("a machine holds region %d", region+1), func() bool {
-		for i := range q.machines {
-			if i == but {
-				continue
-			}
-			if state, err := q.state(i); err == nil && state.Holds && state.Region == fmt.Sprint("region-", region+1) {
-				found = i
-				return true
-			}
-		}
-		return false
-	})
-	return found
+	holder, err := q.AwaitHolder(q.ctx, region, but)
+	testkit.Must(q.t, err)
+	return holder
 }
 
 // Seven control machines in three regions: the nodes deliver while the machine that holds their region is killed, and while
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -34,6 +34,7 @@
 		"basic":       {"a node on SQLite and three partners, one with an outage and one that tells waits", basic},
 		"gossip":      {"ten nodes share what they see of partners, one lies and one is silent; ten more share nothing", gossiping},
 		"overload":    {"three times what the node can deliver: what it takes it delivers, the rest hears when to return", overload},
+		"quorum":      {"seven control machines in three regions agree: one is killed, a region is cut off", quorum},
 		"rules":       {"rules give keys and classes; they change while messages wait, and while the node is killed", ruled},
 		"store-crash": {"the node is killed at failure points and started again, its database locked meanwhile", storeCrash},
 		"takeover":    {"three nodes share a database: one is killed, one paused past its lease, one cut off", takeover},
--- a/internal/rig/control.go
+++ b/internal/rig/control.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -14,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"wingmount/internal/control"
 )
 
 // machine is a control machine.
@@ -22,8 +25,8 @@
 	listen, file, state string
 }
 
-// control is what a rig with [Config.Assignment] has of it.
-type control struct {
+// controlMachines is what a rig with [Config.Assignment] has of them.
+type controlMachines struct {
 	machines []*machine
 	worlds   []string          // files, one for each region, or one for all where there is a quorum
 	paths    [][]*Proxy        // of each node, to the machines of its region
@@ -57,7 +60,7 @@
 
 // newControl writes the files of the control machines.
 func (r *Rig) newControl() error {
-	c := &control{owners: map[int]int{}, between: map[[2]int]*Proxy{}, paths: make([][]*Proxy, len(r.nodes))}
+	c := &controlMachines{owners: map[int]int{}, between: map[[2]int]*Proxy{}, paths: make([][]*Proxy, len(r.nodes))}
 	r.control = c
 	for region := range r.cfg.Assignment.Regions {
 		count := 1
@@ -256,7 +259,7 @@
 }
 
 // close ends the paths.
-func (c *control) close() error {
+func (c *controlMachines) close() error {
 	var errs []error
 	for _, paths := range c.paths {
 		for _, p := range paths {
@@ -314,6 +317,46 @@
 // ControlFile is the configuration of a control machine.
 func (r *Rig) ControlFile(machine int) string { return r.control.machines[machine].file }
 
+// QuorumState is what a control machine knows of the quorum.
+func (r *Rig) QuorumState(ctx context.Context, machine int) (control.QuorumState, error) {
+	var state control.QuorumState
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.ControlAddress(machine)+"/v1/quorum/state", nil)
+	if err != nil {
+		return state, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return state, fmt.Errorf("asking a control machine: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return state, fmt.Errorf("asking a control machine: it answered %d", response.StatusCode)
+	}
+	return state, json.NewDecoder(response.Body).Decode(&state)
+}
+
+// AwaitHolder waits until a control machine, other than one, holds a region, and returns it.
+func (r *Rig) AwaitHolder(ctx context.Context, region, but int) (int, error) {
+	for {
+		for i, m := range r.control.machines {
+			if i == but || m.region != region {
+				continue
+			}
+			if state, err := r.QuorumState(ctx, i); err == nil && state.Holds {
+				return i, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return 0, fmt.Errorf("no control machine holds region %d: %w", region+1, ctx.Err())
+		case <-time.After(holderPause):
+		}
+	}
+}
+
+// holderPause is between two looks for a region's holder.
+const holderPause = 20 * time.Millisecond
+
 // Control is one process of a control machine.
 type Control struct {
 	cmd   *exec.Cmd
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -109,7 +109,7 @@
 	ports        loopback.Ports
 	client       *http.Client
 	systems      []*partner.System // of the destinations, each once
-	control      *control          // nil without Config.Assignment
+	control      *controlMachines  // nil without Config.Assignment
 
 	mu       sync.Mutex
 	messages map[string]*Message
