--- a/cmd/wingmount/scale.go
+++ b/cmd/wingmount/scale.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	report, err := scale.Run(ctx, scenario, scale.Options{Command: []string{program, "scale", "role"}, Only: a.Run.Only, Path: a.Run.File})
+	report, err := scale.Run(ctx, scenario, scale.Options{Command: []string{program, "scale", "role"}, Node: []string{program}, Only: a.Run.Only, Path: a.Run.File})
 	// What was measured before an error is shown all the same.
 	err = errors.Join(err, report.Write(out))
 	if a.Run.JSON == "" {
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -22,7 +22,7 @@
 	Apply(index uint64, data []byte)
 	// Applied is called once several entries were applied, before the next ones come.
 	Applied()
-	// Snapshot returns what writes the present state. It is called by another goroutine, while entries are applied.
+	// Snapshot returns what writes the present state: a function that another goroutine calls while entries are applied.
 	Snapshot() func() ([]byte, error)
 	// Restore replaces the state by that of a snapshot.
 	Restore(data []byte) error
--- a/internal/demo/assignment.go
+++ b/internal/demo/assignment.go
@@ -26,7 +26,7 @@
 	assignedSenders = assignedRegions*assignedOwners + 1
 )
 
-// assignedStage is what the scenario works with.
+// assignedStage is what a scenario with control machines works with.
 type assignedStage struct {
 	*stage
 	*rig.Rig
@@ -34,24 +34,48 @@
 	controls []*rig.Control
 }
 
-// assignment: six nodes in two regions are assigned their destinations by one control process in each region. The
-// regions are cut from each other while a node drains on one side and one is killed on the other; a control process
-// is killed; an endpoint moves; a node is paused past its lease. The nodes have no destinations in their files.
-func assignment(ctx context.Context, s *stage) (err error) {
-	r, err := rig.New(rig.Config{Dir: s.dir, Command: s.command, Store: "sqlite", Deadline: 20 * time.Second, Slack: 1500 * time.Millisecond,
-		Destinations: assignedDestinations, Takes: 20 * time.Millisecond, Nodes: assignedNodes, Rate: assignedRate, MaxMB: 16,
-		Assignment: &rig.Assignment{Regions: assignedRegions, Owners: assignedOwners, Lease: assignedLease, RestartGrace: time.Second, Distributed: true}})
+// newAssignedStage builds an installation with control machines; nothing runs yet.
+func newAssignedStage(s *stage, config rig.Config) (*assignedStage, error) {
+	config.Dir, config.Command, config.Store, config.MaxMB = s.dir, s.command, "sqlite", 16
+	config.Deadline, config.Slack, config.Takes = 20*time.Second, 1500*time.Millisecond, 20*time.Millisecond
+	r, err := rig.New(config)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	a := &assignedStage{stage: s, Rig: r, nodes: make([]*rig.Process, assignedNodes), controls: make([]*rig.Control, assignedRegions)}
-	defer func() { err = errors.Join(err, a.close()) }()
-	if err := a.start(ctx); err != nil {
-		return err
+	return &assignedStage{stage: s, Rig: r, nodes: make([]*rig.Process, config.Nodes)}, nil
+}
+
+// startControls starts so many control machines.
+func (a *assignedStage) startControls(ctx context.Context, count int) error {
+	for i := range count {
+		c, err := a.StartControl(ctx, i, true)
+		if err != nil {
+			return fmt.Errorf("control machine %d: %w", i+1, err)
+		}
+		a.controls = append(a.controls, c)
 	}
+	return nil
+}
+
+// startNodes starts all nodes. Partners count calls over a limit, of which each of so many senders may round its part
+// up.
+func (a *assignedStage) startNodes(ctx context.Context, limit float64, senders int) (err error) {
+	for i := range a.nodes {
+		if a.nodes[i], err = a.StartNode(ctx, i, ""); err != nil {
+			return err
+		}
+	}
+	for _, d := range a.Destinations {
+		d.System.SetLimit(limit, senders)
+	}
+	return nil
+}
+
+// play hands in messages over a time while acts go on, and waits for the last answers.
+func (a *assignedStage) play(ctx context.Context, messages int, span time.Duration, acts ...func(context.Context) error) error {
 	sent := make(chan error, 1)
-	go func() { sent <- send(ctx, r, "m", assignedMessages, assignedSpan) }()
-	for _, act := range []func(context.Context) error{a.cutRegions, a.restartControl, a.bringBack, a.moveEndpoint, a.pauseOwner} {
+	go func() { sent <- send(ctx, a.Rig, "m", messages, span) }()
+	for _, act := range acts {
 		if err := act(ctx); err != nil {
 			return err
 		}
@@ -59,12 +83,28 @@
 	if err := <-sent; err != nil {
 		return err
 	}
-	s.say("all are handed in; waiting for the last answers")
-	r.Settle(ctx)
-	s.tally = r.Tally()
+	a.say("all are handed in; waiting for the last answers")
+	a.Settle(ctx)
+	a.tally = a.Tally()
 	return a.count()
 }
 
+// assignment: six nodes in two regions are assigned their destinations by one control process in each region. The
+// regions are cut from each other while a node drains on one side and one is killed on the other; a control process
+// is killed; an endpoint moves; a node is paused past its lease. The nodes have no destinations in their files.
+func assignment(ctx context.Context, s *stage) (err error) {
+	a, err := newAssignedStage(s, rig.Config{Destinations: assignedDestinations, Nodes: assignedNodes, Rate: assignedRate,
+		Assignment: &rig.Assignment{Regions: assignedRegions, Owners: assignedOwners, Lease: assignedLease, RestartGrace: time.Second, Distributed: true}})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, a.close()) }()
+	if err := a.start(ctx); err != nil {
+		return err
+	}
+	return a.play(ctx, assignedMessages, assignedSpan, a.cutRegions, a.restartControl, a.bringBack, a.moveEndpoint, a.pauseOwner)
+}
+
 // close ends all processes.
 func (a *assignedStage) close() error {
 	for _, p := range a.nodes {
@@ -81,19 +121,12 @@
 }
 
 // start starts the control processes and the nodes, and lets the owner sets settle.
-func (a *assignedStage) start(ctx context.Context) (err error) {
-	for i := range a.controls {
-		if a.controls[i], err = a.StartControl(ctx, i, true); err != nil {
-			return err
-		}
-	}
-	for i := range a.nodes {
-		if a.nodes[i], err = a.StartNode(ctx, i, ""); err != nil {
-			return err
-		}
+func (a *assignedStage) start(ctx context.Context) error {
+	if err := a.startControls(ctx, assignedRegions); err != nil {
+		return err
 	}
-	for _, d := range a.Destinations {
-		d.System.SetLimit(assignedRate, assignedSenders)
+	if err := a.startNodes(ctx, assignedRate, assignedSenders); err != nil {
+		return err
 	}
 	a.say("%d nodes in %d regions are ready; each of %d destinations has %d owners in a region, and takes %d calls a second",
 		assignedNodes, assignedRegions, assignedDestinations, assignedOwners, assignedRate)
--- a/internal/demo/quorum.go
+++ b/internal/demo/quorum.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"wingmount/internal/rig"
@@ -28,89 +27,50 @@
 var quorumMachines = []int{3, 2, 2}
 
 // quorumStage is what the scenario works with.
-type quorumStage struct {
-	*stage
-	*rig.Rig
-	nodes    []*rig.Process
-	machines []*rig.Control
-}
+type quorumStage struct{ *assignedStage }
 
 // quorum: six nodes in three regions, and seven control machines that agree. The machine that holds the first region is
 // killed; the region is cut off for longer than a lease, while a partner's endpoint moves on the other side.
 func quorum(ctx context.Context, s *stage) (err error) {
-	r, err := rig.New(rig.Config{Dir: s.dir, Command: s.command, Store: "sqlite", Deadline: 20 * time.Second, Slack: 1500 * time.Millisecond,
-		Destinations: quorumDestinations, Takes: 20 * time.Millisecond, Nodes: quorumNodes, Rate: quorumRate, MaxMB: 16,
+	a, err := newAssignedStage(s, rig.Config{Destinations: quorumDestinations, Nodes: quorumNodes, Rate: quorumRate,
 		Assignment: &rig.Assignment{Regions: quorumRegions, Owners: 1, Lease: quorumLease, RestartGrace: time.Second, Machines: quorumMachines, Distributed: true}})
 	if err != nil {
 		return err
 	}
-	q := &quorumStage{stage: s, Rig: r, nodes: make([]*rig.Process, quorumNodes)}
+	q := quorumStage{a}
 	defer func() { err = errors.Join(err, q.close()) }()
 	if err := q.start(ctx); err != nil {
 		return err
 	}
-	sent := make(chan error, 1)
-	go func() { sent <- send(ctx, r, "m", quorumMessages, quorumSpan) }()
-	for _, act := range []func(context.Context) error{q.killHolder, q.cutRegion} {
-		if err := act(ctx); err != nil {
-			return err
-		}
-	}
-	if err := <-sent; err != nil {
-		return err
-	}
-	s.say("all are handed in; waiting for the last answers")
-	r.Settle(ctx)
-	s.tally = r.Tally()
-	return q.count()
-}
-
-// close ends all processes.
-func (q *quorumStage) close() error {
-	for _, p := range q.nodes {
-		if p != nil {
-			p.Kill()
-		}
-	}
-	for _, m := range q.machines {
-		m.Kill()
-	}
-	return q.Rig.Close()
+	return q.play(ctx, quorumMessages, quorumSpan, q.killHolder, q.cutRegion)
 }
 
 // start starts the control machines and the nodes, and has the world agreed on.
-func (q *quorumStage) start(ctx context.Context) (err error) {
-	for region, count := range quorumMachines {
-		for range count {
-			m, err := q.StartControl(ctx, len(q.machines), true)
-			if err != nil {
-				return fmt.Errorf("a control machine of region %d: %w", region+1, err)
-			}
-			q.machines = append(q.machines, m)
-		}
+func (q quorumStage) start(ctx context.Context) error {
+	machines := 0
+	for _, count := range quorumMachines {
+		machines += count
 	}
-	if err := q.ReloadWorld(ctx); err != nil {
+	if err := q.startControls(ctx, machines); err != nil {
 		return err
 	}
-	for i := range q.nodes {
-		if q.nodes[i], err = q.StartNode(ctx, i, ""); err != nil {
-			return err
-		}
+	if err := q.ReloadWorld(ctx); err != nil {
+		return err
 	}
-	for _, d := range q.Destinations {
-		d.System.SetLimit(quorumRate, quorumSenders)
+	if err := q.startNodes(ctx, quorumRate, quorumSenders); err != nil {
+		return err
 	}
-	q.say("%d control machines in %d regions agree, and %d nodes are ready; %d messages come over %v", len(q.machines), quorumRegions, quorumNodes, quorumMessages, quorumSpan)
+	q.say("%d control machines in %d regions agree, and %d nodes are ready; %d messages come over %v", machines, quorumRegions, quorumNodes, quorumMessages, quorumSpan)
 	return pause(ctx, quorumSettles)
 }
 
 // killHolder kills the machine that holds the first region, and waits until another one does.
-func (q *quorumStage) killHolder(ctx context.Context) error {
+func (q quorumStage) killHolder(ctx context.Context) error {
 	holder, err := q.AwaitHolder(ctx, 0, -1)
 	if err != nil {
 		return err
 	}
-	q.machines[holder].Kill()
+	q.controls[holder].Kill()
 	killed := time.Now()
 	q.say("region 1: machine %d, which held it, is killed: its nodes go on by their leases", holder+1)
 	heir, err := q.AwaitHolder(ctx, 0, holder)
@@ -119,14 +79,14 @@
 	}
 	q.figures["held_again_after_ms"] = time.Since(killed).Milliseconds()
 	q.say("region 1: machine %d holds it, %v later", heir+1, time.Since(killed).Round(100*time.Millisecond))
-	if q.machines[holder], err = q.StartControl(ctx, holder, false); err != nil {
+	if q.controls[holder], err = q.StartControl(ctx, holder, false); err != nil {
 		return err
 	}
 	return q.awaitJoined(ctx, holder)
 }
 
 // awaitJoined waits until the others know of a machine's process.
-func (q *quorumStage) awaitJoined(ctx context.Context, machine int) error {
+func (q quorumStage) awaitJoined(ctx context.Context, machine int) error {
 	for {
 		state, err := q.QuorumState(ctx, machine)
 		if err == nil && state.Joined {
@@ -140,7 +100,7 @@
 }
 
 // cutRegion cuts the first region off for longer than a lease. Meanwhile an endpoint moves.
-func (q *quorumStage) cutRegion(ctx context.Context) error {
+func (q quorumStage) cutRegion(ctx context.Context) error {
 	q.CutRegion(0, true)
 	cut := time.Now()
 	q.say("region 1 is cut off from the others: its machines hear each other, and it goes on")
@@ -176,16 +136,3 @@
 	q.say("region 1 has the others back, and knows of the move after %v", time.Since(healed).Round(10*time.Millisecond))
 	return nil
 }
-
-// count counts the calls over the limits.
-func (q *quorumStage) count() error {
-	over := 0
-	for _, d := range q.Destinations {
-		over += d.System.Over()
-	}
-	q.figures["over_limit"], q.figures["redirects"] = over, q.Redirects()
-	if over > 0 {
-		return fmt.Errorf("partners had %d calls over their limits", over)
-	}
-	return nil
-}
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -29,6 +29,7 @@
 	machines []*child // control machines that agree, where there are; control is the one that holds the region
 	listens  []string // where they listen
 	ports    loopback.Ports
+	real     realNodes
 	events   chan event
 	control  *child
 	zones    []*child
@@ -61,7 +62,7 @@
 		name string
 		run  func(context.Context) error
 	}{
-		{"start", f.start}, {"idle", f.idle}, {"changes", f.oneByOne}, {"burst", f.burst},
+		{"start", f.start}, {"real nodes", f.measureReal}, {"idle", f.idle}, {"changes", f.oneByOne}, {"burst", f.burst},
 		{"restarts", f.restarts}, {"restart of the control process", f.restartControl}, {"loss of a zone", f.loseZone},
 	} {
 		if err := phase.run(ctx); err != nil {
@@ -73,7 +74,7 @@
 
 // end ends all processes.
 func (f *fleetRun) end() (err error) {
-	defer func() { err = errors.Join(err, f.ports.Close()) }()
+	defer func() { err = errors.Join(err, f.real.end(), f.ports.Close()) }()
 	for _, c := range slices.Concat(f.zones, f.machines, []*child{f.control}) {
 		if c != nil {
 			err = errors.Join(err, c.kill())
--- a/internal/lab/scale/fleet_report.go
+++ b/internal/lab/scale/fleet_report.go
@@ -23,6 +23,7 @@
 	StartSeconds float64 `json:"start_seconds"` // until all destinations are owned
 	PeakMemory   int64   `json:"peak_memory"`   // bytes, of all processes together
 
+	Real           *Real           `json:"real,omitempty"`
 	Idle           *Cost           `json:"idle,omitempty"`
 	Changes        *Latencies      `json:"changes,omitempty"`
 	ChangesCost    *Cost           `json:"changes_cost,omitempty"`
@@ -117,6 +118,10 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	if real := r.Real; real != nil {
+		fmt.Fprintf(out, "%d real nodes, %d destinations each: have their parts %.1f s after their start; %.1f MB, %.3f%% of a core and %.0f B/s each\n",
+			real.Nodes, real.Destinations, real.ReadySeconds, real.Memory/(1<<20), 100*real.Cores, real.Bytes)
+	}
 	if r.Burst != nil {
 		fmt.Fprintf(out, "burst: the control process took it in within %.0f ms\n", r.BurstTakenInMS)
 	}
--- /dev/null
+++ b/internal/lab/scale/real.go
@@ -0,0 +1,208 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"wingmount/internal/control"
+)
+
+const (
+	// realRegion is the region of real nodes, which own destinations of their own: what hollow nodes own is told by
+	// these, and real ones tell nothing.
+	realRegion = "region-real"
+	// realBase is the number of their first destination.
+	realBase = 1 << 24
+	// realIdle is the time in which their use is counted.
+	realIdle = 5 * time.Second
+	// realPause is between two looks whether they have their parts.
+	realPause = 100 * time.Millisecond
+)
+
+// Real is what real nodes used beside the hollow ones.
+type Real struct {
+	Nodes        int     `json:"nodes"`
+	Destinations int     `json:"destinations"`     // that each has a part in, on average
+	ReadySeconds float64 `json:"ready_seconds"`    // from the start of the processes until all have applied their parts
+	Memory       float64 `json:"memory"`           // bytes, resident, on average
+	Cores        float64 `json:"cores"`            // at rest, on average
+	Bytes        float64 `json:"bytes_per_second"` // that each read and wrote, on sockets and files
+}
+
+func realName(i int) string { return fmt.Sprintf("real-%04d", i) }
+
+// realPart is how many destinations each real node has a part in.
+func realPart(fleet Fleet) int { return max(1, fleet.Destinations*fleet.Owners/fleet.Nodes) }
+
+// addReal adds the real nodes and their destinations to a world.
+func addReal(world *control.World, fleet Fleet) {
+	if fleet.Real == 0 {
+		return
+	}
+	for i := range fleet.Real {
+		world.Nodes = append(world.Nodes, control.Node{Name: realName(i), Region: realRegion, Zone: zoneName(i), Weight: 1,
+			Address: fmt.Sprintf("127.0.0.1:%d", 1+i)})
+	}
+	owners := min(fleet.Owners, fleet.Real)
+	for i := range realPart(fleet) * fleet.Real / owners {
+		d := newDestination(realBase+i, meanRate, fleet)
+		d.Owners, d.Region = owners, realRegion
+		world.Destinations = append(world.Destinations, d)
+	}
+}
+
+// realNodes are real nodes that run.
+type realNodes []*exec.Cmd
+
+// errNoNode says that a scenario has real nodes, and nothing says how to run one.
+var errNoNode = errors.New("nothing says how to run a real node")
+
+// measureReal runs real nodes until they have their parts, and counts what they use at rest.
+func (f *fleetRun) measureReal(ctx context.Context) error {
+	if f.fleet.Real == 0 {
+		return nil
+	}
+	if len(f.env.options.Node) == 0 {
+		return errNoNode
+	}
+	began := time.Now()
+	for i := range f.fleet.Real {
+		process, err := f.startReal(ctx, i)
+		if err != nil {
+			return err
+		}
+		f.real = append(f.real, process)
+	}
+	if err := f.awaitReal(ctx); err != nil {
+		return err
+	}
+	result := &Real{Nodes: f.fleet.Real, Destinations: realPart(f.fleet), ReadySeconds: time.Since(began).Seconds()}
+	if err := f.pause(ctx, startRest); err != nil { // a node gives back what its start took
+		return err
+	}
+	before, err := f.real.usage()
+	if err != nil {
+		return err
+	}
+	if err := f.pause(ctx, realIdle); err != nil {
+		return err
+	}
+	after, err := f.real.usage()
+	if err != nil {
+		return err
+	}
+	used, count := after.since(before), float64(f.fleet.Real)
+	result.Memory = float64(after.Resident) / count
+	result.Cores = used.CPU.Seconds() / realIdle.Seconds() / count
+	result.Bytes = float64(used.IO) / realIdle.Seconds() / count
+	f.result.Real = result
+	return f.real.end()
+}
+
+// startReal writes the file of a real node and starts it.
+func (f *fleetRun) startReal(ctx context.Context, i int) (*exec.Cmd, error) {
+	listen, err := f.ports.Next()
+	if err != nil {
+		return nil, err
+	}
+	var buildings []string
+	for b := range f.fleet.Endpoints {
+		buildings = append(buildings, fmt.Sprintf("%q", zoneName(b)))
+	}
+	path := filepath.Join(f.dir, realName(i)+".toml")
+	text := fmt.Sprintf("name = %q\nlisten = %q\n[store]\nkind = \"sqlite\"\npath = %q\ndurability = \"process\"\n"+
+		"[assignment]\ncontrol = [%q]\nstate = %q\ndestinations = \"control\"\nbuildings = [%s]\n"+
+		"[[class]]\nname = \"keyed\"\nrepeat = \"keyed\"\nwindow = \"12s\"\nwanted = \"1s\"\ndeadline = \"20s\"\n",
+		realName(i), listen, path+".db", f.address, path+".state", strings.Join(buildings, ", "))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	command := f.env.options.Node
+	process := exec.CommandContext(ctx, command[0], append(command[1:len(command):len(command)], "run", "--config", path)...)
+	process.Env = append(os.Environ(), f.env.options.Env...)
+	if err := process.Start(); err != nil {
+		return nil, fmt.Errorf("starting a real node: %w", err)
+	}
+	return process, nil
+}
+
+// awaitReal waits until all real nodes have applied their parts.
+func (f *fleetRun) awaitReal(ctx context.Context) error {
+	for {
+		complete, err := f.realComplete(ctx)
+		if err != nil {
+			return err
+		}
+		if complete {
+			return nil
+		}
+		if err := f.pause(ctx, realPause); err != nil {
+			return fmt.Errorf("waiting for the parts of real nodes: %w", err)
+		}
+	}
+}
+
+// realComplete tells whether all real nodes have applied their parts.
+func (f *fleetRun) realComplete(ctx context.Context) (bool, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+"/v1/assignment/state", nil)
+	if err != nil {
+		return false, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	var state control.State
+	if err := json.NewDecoder(response.Body).Decode(&state); err != nil {
+		return false, err
+	}
+	complete := 0
+	for _, node := range state.Nodes {
+		if node.Region != realRegion {
+			continue
+		}
+		for _, session := range node.Sessions {
+			if session.Active && session.Assignments > 0 && session.Applied == session.Version {
+				complete++
+			}
+		}
+	}
+	return complete == f.fleet.Real, nil
+}
+
+// usage is what all real nodes have used.
+func (r realNodes) usage() (Usage, error) {
+	var sum Usage
+	for _, process := range r {
+		u, err := processUsage(process.Process.Pid)
+		if err != nil {
+			return sum, err
+		}
+		sum = sum.plus(u)
+	}
+	return sum, nil
+}
+
+// end kills all real nodes.
+func (r realNodes) end() error {
+	var errs []error
+	for _, process := range r {
+		if process.ProcessState != nil {
+			continue
+		}
+		if err := process.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			errs = append(errs, err)
+		}
+		_ = process.Wait() // it was killed: that is its error
+	}
+	return errors.Join(errs...)
+}
--- a/internal/lab/scale/role_control.go
+++ b/internal/lab/scale/role_control.go
@@ -74,6 +74,7 @@
 	for i, rate := range rates(fleet.Destinations, seed) {
 		world.Destinations = append(world.Destinations, newDestination(i, rate, fleet))
 	}
+	addReal(world, fleet)
 	return world
 }
 
@@ -95,11 +96,12 @@
 
 // apply makes a change: a destination beyond those that there are is added.
 func apply(world *control.World, c change, fleet Fleet) {
-	if c.Destination >= len(world.Destinations) {
-		world.Destinations = append(world.Destinations, newDestination(len(world.Destinations), meanRate, fleet))
+	at := slices.IndexFunc(world.Destinations, func(d control.Destination) bool { return d.Number == placement.DestinationID(c.Destination) })
+	if at < 0 {
+		world.Destinations = append(world.Destinations, newDestination(c.Destination, meanRate, fleet))
 		return
 	}
-	changed := &world.Destinations[c.Destination]
+	changed := &world.Destinations[at]
 	changed.Owners = cmp.Or(c.Owners, changed.Owners)
 	changed.Limit = cmp.Or(c.Limit, changed.Limit)
 }
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -23,8 +23,10 @@
 	// Command runs this program with the arguments of a role; see RunRole.
 	Command []string
 	Env     []string
-	Only    string // measures or fleets whose name contains it; all where it is empty
-	Path    string // of the scenario, for the report
+	// Node runs this program as a real node with the arguments of one, 'run --config FILE'.
+	Node []string
+	Only string // measures or fleets whose name contains it; all where it is empty
+	Path string // of the scenario, for the report
 }
 
 // Run measures what a scenario asks for.
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -25,6 +25,8 @@
 	maxZones = 32
 	// maxEndpoints bounds the endpoints of a destination.
 	maxEndpoints = 16
+	// maxReal bounds the real nodes.
+	maxReal = 64
 	// maxMachines bounds the control machines.
 	maxMachines = 15
 )
@@ -72,6 +74,9 @@
 	Owners       int    `toml:"owners"`
 	// Endpoints is how many endpoints each destination has, which nodes are told by the control process; 0 is none.
 	Endpoints int `toml:"endpoints"`
+	// Real is how many real nodes run beside the hollow ones, by Options.Node, each with as large a part in
+	// destinations of their own. They need endpoints, and one control process by itself.
+	Real int `toml:"real"`
 	// Machines is how many control machines agree by a quorum; 0 is one control process by itself.
 	Machines int      `toml:"machines"`
 	Lease    Duration `toml:"lease"`
@@ -166,7 +171,11 @@
 }
 
 func (f *Fleet) check() error {
+	if f.Real > 0 && (f.Endpoints == 0 || f.Machines > 0) {
+		return fmt.Errorf("%w: real nodes need endpoints, and one control process by itself", ErrScenario)
+	}
 	return errors.Join(
+		within("real", f.Real, 0, maxReal),
 		within("nodes", f.Nodes, 1, MaxNodes),
 		within("zones", f.Zones, 1, maxZones),
 		within("destinations", f.Destinations, 1, MaxDestinations),
