Quorum: nodes find the heir of a control machine before their leases end

Seen in a scale run of 1,500 hollow nodes with leases of 10 s: a holder was killed, another one held the region 3.1 s later, and 521 leases ended (999 with a length of 6 s). Ruled out: the heir's own time, since a control process by itself that is started again loses none. Cause: a machine that does not hold the region names the holder, which is the dead one until the claim; agents went back to it each time, and paused up to 2 s after each answer (client.refused, Agent.Run). A named holder that could not be reached is not asked again, and agents pause only once all machines were asked.

A length that leaves no time for that is refused by the configuration (control.LongestLength). A world is put in force beside the renewal of the region, and not before it. In scale runs the machine that is measured is the one that holds the region of the nodes.

--- a/internal/config/quorum.go
+++ b/internal/config/quorum.go
@@ -65,9 +65,10 @@
 	if q.Region == "" {
 		bad("quorum.region", "is missing")
 	}
-	if q.Length < Duration(minQuorumLength) || q.Length >= c.Lease {
-		bad("quorum.length", "%v is not between %v and the lease of %v: a node must not stop while another machine takes over",
-			time.Duration(q.Length), minQuorumLength, time.Duration(c.Lease))
+	longest := control.LongestLength(time.Duration(c.Lease), c.MaxDrift, time.Duration(c.Slack))
+	if q.Length < Duration(minQuorumLength) || q.Length > Duration(longest) {
+		bad("quorum.length", "%v is not between %v and %v: another machine has to take over before leases of %v end",
+			time.Duration(q.Length), minQuorumLength, longest, time.Duration(c.Lease))
 	}
 	if q.Tick < Duration(minQuorumTick) || q.Tick > Duration(maxQuorumTick) {
 		bad("quorum.tick", "%v is not between %v and %v", time.Duration(q.Tick), minQuorumTick, maxQuorumTick)
--- a/internal/config/quorum_test.go
+++ b/internal/config/quorum_test.go
@@ -54,7 +54,7 @@
 		"id = 2\nregion = \"south\"\naddress": {"id = 1\nregion = \"south\"\naddress", "quorum.member 2 (id 1).id: is 0, or there twice"},
 		"\"h1:1\"":                            {"\"h1\"", "quorum.member 1 (id 1).address: \"h1\" is no HOST:PORT"},
 		"\"127.0.0.1:9\"":                     {"\"nowhere\"", "quorum.member 1 (id 1).via: \"nowhere\" is no HOST:PORT"},
-		"[quorum]":                            {"[quorum]\nlength = \"3m\"", "quorum.length: 3m0s is not between 1s and the lease of 3m0s"},
+		"[quorum]":                            {"[quorum]\nlength = \"3m\"", "quorum.length: 3m0s is not between 1s and 2m53.0025s: another machine has to take over before leases of 3m0s end"},
 		"[quorum]\n":                          {"[quorum]\ntick = \"1us\"\n", "quorum.tick: 1µs is not between"},
 		"[quorum]\nid":                        {"[quorum]\nelection_ticks = 3\nid", "quorum.election_ticks: 3 is not between"},
 		"[[quorum.member]]\nid = 1":           {"[[quorum.member]]\nname = \"x\"\nid = 1", "unknown key quorum.member.name"},
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -194,7 +194,9 @@
 		}
 		failures++
 		a.config.Log.Warn("control: no renewal", "node", a.config.Node, "err", err)
-		pause(ctx, backoff(failures))
+		if rounds := failures / len(a.config.Addresses); failures%len(a.config.Addresses) == 0 {
+			pause(ctx, backoff(rounds)) // all of them were asked
+		}
 	}
 	timer.Stop()
 	a.leave()
@@ -204,9 +206,9 @@
 	return nil
 }
 
-// backoff is the pause after failures in a row: longer each time, and never the same for nodes that fail together.
-func backoff(failures int) time.Duration {
-	most := min(mostBackoff, leastBackoff<<min(failures, 8))
+// backoff is the pause after so many rounds of failures in a row: longer each time, and never the same for nodes that fail together.
+func backoff(rounds int) time.Duration {
+	most := min(mostBackoff, leastBackoff<<min(rounds, 8))
 	return leastBackoff/2 + rand.N(most)
 }
 
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -56,9 +56,11 @@
 type client struct {
 	addresses []string
 	at        atomic.Uint32
-	http      *http.Client
-	own       *http.Transport // nil for one that is shared
-	lookups   chan struct{}
+	// unreachable is the place of the address that was not reached last, from 1; 0 since an answer came from it, or for none.
+	unreachable atomic.Uint32
+	http        *http.Client
+	own         *http.Transport // nil for one that is shared
+	lookups     chan struct{}
 }
 
 func newClient(addresses []string, transport http.RoundTripper) *client {
@@ -89,16 +91,15 @@
 // turn goes on to the next address.
 func (c *client) turn() { c.at.Add(1) }
 
-// turnTo goes on to an address, if it is one of those that may be asked.
+// turnTo goes on to an address, if it is one of those that may be asked and was reached last.
 func (c *client) turnTo(address string) {
-	if at := slices.Index(c.addresses, address); at >= 0 {
-		c.at.Store(uint32(at))
+	at := slices.Index(c.addresses, address)
+	if at < 0 || c.unreachable.Load() == uint32(at+1) {
+		return
 	}
+	c.at.Store(uint32(at))
 }
 
-// address is the one that is asked.
-func (c *client) address() string { return c.addresses[int(c.at.Load())%len(c.addresses)] }
-
 // renew sends a request and reads the reply.
 func (c *client) renew(ctx context.Context, request renewal, wait time.Duration) (renewed, error) {
 	query := url.Values{"wait": {strconv.FormatInt(wait.Milliseconds(), 10)}}
@@ -144,7 +145,8 @@
 
 // do sends a request and reads the answer, of a bounded length, into a value; nil reads none.
 func (c *client) do(ctx context.Context, method, path string, query url.Values, body []byte, most int64, into any) error {
-	target := url.URL{Scheme: "http", Host: c.address(), Path: path, RawQuery: query.Encode()}
+	at := uint32(int(c.at.Load()) % len(c.addresses))
+	target := url.URL{Scheme: "http", Host: c.addresses[at], Path: path, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -152,11 +154,13 @@
 	response, err := c.http.Do(request)
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
-			c.turn()
+			c.unreachable.Store(at + 1)
+			c.at.Store(at + 1)
 		}
 		return err
 	}
 	defer response.Body.Close()
+	c.unreachable.CompareAndSwap(at+1, 0)
 	if response.StatusCode != http.StatusOK && !(into == nil && response.StatusCode == http.StatusNoContent) {
 		return c.refused(response)
 	}
--- a/internal/control/member.go
+++ b/internal/control/member.go
@@ -56,6 +56,13 @@
 	mostActEvery  = time.Second
 )
 
+// LongestLength is the longest time that a holder may have so that another machine takes over before the leases of nodes
+// end: they renew some time before it, and come again some time after.
+func LongestLength(lease time.Duration, maxDrift float64, slack time.Duration) time.Duration {
+	renewed := min(DefaultPollWait, lease/leaseParts)
+	return time.Duration(float64(lease-renewed-mostBackoff-slack) * (1 - maxDrift))
+}
+
 func (c MemberConfig) withDefaults() MemberConfig {
 	c.ServerConfig = c.ServerConfig.withDefaults()
 	if c.Authority.Length <= 0 {
@@ -102,12 +109,11 @@
 
 // granting is the part of a member that holds its region.
 type granting struct {
-	server       *Server
-	incarnation  lease.Incarnation
-	worldVersion uint64
-	drainVersion uint64
-	cancel       context.CancelFunc
-	looped       chan struct{}
+	server      *Server
+	incarnation lease.Incarnation
+	views       chan *agreedView // the latest one that its updates have not seen
+	cancel      context.CancelFunc
+	running     sync.WaitGroup
 }
 
 // The errors of a member.
@@ -276,6 +282,9 @@
 func (m *Member) follow(ctx context.Context) {
 	if view := m.agreed.take(); view != nil {
 		m.view = view
+		if m.granting != nil {
+			m.granting.show(view)
+		}
 		m.transport.SetMembers(m.others(view.Addresses))
 		m.mu.Lock()
 		now := m.reading()
@@ -299,9 +308,6 @@
 	if m.granting == nil && holds {
 		m.startGranting(ctx, held)
 	}
-	if m.granting != nil {
-		m.update()
-	}
 }
 
 // others are the addresses of the other members.
@@ -324,14 +330,12 @@
 	server := newGranting(config, state, held.LongestLease, held.Incarnation == 1, memberKeeper{m})
 	server.holds = func() bool { return m.holds(held.Incarnation) }
 	ctx, cancel := context.WithCancel(ctx)
-	m.granting = &granting{server: server, incarnation: held.Incarnation, worldVersion: m.view.WorldVersion, drainVersion: m.view.DrainVersion,
-		cancel: cancel, looped: make(chan struct{})}
-	looped := m.granting.looped
-	go func() {
-		defer close(looped)
-		server.loop(ctx)
-	}()
-	m.serving.Store(m.granting)
+	g := &granting{server: server, incarnation: held.Incarnation, views: make(chan *agreedView, 1), cancel: cancel}
+	first := m.view
+	g.running.Go(func() { server.loop(ctx) })
+	g.running.Go(func() { g.update(ctx, first, m.config) })
+	m.granting = g
+	m.serving.Store(g)
 	m.config.Log.Info("control: holds the region", "region", m.config.Region, "incarnation", held.Incarnation)
 }
 
@@ -339,22 +343,36 @@
 func (m *Member) stopGranting() {
 	m.serving.Store(nil)
 	m.granting.cancel()
-	<-m.granting.looped
+	m.granting.running.Wait()
 	m.granting = nil
 }
 
-// update puts a changed world and changed drains in force.
-func (m *Member) update() {
-	g := m.granting
-	if g.worldVersion != m.view.WorldVersion {
-		g.worldVersion = m.view.WorldVersion
-		if err := g.server.SetWorld(m.view.World.ofRegion(m.config.Region)); err != nil {
-			m.config.Log.Error("control: the world before goes on", "version", g.worldVersion, "err", err)
-		}
+// show hands the latest view to the updates. It does not wait: a large world takes a while to be put in force, in which
+// the region has to be renewed.
+func (g *granting) show(view *agreedView) {
+	select {
+	case <-g.views: // an older one that was not seen
+	default:
 	}
-	if g.drainVersion != m.view.DrainVersion {
-		g.drainVersion = m.view.DrainVersion
-		g.server.setDraining(m.view.Draining)
+	g.views <- view
+}
+
+// update puts changed worlds and drains in force until the context ends.
+func (g *granting) update(ctx context.Context, seen *agreedView, config MemberConfig) {
+	for {
+		var view *agreedView
+		select {
+		case <-ctx.Done():
+			return
+		case view = <-g.views:
+		}
+		if view.WorldVersion != seen.WorldVersion {
+			g.server.putWorld(view.World.ofRegion(config.Region)) // it was checked when it was proposed
+		}
+		if view.DrainVersion != seen.DrainVersion {
+			g.server.setDraining(view.Draining)
+		}
+		seen = view
 	}
 }
 
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -108,11 +108,20 @@
 	if err := world.Check(); err != nil {
 		return err
 	}
-	s.worldChanges.Lock()
-	defer s.worldChanges.Unlock()
-	if s.world.distributing && !world.Distributes() {
+	s.mu.Lock()
+	distributing := s.world.distributing
+	s.mu.Unlock()
+	if distributing && !world.Distributes() {
 		return ErrRecordsWithdrawn
 	}
+	s.putWorld(world)
+	return nil
+}
+
+// putWorld puts a world in force that has no error.
+func (s *Server) putWorld(world *World) {
+	s.worldChanges.Lock()
+	defer s.worldChanges.Unlock()
 	next := newWorldIndex(world)
 	changed := next.changedRecords(s.world)
 	s.mu.Lock()
@@ -123,7 +132,6 @@
 	}
 	s.spread()
 	s.markDirty(s.now(), 0)
-	return nil
 }
 
 // Reload reads the world file again; where it has an error the world before goes on.
--- a/internal/control/world_delta.go
+++ b/internal/control/world_delta.go
@@ -41,9 +41,21 @@
 	return set
 }
 
+// fewChanged is how many elements are looked for one by one: more are found by an index of all.
+const fewChanged = 16
+
 // replace puts changed elements in the place of those with the same key, and new ones at the end.
 func replace[K comparable, V any](all, changed []V, key func(*V) K) []V {
-	if len(changed) == 0 {
+	if len(changed) <= fewChanged {
+		for i := range changed {
+			k := key(&changed[i])
+			place := slices.IndexFunc(all, func(v V) bool { return key(&v) == k })
+			if place < 0 {
+				all = append(all, changed[i])
+				continue
+			}
+			all[place] = changed[i]
+		}
 		return all
 	}
 	places := make(map[K]int, len(all))
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -163,11 +163,6 @@
 // awaitHolder waits until a control machine holds the region.
 func (f *fleetRun) awaitHolder(ctx context.Context) error {
 	f.control = nil
-	f.onEvent = func(e event) {
-		if e.Kind == eventHolds && !e.from.ended {
-			f.control = e.from
-		}
-	}
 	return f.until(ctx, func() bool { return f.control != nil })
 }
 
@@ -277,6 +272,10 @@
 			return nil
 		}
 		return fmt.Errorf("%w: %s: %s", errChildEnded, e.from.name, e.Error)
+	case eventHolds:
+		if !e.from.ended {
+			f.control = e.from
+		}
 	case eventUpdate, eventLapsed:
 		if !e.from.ended {
 			f.tracker.apply(e)
--- a/internal/lab/scale/role_machine.go
+++ b/internal/lab/scale/role_machine.go
@@ -14,7 +14,7 @@
 const quorumRegion = "region-0"
 
 // lengthParts is how large a part of a node's lease a control machine may grant for without the quorum, in tenths.
-const lengthParts = 6
+const lengthParts = 3
 
 // holdsEvery is how often a control machine looks whether it holds the region.
 const holdsEvery = 20 * time.Millisecond
@@ -68,7 +68,7 @@
 		case err := <-done:
 			return err
 		case <-ticker.C:
-			if holds := member.State().Holds; holds != held {
+			if holds := settings.Region == quorumRegion && member.State().Holds; holds != held {
 				held = holds
 				if holds {
 					events.write(event{Kind: eventHolds})
