--- a/internal/lab/scale/store.go
+++ b/internal/lab/scale/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io/fs"
 	"log/slog"
@@ -23,28 +24,32 @@
 	journalBytes = 2 << 30
 )
 
+// opener opens a store in a folder, and returns what it found there.
+type opener func(dir string) (store.Store, store.Recovered, error)
+
 func measureSQLite(ctx context.Context, _ Slope, size int, _ uint64, _ environment) ([]value, error) {
-	return measureStore(ctx, size, func(dir string, log *slog.Logger) (store.Store, error) {
-		s, _, err := sqlite.Open(sqlite.Config{Path: filepath.Join(dir, "store.db"), Durability: sqlite.Process, NoCheck: true}, log)
-		return s, err
+	return measureStore(ctx, size, func(dir string) (store.Store, store.Recovered, error) {
+		return sqlite.Open(sqlite.Config{Path: filepath.Join(dir, "store.db"), Durability: sqlite.Process, NoCheck: true}, quiet())
 	})
 }
 
 func measureJournal(ctx context.Context, _ Slope, size int, _ uint64, _ environment) ([]value, error) {
-	return measureStore(ctx, size, func(dir string, log *slog.Logger) (store.Store, error) {
-		s, _, err := journal.Open(journal.Config{Dir: dir, MaxBytes: journalBytes}, log)
-		return s, err
+	return measureStore(ctx, size, func(dir string) (store.Store, store.Recovered, error) {
+		return journal.Open(journal.Config{Dir: dir, MaxBytes: journalBytes}, quiet())
 	})
 }
 
-// measureStore: bytes on disk and processor time by messages that were put on record and are not over.
-func measureStore(ctx context.Context, size int, open func(string, *slog.Logger) (store.Store, error)) (_ []value, err error) {
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// measureStore: bytes on disk and processor time by messages that were put on record and are not over, and what a
+// restart takes that finds them.
+func measureStore(ctx context.Context, size int, open opener) (_ []value, err error) {
 	dir, err := os.MkdirTemp("", "wingmount-scale-")
 	if err != nil {
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	s, err := open(dir, slog.New(slog.DiscardHandler))
+	s, _, err := open(dir)
 	if err != nil {
 		return nil, err
 	}
@@ -58,11 +63,37 @@
 		return nil, err
 	}
 	bytes, err := folderSize(dir)
-	return []value{
+	if err != nil {
+		return nil, err
+	}
+	recovery, err := measureRecovery(dir, size, open)
+	return append([]value{
 		{"disk", "B", float64(bytes)},
 		{"memory of the store", "B", float64(memory)},
 		{"processor time", "µs", float64(used.Microseconds())},
-	}, err
+	}, recovery...), err
+}
+
+// errRecovered says that a store did not find what was put on record.
+var errRecovered = errors.New("the store found another number of messages")
+
+// measureRecovery: what the opening of a store takes that has so many messages which are not over.
+func measureRecovery(dir string, size int, open opener) ([]value, error) {
+	before, began, processor := heapInUse(), time.Now(), cpuTime()
+	s, recovered, err := open(dir)
+	if err != nil {
+		return nil, err
+	}
+	took, used := time.Since(began), cpuTime()-processor
+	memory := heapInUse() - before
+	if found := len(recovered.Owed); found != size {
+		err = fmt.Errorf("%w: %d of %d", errRecovered, found, size)
+	}
+	return []value{
+		{"recovery: time", "ms", milliseconds(took)},
+		{"recovery: processor time", "µs", float64(used.Microseconds())},
+		{"recovery: memory", "B", float64(memory)},
+	}, errors.Join(err, s.Close())
 }
 
 // putAll puts messages on record from many goroutines, which all end before it returns.
