--- a/internal/lab/scale/control.go
+++ b/internal/lab/scale/control.go
@@ -13,22 +13,45 @@
 )
 
 func measureControlNodes(ctx context.Context, slope Slope, size int, _ uint64, env environment) ([]value, error) {
-	return measureControl(ctx, size, max(1, slope.Destinations), env)
+	return measureControl(ctx, Fleet{Nodes: size, Destinations: max(1, slope.Destinations)}, env)
 }
 
 func measureControlDestinations(ctx context.Context, slope Slope, size int, _ uint64, env environment) ([]value, error) {
-	return measureControl(ctx, max(1, slope.Nodes), size, env)
+	return measureControl(ctx, Fleet{Nodes: max(1, slope.Nodes), Destinations: size}, env)
+}
+
+func measureQuorumNodes(ctx context.Context, slope Slope, size int, _ uint64, env environment) ([]value, error) {
+	return measureQuorum(ctx, size, max(1, slope.Destinations), env)
+}
+
+func measureQuorumDestinations(ctx context.Context, slope Slope, size int, _ uint64, env environment) ([]value, error) {
+	return measureQuorum(ctx, max(1, slope.Nodes), size, env)
+}
+
+// The fleet in which control machines that agree are measured, beyond that of one control process.
+const (
+	quorumMachines  = 7
+	quorumEndpoints = 2
+	quorumChanges   = 6
+	quorumEvery     = time.Second
+)
+
+// measureQuorum: control machines that agree, and nodes that are told records, at rest and with changes.
+func measureQuorum(ctx context.Context, nodes, destinations int, env environment) ([]value, error) {
+	return measureControl(ctx, Fleet{Nodes: nodes, Destinations: destinations, Endpoints: quorumEndpoints, Machines: quorumMachines,
+		Changes: quorumChanges, Every: Duration{quorumEvery}}, env)
 }
 
 // measureControl runs a fleet that is left alone, in which every node has a decision module.
-func measureControl(ctx context.Context, nodes, destinations int, env environment) ([]value, error) {
-	result, err := runFleet(ctx, Fleet{Name: "slope", Nodes: nodes, Zones: controlZones, Destinations: destinations, Owners: placementOwners,
-		Lease: Duration{controlLease}, Senders: true, Idle: Duration{controlIdle}}, env)
+func measureControl(ctx context.Context, fleet Fleet, env environment) ([]value, error) {
+	fleet.Name, fleet.Zones, fleet.Owners = "slope", controlZones, placementOwners
+	fleet.Lease, fleet.Senders, fleet.Idle = Duration{controlLease}, true, Duration{controlIdle}
+	result, err := runFleet(ctx, fleet, env)
 	if err != nil {
 		return nil, err
 	}
 	c := result.Idle
-	return []value{
+	values := []value{
 		{"control: processor", "cores", c.ControlCores},
 		{"control: bytes", "B/s", c.ControlBytes},
 		{"control: memory", "B", float64(c.ControlMemory)},
@@ -36,5 +59,16 @@
 		{"node: bytes", "B/s", c.NodeBytes},
 		{"node: memory", "B", c.NodeMemory},
 		{"all owned after", "s", result.StartSeconds},
-	}, nil
+	}
+	if changed := result.ChangesCost; changed != nil {
+		perChange := changed.Seconds / float64(fleet.Changes)
+		values = append(values,
+			value{"other machine: processor", "cores", c.OtherCores},
+			value{"other machine: bytes", "B/s", c.OtherBytes},
+			value{"other machine: memory", "B", float64(c.OtherMemory)},
+			value{"control: processor of a change", "s", (changed.ControlCores - c.ControlCores) * perChange},
+			value{"other machine: processor of a change", "s", (changed.OtherCores - c.OtherCores) * perChange},
+			value{"change in force, the worst", "s", result.Changes.Worst})
+	}
+	return values, nil
 }
--- a/internal/lab/scale/growth_test.go
+++ b/internal/lab/scale/growth_test.go
@@ -235,7 +235,7 @@
 // JSON are made of.
 func TestEveryMeasurement(t *testing.T) {
 	for _, name := range Measurements() {
-		if measurements[name].axis == "" || name == "control-nodes" || name == "control-destinations" {
+		if measurements[name].axis == "" || measurements[name].processes {
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/scale/measurements.go
+++ b/internal/lab/scale/measurements.go
@@ -15,8 +15,10 @@
 	"lease-part":             {axis: "destinations of the node", maxSize: MaxDestinations, take: measureLeasePart},
 	"lease-nodes":            {axis: "nodes", maxSize: MaxNodes, fixed: fixedDestinations, take: measureLeaseNodes},
 	"lease-destinations":     {axis: "destinations", maxSize: MaxDestinations, fixed: fixedNodes, take: measureLeaseDestinations},
-	"control-nodes":          {axis: "nodes", maxSize: MaxNodes, fixed: fixedDestinations, take: measureControlNodes},
-	"control-destinations":   {axis: "destinations", maxSize: MaxDestinations, fixed: fixedNodes, take: measureControlDestinations},
+	"control-nodes":          {axis: "nodes", maxSize: MaxNodes, fixed: fixedDestinations, processes: true, take: measureControlNodes},
+	"control-destinations":   {axis: "destinations", maxSize: MaxDestinations, fixed: fixedNodes, processes: true, take: measureControlDestinations},
+	"quorum-nodes":           {axis: "nodes", maxSize: MaxNodes, fixed: fixedDestinations, processes: true, take: measureQuorumNodes},
+	"quorum-destinations":    {axis: "destinations", maxSize: MaxDestinations, fixed: fixedNodes, processes: true, take: measureQuorumDestinations},
 	"store-sqlite":           {axis: "messages", maxSize: maxMessages, take: measureSQLite},
 	"store-journal":          {axis: "messages", maxSize: maxMessages, take: measureJournal},
 }
--- a/internal/lab/scale/slopes.go
+++ b/internal/lab/scale/slopes.go
@@ -20,10 +20,11 @@
 
 // measurement takes the values at one size.
 type measurement struct {
-	axis    string // what the size counts
-	maxSize int
-	fixed   func(Slope) string // what stays the same, for the report; nil for nothing
-	take    func(ctx context.Context, slope Slope, size int, seed uint64, env environment) ([]value, error)
+	processes bool   // it runs other processes, by Options.Command
+	axis      string // what the size counts
+	maxSize   int
+	fixed     func(Slope) string // what stays the same, for the report; nil for nothing
+	take      func(ctx context.Context, slope Slope, size int, seed uint64, env environment) ([]value, error)
 }
 
 // Measurements are the names that a slope may have.
