--- a/review/cmd/refused/main.go
+++ b/review/cmd/refused/main.go
@@ -220,18 +220,12 @@
 	}
 	defer func() { _ = answers.Close() }()
 	go func() { _ = http.Serve(answers, http.HandlerFunc(c.serveAnswers)) }()
-	if c.node, err = stand.FreeAddress(); err != nil {
-		return 0, err
-	}
-	text := fmt.Sprintf("name = \"gateway-1\"\nlisten = %q\n[store]\nkind = \"sqlite\"\npath = %q\ndurability = \"power\"\nmax_mb = 64\n"+
-		"[answers]\nurl = \"http://%s/answers\"\n[limits]\nheld = 400\nslots = 16\n"+
-		"[[class]]\nname = \"meter-message\"\nrepeat = \"keyed\"\nwindow = %q\ngroup = \"destination\"\nwanted = \"3s\"\ndeadline = %q\nworth = 1.0\nlate_worth = 0.5\n",
-		c.node, filepath.Join(tmp, "wingmount.db"), answers.Addr(), window, deadline)
+	var places string
 	var partners []*partner
 	for n := 1; n <= destinations; n++ {
 		p := &partner{number: n, record: record, keys: map[string]time.Time{}, effects: map[string][]time.Time{}}
 		partners = append(partners, p)
-		text += fmt.Sprintf("[[destination]]\nnumber = %d\nname = \"partner %d\"\nrate = 20.0\n", n, n)
+		places += fmt.Sprintf("[[destination]]\nnumber = %d\nname = \"partner %d\"\nrate = 20.0\n", n, n)
 		for e := 1; e <= 2; e++ {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -243,11 +237,18 @@
 			if n%2 == 0 {
 				building = "annex"
 			}
-			text += fmt.Sprintf("  [[destination.endpoint]]\n  name = \"partner-%d-%d\"\n  address = %q\n  building = %q\n", n, e, l.Addr(), building)
+			places += fmt.Sprintf("  [[destination.endpoint]]\n  name = \"partner-%d-%d\"\n  address = %q\n  building = %q\n", n, e, l.Addr(), building)
 		}
 	}
+	if c.node, err = stand.FreeAddress(); err != nil {
+		return 0, err
+	}
+	text := fmt.Sprintf("name = \"gateway-1\"\nlisten = %q\n[store]\nkind = \"sqlite\"\npath = %q\ndurability = \"power\"\nmax_mb = 64\n"+
+		"[answers]\nurl = \"http://%s/answers\"\n[limits]\nheld = 400\nslots = 16\n"+
+		"[[class]]\nname = \"meter-message\"\nrepeat = \"keyed\"\nwindow = %q\ngroup = \"destination\"\nwanted = \"3s\"\ndeadline = %q\nworth = 1.0\nlate_worth = 0.5\n",
+		c.node, filepath.Join(tmp, "wingmount.db"), answers.Addr(), window, deadline)
 	config := filepath.Join(tmp, "gateway.toml")
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(config, []byte(text+places), 0o600); err != nil {
 		return 0, err
 	}
 	node, err := stand.Start(root, command+" run --config "+config, filepath.Join(tmp, "node.log"))
