--- a/review/cmd/latekey/main.go
+++ b/review/cmd/latekey/main.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -19,7 +20,7 @@
 )
 
 const (
-	destinations = 12
+	destinations = 16
 	warmUps      = 6
 	callTime     = 200 * time.Millisecond
 	window       = 3000 * time.Millisecond
@@ -29,6 +30,11 @@
 	// late is until when the full queue of a listener is emptied: the connection that was held up comes up with the
 	// next try of its handshake, 1 s after the first.
 	late = 600 * time.Millisecond
+	// delayStep is by how much longer than at the one before it an endpoint waits before it resets the connection: on
+	// any machine some resets come between the node's connect and its write.
+	delayStep = 10 * time.Microsecond
+	// stagger is between the troubles of two endpoints.
+	stagger = 350 * time.Millisecond
 )
 
 const settings = `{"Classes":[{"AimUs":2000000,"DeadlineUs":8000000,"Group":"all","Idempotency":"deduplicated","LateWorth":0.3,"Name":"payment-order","Streamed":false,"WindowUs":3000000,"Worth":1.0}],
@@ -39,26 +45,17 @@
 "PolicyLimits":{"Cancel":true,"ConnectTimeoutUs":1500000,"IdleCloseUs":10000000,"MaxAttempts":8,"MaxOpen":200,"MaxRetryAfterUs":3000000,"MayTell":false,"ParallelTries":false,"Probes":false,"RetryAfter":true,"StreamsPerConn":1},
 "Stage":0,"Tenants":[],"TickUs":5000,"WeightSource":"rough","Zone":0}`
 
-// Phases of an endpoint.
-const (
-	warming   = iota
-	losing    // the next call runs, and its answer is lost
-	resetting // the next connection is reset, and those after it come up late
-	lateOnes
-	healthy
-)
-
 // endpoint is the one endpoint of a destination. It accepts by hand: its listener has the smallest queue.
 type endpoint struct {
-	number  int
-	record  *stand.Record
-	fd      int
-	address string
-	trouble bool
+	number   int
+	record   *stand.Record
+	fd       int
+	sockaddr syscall.Sockaddr
+	address  string
+	gaveUp   chan struct{} // closed when the node has given up the call whose answer was lost
 
 	mu      sync.Mutex
-	phase   int
-	fillers []int
+	lose    bool // the next call runs, and its answer is lost
 	keys    map[string]time.Time
 	effects map[string][]time.Time
 }
@@ -79,60 +76,71 @@
 		return nil, err
 	}
 	return &endpoint{
-		number: number, record: record, fd: fd, address: fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port),
+		number: number, record: record, fd: fd, sockaddr: sa, gaveUp: make(chan struct{}), address: fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port),
 		keys: map[string]time.Time{}, effects: map[string][]time.Time{},
 	}, nil
 }
 
-// fill puts connections of its own into the queue until it is full: further handshakes get no answer meanwhile.
-func (e *endpoint) fill() {
-	sa, _ := syscall.Getsockname(e.fd)
+// fill puts a connection of its own into the queue, which is full then: further handshakes get no answer meanwhile.
+func (e *endpoint) fill() int {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
-	if err != nil {
-		return
+	if err == nil {
+		_ = syscall.Connect(fd, e.sockaddr)
 	}
-	_ = syscall.Connect(fd, sa)
-	e.fillers = append(e.fillers, fd)
+	return fd
 }
 
 // run accepts connections, until the process ends.
 func (e *endpoint) run() {
+	runtime.LockOSThread()
 	for {
 		fd, _, err := syscall.Accept4(e.fd, syscall.SOCK_CLOEXEC)
 		if err != nil {
 			continue
 		}
-		e.mu.Lock()
-		if e.phase == resetting {
-			// An abortive close: the peer gets a reset.
-			_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1, Linger: 0})
-			_ = syscall.Close(fd)
-			e.fill()
-			e.phase = lateOnes
-			e.record.Printf("endpoint %d: connection reset at its begin; connections come up late from now on", e.number)
-			e.mu.Unlock()
-			time.Sleep(late)
-			e.mu.Lock()
-			for _, f := range e.fillers {
-				_ = syscall.Close(f)
-			}
-			e.fillers = nil
-			e.phase = healthy
-			e.mu.Unlock()
-			continue
-		}
-		e.mu.Unlock()
 		file := os.NewFile(uintptr(fd), "conn")
 		conn, err := net.FileConn(file)
 		_ = file.Close()
 		if err != nil {
 			continue
 		}
-		go e.serve(conn)
+		e.mu.Lock()
+		lose := e.lose
+		e.lose = false
+		e.mu.Unlock()
+		go e.serve(conn, lose)
+		if lose {
+			<-e.gaveUp // then the next attempt comes, after a backoff of 100 ms and more
+			time.Sleep(60 * time.Millisecond)
+			e.resetNext()
+		}
+	}
+}
+
+// resetNext resets the next connection as soon as it is up, and lets those after it come up late.
+func (e *endpoint) resetNext() {
+	_ = syscall.SetNonblock(e.fd, true)
+	defer func() { _ = syscall.SetNonblock(e.fd, false) }()
+	for end := time.Now().Add(time.Second); time.Now().Before(end); {
+		fd, _, err := syscall.Accept4(e.fd, syscall.SOCK_CLOEXEC)
+		if err != nil {
+			continue
+		}
+		for up := time.Now(); time.Since(up) < time.Duration(e.number-1)*delayStep; { // a sleep would be too coarse
+		}
+		// An abortive close: the peer gets a reset.
+		_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1, Linger: 0})
+		_ = syscall.Close(fd)
+		filler := e.fill()
+		e.record.Printf("endpoint %d: connection reset at its begin; the next one comes up late", e.number)
+		time.Sleep(late)
+		_ = syscall.Close(filler)
+		return
 	}
+	e.record.Printf("endpoint %d: no connection came to be reset", e.number)
 }
 
-func (e *endpoint) serve(conn net.Conn) {
+func (e *endpoint) serve(conn net.Conn, lose bool) {
 	defer func() { _ = conn.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
@@ -151,10 +159,6 @@
 		e.effects[key] = append(e.effects[key], now)
 	}
 	n := len(e.effects[key])
-	lose := e.phase == losing
-	if lose {
-		e.phase = resetting
-	}
 	e.mu.Unlock()
 	if repeat {
 		e.record.Printf("endpoint %d: call id=%s key=%s is a repeat of %.3f s ago, dropped", e.number, id, key, now.Sub(began).Seconds())
@@ -164,6 +168,7 @@
 	if lose {
 		e.record.Printf("endpoint %d: call id=%s: the connection falls silent, the answer is lost", e.number, id)
 		_, _ = io.Copy(io.Discard, conn) // until the node gives up
+		close(e.gaveUp)
 		return
 	}
 	time.Sleep(callTime)
@@ -251,9 +256,10 @@
 				send(fmt.Sprintf("w%02d-%d", e.number, i), e.number)
 				time.Sleep(callTime + 150*time.Millisecond)
 			}
+			time.Sleep(time.Duration(e.number) * stagger)
 			if trouble {
 				e.mu.Lock()
-				e.phase = losing
+				e.lose = true
 				e.mu.Unlock()
 			}
 			send(fmt.Sprintf("x%02d", e.number), e.number)
