store/sqlite: checksums of rows replace those of pages, which other programs leave stale

Cause: EnableChecksums in configure. The library computes a page's checksum when this process writes it to the main file; pages in the WAL have none, and another program that checkpoints them leaves the checksums of the earlier content.

Change: each row has a checksum of its other columns, written by the statement that writes the row, so that it does not depend on who moves the page; schema 5. Every open of a file goes through openConnection, which does not verify page checksums; pages and indexes are checked by integrity_check, rows by their checksums. Old rows are not rewritten, since that could exceed max_mb.

Failed before, pass now: TestOpenAfterCheckpointByOtherProgram and TestOpenOldFileWithStalePageChecksums (both "PRAGMA application_id: sqlite3: disk I/O error"). TestFlippedBitIsFoundOrHarmless: 211 of 400 flipped bits found, the others changed no row. go test ./internal/store/... passed.

--- a/internal/store/sqlite/inspect.go
+++ b/internal/store/sqlite/inspect.go
@@ -29,7 +29,7 @@
 // Inspect opens the file of a store, for reading and writing although it does not change it. It returns an error if the file
 // is not a store, or if its schema is not the one of this program.
 func Inspect(path string) (*Inspector, error) {
-	c, err := sqlite3.OpenFlags("file:"+path, sqlite3.OPEN_READWRITE|sqlite3.OPEN_URI)
+	c, err := openConnection("file:"+path, sqlite3.OPEN_READWRITE|sqlite3.OPEN_URI)
 	if err != nil {
 		return nil, fmt.Errorf("opening %s: %w", path, err)
 	}
@@ -59,7 +59,7 @@
 // Close closes the file.
 func (i *Inspector) Close() error { return i.conn.Close() }
 
-// Check implements [store.Inspector]. It reads all pages and indexes, and compares the file with its witness.
+// Check implements [store.Inspector]. It reads all pages, indexes and rows, and compares the file with its witness.
 func (i *Inspector) Check(context.Context) error {
 	st, _, err := i.conn.Prepare("PRAGMA integrity_check(10)")
 	if err != nil {
@@ -74,6 +74,9 @@
 	if err := st.Err(); err != nil {
 		return singleLineError{fmt.Errorf("%s is damaged: %w", i.path, err)}
 	}
+	if err := errors.Join(checkRows(i.conn, i.path), checkSequence(i.conn, i.path)); err != nil {
+		return singleLineError{err}
+	}
 	// The witness is read first: a node that is running writes each commit to the file before it writes it to the witness.
 	want, _ := readWitness(i.path + "-witness")
 	commits, err := queryInt(i.conn, "SELECT commits FROM meta")
@@ -231,7 +234,7 @@
 		return 0, 0, err
 	}
 	defer func() { err = errors.Join(err, lock.Close()) }()
-	c, err := sqlite3.OpenFlags("file:"+cfg.Path, sqlite3.OPEN_READWRITE|sqlite3.OPEN_URI)
+	c, err := openConnection("file:"+cfg.Path, sqlite3.OPEN_READWRITE|sqlite3.OPEN_URI)
 	if err != nil {
 		return 0, 0, fmt.Errorf("opening %s: %w", cfg.Path, err)
 	}
@@ -239,7 +242,7 @@
 	if from, err = version(c, cfg.Path); err != nil {
 		return 0, 0, singleLineError{err}
 	}
-	if err := checkPages(c, cfg.Path); err != nil {
+	if err := checkContent(c, cfg.Path, from); err != nil {
 		return from, from, singleLineError{err}
 	}
 	return from, len(migrations), migrate(c, from)
--- a/internal/store/sqlite/recover.go
+++ b/internal/store/sqlite/recover.go
@@ -28,7 +28,7 @@
 		return stored, err
 	}
 	defer tx.End(&err)
-	st, _, err := s.conn.Prepare("INSERT INTO name VALUES (?1, ?2, ?3)")
+	st, _, err := s.conn.Prepare("INSERT INTO name VALUES (?1, ?2, ?3, row_checksum(?1, ?2, ?3))")
 	if err != nil {
 		return stored, err
 	}
--- a/internal/store/sqlite/schema.go
+++ b/internal/store/sqlite/schema.go
@@ -102,6 +102,19 @@
 		name TEXT NOT NULL,
 		PRIMARY KEY (kind, n)
 	) STRICT, WITHOUT ROWID;`,
+
+	// Checksums of the rows: see checksum.go. Rows without one are not rewritten, so that a full file can be migrated.
+	`ALTER TABLE meta ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
+	ALTER TABLE message ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
+	ALTER TABLE past ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
+	ALTER TABLE answer ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
+	ALTER TABLE endpoint ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
+	ALTER TABLE call ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
+	ALTER TABLE segment ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
+	ALTER TABLE bucket ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
+	ALTER TABLE name ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
+	UPDATE meta SET checksum = row_checksum(one, commits, latest, seed);
+	UPDATE name SET checksum = row_checksum(kind, n, name);`,
 }
 
 var (
@@ -183,9 +196,9 @@
 	return c.Exec(fmt.Sprintf("PRAGMA application_id = %d; PRAGMA user_version = %d", applicationID, i+1))
 }
 
-// checkPages reads all pages and returns an error if one is damaged.
+// checkPages reads all pages and indexes and returns an error if one is damaged.
 func checkPages(c *sqlite3.Conn, path string) error {
-	st, _, err := c.Prepare("PRAGMA quick_check(3)")
+	st, _, err := c.Prepare("PRAGMA integrity_check(3)")
 	if err != nil {
 		return fmt.Errorf("%s is damaged; it was not changed: %w", path, err)
 	}
--- a/internal/store/sqlite/statements.go
+++ b/internal/store/sqlite/statements.go
@@ -20,25 +20,27 @@
 		to   **sqlite3.Stmt
 		text string
 	}{
-		{&st.accept, `INSERT INTO message VALUES (?1, ?2, ?3, ?4, ?5, ?6, ?7, ?8) ON CONFLICT (id) DO NOTHING`},
+		{&st.accept, `INSERT INTO message VALUES (?1, ?2, ?3, ?4, ?5, ?6, ?7, ?8, row_checksum(?1, ?2, ?3, ?4, ?5, ?6, ?7, ?8)) ON CONFLICT (id) DO NOTHING`},
 		{&st.findResponse, `SELECT id, kind, retry FROM answer WHERE seq = ?1`},
 		{&st.findUnfinished, `SELECT 1 FROM message WHERE id = ?1`},
 		{&st.bucketEntries, `SELECT entries FROM bucket WHERE segment = ?1 AND n = ?2`},
-		{&st.history, `INSERT INTO past SELECT ?1, ?2, ?3, ?4, ?5 WHERE EXISTS (SELECT 1 FROM message WHERE seq = ?1)
-			ON CONFLICT (seq) DO UPDATE SET attempts = ?2, flags = ?3, ran = ?4, zone = ?5`},
-		{&st.recordResponse, `INSERT INTO answer SELECT seq, id, ?6, ?2, ?3, dest, coalesce((SELECT attempts FROM past WHERE seq = ?1), 0), taken, ?4, ?5
-			FROM message WHERE seq = ?1 RETURNING id`},
-		{&st.segment, `INSERT INTO segment VALUES (?1, ?2, ?3)`},
-		{&st.bucket, `INSERT INTO bucket VALUES (?1, ?2, ?3)`},
-		{&st.reduceRetained, `UPDATE segment SET kept = kept - ?2 WHERE n = ?1`},
+		{&st.history, `INSERT INTO past SELECT ?1, ?2, ?3, ?4, ?5, row_checksum(?1, ?2, ?3, ?4, ?5) WHERE EXISTS (SELECT 1 FROM message WHERE seq = ?1)
+			ON CONFLICT (seq) DO UPDATE SET attempts = ?2, flags = ?3, ran = ?4, zone = ?5, checksum = excluded.checksum`},
+		{&st.recordResponse, `INSERT INTO answer SELECT seq, id, ?6, ?2, ?3, dest, n, taken, ?4, ?5, row_checksum(seq, id, ?6, ?2, ?3, dest, n, taken, ?4, ?5)
+			FROM (SELECT m.seq, id, dest, taken, coalesce(attempts, 0) AS n FROM message m LEFT JOIN past p ON p.seq = m.seq WHERE m.seq = ?1) RETURNING id`},
+		{&st.segment, `INSERT INTO segment VALUES (?1, ?2, ?3, row_checksum(?1, ?2, ?3))`},
+		{&st.bucket, `INSERT INTO bucket VALUES (?1, ?2, ?3, row_checksum(?1, ?2, ?3))`},
+		{&st.reduceRetained, `UPDATE segment SET kept = kept - ?2, checksum = row_checksum(n, kept - ?2, next) WHERE n = ?1`},
 		{&st.deleteSegment, `DELETE FROM segment WHERE n = ?1`},
 		{&st.deleteBuckets, `DELETE FROM bucket WHERE segment = ?1`},
 		{&st.deleteMessage, `DELETE FROM message WHERE seq = ?1`},
 		{&st.deleteHistory, `DELETE FROM past WHERE seq = ?1`},
-		{&st.markNotified, `UPDATE answer SET told = ?2 WHERE seq = ?1 AND told IS NULL`},
-		{&st.call, `INSERT INTO call (endpoint, at) VALUES (?1, ?2)`},
-		{&st.endpoint, `INSERT INTO endpoint VALUES (?1, ?2, ?3) ON CONFLICT (name) DO UPDATE SET failed = ?2, back = ?3`},
-		{&st.meta, `UPDATE meta SET commits = ?1, latest = max(latest, ?2)`},
+		{&st.markNotified, `UPDATE answer SET told = ?2, checksum = row_checksum(seq, id, segment, kind, retry, dest, attempts, taken, ended, ?2)
+			WHERE seq = ?1 AND told IS NULL`},
+		{&st.call, `INSERT INTO call (endpoint, at, checksum) VALUES (?1, ?2, row_checksum(?1, ?2))`},
+		{&st.endpoint, `INSERT INTO endpoint VALUES (?1, ?2, ?3, row_checksum(?1, ?2, ?3)) ON CONFLICT (name)
+			DO UPDATE SET failed = ?2, back = ?3, checksum = excluded.checksum`},
+		{&st.meta, `UPDATE meta SET commits = ?1, latest = max(latest, ?2), checksum = row_checksum(one, ?1, max(latest, ?2), seed)`},
 		{&st.scanResponses, `SELECT seq, told, segment, id FROM answer WHERE seq > ?1 ORDER BY seq LIMIT ?2`},
 		{&st.deleteResponse, `DELETE FROM answer WHERE seq = ?1`},
 		{&st.deleteOldCalls, `DELETE FROM call WHERE n IN (SELECT n FROM call ORDER BY n LIMIT ?2) AND at < ?1`},
--- a/internal/store/sqlite/writer.go
+++ b/internal/store/sqlite/writer.go
@@ -112,7 +112,7 @@
 // without a change. It retries until the time that Closing has set, and then returns [store.ErrUndecided].
 func (s *backend) overwrite(cause error) error {
 	for {
-		err := s.conn.Exec("BEGIN IMMEDIATE; UPDATE meta SET latest = latest + 1; COMMIT")
+		err := s.conn.Exec("BEGIN IMMEDIATE; UPDATE meta SET latest = latest + 1, checksum = row_checksum(one, commits, latest + 1, seed); COMMIT")
 		if err == nil {
 			return cause
 		}
