store/sqlite: open a file that another program has locked

Cause: mergeNames began a write transaction at each open, also without new names, and with the time-out of a running node (beginTimeout). Evidence: the error names the step, whose only transaction this is; the reads need no lock.

Change: names are written only if some are missing, and the short time-out is set after everything was read, so that a write at the start waits up to openTimeout. TestOpenOfLockedFile failed before with the line above and passes now.

--- a/internal/store/sqlite/recover.go
+++ b/internal/store/sqlite/recover.go
@@ -11,7 +11,8 @@
 	"github.com/ncruces/go-sqlite3"
 )
 
-// mergeNames persists the configured names that are not on record yet, and returns all names on record.
+// mergeNames persists the configured names that are not on record yet, and returns all names on record. It writes nothing,
+// and so needs no lock, if there are no such names.
 func (s *backend) mergeNames() (_ store.Names, err error) {
 	var stored store.Names
 	lists := stored.Lists()
@@ -23,24 +24,37 @@
 		return stored, err
 	}
 	all := stored.Extend(s.cfg.Names)
+	added := false
+	for kind, list := range all.Lists() {
+		added = added || len(*list) > len(*lists[kind])
+	}
+	if !added {
+		return all, nil
+	}
+	return all, s.insertNames(all, stored)
+}
+
+// insertNames persists the names of all that are not in stored.
+func (s *backend) insertNames(all, stored store.Names) (err error) {
 	tx, err := s.conn.BeginImmediate()
 	if err != nil {
-		return stored, err
+		return err
 	}
 	defer tx.End(&err)
 	st, _, err := s.conn.Prepare("INSERT INTO name VALUES (?1, ?2, ?3, row_checksum(?1, ?2, ?3))")
 	if err != nil {
-		return stored, err
+		return err
 	}
 	defer func() { _ = st.Close() }()
+	lists := stored.Lists()
 	for kind, list := range all.Lists() {
 		for n := len(*lists[kind]); n < len(*list); n++ {
 			if err := exec(st, kind, n, (*list)[n]); err != nil {
-				return stored, err
+				return err
 			}
 		}
 	}
-	return all, nil
+	return nil
 }
 
 // readRecovered reads the pending messages, the health of endpoints, the ids and the names. It also returns the highest
--- a/internal/store/sqlite/sqlite.go
+++ b/internal/store/sqlite/sqlite.go
@@ -169,13 +169,14 @@
 	if err := migrate(s.conn, v); err != nil {
 		return none, 0, err
 	}
-	if err := s.conn.BusyTimeout(beginTimeout); err != nil {
+	if err := s.st.prepare(s.conn); err != nil {
 		return none, 0, err
 	}
-	if err := s.st.prepare(s.conn); err != nil {
+	recovered, last, err := s.readRecovered()
+	if err != nil {
 		return none, 0, err
 	}
-	return s.readRecovered()
+	return recovered, last, s.conn.BusyTimeout(beginTimeout)
 }
 
 // checkFile checks that the file is a store and that its content is undamaged. It sets s.commits to the file's number of
--- a/internal/store/sqlite/trouble_test.go
+++ b/internal/store/sqlite/trouble_test.go
@@ -168,6 +168,38 @@
 	}
 }
 
+// Guards against a node that can't start while another program holds the write lock: a store that has nothing to write
+// opens, and one that has new names to write waits for the lock.
+func TestOpenOfLockedFile(t *testing.T) {
+	c := config(t.TempDir())
+	c.Names = store.Names{Classes: []string{"urgent"}, Zones: []string{"north"}}
+	s, _ := mustOpen(t, c)
+	testkit.Must(t, s.Accept(ctx, storetest.NewMessage("m", 10)))
+	testkit.Must(t, s.Close())
+	unlock := lockDatabase(t, c)
+	s, r := mustOpen(t, c)
+	if len(r.Pending) != 1 {
+		t.Errorf("pending messages: got %d, want 1", len(r.Pending))
+	}
+	testkit.Must(t, s.Close())
+	c.Names.Classes = append(c.Names.Classes, "bulk")
+	opened := make(chan error)
+	go func() {
+		s, _, err := Open(c, testkit.QuietLog())
+		if err == nil {
+			err = s.Close()
+		}
+		opened <- err
+	}()
+	select {
+	case err := <-opened:
+		t.Errorf("Open of a locked file with new names: returned %v before the lock was released", err)
+	case <-time.After(10 * beginTimeout):
+	}
+	unlock()
+	testkit.Must(t, <-opened)
+}
+
 // While another writer has locked the file, new messages are rejected: the first one when the writer fails to begin a
 // transaction, later ones immediately. Rejected messages are never recovered. All other records are written once, when the
 // lock is released.
