egress: a key's window is checked on each connection of an attempt

Cause: an attempt whose connection breaks before the call is written goes on with another connection. Recorder.Begin checks the window on the first one alone; CheckPermitted, which is called on the others and right before the first byte, did not. Evidence: the record has no second attempt between the reset connection and the second effect; the test below plays one attempt with two connections, and the old code delivers it after the window.

Change: Begin notes when the first key of the call expires, and CheckPermitted returns store.ErrKeyExpired from then on. Connecting and writing end at that time. A call that CheckPermitted refuses right before its first byte was not sent: it no longer counts as an unreachable endpoint and opens no further connection.

TestCheckPermittedRefusesExpiredKey does not compile before.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -44,6 +44,8 @@
 	Limit     time.Duration // time for the call from DecidedAt; at first the shortest timeout of its parts
 	Parts     []*Part
 
+	keyExpiry time.Time // see KeyExpiry; set by Recorder.Begin
+
 	mu sync.Mutex
 }
 
@@ -78,6 +80,26 @@
 	return c.Endpoint.DrainGate.IsOpen(now) && c.Endpoint.RetryAfterGate.IsOpen(now)
 }
 
+// KeyExpiry returns the time from which no byte of the call may be sent, because the destination no longer drops a repeat of
+// one of its messages. It is zero if there is none, and before [Recorder.Begin] has persisted the attempts.
+func (c *Call) KeyExpiry() time.Time { return c.keyExpiry }
+
+// HasExpiredKey reports whether now is at or after KeyExpiry.
+func (c *Call) HasExpiredKey(now time.Time) bool {
+	return !c.keyExpiry.IsZero() && !now.Before(c.keyExpiry)
+}
+
+// setKeyExpiry sets KeyExpiry to the earliest expiry of the keys of the messages. The histories of the messages must contain
+// the call's attempts, and must not change meanwhile.
+func (c *Call) setKeyExpiry() {
+	for _, p := range c.Parts {
+		expiry, expires := p.Message.History.KeyExpiry(p.Message.KeyWindow)
+		if expires && (c.keyExpiry.IsZero() || expiry.Before(c.keyExpiry)) {
+			c.keyExpiry = expiry
+		}
+	}
+}
+
 // recordDeadline returns the time by which the attempts of the call must be persisted.
 func (c *Call) recordDeadline(now time.Time) time.Time {
 	if by := now.Add(RecordTimeout); by.Before(c.Deadline()) {
--- a/internal/egress/http1/call.go
+++ b/internal/egress/http1/call.go
@@ -22,7 +22,8 @@
 }
 
 // run makes a call and finishes each of its parts. If a connection breaks before the call is
-// completely written, run sends the same attempt again on another connection.
+// completely written, run sends the same attempt again on another connection, unless the attempt
+// may no longer be sent by then.
 func (c *Carrier) run(parent context.Context, call *egress.Call) {
 	ctx, cancel := context.WithDeadline(parent, call.DecidedAt.Add(call.Limit))
 	defer cancel()
@@ -50,7 +51,7 @@
 // prepare returns a connection and the request for a call. On the first try it also persists
 // the call's attempts. If the call can't be sent, it finishes all parts and returns ok = false.
 func (c *Carrier) prepare(ctx, parent context.Context, call *egress.Call, first bool) (conn *connection, req *http.Request, ok bool) {
-	conn, err := c.connect(ctx, call, !first)
+	conn, err := c.connectInTime(ctx, call, !first)
 	if err != nil {
 		outcome := classifyConnectError(ctx, call, err, first)
 		c.log.Debug("egress: connecting for call failed", "endpoint", call.Endpoint.Name, "outcome", outcome, "err", err)
@@ -72,11 +73,23 @@
 	return conn, req, true
 }
 
+// connectInTime returns a connection for a call, as connect does, but waits no longer than until a key of the call expires:
+// nothing may be sent afterwards.
+func (c *Carrier) connectInTime(ctx context.Context, call *egress.Call, fresh bool) (*connection, error) {
+	if expiry := call.KeyExpiry(); !expiry.IsZero() {
+		limited, cancel := context.WithDeadline(ctx, expiry)
+		defer cancel()
+		ctx = limited
+	}
+	return c.connect(ctx, call, fresh)
+}
+
 // classifyConnectError returns the outcome of a call for which no connection was made. It returns
 // NotSent if the error is not evidence of an endpoint failure: this machine was out of a resource,
-// or the first try ended because of a message's deadline, not because of the call's own timeout.
+// the first try ended because of a message's deadline, not because of the call's own timeout, or the key of a message has expired.
 func classifyConnectError(ctx context.Context, call *egress.Call, err error, first bool) policy.Outcome {
-	if errors.Is(err, errLocalResources) || first && ctx.Err() != nil && call.LimitedByDeadline() {
+	switch {
+	case errors.Is(err, errLocalResources), call.HasExpiredKey(time.Now()), first && ctx.Err() != nil && call.LimitedByDeadline():
 		return policy.NotSent
 	}
 	return policy.Unreachable
@@ -85,10 +98,12 @@
 // begin reports whether a call may be sent now. On the first try it also persists the call's
 // attempts.
 func (c *Carrier) begin(ctx context.Context, call *egress.Call, first bool) bool {
-	if !first {
-		return c.recorder.CheckPermitted(call, time.Now()) == nil
+	var err error
+	if first {
+		err = c.recorder.Begin(ctx, call)
+	} else {
+		err = c.recorder.CheckPermitted(call, time.Now())
 	}
-	err := c.recorder.Begin(ctx, call)
 	if err != nil && !errors.Is(err, egress.ErrClosed) {
 		c.log.Warn("egress: call not sent", "endpoint", call.Endpoint.Name, "err", err)
 	}
@@ -114,7 +129,7 @@
 func (c *Carrier) exchange(call *egress.Call, conn *connection, req *http.Request) exchange {
 	x := exchange{reused: conn.reused}
 	batch := len(call.Parts) > 1
-	x.err = conn.send(req, func() error { return c.recorder.CheckPermitted(call, time.Now()) })
+	x.err = conn.send(req, call.KeyExpiry(), func() error { return c.recorder.CheckPermitted(call, time.Now()) })
 	if x.err != nil {
 		return x
 	}
@@ -156,6 +171,8 @@
 func (c *Carrier) finishFailed(ctx context.Context, call *egress.Call, x exchange, wait time.Duration) {
 	outcome, stale := policy.Reset, false
 	switch {
+	case errors.Is(x.err, errNotPermitted), errors.Is(x.err, errUnsent) && call.HasExpiredKey(time.Now()):
+		outcome = policy.NotSent
 	case errors.Is(x.err, errUnsent):
 		outcome = policy.Unreachable
 	case errors.Is(x.err, errInvalidResponse):
--- a/internal/egress/http1/call_test.go
+++ b/internal/egress/http1/call_test.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 	"wingmount/internal/egress"
+	"wingmount/internal/failpoint"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/internal/testkit"
@@ -142,3 +144,67 @@
 		})
 	}
 }
+
+// isReset reports whether the peer has reset a connection.
+func isReset(conn syscall.RawConn) bool {
+	var err error
+	controlErr := conn.Control(func(fd uintptr) {
+		_, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return controlErr == nil && errors.Is(err, syscall.ECONNRESET)
+}
+
+// Guards against a keyed message that runs a second time, because the first connection of its attempt breaks before the
+// call is written, and the next one comes up after the key's window.
+func TestLaterConnectionOfAttemptIsNotUsedAfterKeyWindow(t *testing.T) {
+	var received atomic.Int64
+	connected := make(chan struct{})
+	addr := rawServer(t, func(n int64, conn net.Conn) {
+		if n == 1 {
+			<-connected // a reset before that is an error of the dial
+			_ = conn.(*net.TCPConn).SetLinger(0) // Close resets the connection
+			_ = conn.Close()
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if readRequest(bufio.NewReader(conn)) == nil {
+			received.Add(1)
+			_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	f := newCallFixture(t, addr)
+	m := newMessage("a", 5)
+	m.KeyWindow = 12 * time.Second
+	ctx, ranAt := t.Context(), time.Now().Add(time.Second-m.KeyWindow)
+	testkit.Must(t, f.store.Accept(ctx, m))
+	testkit.Must(t, f.store.RecordAttempt(ctx, store.Attempt{Endpoint: "e1", At: ranAt, Messages: []*message.Message{m}}))
+	testkit.Must(t, f.store.RecordOutcome(ctx, store.Outcome{Message: m, Outcome: policy.TimedOut, Endpoint: "e1", At: time.Now()}))
+	var first syscall.RawConn
+	dials := 0
+	f.carrier.dialer.Control = func(_, _ string, conn syscall.RawConn) error {
+		if dials++; dials > 1 {
+			time.Sleep(time.Until(ranAt.Add(m.KeyWindow))) // the handshake takes until the key has expired
+			return nil
+		}
+		first = conn
+		return nil
+	}
+	disarm, err := failpoint.Set("carrier/after-attempt", func() error {
+		close(connected)
+		testkit.Eventually(t, "first connection reset", func() bool { return isReset(first) })
+		return nil
+	})
+	testkit.Must(t, err)
+	defer disarm()
+	f.call(5*time.Second, m)
+	if e := f.next(); e.Outcome != policy.NotSent {
+		t.Errorf("got %v, want a call that was not sent", e.Outcome)
+	}
+	if n := received.Load(); n != 0 {
+		t.Errorf("calls after the window: got %d, want none", n)
+	}
+	f.carrier.running.Wait()
+	if dials != 2 {
+		t.Errorf("connections: got %d, want 2", dials)
+	}
+}
--- a/internal/egress/http1/connection.go
+++ b/internal/egress/http1/connection.go
@@ -29,6 +29,9 @@
 // errUnsent means that not all bytes of a call were written, so the call never ran.
 var errUnsent = errors.New("call was not completely written")
 
+// errNotPermitted means that no byte of a call was written, because it may no longer be sent.
+var errNotPermitted = errors.New("call may no longer be sent")
+
 // connection is a connection to an endpoint. It carries one call at a time, so that bytes read
 // from it can only be the response to that call.
 type connection struct {
@@ -61,16 +64,20 @@
 	return n, err
 }
 
-// send writes all bytes of a call. It calls checkPermitted right before the first byte, because
-// the process may have been paused since the last check. All errors wrap errUnsent.
-func (c *connection) send(req *http.Request, checkPermitted func() error) error {
+// send writes all bytes of a call until the time by, or without a limit if by is zero. It calls checkPermitted right before
+// the first byte, because the process may have been paused since the last check. Errors of checkPermitted are wrapped in
+// errNotPermitted, all others in errUnsent.
+func (c *connection) send(req *http.Request, by time.Time, checkPermitted func() error) error {
 	var b bytes.Buffer
 	if err := req.Write(&b); err != nil {
 		return fmt.Errorf("%w: %w", errUnsent, err)
 	}
-	if err := checkPermitted(); err != nil {
+	if err := c.SetWriteDeadline(by); err != nil {
 		return fmt.Errorf("%w: %w", errUnsent, err)
 	}
+	if err := checkPermitted(); err != nil {
+		return fmt.Errorf("%w: %w", errNotPermitted, err)
+	}
 	if n, err := c.Write(b.Bytes()); n < b.Len() {
 		return fmt.Errorf("%w: wrote %d of %d bytes: %w", errUnsent, n, b.Len(), err)
 	}
--- a/internal/egress/recorder.go
+++ b/internal/egress/recorder.go
@@ -67,14 +67,18 @@
 	OnOutcome func(e policy.AttemptCompleted, storeErr error)
 }
 
-// CheckPermitted returns nil if a call whose attempts are persisted may be sent now. It returns
-// [ErrClosed] if a gate forbids the call, [ErrNoQuota] if the authorizer does, and
-// [store.ErrFenced] if the node's lease on the store has expired, for example because the process
-// was paused.
+// CheckPermitted returns nil if a call whose attempts are persisted may be sent now. It is called
+// right before the first byte on each connection of the call. It returns [ErrClosed] if a gate
+// forbids the call, [ErrNoQuota] if the authorizer does, [store.ErrKeyExpired] if the idempotency
+// key of a message has expired, and [store.ErrFenced] if the node's lease on the store has expired,
+// for example because the process was paused.
 func (r *Recorder) CheckPermitted(c *Call, now time.Time) error {
 	if err := r.checkAllowed(c, now); err != nil {
 		return err
 	}
+	if c.HasExpiredKey(now) {
+		return fmt.Errorf("call to %s: %w", c.Endpoint.Name, store.ErrKeyExpired)
+	}
 	if s, ok := r.Store.(store.Shared); ok && !s.Owned() {
 		return fmt.Errorf("the store lease has expired: %w", store.ErrFenced)
 	}
@@ -115,15 +119,12 @@
 	if err := r.recordAttempts(ctx, c, now); err != nil {
 		return err
 	}
+	c.setKeyExpiry()
 	c.extend(min(RecordTimeout, time.Since(now)))
 	if err := afterAttempt.At(); err != nil {
 		return err
 	}
-	now = time.Now()
-	if err := r.CheckPermitted(c, now); err != nil {
-		return err
-	}
-	return checkKeys(c, now)
+	return r.CheckPermitted(c, time.Now())
 }
 
 // recordAttempts persists one attempt for each message of a call.
@@ -140,18 +141,6 @@
 	})
 }
 
-// checkKeys returns [store.ErrKeyExpired] if the idempotency key of a message has expired. The
-// first byte must be sent within the key's window, so the window is checked again after the store
-// has returned.
-func checkKeys(c *Call, now time.Time) error {
-	for _, p := range c.Parts {
-		if p.Message.History.KeyExpired(p.Message.KeyWindow, now) {
-			return fmt.Errorf("message %s: %w", p.Message.ID, store.ErrKeyExpired)
-		}
-	}
-	return nil
-}
-
 // writeContext returns the context of the writes of outcomes. The context of the call is not used because it may have
 // expired, and the outcome must be persisted even then.
 func (r *Recorder) writeContext() context.Context {
--- a/internal/egress/recorder_test.go
+++ b/internal/egress/recorder_test.go
@@ -200,3 +200,28 @@
 		return nil
 	}
 }
+
+// Guards against a call that is sent on a later connection after the key of a message has expired: CheckPermitted, which is
+// called for each connection, refuses it from then on.
+func TestCheckPermittedRefusesExpiredKey(t *testing.T) {
+	call, s := newCall(), &recordingStore{}
+	const window = time.Hour
+	var expiry time.Time
+	s.onRecordAttempt = func() error {
+		for i, p := range call.Parts {
+			p.Message.KeyWindow = window
+			p.Message.History.RanAt = call.DecidedAt.Add(time.Duration(-i) * time.Minute)
+		}
+		expiry = call.DecidedAt.Add(window - time.Minute)
+		return nil
+	}
+	r := &Recorder{Store: s, Log: testkit.QuietLog()}
+	testkit.Must(t, r.Begin(t.Context(), call))
+	if !call.KeyExpiry().Equal(expiry) {
+		t.Errorf("got key expiry %v, want that of the message that may have run first, %v", call.KeyExpiry(), expiry)
+	}
+	testkit.Must(t, r.CheckPermitted(call, expiry.Add(-time.Nanosecond)))
+	if err := r.CheckPermitted(call, expiry); !errors.Is(err, store.ErrKeyExpired) {
+		t.Errorf("got %v at the expiry, want ErrKeyExpired", err)
+	}
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -109,7 +109,16 @@
 // the destination drops a repeated message is over, so it may run a second time. A window of 0 never expires, because
 // the destination does not deduplicate.
 func (h *History) KeyExpired(window time.Duration, at time.Time) bool {
-	return window > 0 && h.MayHaveRun && at.Sub(h.RanAt) >= window
+	expiry, expires := h.KeyExpiry(window)
+	return expires && !at.Before(expiry)
+}
+
+// KeyExpiry returns the time from which [History.KeyExpired] is true. It returns expires = false if there is none.
+func (h *History) KeyExpiry(window time.Duration) (expiry time.Time, expires bool) {
+	if window <= 0 || !h.MayHaveRun {
+		return time.Time{}, false
+	}
+	return h.RanAt.Add(window), true
 }
 
 // ProvesNotRun reports whether an outcome proves that the attempt did not run at the destination.
