egress/http1: a copy of an earlier response proves nothing about the next call

Cause: responses of HTTP/1.1 don't name their requests. The second copy of a response, which comes when the next request on the connection is on its way, was read as the response to it: a delivery that was none. Then the late 503 of that call was read as the response to the next one, which had run.

Change: a response that equals an earlier one of its connection is ignored, and the call waits for its own; without one it may have run. A connection carries another call only after a response whose copy would be recognized: results of a batch, or a body, where the endpoint's bodies differ. A 200 counts by its status line alone only on the first response of a connection, or if it can't be a copy.

Tests: TestLateCopyOfResponseProvesNothing, TestOutcomeAfterCopyOfEarlierResponse (9 of 13 cases) and TestConnectionIsReusedOnlyAfterRecognizableResponse failed before, pass now. TestCallsReuseOpenConnectionsOnly, TestCallOnClosedCachedConnectionIsNotRepeated and TestSurplusBytesAreNotReadAsNextResponse used equal responses, with which a connection may not be used again; they check the same with responses that differ, after a call that shows it.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -10,16 +10,17 @@
 // deadlineMargin is the time by which a call ends before the earliest deadline of its messages.
 const deadlineMargin = 10 * time.Millisecond
 
-// Endpoint is one address of a destination. Only its gates change after it is created. Each
+// Endpoint is one address of a destination. Only its gates and Bodies change after it is created. Each
 // endpoint in the endpoint list has an Endpoint, even if it is not in use, so the struct is small.
 type Endpoint struct {
 	ID             policy.EndpointID
-	Name           string // its ID in the endpoint list
-	Destination    int    // number of its destination
-	Kind           uint16 // of its destination: index into policy.Settings.Kinds
-	Zone           uint16 // index into the settings' zones
-	DrainGate      Gate   // closed by a drain or by removal from the list
-	RetryAfterGate *Gate  // closed by Retry-After; shared by the endpoints of a path
+	Name           string      // its ID in the endpoint list
+	Destination    int         // number of its destination
+	Kind           uint16      // of its destination: index into policy.Settings.Kinds
+	Zone           uint16      // index into the settings' zones
+	Bodies         BodyHistory // of its responses
+	DrainGate      Gate        // closed by a drain or by removal from the list
+	RetryAfterGate *Gate       // closed by Retry-After; shared by the endpoints of a path
 }
 
 // Part is one message of a call.
--- a/internal/egress/http1/call.go
+++ b/internal/egress/http1/call.go
@@ -116,16 +116,21 @@
 func (c *Carrier) exchangeOn(ctx context.Context, call *egress.Call, conn *connection, req *http.Request) exchange {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	x := c.exchange(call, conn, req)
-	if open := stop(); open && x.err == nil && x.response.reusable {
+	if open := stop(); open && conn.mayCarryAnotherCall(call, x) {
 		c.pool.put(conn)
 	} else {
 		_ = conn.Close()
 	}
+	if conn.copies > 0 {
+		call.Endpoint.Bodies.MarkRepeated()
+		c.log.Warn("egress: ignored copies of earlier responses", "endpoint", call.Endpoint.Name, "count", conn.copies)
+	}
 	return x
 }
 
 // exchange sends a call and reads its response. A single message counts as delivered as soon as
-// a status line with 200 is read, regardless of the rest of the response.
+// a status line with 200 is read that can't belong to an earlier call on the connection, regardless
+// of the rest of the response.
 func (c *Carrier) exchange(call *egress.Call, conn *connection, req *http.Request) exchange {
 	x := exchange{reused: conn.reused}
 	batch := len(call.Parts) > 1
@@ -133,13 +138,17 @@
 	if x.err != nil {
 		return x
 	}
-	x.response, x.err = conn.receive(req, func(status int) bool {
+	deliversSingle := func(status int) bool {
 		if batch || status != http.StatusOK {
 			return false
 		}
 		c.finishPart(call, call.Parts[0], result{outcome: policy.Delivered}, 0)
 		return true
-	})
+	}
+	x.response, x.err = conn.receive(req, deliversSingle)
+	if x.err != nil && !conn.mayBeCopy(x.response, x.err) {
+		deliversSingle(x.response.status) // already finished, unless the connection carried an earlier call
+	}
 	if x.err == nil && batch && x.response.status == http.StatusOK {
 		x.results, x.err = parseBatchResults(x.response.body, call.Parts)
 	}
--- a/internal/egress/http1/call_test.go
+++ b/internal/egress/http1/call_test.go
@@ -161,7 +161,7 @@
 	connected := make(chan struct{})
 	addr := rawServer(t, func(n int64, conn net.Conn) {
 		if n == 1 {
-			<-connected // a reset before that is an error of the dial
+			<-connected                          // a reset before that is an error of the dial
 			_ = conn.(*net.TCPConn).SetLinger(0) // Close resets the connection
 			_ = conn.Close()
 			return
--- a/internal/egress/http1/connection.go
+++ b/internal/egress/http1/connection.go
@@ -32,16 +32,19 @@
 // errNotPermitted means that no byte of a call was written, because it may no longer be sent.
 var errNotPermitted = errors.New("call may no longer be sent")
 
-// connection is a connection to an endpoint. It carries one call at a time, so that bytes read
-// from it can only be the response to that call.
+// connection is a connection to an endpoint. It carries one call at a time. Bytes read from it are
+// the response to that call or copies of earlier responses, see identity.go.
 type connection struct {
 	net.Conn
 	endpoint  *egress.Endpoint
 	addr      string
 	idleSince time.Time
-	reused    bool          // whether it carried an earlier call
-	element   *list.Element // its element in pool.all while idle
-	readable  int64         // bytes that may still be read of the current response
+	reused    bool             // whether it carried an earlier call
+	earlier   []responseDigest // of the responses to earlier calls
+	copies    int              // number of copies of earlier responses that were ignored
+	element   *list.Element    // its element in pool.all while idle
+	readErr   error            // of the last read
+	readable  int64            // bytes that may still be read of the current response
 	reader    *bufio.Reader
 }
 
@@ -52,7 +55,7 @@
 }
 
 // limitedReader reads at most connection.readable bytes from a connection, and decreases readable
-// by the bytes read.
+// by the bytes read. It sets connection.readErr.
 type limitedReader struct{ c *connection }
 
 func (r limitedReader) Read(p []byte) (int, error) {
@@ -61,6 +64,7 @@
 	}
 	n, err := r.c.Read(p[:min(int64(len(p)), r.c.readable)])
 	r.c.readable -= int64(n)
+	r.c.readErr = err
 	return n, err
 }
 
@@ -84,10 +88,26 @@
 	return nil
 }
 
-// receive reads the response to a request. It calls onStatus as soon as the status line of the final
-// response is read. onStatus reports whether this status determines the outcome, regardless of
-// the rest of the response.
+// receive reads the response to a request, and ignores copies of earlier responses. On the first response of a connection it
+// calls onStatus as soon as the status line is read. onStatus reports whether this status determines the outcome, regardless
+// of the rest of the response.
 func (c *connection) receive(req *http.Request, onStatus func(status int) bool) (response, error) {
+	if len(c.earlier) > 0 {
+		onStatus = func(int) bool { return false } // not known yet to which request the response belongs
+	}
+	for {
+		r, err := c.receiveAny(req, onStatus)
+		if err != nil || !c.isCopy(r) {
+			return r, err
+		}
+		if c.copies++; c.copies > maxIgnoredCopies {
+			return response{}, fmt.Errorf("%w: %d copies of earlier responses", errInvalidResponse, c.copies)
+		}
+	}
+}
+
+// receiveAny reads the next response on the connection, whatever request it belongs to.
+func (c *connection) receiveAny(req *http.Request, onStatus func(status int) bool) (response, error) {
 	c.readable = maxResponseBytes
 	for range maxInterimResponses {
 		status, err := c.awaitStatus()
@@ -168,15 +188,16 @@
 		return r, classifyReadError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	r.header = resp.Header
+	r.header, r.digest.head = resp.Header, digestHead(resp)
 	if resp.ContentLength > maxResponseBytes {
 		return r, fmt.Errorf("%w: Content-Length is %d, want at most %d", errInvalidResponse, resp.ContentLength, maxResponseBytes)
 	}
 	if r.body, err = io.ReadAll(resp.Body); err != nil {
 		return r, classifyReadError(err)
 	}
+	r.digest.whole = digestWhole(r.digest.head, r.body)
 	surplus, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
-	r.reusable = !resp.Close && len(surplus) == 0
+	r.reusable = !resp.Close && len(surplus) == 0 && c.copies == 0
 	// Bytes after a response other than 200 may belong to a body longer than its Content-Length. Such a
 	// response does not prove that the call did not run, so it counts as invalid. A second copy of the
 	// response is harmless, and so are any bytes after a response with status 200.
--- a/internal/egress/http1/dial.go
+++ b/internal/egress/http1/dial.go
@@ -17,11 +17,11 @@
 // and that the call's context ended before a connection was made.
 var errLocalResources = errors.New("local resources for a connection are exhausted")
 
-// connect returns an idle connection to the call's endpoint. If there is none, or if fresh is set,
-// it returns a new connection. While this machine is out of a resource, connect retries until ctx
+// connect returns an idle connection to the call's endpoint. If there is none, if fresh is set, or if
+// the endpoint has repeated a response, it returns a new connection. While this machine is out of a resource, connect retries until ctx
 // ends, and then returns errLocalResources.
 func (c *Carrier) connect(ctx context.Context, call *egress.Call, fresh bool) (*connection, error) {
-	if !fresh {
+	if !fresh && !call.Endpoint.Bodies.Repeated() {
 		if conn := c.pool.get(call.Endpoint, call.Addr, time.Now().Add(-c.idleTimeout)); conn != nil {
 			return conn, nil
 		}
--- a/internal/egress/http1/fixture_test.go
+++ b/internal/egress/http1/fixture_test.go
@@ -106,6 +106,24 @@
 	return l.Addr().String()
 }
 
+// deliveredResponse returns a response with status 200 whose body is the text of a number. An endpoint whose bodies differ
+// is one whose connections carry several calls.
+func deliveredResponse(n int64) string {
+	body := fmt.Sprintf("%04d", n)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// learnBodies makes a call on a connection of its own, so that the responses of later calls are known to differ. The endpoint
+// must respond with deliveredResponse.
+func (f *callFixture) learnBodies() {
+	f.t.Helper()
+	f.start(testTimeout, 1)
+	if e := f.next(); e.Outcome != policy.Delivered {
+		f.t.Fatalf("first call: got %+v, want it delivered", e)
+	}
+	f.carrier.running.Wait()
+}
+
 // readRequest reads and discards a request with its body.
 func readRequest(r *bufio.Reader) error {
 	req, err := http.ReadRequest(r)
--- a/internal/egress/http1/response.go
+++ b/internal/egress/http1/response.go
@@ -25,7 +25,8 @@
 	status   int // 0 if the status line was not read
 	header   http.Header
 	body     []byte
-	reusable bool // whether the connection may be used for another call
+	reusable bool // whether the connection may be used for another call, as far as its state tells
+	digest   responseDigest
 }
 
 // result is the result of one message: its outcome and whether the message must not be retried.
--- a/internal/fake/partner/partner.go
+++ b/internal/fake/partner/partner.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,6 +31,7 @@
 	HangsAfterEffect      // runs the call and does not respond
 	DropsAfterEffect      // runs the call and closes the connection
 	DropsBeforeRead       // closes the connection before it reads the call
+	RepeatsResponses      // runs each first call of a connection, and answers it a second time when the next one has come, which it rejects
 )
 
 const (
@@ -51,9 +53,12 @@
 	CallDuration time.Duration
 	// RetryAfter is the time to wait in the responses of RateLimiting.
 	RetryAfter time.Duration
+	// ConstantResponses makes the responses to all calls that ran equal.
+	ConstantResponses bool
 
-	servers []endpointServer
-	running sync.WaitGroup
+	responses, copies atomic.Int64
+	servers           []endpointServer
+	running           sync.WaitGroup
 
 	mu           sync.Mutex
 	mode         Mode
@@ -64,6 +69,8 @@
 	outstanding  map[string]int          // calls by id
 	calls        map[string][]CallRecord // by id
 	rate         rateCounter
+	hijacked     map[net.Conn]bool // open connections of RepeatsResponses
+	closed       bool
 }
 
 // endpointServer is an endpoint that listens.
@@ -131,6 +138,7 @@
 	for _, server := range s.servers {
 		errs = append(errs, server.Close())
 	}
+	s.closeHijacked()
 	s.running.Wait()
 	return errors.Join(errs...)
 }
