egress/http1: unacknowledged bytes of a call that is over do not arrive later

Cause: the node's kernel sends unacknowledged bytes again until the endpoint's machine takes them, also after the connection was closed. With a full queue of connections a connection is up for the node's side alone, and its call, which was written 0.5 s before the end of the window, arrived 0.844 s after the reset.

Evidence: a trial build logged each write: all of them were within the window. Calls that wait in the accept queue came 0.601 s after the reset. The test shows the mechanism with a full buffer.

Change: when the key's window ends, and when a call is given up, a connection with unacknowledged bytes is reset.

--- a/internal/egress/http1/call.go
+++ b/internal/egress/http1/call.go
@@ -114,9 +114,11 @@
 // is reusable, and closes it otherwise. This happens before the outcome is reported, except for
 // a delivered single message: the outcome may start the next call to the endpoint, which may need the connection.
 func (c *Carrier) exchangeOn(ctx context.Context, call *egress.Call, conn *connection, req *http.Request) exchange {
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, conn.abandon)
+	stopAtExpiry := conn.abandonUnacknowledgedAt(call.KeyExpiry())
 	x := c.exchange(call, conn, req)
-	if open := stop(); open && conn.mayCarryAnotherCall(call, x) {
+	stopped, inTime := stop(), stopAtExpiry()
+	if stopped && inTime && conn.mayCarryAnotherCall(call, x) {
 		c.pool.put(conn)
 	} else {
 		_ = conn.Close()
