store/sqlite: warn of stale pages before they are in the cache

Cause: the pages of a file of an older version were verified after integrity_check had read them into the cache, so that files that fit into it gave no warning.

Change: they are verified first. TestOpenOldFileWithStalePageChecksums now reads the log: it failed before (got warning false, want true) and passes.

--- a/internal/store/sqlite/checksum_test.go
+++ b/internal/store/sqlite/checksum_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -92,12 +93,16 @@
 		clear(data[end-pageChecksumBytes : end])
 	}
 	testkit.Must(t, os.WriteFile(c.Path, data, 0o600))
-	for range 2 {
-		s, r, err := Open(c, testkit.QuietLog())
+	for _, wantWarning := range []bool{true, false} { // the first open migrates the file
+		var log strings.Builder
+		s, r, err := Open(c, slog.New(slog.NewTextHandler(&log, nil)))
 		testkit.Must(t, err)
 		if len(r.Pending) == 0 {
 			t.Error("no pending messages")
 		}
+		if got := strings.Contains(log.String(), "pages do not match their checksums"); got != wantWarning {
+			t.Errorf("got warning %t, want %t: %s", got, wantWarning, log.String())
+		}
 		storetest.CheckGoldenIDs(t, s)
 		testkit.Must(t, s.Close())
 	}
--- a/internal/store/sqlite/sqlite.go
+++ b/internal/store/sqlite/sqlite.go
@@ -203,10 +203,13 @@
 
 // checkContent checks the pages, indexes and rows of a file with a schema version.
 func (s *backend) checkContent(version int) error {
-	if err := checkContent(s.conn, s.cfg.Path, version); err != nil || version >= checksumSchema {
-		return err
+	if version < checksumSchema {
+		// Before any other check: pages in the cache are not read again.
+		if err := warnOfStalePages(s.conn, s.cfg.Path, s.log); err != nil {
+			return err
+		}
 	}
-	return warnOfStalePages(s.conn, s.cfg.Path, s.log)
+	return checkContent(s.conn, s.cfg.Path, version)
 }
 
 // checkWitness opens the witness and compares its number of commits with that of the file. The file may lack commits only
