--- a/internal/store/sqlite/checksum.go
+++ b/internal/store/sqlite/checksum.go
@@ -49,40 +49,53 @@
 	}
 	err = errors.Join(
 		c.Exec("PRAGMA checksum_verification=OFF"),
-		c.CreateFunction(checksumFunction, -1, sqlite3.DETERMINISTIC|sqlite3.DIRECTONLY, rowChecksum))
+		c.CreateFunction(checksumFunction, -1, sqlite3.DETERMINISTIC|sqlite3.DIRECTONLY, newRowChecksum()))
 	if err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
 	return c, nil
 }
 
-// rowChecksum implements the SQL function [checksumFunction]. The type and the length of each value are part of the checksum.
-func rowChecksum(ctx sqlite3.Context, values ...sqlite3.Value) {
-	d := xxhash.New()
-	for _, v := range values {
-		kind := v.Type()
-		var data []byte
-		switch kind {
-		case sqlite3.NULL:
-		case sqlite3.INTEGER:
-			data = binary.LittleEndian.AppendUint64(nil, uint64(v.Int64()))
-		case sqlite3.TEXT:
-			data = v.RawText()
-		case sqlite3.BLOB:
-			data = v.RawBlob()
-		default:
-			ctx.ResultError(fmt.Errorf("%s: unsupported type %v", checksumFunction, kind))
-			return
+// newRowChecksum returns the SQL function [checksumFunction] of one connection. The type of each value, and the length of a
+// text or blob, are part of the checksum.
+func newRowChecksum() sqlite3.ScalarFunction {
+	var row []byte // reused by all calls, which are made one at a time
+	return func(ctx sqlite3.Context, values ...sqlite3.Value) {
+		row = row[:0]
+		for _, v := range values {
+			var err error
+			if row, err = appendValue(row, v); err != nil {
+				ctx.ResultError(err)
+				return
+			}
 		}
-		header := binary.LittleEndian.AppendUint64([]byte{byte(kind)}, uint64(len(data)))
-		_, _ = d.Write(header) // never fails
-		_, _ = d.Write(data)
+		sum := int64(xxhash.Sum64(row))
+		if sum == noChecksum {
+			sum++
+		}
+		ctx.ResultInt64(sum)
 	}
-	sum := int64(d.Sum64())
-	if sum == noChecksum {
-		sum++
+}
+
+// appendValue appends the type and the content of a value.
+func appendValue(row []byte, v sqlite3.Value) ([]byte, error) {
+	kind := v.Type()
+	row = append(row, byte(kind))
+	var data []byte
+	switch kind {
+	case sqlite3.NULL:
+		return row, nil
+	case sqlite3.INTEGER:
+		return binary.LittleEndian.AppendUint64(row, uint64(v.Int64())), nil
+	case sqlite3.TEXT:
+		data = v.RawText()
+	case sqlite3.BLOB:
+		data = v.RawBlob()
+	default:
+		return row, fmt.Errorf("%s: unsupported type %v", checksumFunction, kind)
 	}
-	ctx.ResultInt64(sum)
+	row = binary.LittleEndian.AppendUint64(row, uint64(len(data)))
+	return append(row, data...), nil
 }
 
 // checkContent returns an error if the pages, indexes or rows of a file with a schema version are damaged.
