cmd/wingmount: the redirect test waits until each node owns one destination

Trace (debug log of the nodes): node 3 became ready 0.27 s after node 1, after the first placement; its destination was migrated to it while the test submitted, and the messages that were rejected came in that time, with a time to retry.

The test assumed that placement to be final.

--- a/cmd/wingmount/assignment_test.go
+++ b/cmd/wingmount/assignment_test.go
@@ -137,6 +137,28 @@
 	})
 }
 
+// awaitOneDestinationEach waits until each node owns one destination. Nodes that come after the first placement get theirs by a
+// migration, and while it lasts both owners may reject messages with a time to retry.
+func (a *assignedCluster) awaitOneDestinationEach(nodes ...int) {
+	a.t.Helper()
+	tries := 0
+	a.await(fmt.Sprintf("the nodes %v own one destination each", nodes), func() bool {
+		tries++
+		for _, node := range nodes {
+			owned := 0
+			for _, d := range a.Destinations {
+				if a.post(node, "/"+testcluster.Idempotent, fmt.Sprintf("owned-%d-%d-%d", d.Number, node, tries), d.Number).status == http.StatusAccepted {
+					owned++
+				}
+			}
+			if owned != 1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // calls returns how many calls a destination had for an id.
 func (a *assignedCluster) calls(destination int, id string) int {
 	return a.Destination(destination).System.Ledger().Calls[id]
@@ -170,6 +192,7 @@
 	a := newAssignedCluster(t, 3, 3, 0)
 	nodes := a.start(3)
 	a.awaitLeases(0, 1, 2)
+	a.awaitOneDestinationEach(0, 1, 2)
 	owner := a.awaitOwner(0, 1, 2)
 	other := (owner + 1) % 3
 	want := "http://" + a.NodeAddress(owner) + "/" + testcluster.Idempotent + "?redirects=1"
