--- a/internal/egress/http1/connection.go
+++ b/internal/egress/http1/connection.go
@@ -195,7 +195,7 @@
 	if r.body, err = io.ReadAll(resp.Body); err != nil {
 		return r, classifyReadError(err)
 	}
-	r.digest.whole = digestWhole(r.digest.head, r.body)
+	r.digest.complete = digestResponse(r.digest.head, r.body)
 	surplus, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
 	r.reusable = !resp.Close && len(surplus) == 0 && c.copies == 0
 	// Bytes after a response other than 200 may belong to a body longer than its Content-Length. Such a
--- a/internal/egress/http1/identity.go
+++ b/internal/egress/http1/identity.go
@@ -25,8 +25,8 @@
 
 // responseDigest identifies a response by its content.
 type responseDigest struct {
-	head  uint64 // of the status line and the headers; 0 until they are complete
-	whole uint64 // of the complete response; 0 until it is complete
+	head     uint64 // of the status line and the headers; 0 until they are complete
+	complete uint64 // of the complete response; 0 until it is complete
 }
 
 // digestHead returns the digest of the status line and the headers of a response.
@@ -37,8 +37,8 @@
 	return d.Sum64()
 }
 
-// digestWhole returns the digest of a response with the given digest of its head.
-func digestWhole(head uint64, body []byte) uint64 {
+// digestResponse returns the digest of a complete response with the given digest of its head.
+func digestResponse(head uint64, body []byte) uint64 {
 	d := xxhash.NewWithSeed(head)
 	_, _ = d.Write(body) // never fails
 	return d.Sum64()
@@ -46,7 +46,7 @@
 
 // isCopy reports whether a complete response equals an earlier one of the connection.
 func (c *connection) isCopy(r response) bool {
-	return slices.ContainsFunc(c.earlier, func(earlier responseDigest) bool { return earlier.whole == r.digest.whole })
+	return slices.ContainsFunc(c.earlier, func(earlier responseDigest) bool { return earlier.complete == r.digest.complete })
 }
 
 // mayBeCopy reports whether a response that ended with an error may be the begin of a copy of an earlier one. It is not if its
@@ -60,7 +60,7 @@
 		slices.ContainsFunc(c.earlier, func(earlier responseDigest) bool { return earlier.head == r.digest.head })
 }
 
-// isRecognizable reports whether a second copy of the response to a call would be told from the responses to later calls.
+// isRecognizable reports whether a second copy of the response to a call would be distinguished from the responses to later calls.
 func isRecognizable(call *egress.Call, x exchange) bool {
 	switch {
 	case x.response.status != http.StatusOK:
--- a/internal/egress/http1/identity_test.go
+++ b/internal/egress/http1/identity_test.go
@@ -11,7 +11,7 @@
 	"wingmount/policy"
 )
 
-// Guards against a message that is lost, or runs twice, because the second copy of an earlier response is taken for the response
+// Guards against a message that is lost, or runs twice, because the second copy of an earlier response is read as the response
 // to its own call: what an outcome proves agrees with what the endpoint ran.
 func TestLateCopyOfResponseProvesNothing(t *testing.T) {
 	for name, constant := range map[string]bool{"responses that differ": false, "equal responses": true} {
--- a/internal/egress/http1/response.go
+++ b/internal/egress/http1/response.go
@@ -25,7 +25,7 @@
 	status   int // 0 if the status line was not read
 	header   http.Header
 	body     []byte
-	reusable bool // whether the connection may be used for another call, as far as its state tells
+	reusable bool // whether the connection may be used for another call, regardless of its content
 	digest   responseDigest
 }
 
--- a/internal/store/sqlite/checksum.go
+++ b/internal/store/sqlite/checksum.go
@@ -123,7 +123,7 @@
 	return nil
 }
 
-// checkSequence returns an error if a sequence number on record is above the highest one that the file says was assigned: it
+// checkSequence returns an error if a sequence number on record is above the highest assigned one that the file has: it
 // would be assigned a second time.
 func checkSequence(c *sqlite3.Conn, path string) error {
 	n, err := queryInt(c, `SELECT count(*) FROM message WHERE seq > (SELECT coalesce(max(seq), 0) FROM sqlite_sequence WHERE name = 'message')`)
