egress/http1: the first body of an endpoint is evaluated by those of other endpoints

Handshakes cost endpoints work and the first request time.

Change: for the first response of an endpoint the bodies of other endpoints decide, as long as none has sent two equal responses. If that is wrong for an endpoint, one call ignores its response and ends as one that may have run; nothing is proven by it.

TestFirstBodyIsEvaluatedByThoseOfOtherEndpoints is new; the tests of internal/egress, engine, docs and wordcheck passed.

--- a/internal/egress/bodies.go
+++ b/internal/egress/bodies.go
@@ -13,20 +13,32 @@
 	repeatedBody = 1
 )
 
-// Add records the digest of the body of a response. It reports whether the body differs from that of the response before it,
-// and no two consecutive bodies were equal so far.
-func (h *BodyHistory) Add(digest uint32) (distinct bool) {
+// Variety is what the bodies of an endpoint's responses have shown so far.
+type Variety int
+
+// The varieties.
+const (
+	FirstBody      Variety = iota // there was one body
+	DistinctBody                  // no two consecutive bodies were equal
+	RepeatedBodies                // two consecutive bodies were equal
+)
+
+// Add records the digest of the body of a response, and returns what the bodies have shown with it.
+func (h *BodyHistory) Add(digest uint32) Variety {
 	digest = max(digest, repeatedBody+1)
 	for {
 		last := h.state.Load()
 		switch {
 		case last == repeatedBody:
-			return false
+			return RepeatedBodies
 		case last == digest:
 			h.MarkRepeated()
-			return false
+			return RepeatedBodies
 		case h.state.CompareAndSwap(last, digest):
-			return last != noBody
+			if last == noBody {
+				return FirstBody
+			}
+			return DistinctBody
 		}
 	}
 }
@@ -34,5 +46,5 @@
 // Repeated reports whether the endpoint has sent two equal responses.
 func (h *BodyHistory) Repeated() bool { return h.state.Load() == repeatedBody }
 
-// MarkRepeated records that the endpoint has sent two equal responses, so that Add reports false from now on.
+// MarkRepeated records that the endpoint has sent two equal responses, so that Add returns RepeatedBodies from now on.
 func (h *BodyHistory) MarkRepeated() { h.state.Store(repeatedBody) }
--- a/internal/egress/http1/call.go
+++ b/internal/egress/http1/call.go
@@ -118,13 +118,14 @@
 	stopAtExpiry := conn.abandonUnacknowledgedAt(call.KeyExpiry())
 	x := c.exchange(call, conn, req)
 	stopped, inTime := stop(), stopAtExpiry()
-	if stopped && inTime && conn.mayCarryAnotherCall(call, x) {
+	if stopped && inTime && c.mayCarryAnotherCall(conn, call, x) {
 		c.pool.put(conn)
 	} else {
 		_ = conn.Close()
 	}
 	if conn.copies > 0 {
 		call.Endpoint.Bodies.MarkRepeated()
+		c.repeatedBodies.Store(true)
 		c.log.Warn("egress: ignored copies of earlier responses", "endpoint", call.Endpoint.Name, "count", conn.copies)
 	}
 	return x
--- a/internal/egress/http1/carrier.go
+++ b/internal/egress/http1/carrier.go
@@ -50,6 +50,8 @@
 	withholdOrderingKeys bool
 	running              sync.WaitGroup
 	invalidResponses     atomic.Int64 // number since the last log message about them
+	distinctBodies       atomic.Bool  // whether an endpoint's bodies have differed
+	repeatedBodies       atomic.Bool  // whether an endpoint has sent two equal responses
 }
 
 // New returns a Carrier that uses recorder to persist and report the outcomes of its calls.
--- a/internal/egress/http1/identity.go
+++ b/internal/egress/http1/identity.go
@@ -61,22 +61,38 @@
 }
 
 // isRecognizable reports whether a second copy of the response to a call would be distinguished from the responses to later calls.
-func isRecognizable(call *egress.Call, x exchange) bool {
+func (c *Carrier) isRecognizable(call *egress.Call, x exchange) bool {
 	switch {
 	case x.response.status != http.StatusOK:
 		return false
 	case len(call.Parts) > 1:
 		return x.results != nil
 	default:
-		return len(x.response.body) > 0 && call.Endpoint.Bodies.Add(uint32(xxhash.Sum64(x.response.body)))
+		return len(x.response.body) > 0 && c.bodiesDiffer(call.Endpoint, x.response.body)
 	}
 }
 
-// mayCarryAnotherCall reports whether the connection may be used again after a call, and records the call's response if so.
-func (c *connection) mayCarryAnotherCall(call *egress.Call, x exchange) bool {
-	if x.err != nil || !x.response.reusable || len(c.earlier) >= maxResponsesPerConnection || !isRecognizable(call, x) {
+// bodiesDiffer records the body of a response and reports whether the endpoint's next body will differ from it, as far as is
+// known. For the first body of an endpoint it decides by those of other endpoints: if that is wrong, one call gets a response
+// that is ignored, and ends as one that may have run.
+func (c *Carrier) bodiesDiffer(e *egress.Endpoint, body []byte) bool {
+	switch e.Bodies.Add(uint32(xxhash.Sum64(body))) {
+	case egress.FirstBody:
+		return c.distinctBodies.Load() && !c.repeatedBodies.Load()
+	case egress.DistinctBody:
+		c.distinctBodies.Store(true)
+		return true
+	default:
+		c.repeatedBodies.Store(true)
+		return false
+	}
+}
+
+// mayCarryAnotherCall reports whether a connection may be used again after a call, and records the call's response if so.
+func (c *Carrier) mayCarryAnotherCall(conn *connection, call *egress.Call, x exchange) bool {
+	if x.err != nil || !x.response.reusable || len(conn.earlier) >= maxResponsesPerConnection || !c.isRecognizable(call, x) {
 		return false
 	}
-	c.earlier = append(c.earlier, x.response.digest)
+	conn.earlier = append(conn.earlier, x.response.digest)
 	return true
 }
--- a/internal/egress/http1/identity_test.go
+++ b/internal/egress/http1/identity_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"testing"
 	"time"
+	"wingmount/internal/egress"
 	"wingmount/internal/fake/partner"
 	"wingmount/internal/testkit"
 	"wingmount/policy"
@@ -151,3 +152,30 @@
 		})
 	}
 }
+
+// The first response of an endpoint keeps its connection if the bodies of other endpoints have differed, until two were equal.
+func TestFirstBodyIsEvaluatedByThoseOfOtherEndpoints(t *testing.T) {
+	f := newCallFixture(t, "")
+	steps := []struct {
+		endpoint int
+		body     string
+		want     bool
+	}{
+		{0, "a", false}, // nothing is known
+		{0, "b", true},
+		{1, "c", true}, // as at endpoint 0
+		{1, "d", true},
+		{2, "e", true},
+		{2, "e", false}, // equal
+		{2, "f", false},
+		{3, "g", false}, // as at endpoint 2
+		{3, "h", true},
+		{0, "i", true},
+	}
+	endpoints := make([]egress.Endpoint, 4)
+	for i, s := range steps {
+		if got := f.carrier.bodiesDiffer(&endpoints[s.endpoint], []byte(s.body)); got != s.want {
+			t.Errorf("step %d, endpoint %d, body %s: got %t, want %t", i, s.endpoint, s.body, got, s.want)
+		}
+	}
+}
