--- a/review/drive2/testdata/results.go
+++ b/review/drive2/testdata/results.go
@@ -17,7 +17,8 @@
 	line    time.Duration // how long a line takes to commit
 
 	mu       sync.Mutex
-	down     bool // answers 503 and keeps nothing
+	down     bool   // answers 503 and keeps nothing
+	away     string // if set, answers 302 with this Location and keeps nothing
 	requests int
 	outcomes map[string][]string // by id
 }
@@ -39,11 +40,29 @@
 	v.down = down
 }
 
+func (v *receiver) setAway(location string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.away = location
+}
+
 func (v *receiver) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.Method != http.MethodPost {
+		v.r.notef("receiver: %s %s is answered 200, a page that says maintenance", req.Method, req.URL.Path)
+		_, _ = io.WriteString(w, "maintenance, come again later\n")
+		return
+	}
 	v.mu.Lock()
 	v.requests++
-	down := v.down
+	down, away := v.down, v.away
 	v.mu.Unlock()
+	if away != "" {
+		body, _ := io.ReadAll(req.Body)
+		v.r.notef("receiver: POST %s is answered 302 and not kept: %.120q", req.URL.Path, body)
+		w.Header().Set("Location", away)
+		w.WriteHeader(http.StatusFound)
+		return
+	}
 	if down {
 		_, _ = io.Copy(io.Discard, req.Body)
 		w.WriteHeader(http.StatusServiceUnavailable)
