Review, case 7: a change of rules lets a second node run a reading again

Cause: the keys that wait for the end of a change of rules are known to the process that took the messages on, and not to the other nodes on the same database.

--- a/review/drive2/testdata/partner.go
+++ b/review/drive2/testdata/partner.go
@@ -21,6 +21,7 @@
 type partner struct {
 	r       *run
 	window  time.Duration
+	wide    bool // repeats are dropped by all endpoints, and not by building
 	number  atomicCounter
 	tooLong atomicCounter // calls with a body over bodyLimit
 
@@ -72,12 +73,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	group := building
+	if p.wide {
+		group = ""
+	}
 	if c.key != "" {
-		at, known := p.seen[building+" "+c.key]
+		at, known := p.seen[group+" "+c.key]
 		if known && now.Sub(at) < p.window {
 			return false
 		}
-		p.seen[building+" "+c.key] = now
+		p.seen[group+" "+c.key] = now
 	}
 	p.runs[c.id] = append(p.runs[c.id], effect{endpoint, building, now})
 	return true
--- a/review/drive2/testdata/run.go
+++ b/review/drive2/testdata/run.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,6 +13,7 @@
 	"sync"
 	"syscall"
 	"time"
+	"wingmount/internal/loopback"
 )
 
 // run is one run of a case: its folder, its record, and the processes that it started.
@@ -139,36 +139,11 @@
 	}
 }
 
-// freeAddress returns a loopback address that is free now, below the ports of outgoing connections.
-func freeAddress() (string, error) {
-	for port := 10300 + os.Getpid()%20000; port < 32700; port++ {
-		taken.Lock()
-		used := taken.ports[port]
-		taken.ports[port] = true
-		taken.Unlock()
-		if used {
-			continue
-		}
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		u, err := net.ListenPacket("udp", address)
-		if err != nil {
-			continue
-		}
-		_ = u.Close()
-		return address, nil
-	}
-	return "", fmt.Errorf("no free port")
-}
+// ports reserves addresses, also against other runs at the same time.
+var ports loopback.Ports
 
-var taken = struct {
-	sync.Mutex
-	ports map[int]bool
-}{ports: map[int]bool{}}
+// freeAddress returns a loopback address that is free until the run ends.
+func freeAddress() (string, error) { return ports.Next() }
 
 // awaitReady waits until a node answers GET /healthz with 200.
 func awaitReady(p *process, address string, limit time.Duration) error {
