--- a/review/drive2/testdata/partner.go
+++ b/review/drive2/testdata/partner.go
@@ -62,6 +62,13 @@
 // runs it; backoff is a wait that it tells with 429; took is how long the call takes.
 type behaviour func(ids []string) (refuse int, backoff, took time.Duration)
 
+// noAnswer, as the time that a call takes, leaves it without an answer until its caller gives it up. silent, as the status
+// with which a call is turned away, does so before anything runs.
+const (
+	noAnswer = time.Duration(-1)
+	silent   = -1
+)
+
 // call is one message of a call.
 type call struct {
 	id, key string
@@ -131,6 +138,11 @@
 		ids[i] = c.id
 	}
 	refuse, backoff, took := b(ids)
+	if refuse == silent {
+		p.r.notef("%s: call of %v gets no answer, and nothing runs", name, ids)
+		<-req.Context().Done()
+		return
+	}
 	if refuse != 0 {
 		p.r.notef("%s: call of %v is turned away with %d, wait %v", name, ids, refuse, backoff)
 		if backoff > 0 {
@@ -143,6 +155,10 @@
 		first := p.run(name, building, c)
 		p.r.notef("%s: %s runs (%d bytes, key %q); a repeat that is dropped: %v", name, c.id, len(c.body), c.key, !first)
 	}
+	if took == noAnswer {
+		<-req.Context().Done()
+		return
+	}
 	time.Sleep(took)
 	if !batch {
 		_, _ = fmt.Fprintf(w, "%s %d\n", ids[0], p.number.next())
--- a/review/drive2/testdata/results.go
+++ b/review/drive2/testdata/results.go
@@ -21,6 +21,7 @@
 	away     string // if set, answers 302 with this Location and keeps nothing
 	requests int
 	outcomes map[string][]string // by id
+	retries  map[string]time.Duration
 }
 
 func newReceiver(r *run, line time.Duration) (*receiver, error) {
@@ -28,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &receiver{r: r, address: l.Addr().String(), line: line, outcomes: map[string][]string{}}
+	v := &receiver{r: r, address: l.Addr().String(), line: line, outcomes: map[string][]string{}, retries: map[string]time.Duration{}}
 	server := &http.Server{Handler: v}
 	go func() { _ = server.Serve(l) }()
 	return v, nil
@@ -74,6 +75,7 @@
 		var n struct {
 			ID      string `json:"id"`
 			Outcome string `json:"outcome"`
+			Retry   int64  `json:"retry_in_ms"`
 		}
 		err := decoder.Decode(&n)
 		if errors.Is(err, io.EOF) {
@@ -86,6 +88,7 @@
 		time.Sleep(v.line)
 		v.mu.Lock()
 		v.outcomes[n.ID] = append(v.outcomes[n.ID], n.Outcome)
+		v.retries[n.ID] = time.Duration(n.Retry) * time.Millisecond
 		v.mu.Unlock()
 		lines++
 	}
@@ -100,6 +103,13 @@
 	return append([]string(nil), v.outcomes[id]...)
 }
 
+// retryIn returns after what time the client of a refused message may come again.
+func (v *receiver) retryIn(id string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.retries[id]
+}
+
 func (v *receiver) count() (ids, requests int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
