Review, case 6: four partners instead of one, so that more messages run twice

Cause: with one partner, 1 or 2 of 8 messages ran twice, so a slower machine might have missed it. Change: the scenario has four partners in the same two buildings and 12 messages; disruptions and times are the same.

--- a/review/drive2/testdata/intents.go
+++ b/review/drive2/testdata/intents.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -33,18 +34,20 @@
 	}, nil
 }
 
-// playIntents: a node on SQLite. While another program has the write lock of its file, one building of a partner is shut
-// and turns messages away unseen; they go to the other building, which is slow. The node is killed and started again.
+// playIntents: a node on SQLite. While another program has the write lock of its file, one of two buildings is shut and
+// turns messages away unseen; they go to the other building, which is slow. The node is killed and started again.
 func playIntents(r *run) error {
 	const (
-		window   = 12 * time.Second
-		messages = 8
-		slow     = 1400 * time.Millisecond // a usual call of 160 ms, 8.8 times slower
+		window       = 12 * time.Second
+		messages     = 12
+		partners     = 4 // in the same two buildings
+		firstPartner = 10
+		slow         = 1400 * time.Millisecond // a usual call of 160 ms, 8.8 times slower
 	)
 	p := newPartner(r, window)
 	var shut atomic.Bool
 	shut.Store(true)
-	r.logf("billing-ops is shut from now on")
+	r.logf("the endpoints in ops-building are shut from now on")
 	opens := time.Now().Add(6 * time.Second) // shut for 5.9 to 21 s
 	endpoint := func(name, building string, open func() bool) (string, error) {
 		return p.endpoint(name, building, func([]string) (int, time.Duration, time.Duration) {
@@ -54,18 +57,36 @@
 			return 0, 0, slow
 		})
 	}
-	ops, err := endpoint("billing-ops", "ops-building", func() bool { return !shut.Load() })
-	if err != nil {
-		return err
-	}
-	annex, err := endpoint("billing-annex", "annex", func() bool { return true })
-	if err != nil {
-		return err
+	var destinations strings.Builder
+	for i := range partners {
+		ops, err := endpoint(fmt.Sprint("billing-ops-", i), "ops-building", func() bool { return !shut.Load() })
+		if err != nil {
+			return err
+		}
+		annex, err := endpoint(fmt.Sprint("billing-annex-", i), "annex", func() bool { return true })
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(&destinations, `
+[[destination]]
+number = %d
+name = "billing partner %d"
+routes_apart = true
+  [[destination.endpoint]]
+  name = "billing-ops-%d"
+  address = %q
+  building = "ops-building"
+  [[destination.endpoint]]
+  name = "billing-annex-%d"
+  address = %q
+  building = "annex"
+`, firstPartner+i, i, i, ops, i, annex)
 	}
 	// Two retailers keep the node's slots busy, so that messages gather.
 	other := newPartner(r, window)
 	var retail [2]string
 	for i := range retail {
+		var err error
 		if retail[i], err = other.endpoint(fmt.Sprint("retail-", i), "annex", func([]string) (int, time.Duration, time.Duration) { return 0, 0, slow }); err != nil {
 			return err
 		}
@@ -98,18 +119,6 @@
 deadline = "28s"
 late_worth = 0.5
 [[destination]]
-number = 7
-name = "billing partner"
-routes_apart = true
-  [[destination.endpoint]]
-  name = "billing-ops"
-  address = %q
-  building = "ops-building"
-  [[destination.endpoint]]
-  name = "billing-annex"
-  address = %q
-  building = "annex"
-[[destination]]
 number = 8
 name = "retailer 8"
   [[destination.endpoint]]
@@ -123,7 +132,7 @@
   name = "retail-9"
   address = %q
   building = "annex"
-`, listen, answers.address, ops, annex, retail[0], retail[1]))
+%s`, listen, answers.address, retail[0], retail[1], destinations.String()))
 	if err != nil {
 		return err
 	}
@@ -145,7 +154,7 @@
 	var taken []string
 	for i := range messages {
 		id := fmt.Sprint("bill-", i)
-		status, err := submit(listen, handIn{id, "meter-message", fmt.Sprint("key-", i), 7, 28 * time.Second, []byte("payment")})
+		status, err := submit(listen, handIn{id, "meter-message", fmt.Sprint("key-", i), firstPartner + i%partners, 28 * time.Second, []byte("payment")})
 		r.logf("client: %s is answered %d, %v", id, status, err)
 		if status == 202 {
 			taken = append(taken, id)
@@ -182,7 +191,7 @@
 	}
 	time.Sleep(time.Until(opens))
 	shut.Store(false)
-	r.logf("billing-ops is open")
+	r.logf("ops-building is open")
 	time.Sleep(time.Until(until) + 29*time.Second)
 	twice, runs := 0, 0
 	for _, id := range taken {
