store/intents: an attempt is logged with the history of its message

Cause: outcomes that prove an attempt never ran stay in memory while the log has the attempts, and the replay takes the first attempt for the one that may have run: wrong zone, wrong time. Change: the intent of an attempt has the message's history, a new kind of record; the replay restores it. Logs of older builds open: an attempt in another zone shows that the earlier ones never ran. The model of the conformance suite no longer allows that an earlier outcome is lost once the next attempt is durable.

--- a/internal/store/intents/golden_test.go
+++ b/internal/store/intents/golden_test.go
@@ -16,8 +16,11 @@
 	"wingmount/policy"
 )
 
-// goldenLog is a log that an earlier version wrote.
-const goldenLog = "golden/intents"
+// Logs that earlier versions wrote. Those of legacyLog did not store the history of a message with its attempt.
+const (
+	legacyLog = "golden/intents"
+	goldenLog = "golden/intents-with-history"
+)
 
 // goldenStart is the time of the golden log's first record.
 var goldenStart = time.Date(2000, time.January, 1, 0, 0, 0, 1000, time.UTC)
@@ -93,6 +96,7 @@
 		at := goldenStart
 		testkit.Must(t, s.RecordAttempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: ms[:2]}))
 		testkit.Must(t, s.RecordAttempt(ctx, store.Attempt{Endpoint: "", Zone: 300, At: at.Add(time.Second), Messages: ms[2:3]}))
+		testkit.Must(t, s.RecordAttempt(ctx, store.Attempt{Endpoint: "e2", Zone: 2, At: at.Add(1500 * time.Millisecond), Messages: ms[2:3]}))
 		testkit.Must(t, s.RecordOutcome(ctx, store.Outcome{Message: ms[0], Outcome: policy.Delivered, Endpoint: "e1", At: at.Add(2 * time.Second)}))
 		testkit.Must(t, s.Complete(ctx,
 			store.Completion{Message: ms[1], Response: message.FinalResponse{Kind: message.Failed}},
@@ -121,10 +125,17 @@
 
 // A log that an earlier version wrote is replayed into the store with every field unchanged.
 func TestGoldenLogIsReplayedUnchanged(t *testing.T) {
+	testkit.Golden(t, "landed.txt", replayGolden(t, legacyLog, goldenMessages()))
+	testkit.Golden(t, "landed-with-history.txt", replayGolden(t, goldenLog, goldenMessages()))
+}
+
+// replayGolden replays a golden log for recovered messages. It returns the calls of the store and the pending messages.
+func replayGolden(t *testing.T, log string, ms []*message.Message) []byte {
+	t.Helper()
 	path := filepath.Join(t.TempDir(), "intents")
-	testkit.CopyGolden(t, goldenLog, path)
+	testkit.CopyGolden(t, log, path)
 	inner := &recordingStore{}
-	r := store.Recovered{Pending: goldenMessages()}
+	r := store.Recovered{Pending: ms}
 	s, err := Open(ctx, Config{Path: path, MaxBytes: 1 << 20, StoreTimeout: -1}, inner, &r, testkit.QuietLog())
 	testkit.Must(t, err)
 	testkit.Must(t, s.Close())
@@ -132,5 +143,19 @@
 	for _, m := range r.Pending {
 		unfinished = append(unfinished, m.ID)
 	}
-	testkit.Golden(t, "landed.txt", fmt.Appendf(nil, "%sunfinished %q\n", inner.calls.String(), unfinished))
+	return fmt.Appendf(nil, "%sunfinished %q\n", inner.calls.String(), unfinished)
+}
+
+// Guards against a message that runs twice after an upgrade. A log of an earlier version has no outcomes of earlier attempts,
+// but an attempt in another zone was made only after all earlier ones had surely not run.
+func TestAttemptOfLegacyLogMovesRanZone(t *testing.T) {
+	ms := goldenMessages()
+	const attemptZone = 1 // of the first message in the log
+	first := ms[0]
+	first.History = message.History{CompletedMayHaveRun: true, MayHaveRun: true, RanAt: goldenStart.Add(-time.Second), RanZone: 0}
+	replayGolden(t, legacyLog, ms)
+	h := first.History
+	if !h.MayHaveRun || h.RanZone != attemptZone || !h.RanAt.Equal(goldenStart.Add(-time.Second)) {
+		t.Errorf("got %+v, want that it ran in zone %d at the time of the earlier attempt", h, attemptZone)
+	}
 }
--- a/internal/store/intents/intents.go
+++ b/internal/store/intents/intents.go
@@ -31,7 +31,7 @@
 // Config configures the log.
 type Config struct {
 	Path string // of the log file
-	// MaxBytes bounds the file. While it is full, calls that need the log return the store's error. A record has up to 40
+	// MaxBytes bounds the file. While it is full, calls that need the log return the store's error. A record has up to 60
 	// bytes and the name of an endpoint.
 	MaxBytes int64
 	// StoreTimeout is how long a call waits for the store before it uses the log. If it is negative, calls use the log
@@ -120,12 +120,13 @@
 	}
 	intents := make([]intent, len(a.Messages))
 	for i, m := range a.Messages {
-		intents[i] = intent{kind: kindAttempt, seq: m.Seq, attempts: m.History.Attempts, zone: a.Zone, at: a.At, endpoint: a.Endpoint}
+		intents[i] = intent{kind: kindAttempt, seq: m.Seq, history: m.History, zone: a.Zone, at: a.At, endpoint: a.Endpoint}
 	}
 	return s.spill(err, intents)
 }
 
-// RecordOutcome implements [store.Store]. It writes only deliveries to the log, because other outcomes need not be durable.
+// RecordOutcome implements [store.Store]. It writes only deliveries to the log. Other outcomes need not be durable by
+// themselves; the intent of the message's next attempt contains them.
 func (s *Store) RecordOutcome(ctx context.Context, o store.Outcome) error {
 	if o.Outcome != policy.Delivered {
 		return s.Store.RecordOutcome(ctx, o)
--- a/internal/store/intents/intents_test.go
+++ b/internal/store/intents/intents_test.go
@@ -138,6 +138,48 @@
 	}
 }
 
+// Guards against a message that runs twice: after a crash while the database is locked, the attempt that may have run is
+// the one that the next process knows, not an earlier one whose outcome proved that it did not run.
+func TestReplayKnowsThatEarlierAttemptsDidNotRun(t *testing.T) {
+	dir := t.TempDir()
+	s, ms, unlock := openLocked(t, dir, 4, 1<<20)
+	const rejectingZone, runningZone = 0, 1
+	rejectedAt := time.Now().Add(-10 * time.Second).Truncate(time.Microsecond)
+	ranAt := rejectedAt.Add(time.Second)
+	for _, m := range ms {
+		testkit.Must(t, s.RecordAttempt(ctx, store.Attempt{Endpoint: "e1", Zone: rejectingZone, At: rejectedAt, Messages: []*message.Message{m}}))
+		testkit.Must(t, s.RecordOutcome(ctx, store.Outcome{Message: m, Outcome: policy.RateLimited, Endpoint: "e1", At: rejectedAt}))
+		testkit.Must(t, s.RecordAttempt(ctx, store.Attempt{Endpoint: "e2", Zone: runningZone, At: ranAt, Messages: []*message.Message{m}}))
+	}
+	testkit.Must(t, s.RecordOutcome(ctx, store.Outcome{Message: ms[0], Outcome: policy.Reset, Endpoint: "e2", At: ranAt}))
+	testkit.Must(t, s.RecordAttempt(ctx, store.Attempt{Endpoint: "e2", Zone: runningZone, At: ranAt.Add(time.Second), Messages: ms[:1]}))
+	image := t.TempDir()
+	testkit.Must(t, storetest.Image(dir, image))
+	unlock()
+	testkit.Must(t, s.Close())
+	for _, process := range []string{"process that replays", "process after it"} {
+		s, r, err := open(image, time.Second, 1<<20)
+		testkit.Must(t, err)
+		if len(r.Pending) != len(ms) {
+			t.Fatalf("%s: got %d pending messages, want %d", process, len(r.Pending), len(ms))
+		}
+		for i, m := range r.Pending {
+			want := message.History{Attempts: 2, CompletedMayHaveRun: true, MayHaveRun: true, RanZone: runningZone}
+			if i == 0 {
+				want.Attempts = 3
+			}
+			got := m.History
+			if !got.RanAt.Equal(ranAt) {
+				t.Errorf("%s: message %d ran at: got %v, want %v", process, i, got.RanAt, ranAt)
+			}
+			if got.RanAt = (time.Time{}); got != want {
+				t.Errorf("%s: message %d: got history %+v, want %+v", process, i, got, want)
+			}
+		}
+		testkit.Must(t, s.Close())
+	}
+}
+
 // A crash at any step of the replay neither loses nor duplicates a record.
 func TestCrashDuringReplayKeepsEachRecordOnce(t *testing.T) {
 	dir := t.TempDir()
@@ -217,7 +259,17 @@
 
 // decode returns the intent that append encoded, and rejects a truncated or corrupted encoding.
 func TestDecodeReturnsIntentAndDetectsDamage(t *testing.T) {
-	want := intent{kind: kindResponse, seq: 7, attempts: 3, zone: 1, at: time.UnixMicro(1234567), endpoint: "e1", response: message.FinalResponse{Kind: message.Rejected, RetryAfter: time.Second}}
+	response := intent{kind: kindResponse, seq: 7, zone: 1, at: time.UnixMicro(1234567), endpoint: "e1", response: message.FinalResponse{Kind: message.Rejected, RetryAfter: time.Second}}
+	attempt := intent{kind: kindAttempt, seq: 7, zone: 2, at: time.UnixMicro(1234567), endpoint: "e1"}
+	attempt.history = message.History{Attempts: 3, Outstanding: true, MayHaveRun: true, CompletedMayHaveRun: true, RanAt: time.UnixMicro(1234), RanZone: 1}
+	for _, want := range []intent{response, attempt} {
+		testDecode(t, want)
+	}
+}
+
+// testDecode tests decode with the encoding of one intent.
+func testDecode(t *testing.T, want intent) {
+	t.Helper()
 	b := want.append(nil)
 	got, rest, ok := decode(append(b[:len(b):len(b)], 1, 2, 3))
 	if !ok || !reflect.DeepEqual(got, want) || len(rest) != 3 {
@@ -238,6 +290,7 @@
 // FuzzDecode checks that decode does not panic, and that each intent it decodes can be encoded and decoded again.
 func FuzzDecode(f *testing.F) {
 	f.Add(intent{kind: kindAttempt, seq: 1, endpoint: "x"}.append(nil))
+	f.Add(intent{kind: kindLegacyAttempt, seq: 1, endpoint: "x"}.append(nil))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if i, rest, ok := decode(data); ok {
 			if _, _, again := decode(i.append(nil)); !again || len(rest) >= len(data) {
--- a/internal/store/intents/record.go
+++ b/internal/store/intents/record.go
@@ -10,32 +10,44 @@
 
 // The kinds of intent. They are stored on disk, so their meaning must never change.
 const (
-	kindAttempt   = 1 // an attempt may be outstanding
-	kindDelivered = 2 // the last attempt delivered the message
-	kindResponse  = 3 // the client may be notified of a final response
+	kindLegacyAttempt = 1 // an attempt may be outstanding; written by versions that did not store the message's history
+	kindDelivered     = 2 // the last attempt delivered the message
+	kindResponse      = 3 // the client may be notified of a final response
+	kindAttempt       = 4 // an attempt may be outstanding
 )
 
-// numericFields is the number of fields of an intent that are stored as numbers.
-const numericFields = 6
+const (
+	// numericFields is the number of fields that every intent stores as numbers.
+	numericFields = 6
+	// historyFields is the number of further such fields of kindAttempt.
+	historyFields = 3
+)
 
 // intent is one record of the log: an action that the node may take before the store has persisted the record of it.
 type intent struct {
 	kind     byte
 	seq      policy.MessageID
-	attempts int // kindAttempt: number of the message's attempts, including this one
+	history  message.History // kindAttempt: with this attempt outstanding; kindLegacyAttempt: only Attempts
 	zone     int
 	at       time.Time // stored in microseconds
 	endpoint string
 	response message.FinalResponse // set for kindResponse
 }
 
+// isAttempt reports whether the intent is an attempt.
+func (i intent) isAttempt() bool { return i.kind == kindAttempt || i.kind == kindLegacyAttempt }
+
 // append appends a frame with the encoded intent to b and returns the extended slice.
 func (i intent) append(b []byte) []byte {
 	payload := []byte{i.kind}
-	for _, v := range []uint64{
-		uint64(i.seq), uint64(i.attempts), uint64(i.zone), uint64(max(0, i.at.UnixMicro())),
+	fields := []uint64{
+		uint64(i.seq), uint64(i.history.Attempts), uint64(i.zone), uint64(max(0, i.at.UnixMicro())),
 		uint64(i.response.Kind), uint64(i.response.RetryAfter.Milliseconds()),
-	} {
+	}
+	if i.kind == kindAttempt {
+		fields = append(fields, uint64(i.history.Flags()), uint64(max(0, message.UnixMicros(i.history.RanAt))), uint64(i.history.RanZone))
+	}
+	for _, v := range fields {
 		payload = binary.AppendUvarint(payload, v)
 	}
 	return frame.Append(b, append(payload, i.endpoint...))
@@ -49,18 +61,35 @@
 		return i, nil, false
 	}
 	i.kind = payload[0]
-	fields := payload[1:]
-	var v [numericFields]uint64
-	for n := range v {
-		value, size := binary.Uvarint(fields)
-		if size <= 0 {
+	if i.kind < kindLegacyAttempt || i.kind > kindAttempt {
+		return i, nil, false
+	}
+	v, endpoint, ok := decodeNumbers(payload[1:], numericFields)
+	if !ok {
+		return i, nil, false
+	}
+	i.seq, i.history.Attempts, i.zone, i.at = policy.MessageID(v[0]), int(v[1]), int(v[2]), time.UnixMicro(int64(v[3]))
+	i.response = *message.StoredResponse(int64(v[4]), int64(v[5]))
+	if i.kind == kindAttempt {
+		if v, endpoint, ok = decodeNumbers(endpoint, historyFields); !ok {
 			return i, nil, false
 		}
-		v[n] = value
-		fields = fields[size:]
+		i.history.SetFlags(int64(v[0]))
+		i.history.RanAt, i.history.RanZone = message.FromUnixMicros(int64(v[1])), int(v[2])
 	}
-	i.seq, i.attempts, i.zone, i.at = policy.MessageID(v[0]), int(v[1]), int(v[2]), time.UnixMicro(int64(v[3]))
-	i.response = *message.StoredResponse(int64(v[4]), int64(v[5]))
-	i.endpoint = string(fields)
-	return i, rest, i.kind >= kindAttempt && i.kind <= kindResponse
+	i.endpoint = string(endpoint)
+	return i, rest, true
+}
+
+// decodeNumbers decodes count numbers at the start of data and returns the data after them.
+func decodeNumbers(data []byte, count int) (numbers []uint64, rest []byte, ok bool) {
+	for range count {
+		number, size := binary.Uvarint(data)
+		if size <= 0 {
+			return nil, nil, false
+		}
+		numbers = append(numbers, number)
+		data = data[size:]
+	}
+	return numbers, data, true
 }
--- a/internal/store/intents/replay.go
+++ b/internal/store/intents/replay.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		missing++
-		if i.kind == kindAttempt && m.History.Attempts >= i.attempts {
+		if i.isAttempt() && m.History.Attempts >= i.history.Attempts {
 			continue
 		}
 		if err := s.replayIntent(ctx, m, i); err != nil {
@@ -75,7 +75,8 @@
 func (s *Store) replayIntent(ctx context.Context, m *message.Message, i intent) error {
 	var err error
 	switch i.kind {
-	case kindAttempt:
+	case kindAttempt, kindLegacyAttempt:
+		m.History = historyBefore(i, m.History)
 		err = s.Store.RecordAttempt(ctx, store.Attempt{Endpoint: i.endpoint, Zone: i.zone, At: i.at, Messages: []*message.Message{m}})
 	case kindDelivered:
 		err = s.Store.RecordOutcome(ctx, store.Outcome{Message: m, Outcome: policy.Delivered, Endpoint: i.endpoint, At: i.at})
@@ -88,6 +89,21 @@
 	return atReplay.At()
 }
 
+// historyBefore returns the history that a message had right before a logged attempt. The recovered history may lack
+// earlier attempts and their outcomes.
+func historyBefore(i intent, recovered message.History) message.History {
+	if i.kind == kindLegacyAttempt {
+		// The outcomes of earlier attempts are unknown. Where the zone matters, a message that may have run is sent to
+		// the same zone only, so an attempt in another zone shows that no earlier one ran.
+		recovered.RanZone = i.zone
+		return recovered
+	}
+	before := i.history
+	before.Attempts--
+	before.Outstanding, before.MayHaveRun = false, before.CompletedMayHaveRun
+	return before
+}
+
 // truncate empties the log. It is called with the lock held, or before other goroutines use the store.
 func (s *Store) truncate() error {
 	if err := atTruncate.At(); err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -185,8 +185,8 @@
 	// Its other errors are those of Complete.
 	RecordAttempt(ctx context.Context, a Attempt) error
 	// RecordOutcome persists the outcome of an attempt. When it returns, the outcome is ordered before all later calls. A
-	// crash may lose it until a barrier (see [Store.Complete]) has returned nil; the message then counts as one that may
-	// have run. The outcome Delivered is a final response, and is durable when RecordOutcome returns nil. A store that
+	// crash may lose it until a barrier (see [Store.Complete]) or the next RecordAttempt of the message has returned nil;
+	// the message then counts as one that may have run. The outcome Delivered is a final response, and is durable when RecordOutcome returns nil. A store that
 	// notifies deliveries then sets FinalResponse, and the message is pending until MarkNotified. Its errors are those of
 	// Complete.
 	RecordOutcome(ctx context.Context, o Outcome) error
--- a/internal/store/storetest/history.go
+++ b/internal/store/storetest/history.go
@@ -155,7 +155,10 @@
 	id := m.message.ID
 	at, zone := h.tick(), rapid.IntRange(0, 1).Draw(t, "zone")
 	must(t, h.store.RecordAttempt(ctx, newAttempt(at, zone, h.known[id])))
-	h.models.apply(true, func(model *model) { model.byID[id].message.History.RecordAttempt(zone, at) })
+	history := m.message.History
+	history.RecordAttempt(zone, at)
+	// The record of an attempt makes the outcomes of earlier attempts of its message durable, also where the store spills.
+	h.models.apply(true, func(model *model) { model.byID[id].message.History = history })
 }
 
 // outcome records the outcome of an outstanding attempt.
--- a/internal/store/storetest/suite.go
+++ b/internal/store/storetest/suite.go
@@ -30,7 +30,8 @@
 	FailpointsElsewhere []string
 	// RetainsResponses is set if ids are known after the result notification of their message.
 	RetainsResponses bool
-	// Spills is set if a durable call does not make the ordered calls before it durable.
+	// Spills is set if a durable call does not make the ordered calls before it durable, except that an attempt does so for
+	// the earlier attempts of its message.
 	Spills bool
 	// NotifiesDelivered is set if a delivered message is pending until its result was notified.
 	NotifiesDelivered bool
