store/intents: times in the log count when the clock was set back

A message whose attempt only the intent log has got its full time and a key window that begins in the future, after the clock was set back: it may run twice.

Cause: Rebase knew the times of the store, and not those of the log, which is replayed after it. Change: the replay passes the latest time of the log to Rebase, which adjusts by the difference only.

Result: TestReplayAfterClockWasSetBackExpiresKey fails before (ran 'in the future', 20 s left) and passes.

--- a/internal/store/intents/intents_test.go
+++ b/internal/store/intents/intents_test.go
@@ -180,6 +180,35 @@
 	}
 }
 
+// Guards against a message that runs twice after the clock was set back: the key of an attempt that only the log has counts
+// as expired, as it does with the attempts of the store.
+func TestReplayAfterClockWasSetBackExpiresKey(t *testing.T) {
+	dir := t.TempDir()
+	s, ms, unlock := openLocked(t, dir, 1, 1<<20)
+	const setBack, keyWindow = time.Hour, 12 * time.Second
+	at := time.Now().Add(setBack)
+	testkit.Must(t, s.RecordAttempt(ctx, store.Attempt{Endpoint: "e1", Zone: 1, At: at, Messages: ms}))
+	image := t.TempDir()
+	testkit.Must(t, storetest.Image(dir, image))
+	unlock()
+	testkit.Must(t, s.Close())
+	for _, process := range []string{"process that replays", "process after it"} {
+		s, r, err := open(image, time.Second, 1<<20)
+		testkit.Must(t, err)
+		if len(r.Pending) != 1 {
+			t.Fatalf("%s: got %d pending messages, want 1", process, len(r.Pending))
+		}
+		m := r.Pending[0]
+		if !m.History.KeyExpired(keyWindow, time.Now()) {
+			t.Errorf("%s: got that it ran at %v, want a key that has expired", process, m.History.RanAt)
+		}
+		if left, want := time.Until(m.Deadline), ms[0].Deadline.Sub(at); left > want+time.Second || left < want-10*time.Second {
+			t.Errorf("%s: got %v until the deadline, want %v", process, left, want)
+		}
+		testkit.Must(t, s.Close())
+	}
+}
+
 // A crash at any step of the replay neither loses nor duplicates a record.
 func TestCrashDuringReplayKeepsEachRecordOnce(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/store/intents/replay.go
+++ b/internal/store/intents/replay.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"time"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/policy"
@@ -16,10 +17,11 @@
 	if err != nil {
 		return err
 	}
-	delivered, err := s.replayIntents(ctx, data, r.Pending)
+	delivered, latest, err := s.replayIntents(ctx, data, r.Pending)
 	if err != nil {
 		return err
 	}
+	r.Rebase(latest, time.Now())
 	if err := s.Store.Complete(ctx); err != nil { // barrier: all intents must be durable before the log is emptied
 		return err
 	}
@@ -37,8 +39,8 @@
 
 // replayIntents writes the intents in data to the store, up to the first unreadable one. It skips intents that the store
 // already has: those of completed messages, and attempts that are on record. It returns the sequence numbers of the
-// messages for which it replayed a delivery.
-func (s *Store) replayIntents(ctx context.Context, data []byte, pending []*message.Message) (delivered map[policy.MessageID]bool, err error) {
+// messages for which it replayed a delivery, and the latest time in the log.
+func (s *Store) replayIntents(ctx context.Context, data []byte, pending []*message.Message) (delivered map[policy.MessageID]bool, latest time.Time, err error) {
 	messages := map[policy.MessageID]*message.Message{}
 	for _, m := range pending {
 		messages[m.Seq] = m
@@ -52,6 +54,9 @@
 			break
 		}
 		data = rest
+		if i.at.After(latest) {
+			latest = i.at
+		}
 		m := messages[i.seq]
 		if m == nil || m.FinalResponse != nil || delivered[i.seq] {
 			continue
@@ -61,14 +66,14 @@
 			continue
 		}
 		if err := s.replayIntent(ctx, m, i); err != nil {
-			return nil, err
+			return nil, latest, err
 		}
 		delivered[i.seq] = i.kind == kindDelivered
 	}
 	if missing > 0 {
 		s.log.Info("store: intent log replayed", "records", missing)
 	}
-	return delivered, nil
+	return delivered, latest, nil
 }
 
 // replayIntent writes one intent to the store.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -125,6 +125,8 @@
 	// classes and zones in all calls. They may include names of other nodes or earlier processes that this process does not
 	// use.
 	Names Names
+
+	rebasedBy time.Duration // by how much Rebase has adjusted the times
 }
 
 // Unfinished returns the recovered messages without a final response.
@@ -250,12 +252,14 @@
 
 // Rebase adjusts the recovered times if the clock was set back. Normally now is after latest, the latest time on record.
 // If it is not, the length of the node's downtime is unknown: no message gets more time than it had left, and the key of a
-// message that may have run counts as expired.
+// message that may have run counts as expired. If a store has several files, Rebase is called for each.
 func (r *Recovered) Rebase(latest, now time.Time) {
-	back := latest.Sub(now)
-	if back <= 0 {
+	setBack := latest.Sub(now)
+	if setBack <= r.rebasedBy {
 		return
 	}
+	back := setBack - r.rebasedBy
+	r.rebasedBy = setBack
 	for _, m := range r.Pending {
 		m.Deadline = m.Deadline.Add(-back)
 		if m.History.MayHaveRun {
