--- a/internal/store/journal/journal.go
+++ b/internal/store/journal/journal.go
@@ -205,12 +205,23 @@
 	if m.FinalResponse != nil {
 		return nil
 	}
+	b := appendBytes(append(record(recordOutcome, outcomeSeq(o)), byte(o.Outcome)), []byte(o.Endpoint))
+	b = appendTime(b, o.At)
 	m.History.RecordOutcome(o.Outcome)
 	if o.Outcome == policy.Delivered {
 		m.FinalResponse = &message.FinalResponse{Kind: message.Delivered} // the record of the outcome implies it
 	}
-	b := appendBytes(append(record(recordOutcome, m.Seq), byte(o.Outcome)), []byte(o.Endpoint))
-	return j.append(appendTime(b, o.At), nil)
+	return j.append(b, nil)
+}
+
+// outcomeSeq returns the number of the message for the record of an outcome. It is noMessage if the call failed before its
+// attempt was recorded: a replay must not take the outcome for that of an earlier attempt, which an earlier process left
+// outstanding.
+func outcomeSeq(o store.Outcome) policy.MessageID {
+	if !o.Message.History.Outstanding && message.ProvesNotRun(o.Outcome) {
+		return noMessage
+	}
+	return o.Message.Seq
 }
 
 // Complete implements [store.Store].
--- a/internal/store/journal/record.go
+++ b/internal/store/journal/record.go
@@ -16,6 +16,9 @@
 	recordClosed   = 5 // not pending any more; delivered if it names an endpoint
 )
 
+// noMessage is the number in a recordOutcome that concerns only its endpoint. No message has it.
+const noMessage policy.MessageID = 0
+
 // flagHasResponse is set in the flags of a recordAccepted that has a final response. The lower flags are those of
 // [message.History].
 const flagHasResponse = 8
--- a/internal/store/storetest/suite.go
+++ b/internal/store/storetest/suite.go
@@ -65,6 +65,7 @@
 	t.Run("points", s.testFailpoints)
 	t.Run("concurrent", s.testConcurrent)
 	t.Run("clock", s.testClock)
+	t.Run("interrupted attempt", s.testInterruptedAttempt)
 	if s.HasCapacity {
 		t.Run("full", s.testFull)
 	}
