--- a/internal/store/journal/journal.go
+++ b/internal/store/journal/journal.go
@@ -65,6 +65,8 @@
 	segmentOf     map[policy.MessageID]uint64 // the segment with the last recordAccepted of each pending message
 	reservedBytes int64                       // for the pending messages: see reservedFor
 	completed     map[string]completedMessage // by id
+	// unwrittenOutcomes has the record of the last outcome of each pending message for which it could not be written.
+	unwrittenOutcomes map[policy.MessageID][]byte
 
 	// Set by the replay, for Open and the Inspector.
 	latestTime     time.Time                        // on record
@@ -175,6 +177,9 @@
 			return fmt.Errorf("message %s: %w", m.ID, store.ErrKeyExpired)
 		}
 	}
+	if err := j.writeMissingOutcomes(a.Messages); err != nil {
+		return err
+	}
 	for _, m := range a.Messages {
 		b := record(recordAttempt, m.Seq)
 		b = appendBytes(b, []byte(a.Endpoint))
@@ -211,7 +216,11 @@
 	if o.Outcome == policy.Delivered {
 		m.FinalResponse = &message.FinalResponse{Kind: message.Delivered} // the record of the outcome implies it
 	}
-	return j.append(b, nil)
+	err := j.append(b, nil)
+	if err != nil {
+		j.unwrittenOutcomes[m.Seq] = b
+	}
+	return err
 }
 
 // outcomeSeq returns the number of the message for the record of an outcome. It is noMessage if the call failed before its
@@ -224,6 +233,22 @@
 	return o.Message.Seq
 }
 
+// writeMissingOutcomes writes the outcomes of earlier attempts of messages that could not be written before. Without them a
+// replay would mistake an attempt that did not run for the one that may have run.
+func (j *Journal) writeMissingOutcomes(ms []*message.Message) error {
+	for _, m := range ms {
+		b, missing := j.unwrittenOutcomes[m.Seq]
+		if !missing {
+			continue
+		}
+		if err := j.append(b, nil); err != nil {
+			return fmt.Errorf("message %s: outcome of the attempt before: %w", m.ID, err)
+		}
+		delete(j.unwrittenOutcomes, m.Seq)
+	}
+	return nil
+}
+
 // Complete implements [store.Store].
 func (j *Journal) Complete(_ context.Context, completions ...store.Completion) error {
 	j.mu.Lock()
@@ -280,6 +305,7 @@
 	j.completed[m.ID] = a
 	delete(j.pending, m.Seq)
 	delete(j.segmentOf, m.Seq)
+	delete(j.unwrittenOutcomes, m.Seq)
 }
 
 // Close implements [store.Store].
@@ -294,6 +320,6 @@
 	return &Journal{
 		dir: c.Dir, maxBytes: c.MaxBytes, notifyDelivered: c.NotifyDelivered, log: log, nextSeq: 1, maxSegmentBytes: max(c.MaxBytes/segmentsInLimit, message.MaxBodyLength+segmentOverheadBytes),
 		pending: map[policy.MessageID]*message.Message{}, pendingByID: map[string]*message.Message{}, completed: map[string]completedMessage{},
-		segmentOf: map[policy.MessageID]uint64{}, endpointHealth: map[string]*store.EndpointHealth{},
+		segmentOf: map[policy.MessageID]uint64{}, unwrittenOutcomes: map[policy.MessageID][]byte{}, endpointHealth: map[string]*store.EndpointHealth{},
 	}
 }
--- a/internal/store/journal/journal_test.go
+++ b/internal/store/journal/journal_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"testing"
 	"time"
+	"wingmount/internal/failpoint"
 	"wingmount/internal/message"
 	"wingmount/internal/store"
 	"wingmount/internal/testkit"
@@ -306,3 +307,32 @@
 		}
 	}
 }
+
+// Guards against a message that runs twice: if the outcome of an attempt that did not run can't be written, the replay must
+// not take that attempt for the next one, which may have run.
+func TestAttemptAfterUnwrittenOutcomeIsReplayedWithIt(t *testing.T) {
+	dir := t.TempDir()
+	j, _ := mustOpen(t, dir, MinDisk)
+	const rejectingZone, runningZone = 0, 1
+	rejectedAt := time.Now().Add(-10 * time.Second).Truncate(time.Microsecond)
+	ranAt := rejectedAt.Add(time.Second)
+	m := newMessage("m", 10)
+	testkit.Must(t, j.Accept(ctx, m))
+	testkit.Must(t, j.RecordAttempt(ctx, store.Attempt{Endpoint: "e1", Zone: rejectingZone, At: rejectedAt, Messages: []*message.Message{m}}))
+	disarm, err := failpoint.Set("store/journal/before-write", func() error { return errors.New("no space left") })
+	testkit.Must(t, err)
+	if err := j.RecordOutcome(ctx, store.Outcome{Message: m, Outcome: policy.RateLimited, Endpoint: "e1", At: rejectedAt}); err == nil {
+		t.Error("outcome that can't be written: got nil, want an error")
+	}
+	attempt := store.Attempt{Endpoint: "e2", Zone: runningZone, At: ranAt, Messages: []*message.Message{m}}
+	if err := j.RecordAttempt(ctx, attempt); err == nil || m.History.Attempts != 1 {
+		t.Errorf("attempt while the outcome before it can't be written: got %v, %d attempts, want an error and 1", err, m.History.Attempts)
+	}
+	disarm()
+	testkit.Must(t, j.RecordAttempt(ctx, attempt))
+	testkit.Must(t, j.Close())
+	_, pending := mustOpen(t, dir, MinDisk)
+	if h := pending[0].History; h.Attempts != 2 || !h.MayHaveRun || h.RanZone != runningZone || !h.RanAt.Equal(ranAt) {
+		t.Errorf("got history %+v, want 2 attempts, and that it ran in zone %d at %v", h, runningZone, ranAt)
+	}
+}
