ruleset: nodes on one database share which rules they use

Cause: the ledger of keys in use knows the messages of its own process only. Change: nodes announce in the database (schema 5, table rule_use) which rules they use and replace, and whether they have drained; a rollout waits until all others use the new rules and have drained, or are gone (fenced) for long enough. A node that starts with other rules than the running ones accepts no message with a key. Databases of schema 4 open (golden test).

--- a/decide/rollout/ledger.go
+++ b/decide/rollout/ledger.go
@@ -22,7 +22,7 @@
 	Admitted    Verdict = iota // the message may be accepted, and was added to the ledger
 	Duplicate                  // its id is already in the ledger: the message is being accepted, or is unfinished
 	Conflict                   // a message of an earlier generation uses its previous hash
-	MayConflict                // such a message may exist: its hash was evicted, or was used in an earlier process
+	MayConflict                // such a message may exist: its hash was evicted, or was used in an earlier process or at another node
 	Full                       // the ledger is at its limit of messages; independent of a rollout
 )
 
@@ -54,6 +54,8 @@
 	usedUntil time.Duration
 	// evictedUntil is the time until which any evicted hash of an earlier generation may be in use.
 	evictedUntil time.Duration
+	// foreign is set while any hash that the rules change may be in use by messages of other nodes.
+	foreign bool
 }
 
 // New returns a ledger for at most limit messages and limit keys. At the limit of messages Admit returns Full, while
@@ -130,6 +132,9 @@
 	if until := max(l.rollout.evictedUntil, min(l.recovered[previous.Kind], previous.Retention)); until > now {
 		return MayConflict, until - now
 	}
+	if l.rollout.foreign {
+		return MayConflict, retryInterval
+	}
 	return Admitted, 0
 }
 
@@ -238,12 +243,21 @@
 }
 
 // InProgress reports whether a rollout is in progress: a key of an affected kind is, or may be, in use by a message of
-// an earlier generation.
+// an earlier generation, or by a message of another node.
 func (l *Ledger) InProgress(now time.Duration) bool {
-	l.rollout.inProgress = l.rollout.inProgress && (l.rollout.unfinished > 0 || l.lastKeyFreeAt() > now)
+	l.rollout.inProgress = l.rollout.inProgress && (l.rollout.foreign || !l.Drained(now))
 	return l.rollout.inProgress
 }
 
+// Drained reports whether no key of an affected kind can be in use by a message of this ledger of an earlier generation.
+func (l *Ledger) Drained(now time.Duration) bool {
+	return l.rollout.unfinished == 0 && l.lastKeyFreeAt() <= now
+}
+
+// SetForeign sets whether keys that the rollout changes may be in use by messages of other nodes. The rollout in progress
+// continues at least until it is reset; a new one begins without it.
+func (l *Ledger) SetForeign(inUse bool) { l.rollout.foreign = inUse }
+
 // lastKeyFreeAt returns the time by which all keys that the rollout affects are free, except for those of unfinished
 // messages.
 func (l *Ledger) lastKeyFreeAt() time.Duration {
--- a/internal/ingress/http/handler.go
+++ b/internal/ingress/http/handler.go
@@ -32,8 +32,8 @@
 const (
 	// defaultRetryAfter is the Retry-After where nothing better is known.
 	defaultRetryAfter = time.Second
-	// timeoutSlack is by how much a client's time-out may exceed its class's deadline.
-	timeoutSlack = time.Second
+	// TimeoutSlack is by how much a client's time-out may exceed its class's deadline.
+	TimeoutSlack = time.Second
 	// lingerTime and lingerBytes bound how much of a rejected body is read after the answer.
 	lingerTime  = time.Second
 	lingerBytes = 64 << 20
@@ -179,7 +179,7 @@
 	}
 	m.Class, m.Key = h.classes[r.Class], r.Key
 	class := h.settings[m.Class]
-	if latest := time.Now().Add(class.Deadline + timeoutSlack); m.Deadline.After(latest) {
+	if latest := time.Now().Add(class.Deadline + TimeoutSlack); m.Deadline.After(latest) {
 		m.Deadline = latest
 	}
 	if class.Repeat == policy.Deduplicated && m.Key == "" {
--- a/internal/ingress/http/parse.go
+++ b/internal/ingress/http/parse.go
@@ -57,7 +57,7 @@
 		return nil, bad("Idempotency-Key is missing or malformed")
 	}
 	ms, err := strconv.ParseInt(r.Header.Get("X-Timeout-Ms"), 10, 64)
-	if err != nil || ms <= 0 || ms > (k.Deadline+timeoutSlack).Milliseconds() {
+	if err != nil || ms <= 0 || ms > (k.Deadline+TimeoutSlack).Milliseconds() {
 		return nil, bad("X-Timeout-Ms is missing or malformed")
 	}
 	m.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -20,6 +20,8 @@
 	"wingmount/internal/steps"
 	"wingmount/internal/store"
 	"wingmount/policy"
+
+	httpingress "wingmount/internal/ingress/http"
 )
 
 const (
@@ -200,17 +202,37 @@
 // openRules opens the rules that the file names, nil if it names none.
 func (g *gateway) openRules() (*ruleset.Manager, error) {
 	f := g.File
+	peers, _ := g.store.(store.RuleSharer)
 	if f.Rules.File == "" {
-		return nil, nil
+		return nil, announceNoRules(peers)
 	}
 	classes := f.RuleClasses()
 	return ruleset.Open(ruleset.Config{
 		Load:       func() (*rules.Set, string, error) { return config.LoadRules(f.Rules.File, classes) },
 		Parse:      func(text string) (*rules.Set, error) { return config.ParseRules(text, classes) },
-		RecordPath: f.Rules.Record, Classes: classes, ClassNames: g.recovered.Names.Classes, Unfinished: g.recovered.Pending, FirstStart: g.storeIsNew, Log: g.Log,
+		RecordPath: f.Rules.Record, Classes: classes, ClassNames: g.recovered.Names.Classes, Unfinished: g.recovered.Pending, FirstStart: g.storeIsNew,
+		Peers: peers, MaxTimeout: g.maxTimeout(), Log: g.Log,
 	})
 }
 
+// announceNoRules announces to the nodes that share the store that this one has no rules. Without such nodes peers is nil.
+func announceNoRules(peers store.RuleSharer) error {
+	if peers == nil {
+		return nil
+	}
+	return peers.AnnounceRules(context.Background(), store.RuleUse{Active: ruleset.Digest(""), Drained: true})
+}
+
+// maxTimeout returns the longest time-out that a client may give a message.
+func (g *gateway) maxTimeout() time.Duration {
+	settings, _ := g.File.Settings(g.recovered.Names.Classes, g.recovered.Names.Zones)
+	longest := time.Duration(0)
+	for _, class := range settings.Classes {
+		longest = max(longest, class.Deadline+httpingress.TimeoutSlack)
+	}
+	return longest
+}
+
 // openGossip opens what shares observations of endpoints with other nodes, nil if the file does not configure it.
 func (g *gateway) openGossip() (*gossip.Node, error) {
 	f := g.File
--- a/internal/ruleset/change.go
+++ b/internal/ruleset/change.go
@@ -118,6 +118,7 @@
 		return false
 	}
 	m.changedClasses = changed
+	m.ledger.SetForeign(m.config.Peers != nil && len(kinds) > 0)
 	return true
 }
 
@@ -151,6 +152,7 @@
 		case <-logTicker.C:
 			lastLogged = m.logCounts(lastLogged)
 		case <-changeTicker.C:
+			m.syncPeersAndLog(ctx)
 			if err := m.advanceChange(); err != nil {
 				m.config.Log.Error("rules: advancing a change failed", "err", err)
 			}
--- a/internal/ruleset/evaluate.go
+++ b/internal/ruleset/evaluate.go
@@ -24,6 +24,9 @@
 // waitRulesChanging is the reason given if a change began or completed during each attempt to evaluate a message.
 const waitRulesChanging = "the rules are being changed"
 
+// waitOtherRules is the reason given while other nodes may use keys that the rules of this node don't give.
+const waitOtherRules = "other nodes use other rules"
+
 // waitReasons contains the reasons sent to clients whose messages have to wait.
 var waitReasons = map[rollout.Verdict]string{
 	rollout.Duplicate:   "the message is being taken",
@@ -121,7 +124,12 @@
 	if err != nil {
 		return result, false, err
 	}
-	return result, false, m.admit(now, in.ID, m.claim(result.Class, result.Key), previousClaim)
+	claim := m.claim(result.Class, result.Key)
+	if m.peersMismatch && claim.KeyHash != 0 {
+		m.counts.Waits++
+		return result, false, &WaitError{RetryAfter: mismatchRetryAfter, Reason: waitOtherRules}
+	}
+	return result, false, m.admit(now, in.ID, claim, previousClaim)
 }
 
 // countEvaluation adds an evaluated message to the counts. The caller holds mu.
--- a/internal/ruleset/manager.go
+++ b/internal/ruleset/manager.go
@@ -3,16 +3,18 @@
 //
 // The package guarantees:
 //   - no message is evaluated by rules that are not persisted;
-//   - a change never gives a message a new key while an older message still uses the message's previous key;
+//   - a change never gives a message a new key while an older message still uses the message's previous key, at this node
+//     or at another one that shares the store of record;
 //   - a rule file that does not compile, or can't be persisted, changes nothing.
 //
 // A change is a rollout in decide/rollout, from the previous to the active rule set.
 //
 // One [Manager] is shared by all ingress handlers and is safe for concurrent use. Start reading at [Open],
-// [Manager.Evaluate] (evaluate.go) and [Manager.Reload] (change.go).
+// [Manager.Evaluate] (evaluate.go) and [Manager.Reload] (change.go). Nodes that share a store are in peers.go.
 package ruleset
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -20,6 +22,7 @@
 	"wingmount/decide/rollout"
 	"wingmount/decide/rules"
 	"wingmount/internal/message"
+	"wingmount/internal/store"
 )
 
 const (
@@ -51,7 +54,12 @@
 	// FirstStart means that there was no earlier process, so only the keys of Unfinished are in use.
 	FirstStart     bool
 	LedgerCapacity int // messages in flight, and keys; 0 means defaultLedgerCapacity
-	Log            *slog.Logger
+	// Peers are the nodes that share the store of record and therefore the keys in use; nil if there are none.
+	Peers store.RuleSharer
+	// MaxTimeout is the longest time from the acceptance of a message to its deadline, by any of the nodes. It is used only
+	// with Peers.
+	MaxTimeout time.Duration
+	Log        *slog.Logger
 }
 
 // Counts contains numbers of messages since the start.
@@ -79,7 +87,9 @@
 	classes map[string]rules.Class
 	start   time.Time // origin of the ledger's time
 
-	fileMu sync.Mutex // serializes changes and writes of the record; locked before mu
+	fileMu    sync.Mutex     // serializes changes, writes of the record and announcements to peers; locked before mu
+	announced *store.RuleUse // guarded by fileMu; nil if it is not known what is announced
+	peerLog   peerLog
 
 	completions struct {
 		sync.Mutex
@@ -93,13 +103,27 @@
 	// changedClasses is the set of classes of messages for which previous and active may give different results.
 	changedClasses map[string]bool
 	changeCount    int // incremented when a change begins and when it completes
-	ledger         *rollout.Ledger
-	counts         Counts
+	// peersMismatch is set while other nodes may use keys that neither active nor previous gives.
+	peersMismatch bool
+	ledger        *rollout.Ledger
+	counts        Counts
 }
 
 // Open returns a manager with the persisted rules and starts a change to the rules of the rule file. At the first start
 // the rules of the file are active at once. Without a record after an earlier start, the change begins with no rules.
+//
+// With Peers, Open announces the rules to the other nodes. It returns an error if it can't.
 func Open(c Config) (*Manager, error) {
+	m, err := openLocal(c)
+	if err != nil || c.Peers == nil {
+		return m, err
+	}
+	m.peersMismatch = true // until syncPeers finds that there is none
+	return m, m.syncPeers(context.Background())
+}
+
+// openLocal is Open without the announcement to other nodes.
+func openLocal(c Config) (*Manager, error) {
 	if c.LedgerCapacity == 0 {
 		c.LedgerCapacity = defaultLedgerCapacity
 	}
--- a/internal/ruleset/manager_test.go
+++ b/internal/ruleset/manager_test.go
@@ -14,6 +14,7 @@
 	"wingmount/decide/rules"
 	"wingmount/internal/failpoint"
 	"wingmount/internal/message"
+	"wingmount/internal/store"
 	"wingmount/internal/testkit"
 	"wingmount/policy"
 
@@ -31,6 +32,7 @@
 	ruleFile     string // text; empty means no rules
 	capacity     int
 	keyRetention time.Duration
+	peers        store.RuleSharer
 }
 
 func newFixture(tb testing.TB, dir string) *fixture {
@@ -59,7 +61,7 @@
 			return set, f.ruleFile, err
 		},
 		Parse: f.parse, RecordPath: f.record, Classes: f.classes(), ClassNames: []string{"line", "plain"},
-		Unfinished: unfinished, FirstStart: firstStart, LedgerCapacity: f.capacity, Log: testkit.QuietLog(),
+		Unfinished: unfinished, FirstStart: firstStart, LedgerCapacity: f.capacity, Peers: f.peers, MaxTimeout: peerTimeout, Log: testkit.QuietLog(),
 	})
 }
 
--- a/internal/store/intents/intents.go
+++ b/internal/store/intents/intents.go
@@ -120,7 +120,7 @@
 	}
 	intents := make([]intent, len(a.Messages))
 	for i, m := range a.Messages {
-		intents[i] = intent{kind: kindAttempt, seq: m.Seq, history: m.History, zone: a.Zone, at: a.At, endpoint: a.Endpoint}
+		intents[i] = intent{kind: kindAttemptWithHistory, seq: m.Seq, history: m.History, zone: a.Zone, at: a.At, endpoint: a.Endpoint}
 	}
 	return s.spill(err, intents)
 }
--- a/internal/store/intents/intents_test.go
+++ b/internal/store/intents/intents_test.go
@@ -289,7 +289,7 @@
 // decode returns the intent that append encoded, and rejects a truncated or corrupted encoding.
 func TestDecodeReturnsIntentAndDetectsDamage(t *testing.T) {
 	response := intent{kind: kindResponse, seq: 7, zone: 1, at: time.UnixMicro(1234567), endpoint: "e1", response: message.FinalResponse{Kind: message.Rejected, RetryAfter: time.Second}}
-	attempt := intent{kind: kindAttempt, seq: 7, zone: 2, at: time.UnixMicro(1234567), endpoint: "e1"}
+	attempt := intent{kind: kindAttemptWithHistory, seq: 7, zone: 2, at: time.UnixMicro(1234567), endpoint: "e1"}
 	attempt.history = message.History{Attempts: 3, Outstanding: true, MayHaveRun: true, CompletedMayHaveRun: true, RanAt: time.UnixMicro(1234), RanZone: 1}
 	for _, want := range []intent{response, attempt} {
 		testDecode(t, want)
@@ -318,8 +318,8 @@
 
 // FuzzDecode checks that decode does not panic, and that each intent it decodes can be encoded and decoded again.
 func FuzzDecode(f *testing.F) {
+	f.Add(intent{kind: kindAttemptWithHistory, seq: 1, endpoint: "x"}.append(nil))
 	f.Add(intent{kind: kindAttempt, seq: 1, endpoint: "x"}.append(nil))
-	f.Add(intent{kind: kindLegacyAttempt, seq: 1, endpoint: "x"}.append(nil))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if i, rest, ok := decode(data); ok {
 			if _, _, again := decode(i.append(nil)); !again || len(rest) >= len(data) {
--- a/internal/store/intents/record.go
+++ b/internal/store/intents/record.go
@@ -10,16 +10,16 @@
 
 // The kinds of intent. They are stored on disk, so their meaning must never change.
 const (
-	kindLegacyAttempt = 1 // an attempt may be outstanding; written by versions that did not store the message's history
-	kindDelivered     = 2 // the last attempt delivered the message
-	kindResponse      = 3 // the client may be notified of a final response
-	kindAttempt       = 4 // an attempt may be outstanding
+	kindAttempt            = 1 // an attempt may be outstanding; only earlier versions write it, without the history
+	kindDelivered          = 2 // the last attempt delivered the message
+	kindResponse           = 3 // the client may be notified of a final response
+	kindAttemptWithHistory = 4 // an attempt may be outstanding, with the message's history
 )
 
 const (
 	// numericFields is the number of fields that every intent stores as numbers.
 	numericFields = 6
-	// historyFields is the number of further such fields of kindAttempt.
+	// historyFields is the number of further such fields of kindAttemptWithHistory.
 	historyFields = 3
 )
 
@@ -27,7 +27,7 @@
 type intent struct {
 	kind     byte
 	seq      policy.MessageID
-	history  message.History // kindAttempt: with this attempt outstanding; kindLegacyAttempt: only Attempts
+	history  message.History // kindAttemptWithHistory: with this attempt outstanding; kindAttempt: only Attempts
 	zone     int
 	at       time.Time // stored in microseconds
 	endpoint string
@@ -35,7 +35,7 @@
 }
 
 // isAttempt reports whether the intent is an attempt.
-func (i intent) isAttempt() bool { return i.kind == kindAttempt || i.kind == kindLegacyAttempt }
+func (i intent) isAttempt() bool { return i.kind == kindAttemptWithHistory || i.kind == kindAttempt }
 
 // append appends a frame with the encoded intent to b and returns the extended slice.
 func (i intent) append(b []byte) []byte {
@@ -44,7 +44,7 @@
 		uint64(i.seq), uint64(i.history.Attempts), uint64(i.zone), uint64(max(0, i.at.UnixMicro())),
 		uint64(i.response.Kind), uint64(i.response.RetryAfter.Milliseconds()),
 	}
-	if i.kind == kindAttempt {
+	if i.kind == kindAttemptWithHistory {
 		fields = append(fields, uint64(i.history.Flags()), uint64(max(0, message.UnixMicros(i.history.RanAt))), uint64(i.history.RanZone))
 	}
 	for _, v := range fields {
@@ -61,7 +61,7 @@
 		return i, nil, false
 	}
 	i.kind = payload[0]
-	if i.kind < kindLegacyAttempt || i.kind > kindAttempt {
+	if i.kind < kindAttempt || i.kind > kindAttemptWithHistory {
 		return i, nil, false
 	}
 	v, endpoint, ok := decodeNumbers(payload[1:], numericFields)
@@ -70,7 +70,7 @@
 	}
 	i.seq, i.history.Attempts, i.zone, i.at = policy.MessageID(v[0]), int(v[1]), int(v[2]), time.UnixMicro(int64(v[3]))
 	i.response = *message.StoredResponse(int64(v[4]), int64(v[5]))
-	if i.kind == kindAttempt {
+	if i.kind == kindAttemptWithHistory {
 		if v, endpoint, ok = decodeNumbers(endpoint, historyFields); !ok {
 			return i, nil, false
 		}
--- a/internal/store/intents/replay.go
+++ b/internal/store/intents/replay.go
@@ -80,7 +80,7 @@
 func (s *Store) replayIntent(ctx context.Context, m *message.Message, i intent) error {
 	var err error
 	switch i.kind {
-	case kindAttempt, kindLegacyAttempt:
+	case kindAttemptWithHistory, kindAttempt:
 		m.History = historyBefore(i, m.History)
 		err = s.Store.RecordAttempt(ctx, store.Attempt{Endpoint: i.endpoint, Zone: i.zone, At: i.at, Messages: []*message.Message{m}})
 	case kindDelivered:
@@ -97,7 +97,7 @@
 // historyBefore returns the history that a message had right before a logged attempt. The recovered history may lack
 // earlier attempts and their outcomes.
 func historyBefore(i intent, recovered message.History) message.History {
-	if i.kind == kindLegacyAttempt {
+	if i.kind == kindAttempt {
 		// The outcomes of earlier attempts are unknown. Where the zone matters, a message that may have run is sent to
 		// the same zone only, so an attempt in another zone shows that no earlier one ran.
 		recovered.RanZone = i.zone
--- a/internal/store/postgres/golden_test.go
+++ b/internal/store/postgres/golden_test.go
@@ -10,8 +10,12 @@
 	"github.com/ncruces/go-sqlite3"
 )
 
-// goldenDatabase are the schema and rows that an earlier version wrote, as the stand-in for a server keeps them.
-const goldenDatabase = "database.sql"
+// The schema and rows that earlier versions wrote, as the stand-in for a server keeps them. That of schema 4 has no table for
+// the rules in use.
+const (
+	goldenDatabase  = "database.sql"
+	schema4Database = "database-schema4.sql"
+)
 
 // The store writes the schema and the rows that it always wrote.
 func TestGoldenWrite(t *testing.T) {
@@ -32,17 +36,25 @@
 
 // A database that an earlier version wrote is read with every field as it was.
 func TestGoldenRead(t *testing.T) {
+	for _, database := range []string{schema4Database, goldenDatabase} {
+		t.Run(database, func(t *testing.T) { testGoldenRead(t, database) })
+	}
+}
+
+func testGoldenRead(t *testing.T, database string) {
 	dir := t.TempDir()
 	db, err := sqlite3.Open("file:" + filepath.Join(dir, "pg.db"))
 	testkit.Must(t, err)
-	testkit.Must(t, db.Exec(string(testkit.ReadGolden(t, goldenDatabase))))
+	testkit.Must(t, db.Exec(string(testkit.ReadGolden(t, database))))
 	testkit.Must(t, db.Close())
 	srv, err := server(dir)
 	testkit.Must(t, err)
-	i, err := Inspect(ctx, srv.URL())
-	testkit.Must(t, err)
-	testkit.Golden(t, "entries.txt", []byte(storetest.EntriesText(t, i)))
-	testkit.Must(t, i.Close())
+	if database == goldenDatabase { // an inspector reads the present schema only
+		i, err := Inspect(ctx, srv.URL())
+		testkit.Must(t, err)
+		testkit.Golden(t, "entries.txt", []byte(storetest.EntriesText(t, i)))
+		testkit.Must(t, i.Close())
+	}
 	c := config(srv, "n1")
 	c.Names = storetest.GoldenNames
 	s, r, err := Open(ctx, c, testkit.QuietLog())
--- a/internal/store/postgres/lease.go
+++ b/internal/store/postgres/lease.go
@@ -85,9 +85,14 @@
 			b.cfg.Node, b.cfg.Lease.Microseconds(), b.relyUntil(sent).UnixMicro()); err != nil {
 			return err
 		}
+		if _, err := tx.Exec(ctx, `INSERT INTO rule_use VALUES ($1::text, $2::bigint, '', '', 0, 0)
+			ON CONFLICT (node) DO UPDATE SET incarnation = excluded.incarnation, active = '', previous = '', drained = 0, gone = 0`, b.cfg.Node, incarnation); err != nil {
+			return err
+		}
 		return tx.QueryRow(ctx, "SELECT epoch, commits FROM lease WHERE node = $1::text", b.cfg.Node).Scan(&b.epoch, &b.commits)
 	})
 	if err == nil {
+		b.incarnation = incarnation
 		b.renew(sent)
 	}
 	return incarnation, err
--- a/internal/store/postgres/postgres.go
+++ b/internal/store/postgres/postgres.go
@@ -14,7 +14,7 @@
 // # Concurrency
 //
 // A [Store] is safe for concurrent use. The [group.Queue] in it calls the backend from one goroutine, which writes all its
-// fields; only Closing, ImpliedUntil and [Store.Owned] run in other goroutines. Nodes exclude each other by locks on the
+// fields; only Closing, ImpliedUntil, [Store.Owned], [Store.AnnounceRules] and [Store.PeerRules] run in other goroutines. Nodes exclude each other by locks on the
 // rows of the table lease.
 //
 // Start reading at [Open], then Commit in commit.go and TakeOver in takeover.go.
@@ -38,8 +38,9 @@
 const (
 	// statementTimeout bounds a transaction, and each query for whether one was committed.
 	statementTimeout = 2 * time.Second
-	// maxConnections is one for the writer's goroutine, and one to spare while a broken one is replaced.
-	maxConnections = 2
+	// maxConnections is one for the writer's goroutine, one to spare while a broken one is replaced, and one for the rules of
+	// other nodes.
+	maxConnections = 3
 	// messageNumberBits is how many bits of a message's number count the messages of one process; those above them are the
 	// number of the process.
 	messageNumberBits = 32
@@ -83,6 +84,8 @@
 	cancel context.CancelFunc
 	names  store.Names
 
+	incarnation int64 // number of this process; it does not change after Open
+
 	epoch        int64 // of this process's lease
 	commits      int64 // transactions counted in the lease row
 	renewedAt    time.Time
--- a/internal/store/postgres/schema.go
+++ b/internal/store/postgres/schema.go
@@ -70,6 +70,16 @@
 
 	// What the numbers of classes and buildings mean, the same to all nodes, see store.Names.
 	`CREATE TABLE name (kind BIGINT NOT NULL, n BIGINT NOT NULL, name TEXT NOT NULL, PRIMARY KEY (kind, n))`,
+
+	// Which rule sets the nodes use, see store.RuleSharer.
+	`CREATE TABLE rule_use (
+		node        TEXT PRIMARY KEY,
+		incarnation BIGINT NOT NULL, -- of the process, see counter.lives
+		active      TEXT NOT NULL,   -- '' until it is announced
+		previous    TEXT NOT NULL,
+		drained     BIGINT NOT NULL,
+		gone        BIGINT NOT NULL  -- when the process was fenced, by the server's clock in microseconds; 0 while it runs
+	)`,
 }
 
 // migrate runs the steps that the schema lacks, each in a transaction that also writes its version.
--- a/internal/store/postgres/testdata/database.sql
+++ b/internal/store/postgres/testdata/database.sql
@@ -50,6 +50,14 @@
 CREATE TABLE call (node TEXT NOT NULL, endpoint TEXT NOT NULL, at BIGINT NOT NULL);
 CREATE INDEX call_node ON call (node, at);
 CREATE TABLE name (kind BIGINT NOT NULL, n BIGINT NOT NULL, name TEXT NOT NULL, PRIMARY KEY (kind, n));
+CREATE TABLE rule_use (
+		node        TEXT PRIMARY KEY,
+		incarnation BIGINT NOT NULL, -- of the process, see counter.lives
+		active      TEXT NOT NULL,   -- '' until it is announced
+		previous    TEXT NOT NULL,
+		drained     BIGINT NOT NULL,
+		gone        BIGINT NOT NULL  -- when the process was fenced, by the server's clock in microseconds; 0 while it runs
+	);
 INSERT INTO answer VALUES (4294967300, 'n1', 'rejected', 1, 1500, 10, 0, 946684800000000, 946684800000000, NULL);
 INSERT INTO answer VALUES (4294967301, 'n1', 'failed', 0, 0, 11, 1, 946684800000000, 946684800000000, NULL);
 INSERT INTO answer VALUES (4294967302, 'n1', 'delivered', 2, 0, 12, 1, 946684800000000, 946684800800001, NULL);
@@ -81,4 +89,5 @@
 INSERT INTO name VALUES (1, 1, 'south');
 INSERT INTO past VALUES (4294967298, 2, 5, 946684800100001, 1, 0);
 INSERT INTO past VALUES (4294967299, 1, 6, 946684800600001, 1, 946684803100001);
-INSERT INTO schema_version VALUES (1, 4);
+INSERT INTO rule_use VALUES ('n1', 1, '', '', 0, 0);
+INSERT INTO schema_version VALUES (1, 5);
--- a/internal/store/storetest/interrupted.go
+++ b/internal/store/storetest/interrupted.go
@@ -9,7 +9,7 @@
 )
 
 // testInterruptedAttempt guards against a message that runs twice: a process leaves an attempt outstanding, and the next
-// one fails to connect, which says nothing about that attempt. Every later process must know that it may have run.
+// one fails to connect, which proves nothing about that attempt. Every later process must know that it may have run.
 func (s Suite) testInterruptedAttempt(t *testing.T) {
 	for _, outcome := range []policy.Outcome{policy.Unreachable, policy.NotSent, policy.RateLimited} {
 		dir := t.TempDir()
