--- a/internal/ruleset/peers.go
+++ b/internal/ruleset/peers.go
@@ -116,7 +116,7 @@
 	return use, m.peersMismatch
 }
 
-// announce announces the rule use of this node, unless that is announced already. The caller holds fileMu.
+// announce announces the rule use of this node, unless that is announced already. The caller has locked fileMu.
 func (m *Manager) announce(ctx context.Context, use store.RuleUse) error {
 	if m.announced != nil && *m.announced == use {
 		return nil
