--- a/internal/store/postgres/golden_test.go
+++ b/internal/store/postgres/golden_test.go
@@ -42,6 +42,7 @@
 }
 
 func testGoldenRead(t *testing.T, database string) {
+	t.Helper()
 	dir := t.TempDir()
 	db, err := sqlite3.Open("file:" + filepath.Join(dir, "pg.db"))
 	testkit.Must(t, err)
