ingress/http, node: what clients make a node hold is bounded in bytes

Cause: the program's files took 27 of 32 MB and the runtime 60 % whatever these took; headers were parsed and bodies buffered while they came, on each connection, bounded by connections only.

--- a/cmd/wingmount/run.go
+++ b/cmd/wingmount/run.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
+	"io/fs"
 	"log/slog"
 	"os"
+	"path/filepath"
+	"syscall"
 	"wingmount/internal/config"
 	"wingmount/internal/failpoint"
 	"wingmount/internal/node"
@@ -15,6 +19,9 @@
 
 // runPlatformNode runs a node of the platform, which is configured by the environment, until the context ends.
 func runPlatformNode(ctx context.Context, reload <-chan os.Signal, log *slog.Logger) error {
+	if err := execNodeProgram(); err != nil {
+		log.Warn("the program of the node does not start, this one continues", "err", err)
+	}
 	load := func() (platform.Config, error) { return platform.LoadConfig(os.Getenv) }
 	c, err := load()
 	if err != nil {
@@ -70,3 +77,20 @@
 		path, len(f.Classes), len(f.Destinations), len(f.List().Members), f.Store.Kind)
 	return err
 }
+
+// nodeProgram is the program of a node of the platform. It does the same as this one without arguments, with less memory: the
+// files of a program count as memory of its processes.
+const nodeProgram = "wingmount-node"
+
+// execNodeProgram replaces this process by the nodeProgram in the folder of this program. It returns nil if there is none.
+func execNodeProgram() error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(filepath.Dir(self), nodeProgram)
+	if _, err := os.Stat(path); errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	return syscall.Exec(path, []string{path}, os.Environ())
+}
--- a/internal/ingress/http/clients_test.go
+++ b/internal/ingress/http/clients_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	testkit.Must(t, err)
-	l := NewListener(raw, clientLimit)
+	l := NewListener(raw, clientLimit, 0)
 	in.accept = func(*message.Message) {}
 	server := NewServer(l, in, testkit.QuietLog())
 	done := make(chan struct{})
--- a/internal/ingress/http/connection.go
+++ b/internal/ingress/http/connection.go
@@ -14,11 +14,13 @@
 type clientConn struct {
 	net.Conn
 	listener *Listener
+	receiver receiver
 	since    time.Time
 	list     *list.List // of the listener that it is in, nil while it can't be retired
 	element  *list.Element
 	idling   bool // every request of which a byte was read has its answer
-	ahead    bool // the server has read beyond a request, while that was being answered
+	ahead    bool // bytes beyond the request that the server has read or is answering were read
+	buffered bool // these bytes came together with that request
 	retired  bool // it closes when it is idle and nothing more is there, or with the next answer
 	closed   bool
 }
@@ -47,15 +49,15 @@
 	}
 }
 
-// Read counts the first byte as the start of a request. A connection that is retired, or whose time-out has passed without
+// readSocket reads from the connection itself. It counts the first byte as the start of a request. A connection that is retired, or whose time-out has passed without
 // a byte, ends here and nowhere else, after a last read without waiting: what has arrived by then is served.
-func (c *clientConn) Read(b []byte) (int, error) {
+func (c *clientConn) readSocket(b []byte) (int, error) {
 	if c.retiredAndIdle() {
 		return c.lastRead(b, io.EOF)
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.requestStarted(len(b))
+		c.requestStarted()
 		return n, err
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -92,20 +94,29 @@
 	if err := c.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
 		return 0, end
 	}
-	c.requestStarted(len(b))
+	c.requestStarted()
 	return n, nil
 }
 
-// requestStarted records that bytes were read into a buffer of some size. The server reads a single byte while it answers,
-// to detect a client that has gone: that byte belongs to the next request.
-func (c *clientConn) requestStarted(bufferSize int) {
+// requestStarted records that bytes of a request were read.
+func (c *clientConn) requestStarted() {
 	_ = atRead.At()
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.ahead = c.ahead || bufferSize == 1
 	c.busy()
 }
 
+// setAhead records whether bytes of a request were read beyond the one that the server has read or is answering. They are
+// buffered if they came together with that one.
+func (c *clientConn) setAhead(ahead, buffered bool) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.ahead, c.buffered = ahead, buffered
+	if ahead {
+		c.busy()
+	}
+}
+
 // busy takes the connection out of the lists of those that may be retired. The caller has the lock.
 func (c *clientConn) busy() {
 	if c.idling = false; !c.closed {
@@ -122,18 +133,19 @@
 	if c.idling && c.retired { // the reader was woken though a request was buffered
 		_ = c.SetReadDeadline(time.Now().Add(requestTimeout))
 	}
-	c.ahead = false
 	c.busy()
 	return c.retired
 }
 
-// idle records that a request has been answered.
+// idle records that a request has been answered. If the next one is in the buffer, the connection is not idle, but it may be
+// retired until that is served.
 func (c *clientConn) idle() {
 	c.listener.mu.Lock()
-	if !c.closed && !c.ahead {
-		c.idling = true
+	if !c.closed && (!c.ahead || c.buffered) {
+		c.idling = !c.ahead
 		if !c.retired {
 			c.move(c.listener.idle)
+			c.listener.retireOverMemory(c.listener.idle, idleConnBytes)
 		}
 	}
 	c.listener.mu.Unlock()
@@ -161,6 +173,7 @@
 			c.listener.retired--
 		}
 		c.move(nil)
+		c.receiver.memory.close()
 		c.listener.checkEnded()
 		c.listener.changed.Broadcast()
 	}
--- a/internal/ingress/http/endings_test.go
+++ b/internal/ingress/http/endings_test.go
@@ -77,7 +77,7 @@
 	in.accept = func(*message.Message) {}
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	testkit.Must(t, err)
-	l = NewListener(raw, endingLimit)
+	l = NewListener(raw, endingLimit, 0)
 	server := NewServer(l, in, testkit.QuietLog())
 	done := make(chan struct{})
 	go func() {
--- a/internal/ingress/http/listener.go
+++ b/internal/ingress/http/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -9,10 +10,17 @@
 
 // Listener bounds the connections of clients. When one more comes it retires another: first the oldest one that has never
 // sent a byte, then the one that has been idle for longest. So clients that connect and send nothing can't exclude
-// others.
+// others. If all have a request open, the one whose request has been arriving for longest gives way.
 type Listener struct {
 	net.Listener
-	limit int
+	limit  int
+	memory *requestMemory // of requests that are being received
+
+	start     sync.Once        // of run
+	ready     chan *clientConn // with a complete request
+	failures  chan error       // of the inner listener
+	receiving sync.WaitGroup   // of first requests
+	aborted   chan struct{}    // closed by abort
 
 	mu       sync.Mutex
 	changed  *sync.Cond // broadcast when a retired connection has closed, or serves a request after all
@@ -25,9 +33,14 @@
 	ended    chan struct{} // closed when stopping and no connection is left
 }
 
-// NewListener returns a listener with at most limit connections.
-func NewListener(l net.Listener, limit int) *Listener {
-	k := &Listener{Listener: l, limit: max(1, limit), silent: list.New(), idle: list.New(), all: map[*clientConn]struct{}{}, ended: make(chan struct{})}
+// NewListener returns a listener with at most limit connections, whose requests have at most so many bytes of memory while
+// they are received; 0 for a default.
+func NewListener(l net.Listener, limit int, memoryBytes int64) *Listener {
+	k := &Listener{
+		Listener: l, limit: max(1, limit), memory: newRequestMemory(memoryBytes), silent: list.New(), idle: list.New(),
+		all: map[*clientConn]struct{}{}, ended: make(chan struct{}),
+		ready: make(chan *clientConn), failures: make(chan error), aborted: make(chan struct{}),
+	}
 	k.changed = sync.NewCond(&k.mu)
 	return k
 }
@@ -39,22 +52,89 @@
 	return l.count > int(crowdedFraction*float64(l.limit))
 }
 
-// Accept waits for the next connection within the limit.
+// Accept waits for the next connection with a complete request. After the listener was closed it returns the connections
+// whose requests were in progress, and then the error.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.start.Do(func() { go l.run() })
+	select {
+	case c := <-l.ready:
+		return c, nil
+	case err := <-l.failures:
+		return nil, err
+	case <-l.aborted:
+		return nil, net.ErrClosed
+	}
+}
+
+// run accepts connections until the listener is closed, and receives the first request of each.
+func (l *Listener) run() {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
+		if err == nil {
+			l.receiveFirst(conn)
+			continue
+		}
+		closed := errors.Is(err, net.ErrClosed)
+		if closed {
+			l.receiving.Wait()
+		}
+		select {
+		case l.failures <- err: // the server waits before it accepts again
+		case <-l.aborted:
+			return
 		}
-		if c := l.admit(conn); c != nil {
-			return c, nil
+		if closed {
+			return
 		}
+	}
+}
+
+// receiveFirst receives the first request of a connection, and passes the connection to Accept.
+func (l *Listener) receiveFirst(conn net.Conn) {
+	c := l.admit(conn)
+	if c == nil {
 		_ = conn.Close() // all others have a request open
+		return
+	}
+	l.receiving.Go(func() {
+		if !c.receiveFirst() {
+			_ = c.Close() // it has sent nothing, or has its answer
+			return
+		}
+		select {
+		case l.ready <- c:
+		case <-l.aborted:
+			_ = c.Close()
+		}
+	})
+}
+
+// receiveFirst receives the first request of the connection. It returns false if the server has nothing to read.
+func (c *clientConn) receiveFirst() bool {
+	if c.SetReadDeadline(time.Now().Add(headerTimeout)) != nil {
+		return false
+	}
+	c.receive()
+	return c.receiver.end > 0
+}
+
+// abort closes all connections, also those that Accept has not returned yet.
+func (l *Listener) abort() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.aborted:
+		return
+	default:
+	}
+	close(l.aborted)
+	for c := range l.all {
+		_ = c.Conn.Close() // its reader removes it
 	}
 }
 
-// admit adds a connection once the limit allows it. It returns nil if no other connection can be retired, or if a retired
-// one has an open request that takes longer than it may take to persist a message.
+// admit adds a connection once the limit allows it. If no other connection can be retired, one gives way whose request has
+// been arriving for long. It returns nil if there is none, or if the one that gives way has an open request that takes longer than it may take to persist a message.
 func (l *Listener) admit(conn net.Conn) *clientConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,21 +152,33 @@
 			}
 			if chosen = l.leastNeeded(); chosen != nil {
 				chosen.retire()
-			} else if l.retired == 0 || !time.Now().Before(until) {
+				continue
+			}
+			if evicted := l.memory.evictOne(); !evicted && l.retired == 0 || !time.Now().Before(until) {
 				return nil
 			}
 		}
 	}
 	c := &clientConn{Conn: conn, listener: l, since: time.Now(), idling: true}
+	c.receiver.memory = requestBytes{memory: l.memory, evict: func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }}
 	c.list, c.element = l.silent, l.silent.PushBack(c)
 	l.count++
 	l.all[c] = struct{}{}
+	l.retireOverMemory(l.silent, silentConnBytes)
 	if l.stopping {
 		c.retire()
 	}
 	return c
 }
 
+// retireOverMemory retires the oldest connections of a list that together need more memory than connections without a
+// request may have. The caller has the lock.
+func (l *Listener) retireOverMemory(conns *list.List, connBytes int) {
+	for float64(conns.Len()*connBytes) > idleConnShare*float64(l.memory.limit) {
+		conns.Front().Value.(*clientConn).retire()
+	}
+}
+
 // leastNeeded returns the connection to retire, nil if none is idle.
 func (l *Listener) leastNeeded() *clientConn {
 	e := l.silent.Front()
--- a/internal/ingress/http/parse.go
+++ b/internal/ingress/http/parse.go
@@ -70,8 +70,8 @@
 	if r.ContentLength > message.MaxBodyLength {
 		return nil, badRequestError{http.StatusRequestEntityTooLarge, "over 64 KiB"}
 	}
-	// Memory is allocated for what arrives, not for the announced length.
-	if m.Body, err = io.ReadAll(r.Body); err != nil {
+	m.Body = make([]byte, r.ContentLength) // the connection has received it, or has reserved memory for it
+	if _, err = io.ReadFull(r.Body, m.Body); err != nil {
 		return nil, fmt.Errorf("reading the body: %w", err)
 	}
 	return m, nil
--- a/internal/ingress/http/server.go
+++ b/internal/ingress/http/server.go
@@ -88,6 +88,7 @@
 // Close closes all connections at once.
 func (s *Server) Close() error {
 	err := s.http.Close()
+	s.listener.abort()
 	if errors.Is(err, net.ErrClosed) { // the listener, by Stop
 		return nil
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -24,6 +24,7 @@
 type nodeConfig struct {
 	name, listen           string
 	sockets                int           // file descriptors; 0 for the default
+	memoryMB               int           // memory of the process, in MiB; 0 for no limit
 	idleClose              time.Duration // when partners close idle connections
 	idlePerEndpoint        int           // idle connections to one endpoint; 0 for the carrier's default
 	responseMargin         time.Duration // see engine.Config
@@ -66,7 +67,7 @@
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
 	n := &node{
-		nodeConfig: c, listener: httpingress.NewListener(listener, clientSockets(c.sockets)),
+		nodeConfig: c, listener: httpingress.NewListener(listener, clientSockets(c.sockets), clientMemory(c.memoryMB)),
 		registry: inflight.New(inflight.Config{Max: c.settings.MaxInFlight, Admission: c.admission}),
 		engine: engine.New(engine.Config{
 			Settings: c.settings, Seed: c.seed, Kinds: c.kinds, Zones: c.zones, ResponseMargin: c.responseMargin,
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -101,7 +101,7 @@
 		assignment.recovered(g.recovered)
 	}
 	g.node, err = build(nodeConfig{
-		name: f.Name, listen: f.Listen, sockets: f.Limits.Sockets, idleClose: partnerIdleClose, idlePerEndpoint: f.Limits.Slots,
+		name: f.Name, listen: f.Listen, sockets: f.Limits.Sockets, memoryMB: f.Limits.MemoryMB, idleClose: partnerIdleClose, idlePerEndpoint: f.Limits.Slots,
 		responseMargin: responseMargin, settings: g.settings, seed: g.seed, maxDestination: config.MaxDestination,
 		classes: names.Classes, kinds: names.Kinds, zones: names.Zones, store: g.store, recovered: g.recovered,
 		notifier: g.newNotifier(), admission: newAdmission(f, g.settings), rules: g.rules, linesStay: true, assignment: assignment, log: g.Log,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,10 +19,7 @@
 // Start reading at [RunGateway].
 package node
 
-import (
-	"context"
-	"runtime/debug"
-)
+import "context"
 
 const (
 	// reservedSockets are file descriptors for the journal, discovery, notifications and the like.
@@ -31,8 +28,6 @@
 	endpointSocketShare = 0.25
 	// defaultSockets is the number of file descriptors where the configuration has no limit.
 	defaultSockets = 1024
-	// memoryLimitPercent is the part of the configured memory that the Go runtime may use.
-	memoryLimitPercent = 60
 )
 
 // clientSockets returns how many connections clients may have, of so many file descriptors.
@@ -52,12 +47,5 @@
 	return max(0, int(endpointSocketShare*float64(all))-slots)
 }
 
-// limitMemory limits the memory of the Go runtime to its part of a number of MiB; 0 for no limit.
-func limitMemory(memoryMB int) {
-	if memoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryMB) << 20 * memoryLimitPercent / 100)
-	}
-}
-
 // background is a function that runs until its context ends.
 type background func(ctx context.Context)
