ingress/http: a connection that does not wait for answers is paced

Cause: a connection's next request was served as soon as the previous one was answered, so a client that does not wait takes the processor, the places and the engine. Change: 128 requests ahead of their answers, then 500 a second on that connection; who waits for answers is never delayed, and nothing is refused.

--- a/cmd/wingmount-node/clients_test.go
+++ b/cmd/wingmount-node/clients_test.go
@@ -242,3 +242,34 @@
 		})
 	}
 }
+
+// Guards against a client that takes the node from others: requests on one connection at full speed, sound or not, under
+// ever new ids, must neither delay the answers to others nor make memory grow.
+func TestFloodOnOneConnectionCostsOthersNothing(t *testing.T) {
+	const memoryMB, floodTime = 64, 6 * time.Second
+	for name, make := range map[string]func(number int) []byte{
+		"sound":         func(number int) []byte { return request(fmt.Sprint("flood-", number)) },
+		"unknown paths": func(number int) []byte { return fmt.Appendf(nil, "GET /none-%d HTTP/1.1\r\nHost: x\r\n\r\n", number) },
+		"health checks": func(int) []byte { return []byte("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n") },
+		"short time": func(number int) []byte {
+			return bytes.Replace(request(fmt.Sprint("flood-", number)), []byte("Ms: 8000"), []byte("Ms: 1"), 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := startNode(t, memoryMB)
+			sent := 0
+			o := n.observe(t, func(ctx context.Context) {
+				ctx, cancel := context.WithTimeout(ctx, floodTime)
+				defer cancel()
+				sent = badclient.Group{Address: n.address, Clients: 1}.Flood(ctx, func(_, number int) []byte { return make(number) })
+			})
+			t.Logf("%d requests sent", sent)
+			if o.peak > memoryMB<<20 {
+				t.Errorf("got a peak of %d bytes, want %d at most", o.peak, memoryMB<<20)
+			}
+			if o.unsound > 0 {
+				t.Errorf("%d of %d sound requests were not accepted within %v", o.unsound, o.sound, clientPatience)
+			}
+		})
+	}
+}
--- a/internal/ingress/http/receive.go
+++ b/internal/ingress/http/receive.go
@@ -19,6 +19,11 @@
 	receiveBytes = 512
 	// maxReceivedHeader is more than the server accepts as a header.
 	maxReceivedHeader = maxHeaderBytes + 5<<10
+	// pipelineBurst is how many requests a client may send at once without waiting for their answers. After that it gets
+	// pipelineRate requests a second, in groups of pipelinePause, so that one connection can't occupy the node.
+	pipelineBurst = 128
+	pipelineRate  = 500
+	pipelinePause = 20 * time.Millisecond
 )
 
 // Answers to requests that the server never sees.
@@ -38,6 +43,9 @@
 	unbounded bool  // everything else goes directly to the server, which rejects it
 	body      int64 // bytes of the body that go directly to the server, as the client waits for its consent
 	err       error // to return once the buffer is delivered
+
+	pipelined int       // requests that had arrived before the previous one was answered, less those that were due
+	pacedAt   time.Time // when pipelined was last reduced
 }
 
 // header is what was found of a header so far.
@@ -113,6 +121,7 @@
 // receive reads a request. Afterwards its end is set, or err.
 func (c *clientConn) receive() {
 	r := &c.receiver
+	c.pace()
 	began := time.Time{}
 	if len(r.buffer) > 0 {
 		began = time.Now()
@@ -247,3 +256,21 @@
 		h.expects = true
 	}
 }
+
+// pace delays the next request of a client that sends requests without waiting for the answers, and has sent more than
+// pipelineBurst of them.
+func (c *clientConn) pace() {
+	r := &c.receiver
+	if len(r.buffer) == 0 {
+		return
+	}
+	const perPause = int(pipelineRate * pipelinePause / time.Second)
+	now := time.Now()
+	if due := int(now.Sub(r.pacedAt) / pipelinePause); due > 0 {
+		r.pipelined = max(0, r.pipelined-min(due, pipelineBurst)*perPause)
+		r.pacedAt = now
+	}
+	if r.pipelined++; r.pipelined > pipelineBurst {
+		time.Sleep(pipelinePause)
+	}
+}
