ingress/http: no message is accepted whose client has closed its connection

Cause: requests in the buffers of a closed connection were read and accepted until a write failed. Change: the state of the connection is looked at before each request; where the client has closed its side, the first bytes of the answer show whether it still reads.

--- a/internal/ingress/http/connection.go
+++ b/internal/ingress/http/connection.go
@@ -15,14 +15,16 @@
 	net.Conn
 	listener *Listener
 	receiver receiver
-	since    time.Time
-	list     *list.List // of the listener that it is in, nil while it can't be retired
-	element  *list.Element
-	idling   bool // every request of which a byte was read has its answer
-	ahead    bool // bytes beyond the request that the server has read or is answering were read
-	buffered bool // these bytes came together with that request
-	retired  bool // it closes when it is idle and nothing more is there, or with the next answer
-	closed   bool
+	// prefixSent is set while answerPrefix of the next answer has been sent already. Only the server's goroutine uses it.
+	prefixSent bool
+	since      time.Time
+	list       *list.List // of the listener that it is in, nil while it can't be retired
+	element    *list.Element
+	idling     bool // every request of which a byte was read has its answer
+	ahead      bool // bytes beyond the request that the server has read or is answering were read
+	buffered   bool // these bytes came together with that request
+	retired    bool // it closes when it is idle and nothing more is there, or with the next answer
+	closed     bool
 }
 
 // move moves the connection to another list of the listener, or to none.
--- a/internal/ingress/http/memory_test.go
+++ b/internal/ingress/http/memory_test.go
@@ -164,3 +164,56 @@
 		})
 	}
 }
+
+// Guards against messages that are sent on although their client has gone: of the requests that are in the buffer when a client
+// closes its connection without having read its answers, none is accepted any more.
+func TestRequestsOfClientThatHasLeftAreNotAccepted(t *testing.T) {
+	const requests = 40
+	answer := newGate(t, "front/http/before-answer")
+	answer.close()
+	in, l, _ := newEndingServer(t)
+	c := dialClient(t, l)
+	text := ""
+	for i := range requests {
+		text += rawNote(fmt.Sprint("m", i), noteLength) + "body"
+	}
+	_, err := io.WriteString(c, text)
+	testkit.Must(t, err)
+	answer.wait(t) // the first is accepted, and has no answer yet
+	testkit.Must(t, c.Close())
+	answer.release()
+	eventually(t, l, "the connection ends", func() bool { return l.count == 0 })
+	if got := in.registry.Count(); got != 1 {
+		t.Errorf("got %d of %d requests accepted, want the first one only", got, requests)
+	}
+}
+
+// The same for a request that the node has not looked at when its client closes the connection: the client may submit it elsewhere
+// at once. A client that has closed only its sending side gets its answer.
+func TestRequestReadAfterItsClientLeftIsNotAccepted(t *testing.T) {
+	for name, test := range map[string]struct {
+		leave func(c *net.TCPConn) error
+		want  int // messages accepted
+	}{
+		"closed":          {(*net.TCPConn).Close, 0},
+		"closed to write": {(*net.TCPConn).CloseWrite, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			read := newGate(t, "front/http/after-read")
+			read.close()
+			in, l, _ := newEndingServer(t)
+			c := dialClient(t, l)
+			sendNote(t, c, "m")
+			read.wait(t)
+			testkit.Must(t, test.leave(c.(*net.TCPConn)))
+			read.release()
+			if test.want > 0 {
+				wantAccepted(t, bufio.NewReader(c), "the message of a client that reads")
+			}
+			eventually(t, l, "the connection ends", func() bool { return l.count == 0 })
+			if got := in.registry.Count(); got != test.want {
+				t.Errorf("got %d messages accepted, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/ingress/http/server.go
+++ b/internal/ingress/http/server.go
@@ -50,6 +50,9 @@
 func NewServer(l *Listener, h http.Handler, log *slog.Logger) *Server {
 	closing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*clientConn)
+		if ok && c.clientHasLeft(r) {
+			panic(http.ErrAbortHandler) // closes the connection
+		}
 		if ok && c.serving() || l.crowded() {
 			w.Header().Set("Connection", "close")
 		}
