egress, engine: no call goes to another process at the address of its endpoint

Cause: a call that was connecting was sent for three quarters of the drain grace after its endpoint's removal, and to the old address after it had moved; an endpoint stayed in use while discovery had already announced another one at its address. Change: a generation of each endpoint, which a call must match until its first byte; on the platform an endpoint at whose address a new one is listed is removed.

Result: TestCallIsNotSentToSuccessorAtAddress and four of seven cases of TestCallsToAddressOfAnotherEndpointAreStopped fail before and pass.

--- a/internal/egress/call.go
+++ b/internal/egress/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 	"wingmount/internal/message"
 	"wingmount/policy"
@@ -10,7 +11,7 @@
 // deadlineMargin is the time by which a call ends before the earliest deadline of its messages.
 const deadlineMargin = 10 * time.Millisecond
 
-// Endpoint is one address of a destination. Only its gates and Bodies change after it is created. Each
+// Endpoint is one address of a destination. Only its gates, Bodies and generation change after it is created. Each
 // endpoint in the endpoint list has an Endpoint, even if it is not in use, so the struct is small.
 type Endpoint struct {
 	ID             policy.EndpointID
@@ -19,10 +20,18 @@
 	Kind           uint16      // of its destination: index into policy.Settings.Kinds
 	Zone           uint16      // index into the settings' zones
 	Bodies         BodyHistory // of its responses
-	DrainGate      Gate        // closed by a drain or by removal from the list
+	DrainGate      DrainGate   // closed by a drain or by removal from the list
 	RetryAfterGate *Gate       // closed by Retry-After; shared by the endpoints of a path
+	generation     atomic.Uint32
 }
 
+// Generation returns a number that changes when another process may be at the endpoint's address.
+func (e *Endpoint) Generation() uint32 { return e.generation.Load() }
+
+// Supersede stops the calls to the endpoint that were decided before and have not sent a byte: the endpoint was removed or has
+// moved, and another process may be at the address that they connect to. It is safe for concurrent use.
+func (e *Endpoint) Supersede() { e.generation.Add(1) }
+
 // Part is one message of a call.
 type Part struct {
 	Message *message.Message
@@ -40,6 +49,8 @@
 type Call struct {
 	Endpoint *Endpoint
 	Addr     string // HOST:PORT
+	// Generation is that of the endpoint when the engine decided on the call.
+	Generation uint32
 	// DecidedAt is when the engine decided on the call, before it connects and persists its attempts.
 	DecidedAt time.Time
 	Limit     time.Duration // time for the call from DecidedAt; at first the shortest timeout of its parts
@@ -76,9 +87,9 @@
 	return c.Deadline().Sub(c.DecidedAt) <= c.Limit+deadlineMargin
 }
 
-// IsOpen reports whether both gates of the endpoint are open at now.
+// IsOpen reports whether both gates of the endpoint are open at now, and the endpoint is still the one that was decided on.
 func (c *Call) IsOpen(now time.Time) bool {
-	return c.Endpoint.DrainGate.IsOpen(now) && c.Endpoint.RetryAfterGate.IsOpen(now)
+	return c.Generation == c.Endpoint.Generation() && c.Endpoint.DrainGate.IsOpen(now) && c.Endpoint.RetryAfterGate.IsOpen(now)
 }
 
 // KeyExpiry returns the time from which no byte of the call may be sent, because the destination no longer drops a repeat of
--- a/internal/egress/gate_test.go
+++ b/internal/egress/gate_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// CloseUntil never shortens a closure already set. After the first CloseAt, others have no effect until Reopen.
-func TestGateKeepsLatestCloseUntilAndFirstCloseAt(t *testing.T) {
+// CloseUntil never shortens a closure already set.
+func TestGateKeepsLatestCloseUntil(t *testing.T) {
 	var g Gate
 	now := time.Now()
 	g.CloseUntil(now.Add(time.Minute))
@@ -14,6 +14,15 @@
 	if g.IsOpen(now.Add(59*time.Second)) || !g.IsOpen(now.Add(time.Minute)) {
 		t.Error("got the gate open before the end of the longer closure or closed at its end, want it closed until then")
 	}
+}
+
+// After the first CloseAt, others have no effect until Reopen.
+func TestDrainGateKeepsFirstCloseAt(t *testing.T) {
+	var g DrainGate
+	now := time.Now()
+	if g.CloseScheduled() || !g.IsOpen(now) {
+		t.Error("got a closed gate, want an open one")
+	}
 	g.CloseAt(now.Add(time.Hour))
 	g.CloseAt(now.Add(2 * time.Hour))
 	if !g.CloseScheduled() || g.IsOpen(now.Add(time.Hour)) || !g.IsOpen(now.Add(time.Hour-1)) {
--- a/internal/egress/http1/dial_test.go
+++ b/internal/egress/http1/dial_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -168,3 +169,29 @@
 		t.Error("got an error before the deadline, want it at or after the deadline")
 	}
 }
+
+// Guards against work that goes to the wrong place: while a call connects, its endpoint goes and a new process comes up at the
+// address. Nothing is sent to that, and the attempt counts as not sent.
+func TestCallIsNotSentToSuccessorAtAddress(t *testing.T) {
+	received := make(chan int64, 1)
+	addr := rawServer(t, func(_ int64, conn net.Conn) {
+		n, _ := io.Copy(io.Discard, conn)
+		received <- n
+	})
+	f := newCallFixture(t, addr)
+	f.carrier.dialer.Control = func(string, string, syscall.RawConn) error {
+		f.endpoint.Supersede()
+		return nil
+	}
+	m := f.start(testTimeout, 1)[0]
+	if e := f.next(); e.Outcome != policy.NotSent {
+		t.Errorf("got outcome %d, want %d", e.Outcome, policy.NotSent)
+	}
+	if m.History.Attempts != 0 {
+		t.Errorf("got %d attempts on record, want none", m.History.Attempts)
+	}
+	f.carrier.CloseIdle(f.endpoint)
+	if n := <-received; n != 0 {
+		t.Errorf("the new process received %d bytes, want none", n)
+	}
+}
--- a/internal/egress/recorder.go
+++ b/internal/egress/recorder.go
@@ -32,8 +32,8 @@
 	RecordTimeout = 250 * time.Millisecond
 )
 
-// ErrClosed means that no call may be sent to an endpoint: it is draining, was removed, or sent a
-// Retry-After. See also [ErrNoQuota].
+// ErrClosed means that no call may be sent to an endpoint: it is draining, was removed, has moved, or
+// sent a Retry-After. See also [ErrNoQuota].
 var ErrClosed = errors.New("endpoint is closed to calls")
 
 // ErrNoQuota means that this node may not call the destination now: the node's lease has expired
--- a/internal/engine/contracts.go
+++ b/internal/engine/contracts.go
@@ -69,6 +69,9 @@
 	// Assigned is set if destinations are assigned to nodes. A node then calls a destination only while it has a quota
 	// of the destination's rate limit, see [Engine.SetAssignment].
 	Assigned bool
+	// UniqueAddresses is set if each endpoint is a process of its own: one that appears at the address of another shows that
+	// the other one has gone.
+	UniqueAddresses bool
 }
 
 // Dependencies are the collaborators of an engine. WriteContext, PeerMessages, Observations and StepLog may be nil.
--- a/internal/engine/directory.go
+++ b/internal/engine/directory.go
@@ -28,7 +28,7 @@
 
 // applyList updates the endpoint table from a list, and returns the module's event for the update.
 func (e *Engine) applyList(list directory.List) policy.EndpointUpdate {
-	event := policy.EndpointUpdate{Complete: list.Complete}
+	event := policy.EndpointUpdate{Complete: list.Complete, Entries: e.removeSuperseded(list)}
 	present := map[policy.EndpointID]bool{}
 	for _, m := range list.Members {
 		if entry, ok := e.applyMember(m); ok {
@@ -47,6 +47,35 @@
 	return event
 }
 
+// removeSuperseded removes the endpoints at whose address the list has a new one, and returns the module's entries for them.
+// The directory may announce the new process before the end of the old one.
+func (e *Engine) removeSuperseded(list directory.List) (entries []policy.Entry) {
+	if !e.uniqueAddresses {
+		return nil
+	}
+	arrived := map[string]policy.EndpointID{} // by address
+	for _, m := range list.Members {
+		id := endpointID(m.ID)
+		known := e.endpoints[id]
+		if m.Phase == directory.Active && (known == nil || known.removed || known.addr != m.HostPort) {
+			arrived[m.HostPort] = id
+		}
+	}
+	if len(arrived) == 0 {
+		return nil
+	}
+	for id, endpoint := range e.endpoints {
+		if newcomer, taken := arrived[endpoint.addr]; !taken || newcomer == id || endpoint.removed {
+			continue
+		}
+		e.deps.Log.Warn("discovery: endpoint removed, another one has its address", "id", endpoint.Name)
+		e.setDraining(endpoint, true)
+		e.setRemoved(endpoint, true)
+		entries = append(entries, e.entry(endpoint, policy.Removed, 0))
+	}
+	return entries
+}
+
 // applyMember updates one endpoint of the table and returns the module's entry for it. It returns false if this node does
 // not call the endpoint.
 func (e *Engine) applyMember(m directory.Member) (policy.Entry, bool) {
@@ -70,7 +99,8 @@
 		e.deps.Log.Debug("endpoint updated", "dest", endpoint.Destination, "endpoint", endpoint.Name, "kind", endpoint.Kind, "zone", endpoint.Zone, "phase", m.Phase, "rate", m.Size)
 	}
 	e.quotas.attach(endpoint, m.Size)
-	if state != policy.Removed {
+	if state != policy.Removed && endpoint.addr != m.HostPort {
+		endpoint.Supersede()
 		endpoint.addr = m.HostPort
 	}
 	e.setDraining(endpoint, state != policy.Ready)
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -119,6 +119,7 @@
 		d.inDirectory++
 		return
 	}
+	endpoint.Supersede()
 	t.departing[endpoint.ID] = endpoint
 	if d.inDirectory--; d.inDirectory == 0 {
 		t.vacant[endpoint.Destination] = vacantDestination{d, time.Now()}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -62,8 +62,10 @@
 
 	messages map[policy.MessageID]*message.Message // messages without a final response
 	endpointTable
-	quotas    assignedQuotas
-	responses *responseWriter // persists and announces the module's final responses
+	quotas assignedQuotas
+	// uniqueAddresses: see Config.
+	uniqueAddresses bool
+	responses       *responseWriter // persists and announces the module's final responses
 
 	// The following slices are filled in a round, and reset by its end.
 
@@ -75,16 +77,17 @@
 // New returns an engine without dependencies.
 func New(c Config) *Engine {
 	return &Engine{
-		sender:         policy.New(c.Settings, c.Seed),
-		settings:       c.Settings,
-		responseMargin: c.ResponseMargin,
-		origin:         time.Now(),
-		events:         make(chan Event, eventCapacity),
-		done:           make(chan struct{}),
-		quiesced:       make(chan struct{}),
-		messages:       map[policy.MessageID]*message.Message{},
-		endpointTable:  newEndpointTable(c.Kinds, c.Zones),
-		quotas:         newAssignedQuotas(c.Assigned),
+		sender:          policy.New(c.Settings, c.Seed),
+		settings:        c.Settings,
+		responseMargin:  c.ResponseMargin,
+		origin:          time.Now(),
+		events:          make(chan Event, eventCapacity),
+		done:            make(chan struct{}),
+		quiesced:        make(chan struct{}),
+		messages:        map[policy.MessageID]*message.Message{},
+		endpointTable:   newEndpointTable(c.Kinds, c.Zones),
+		quotas:          newAssignedQuotas(c.Assigned),
+		uniqueAddresses: c.UniqueAddresses,
 	}
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -506,6 +506,52 @@
 	}
 }
 
+// Guards against work that goes to the wrong place: an endpoint at whose address another one has appeared is gone, although the
+// list still has it. Calls to it that have not sent a byte are stopped, also those to the previous address of an endpoint that has
+// moved or was removed.
+func TestCallsToAddressOfAnotherEndpointAreStopped(t *testing.T) {
+	at := func(m directory.Member, address string) directory.Member {
+		m.HostPort = address
+		return m
+	}
+	changes := func(members ...directory.Member) EndpointsChanged {
+		return EndpointsChanged{List: directory.List{Live: true, Members: members}}
+	}
+	for _, test := range []struct {
+		name            string
+		uniqueAddresses bool
+		change          EndpointsChanged
+		wantStopped     bool
+		wantRemoved     bool
+	}{
+		{"another one has its address", true, changes(at(member("s2", 8, directory.Active), "127.0.0.1:1")), true, true},
+		{"addresses are shared", false, changes(at(member("s2", 8, directory.Active), "127.0.0.1:1")), false, false},
+		{"another one elsewhere", true, changes(at(member("s2", 8, directory.Active), "127.0.0.1:2")), false, false},
+		{"it is listed again", true, changes(member("s1", 7, directory.Active)), false, false},
+		{"it has moved", false, changes(at(member("s1", 7, directory.Active), "127.0.0.1:2")), true, false},
+		{"it was removed", false, changes(member("s1", 7, directory.Removed)), true, true},
+		{"it was removed and is back", false, changes(member("s1", 7, directory.Removed), member("s1", 7, directory.Active)), true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e, f := newEngine(testSettings)
+			e.uniqueAddresses = test.uniqueAddresses
+			e.handle(changes(member("s1", 7, directory.Active)))
+			e.handle(MessageAccepted{Message: &message.Message{Seq: 1, ID: "a", Destination: 7, Deadline: time.Now().Add(20 * time.Second)}})
+			e.step(t.Context())
+			if len(f.calls) != 1 || !f.calls[0].IsOpen(time.Now()) {
+				t.Fatalf("got calls %+v, want one that may be sent", f.calls)
+			}
+			e.handle(test.change)
+			if got := !f.calls[0].IsOpen(time.Now()); got != test.wantStopped {
+				t.Errorf("got the call stopped: %t, want %t", got, test.wantStopped)
+			}
+			if got := e.endpoints[endpointID("s1")].removed; got != test.wantRemoved {
+				t.Errorf("got the endpoint removed: %t, want %t", got, test.wantRemoved)
+			}
+		})
+	}
+}
+
 // For random lists, messages and evictions, no call goes to an endpoint that is removed or no longer tracked. Guards
 // against an action of the module for an endpoint that the engine has evicted.
 func TestNoCallToRemovedEndpoints(t *testing.T) {
--- a/internal/engine/step.go
+++ b/internal/engine/step.go
@@ -68,7 +68,7 @@
 func (b *callBuilder) add(endpoint *trackedEndpoint, maxBatch int, m *message.Message, timeout time.Duration) {
 	call := b.open[endpoint.ID]
 	if call == nil || len(call.Parts) >= maxBatch {
-		call = &egress.Call{Endpoint: &endpoint.Endpoint, Addr: endpoint.addr, DecidedAt: time.Now()}
+		call = &egress.Call{Endpoint: &endpoint.Endpoint, Addr: endpoint.addr, Generation: endpoint.Generation(), DecidedAt: time.Now()}
 		b.open[endpoint.ID] = call
 		b.all = append(b.all, call)
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -39,6 +39,7 @@
 	linesStay              bool                  // see http1.Config
 	rules                  *ruleset.Manager      // nil without rules for keys and classes
 	completeUnknownClasses bool                  // see resolveUnknownClasses
+	uniqueAddresses        bool                  // see engine.Config
 	assignment             *assignment           // nil if destinations are not assigned to nodes
 	log                    *slog.Logger
 }
@@ -71,7 +72,7 @@
 		registry: inflight.New(inflight.Config{Max: c.settings.MaxInFlight, Admission: c.admission}),
 		engine: engine.New(engine.Config{
 			Settings: c.settings, Seed: c.seed, Kinds: c.kinds, Zones: c.zones, ResponseMargin: c.responseMargin,
-			Assigned: c.assignment != nil,
+			Assigned: c.assignment != nil, UniqueAddresses: c.uniqueAddresses,
 		}),
 	}
 	var ownership httpingress.Ownership
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -51,7 +51,7 @@
 	results := platform.NewResultNotifier(c.Discovery, messages, log)
 	n, err := build(nodeConfig{
 		name: c.Name, listen: c.Listen, sockets: c.Sockets, memoryMB: c.MemoryMB, idleClose: c.IdleClose, settings: c.Settings, seed: c.Seed,
-		classes: c.Classes, kinds: c.Kinds, zones: c.Zones, store: messages, recovered: recovered, notifier: results, completeUnknownClasses: true, log: log,
+		classes: c.Classes, kinds: c.Kinds, zones: c.Zones, store: messages, recovered: recovered, notifier: results, completeUnknownClasses: true, uniqueAddresses: true, log: log,
 	})
 	if err != nil {
 		return errors.Join(err, messages.Close())
