egress/http1: an outcome is reported after the reset of its connection

KNOWN-RED's TestUnacknowledgedCallDoesNotArriveLater: an endpoint got a whole call after its outcome was reported.

Cause: closing wakes the reader before the descriptor is closed, and the reader's goroutine reports the outcome. Change: the call waits until its connection is abandoned.

--- a/internal/egress/http1/call.go
+++ b/internal/egress/http1/call.go
@@ -114,7 +114,7 @@
 // is reusable, and closes it otherwise. This happens before the outcome is reported, except for
 // a delivered single message: the outcome may start the next call to the endpoint, which may need the connection.
 func (c *Carrier) exchangeOn(ctx context.Context, call *egress.Call, conn *connection, req *http.Request) exchange {
-	stop := context.AfterFunc(ctx, conn.abandon)
+	stop := conn.abandonAfter(ctx)
 	stopAtExpiry := conn.abandonUnacknowledgedAt(call.KeyExpiry())
 	x := c.exchange(call, conn, req)
 	stopped, inTime := stop(), stopAtExpiry()
--- a/internal/egress/http1/unacknowledged.go
+++ b/internal/egress/http1/unacknowledged.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -35,16 +36,42 @@
 	_ = c.Close()
 }
 
+// abandonAfter abandons the connection when the context ends. The caller must call stop when the call has ended. It returns
+// false if the context has ended, and only once the connection is abandoned: its reader notices the close a moment before the
+// kernel has dropped the bytes, and the outcome of the call must not be reported meanwhile.
+func (c *connection) abandonAfter(ctx context.Context) (stop func() bool) {
+	abandoned := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(abandoned)
+		c.abandon()
+	})
+	return stopOrAwait(cancel, abandoned)
+}
+
 // abandonUnacknowledgedAt abandons the connection at a time, if bytes are not acknowledged then. A zero time is never. The
-// caller must call stop when the call has ended, which returns false if the time has come.
+// caller must call stop as with abandonAfter.
 func (c *connection) abandonUnacknowledgedAt(at time.Time) (stop func() bool) {
 	if at.IsZero() {
 		return func() bool { return true }
 	}
+	abandoned := make(chan struct{})
 	timer := time.AfterFunc(time.Until(at), func() {
+		defer close(abandoned)
 		if c.hasUnacknowledged() {
 			c.abandon()
 		}
 	})
-	return timer.Stop
+	return stopOrAwait(timer.Stop, abandoned)
+}
+
+// stopOrAwait returns a function that cancels a callback, or awaits its end if it has begun. It reports whether the callback
+// was canceled.
+func stopOrAwait(cancel func() bool, ended <-chan struct{}) func() bool {
+	return func() bool {
+		if cancel() {
+			return true
+		}
+		<-ended
+		return false
+	}
 }
