--- a/internal/engine/directory.go
+++ b/internal/engine/directory.go
@@ -65,7 +65,7 @@
 		return nil
 	}
 	for id, endpoint := range e.endpoints {
-		if newcomer, taken := arrived[endpoint.addr]; !taken || newcomer == id || endpoint.removed {
+		if newcomer, found := arrived[endpoint.addr]; !found || newcomer == id || endpoint.removed {
 			continue
 		}
 		e.deps.Log.Warn("discovery: endpoint removed, another one has its address", "id", endpoint.Name)
--- a/internal/ingress/http/memory.go
+++ b/internal/ingress/http/memory.go
@@ -49,13 +49,13 @@
 // requestBytes is the memory of one connection's request. memory.mu guards its fields, except for memory and evict, which do
 // not change.
 type requestBytes struct {
-	memory  *requestMemory
-	evict   func() // wakes the reader
-	element *list.Element
-	began   time.Time
-	held    int64
-	evicted bool
-	closed  bool // the connection is closed
+	memory   *requestMemory
+	evict    func() // wakes the reader
+	element  *list.Element
+	began    time.Time
+	reserved int64
+	evicted  bool
+	closed   bool // the connection is closed
 }
 
 func newRequestMemory(limit int64) *requestMemory {
@@ -78,7 +78,7 @@
 		limit = int64(largeRequestShare * float64(limit))
 	}
 	until := time.Now().Add(requestTimeout)
-	for m.used-b.held+length > limit && !b.evicted && !b.closed {
+	for m.used-b.reserved+length > limit && !b.evicted && !b.closed {
 		now := time.Now()
 		if !now.Before(until) {
 			return errNoMemory
@@ -99,8 +99,8 @@
 		b.began = time.Now()
 		b.element = m.requests.PushBack(b)
 	}
-	m.used += max(0, length-b.held)
-	b.held = max(b.held, length)
+	m.used += max(0, length-b.reserved)
+	b.reserved = max(b.reserved, length)
 	return nil
 }
 
@@ -142,11 +142,11 @@
 
 func (b *requestBytes) releaseLocked(keep int64) {
 	m := b.memory
-	if b.element == nil || b.held < keep {
+	if b.element == nil || b.reserved < keep {
 		return
 	}
-	m.used -= b.held - keep
-	b.held = keep
+	m.used -= b.reserved - keep
+	b.reserved = keep
 	if keep == 0 {
 		m.requests.Remove(b.element)
 		b.element, b.evicted = nil, false
--- a/internal/ingress/http/memory_test.go
+++ b/internal/ingress/http/memory_test.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// A client that waits for consent before it sends its body gets it, and then its answer.
-func TestClientThatExpectsConsentIsAnswered(t *testing.T) {
+// A client that waits for 100 Continue before it sends its body gets it, and then its answer.
+func TestClientThatExpectsContinueIsAnswered(t *testing.T) {
 	var accepted []*message.Message
 	l := newServerWithMemory(t, newIntake(t, &accepted), clientLimit)
 	c := dialClient(t, l)
--- a/internal/ingress/http/receive.go
+++ b/internal/ingress/http/receive.go
@@ -41,7 +41,7 @@
 	end       int    // of the request, 0 until it is complete
 	header    header
 	unbounded bool  // everything else goes directly to the server, which rejects it
-	body      int64 // bytes of the body that go directly to the server, as the client waits for its consent
+	body      int64 // bytes of the body that go directly to the server, as the client waits for 100 Continue
 	err       error // to return once the buffer is delivered
 
 	pipelined int       // requests that had arrived before the previous one was answered, less those that were due
@@ -56,7 +56,7 @@
 	length    int64 // announced length of the body
 	lengths   int   // number of fields with it
 	unbounded bool  // the length of the body is not valid, or not known
-	expects   bool  // the client waits for consent before it sends the body
+	expects   bool  // the client waits for 100 Continue before it sends the body
 	complete  bool
 }
 
