inflight: messages in flight are bounded in bytes

A gateway with limits.memory_mb accepted as many messages as limits.held allows, 20,000 of 64 KiB by its sample, whatever its memory.

Change: with a limit of memory, messages in flight hold half of the runtime's part of it at most, with 1 KiB for each beside its own bytes; beyond that a message is answered 503.

--- a/internal/engine/stall_test.go
+++ b/internal/engine/stall_test.go
@@ -72,7 +72,7 @@
 	accepted := 0
 	submit := func(i int) (inflight.Verdict, time.Duration) {
 		id := fmt.Sprint("m", i)
-		verdict, retry := registry.Reserve(id, 7, 0, 10*time.Second)
+		verdict, retry := registry.Reserve(id, 7, 0, 0, 10*time.Second)
 		if verdict == inflight.Reserved {
 			accepted++
 			registry.Accept(id)
--- a/internal/inflight/registry.go
+++ b/internal/inflight/registry.go
@@ -29,6 +29,8 @@
 type Config struct {
 	// Max is the maximum number of messages in flight; 0 for no limit.
 	Max int
+	// MaxBytes is the maximum memory of the messages in flight, in bytes; 0 for no limit.
+	MaxBytes int64
 	// Admission is a controller that may reject messages, or nil. The registry owns it and calls it with its lock held.
 	Admission *admission.Controller
 }
@@ -54,11 +56,16 @@
 type reservation struct {
 	destination, class int
 	accepted           bool // the message is persisted
+	bytes              int32
 }
 
+// messageOverheadBytes is the memory that a message in flight needs beyond its own bytes.
+const messageOverheadBytes = 1 << 10
+
 // Registry is the set of messages in flight.
 type Registry struct {
-	max    int
+	max      int
+	maxBytes int64
 	origin time.Time
 	// updates is a stack of the batches that are not applied yet, newest first. It is written without the lock.
 	updates atomic.Pointer[updateBatch]
@@ -67,6 +74,7 @@
 	mu           sync.Mutex
 	admission    *admission.Controller
 	messages     map[string]reservation // by message ID
+	bytes        int64                  // of the messages
 	unfinished   map[int]int            // number of messages by destination, without zeros
 	destinations []uint32               // sorted; a slice, because it takes only 4 bytes for an idle destination
 	complete     bool                   // a live list or an assignment of endpoints was applied since this process started
@@ -77,7 +85,7 @@
 
 // New returns a registry without messages.
 func New(c Config) *Registry {
-	return &Registry{max: c.Max, admission: c.Admission, origin: time.Now(), messages: map[string]reservation{}, unfinished: map[int]int{}}
+	return &Registry{max: c.Max, maxBytes: c.MaxBytes, admission: c.Admission, origin: time.Now(), messages: map[string]reservation{}, unfinished: map[int]int{}}
 }
 
 // lock locks the registry and applies the engine's queued updates. It returns the time since the registry's origin, which
@@ -91,20 +99,20 @@
 	return now
 }
 
-// Reserve requests a reservation for a message with timeLeft until its deadline. The duration returned is the delay after
+// Reserve requests a reservation for a message of some bytes with timeLeft until its deadline. The duration returned is the delay after
 // which the client may retry. It is 0 for [Reserved], [InProgress] and [Duplicate].
-func (r *Registry) Reserve(id string, destination, class int, timeLeft time.Duration) (Verdict, time.Duration) {
+func (r *Registry) Reserve(id string, destination, class, bytes int, timeLeft time.Duration) (Verdict, time.Duration) {
 	now := r.lock()
 	defer r.mu.Unlock()
-	v, retry := r.reserve(now, id, destination, class, timeLeft)
+	v, retry := r.reserve(now, id, reservation{destination: destination, class: class, bytes: int32(bytes + messageOverheadBytes)}, timeLeft)
 	r.counts[v]++
 	return v, retry
 }
 
 // reserve decides on a request for a reservation. It rejects, in this order: a message that is already in flight, any
-// message during shutdown, a message beyond Config.Max, and a message that the admission controller rejects. The caller
-// has locked the registry.
-func (r *Registry) reserve(now time.Duration, id string, destination, class int, timeLeft time.Duration) (Verdict, time.Duration) {
+// message during shutdown, a message beyond Config.Max or Config.MaxBytes, and a message that the admission controller
+// rejects. The caller has locked the registry.
+func (r *Registry) reserve(now time.Duration, id string, requested reservation, timeLeft time.Duration) (Verdict, time.Duration) {
 	if entry, known := r.messages[id]; known {
 		if entry.accepted {
 			return InProgress, 0
@@ -114,11 +122,11 @@
 	if r.shuttingDown {
 		return ShuttingDown, defaultRetryAfter
 	}
-	if r.max > 0 && len(r.messages) >= r.max {
+	if r.max > 0 && len(r.messages) >= r.max || r.maxBytes > 0 && r.bytes+int64(requested.bytes) > r.maxBytes {
 		return NoCapacity, defaultRetryAfter
 	}
 	if r.admission != nil {
-		switch d := r.admission.Admit(now, destination, class, timeLeft); d.Reason {
+		switch d := r.admission.Admit(now, requested.destination, requested.class, timeLeft); d.Reason {
 		case admission.NoCapacity:
 			return NoCapacity, d.RetryAfter
 		case admission.TooLate:
@@ -127,19 +135,21 @@
 			return Saturated, d.RetryAfter
 		}
 	}
-	r.add(id, reservation{destination: destination, class: class})
+	r.add(id, requested)
 	return Reserved, 0
 }
 
 // add adds a message that is not in the registry. The caller holds the lock.
 func (r *Registry) add(id string, entry reservation) {
 	r.messages[id] = entry
+	r.bytes += int64(entry.bytes)
 	r.unfinished[entry.destination]++
 }
 
 // remove removes a message that is in the registry. The caller holds the lock.
 func (r *Registry) remove(id string, entry reservation) {
 	delete(r.messages, id)
+	r.bytes -= int64(entry.bytes)
 	if r.unfinished[entry.destination]--; r.unfinished[entry.destination] == 0 {
 		delete(r.unfinished, entry.destination)
 	}
@@ -179,8 +189,8 @@
 }
 
 // Adopt adds a persisted message that had no reservation, or whose reservation may have been released. It does not check
-// Config.Max, because a persisted message must get a final response.
-func (r *Registry) Adopt(id string, destination, class int) {
+// Config.Max or Config.MaxBytes, because a persisted message must get a final response.
+func (r *Registry) Adopt(id string, destination, class, bytes int) {
 	now := r.lock()
 	defer r.mu.Unlock()
 	if entry, ok := r.messages[id]; ok {
@@ -188,7 +198,7 @@
 	} else if r.admission != nil {
 		r.admission.Adopt(now, destination, class)
 	}
-	r.add(id, reservation{destination: destination, class: class, accepted: true})
+	r.add(id, reservation{destination: destination, class: class, bytes: int32(bytes + messageOverheadBytes), accepted: true})
 }
 
 // Release removes the reservation of a message. It does nothing if the message is accepted, because a write that timed
--- a/internal/inflight/registry_test.go
+++ b/internal/inflight/registry_test.go
@@ -23,7 +23,7 @@
 // a retry delay.
 func wantVerdict(t *testing.T, r *Registry, id string, want Verdict) time.Duration {
 	t.Helper()
-	got, retry := r.Reserve(id, 7, 0, time.Minute)
+	got, retry := r.Reserve(id, 7, 0, 0, time.Minute)
 	if got != want || (retry > 0) != (want >= NoCapacity) {
 		t.Fatalf("%s: got verdict %d, retry after %v, want %d", id, got, retry, want)
 	}
@@ -43,7 +43,7 @@
 	r.Release("a") // accepted, so it stays in flight
 	r.Release("b")
 	wantVerdict(t, r, "c", Reserved)
-	r.Adopt("adopted", 7, 0) // beyond the maximum, since it is persisted
+	r.Adopt("adopted", 7, 0, 0) // beyond the maximum, since it is persisted
 	if r.Count() != 3 {
 		t.Errorf("got %d messages in flight, want 3", r.Count())
 	}
@@ -56,6 +56,34 @@
 	}
 }
 
+// Guards against a node that is killed for its memory: messages in flight hold no more bytes than the maximum, however few they
+// are. Persisted messages are adopted in any case.
+func TestReserveBeyondMaxBytesIsRejected(t *testing.T) {
+	const body = 64 << 10
+	r := New(Config{MaxBytes: 3 * (body + messageOverheadBytes)})
+	reserve := func(id string, bytes int) Verdict {
+		verdict, _ := r.Reserve(id, 7, 0, bytes, time.Minute)
+		return verdict
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		if got := reserve(id, body); got != Reserved {
+			t.Fatalf("%s: got verdict %d, want Reserved", id, got)
+		}
+	}
+	if got := reserve("d", 0); got != NoCapacity {
+		t.Errorf("beyond the maximum: got verdict %d, want NoCapacity", got)
+	}
+	r.Adopt("adopted", 7, 0, body)
+	r.Release("a")
+	if got := reserve("e", body); got != NoCapacity {
+		t.Errorf("beside an adopted message: got verdict %d, want NoCapacity", got)
+	}
+	r.Observe(completions("adopted"))
+	if got := reserve("e", body); got != Reserved {
+		t.Errorf("after the end of a message: got verdict %d, want Reserved", got)
+	}
+}
+
 // Destination numbers have 32 bits. A number out of that range does not match another destination by truncation.
 func TestHasDestinationOutOfRangeIsUnknown(t *testing.T) {
 	r := New(Config{})
@@ -97,8 +125,8 @@
 	c := admission.New(admission.Settings{Weights: []float64{1}, Capacity: 100})
 	r := New(Config{Max: 100, Admission: c})
 	wantVerdict(t, r, "a", Reserved)
-	r.Adopt("a", 7, 0)
-	r.Adopt("b", 7, 0)
+	r.Adopt("a", 7, 0, 0)
+	r.Adopt("b", 7, 0, 0)
 	wantVerdict(t, r, "c", Reserved)
 	r.Release("c")
 	r.Release("c")
@@ -108,7 +136,7 @@
 		t.Errorf("got %d messages in flight, %d counted by the controller, want 1 and 1", r.Count(), c.InFlight())
 	}
 	r.Observe([]admission.Observation{{Kind: admission.CallCompleted, Destination: 7, Outcome: policy.RateLimited, RetryAfter: time.Minute}})
-	if v, retry := r.Reserve("d", 7, 0, 20*time.Second); v != TooLate || retry < 20*time.Second {
+	if v, retry := r.Reserve("d", 7, 0, 0, 20*time.Second); v != TooLate || retry < 20*time.Second {
 		t.Errorf("destination with a Retry-After of 1m: got verdict %d, retry after %v, want TooLate, 20s or more", v, retry)
 	}
 	wantVerdict(t, r, "b", InProgress)
@@ -131,7 +159,7 @@
 		ingress.Go(func() {
 			for k := range requests {
 				id := fmt.Sprint(i%4, "-", k) // the same messages from 4 clients each
-				switch v, _ := r.Reserve(id, 7, 0, time.Minute); v {
+				switch v, _ := r.Reserve(id, 7, 0, 0, time.Minute); v {
 				case Reserved:
 					if n := r.Count(); n > capacity {
 						t.Errorf("got %d messages in flight, want at most %d", n, capacity)
@@ -163,10 +191,10 @@
 		}
 	}
 	wantUnfinished("without messages", 0)
-	r.Reserve("a", 7, 0, time.Second)
-	r.Reserve("a", 7, 0, time.Second)
-	r.Reserve("b", 7, 0, time.Second)
-	r.Reserve("c", 8, 0, time.Second)
+	r.Reserve("a", 7, 0, 0, time.Second)
+	r.Reserve("a", 7, 0, 0, time.Second)
+	r.Reserve("b", 7, 0, 0, time.Second)
+	r.Reserve("c", 8, 0, 0, time.Second)
 	wantUnfinished("with two reservations", 2)
 	if accepted, reserved := r.Lookup("a"); accepted || !reserved {
 		t.Errorf("Lookup of a reserved message: got accepted %v, reserved %v, want false, true", accepted, reserved)
@@ -174,13 +202,13 @@
 	r.Release("b")
 	wantUnfinished("after the release of one", 1)
 	r.Accept("a")
-	r.Adopt("a", 7, 0)
+	r.Adopt("a", 7, 0, 0)
 	r.Release("a")
 	wantUnfinished("with one accepted", 1)
 	if accepted, reserved := r.Lookup("a"); !accepted || reserved {
 		t.Errorf("Lookup of an accepted message: got accepted %v, reserved %v, want true, false", accepted, reserved)
 	}
-	r.Adopt("d", 7, 0)
+	r.Adopt("d", 7, 0, 0)
 	wantUnfinished("with one accepted and one adopted", 2)
 	r.Observe([]admission.Observation{{Kind: admission.MessageCompleted, MessageID: "a"}, {Kind: admission.MessageCompleted, MessageID: "d"}, {Kind: admission.MessageCompleted, MessageID: "d"}})
 	wantUnfinished("after all completions", 0)
--- a/internal/ingress/http/clients_test.go
+++ b/internal/ingress/http/clients_test.go
@@ -181,7 +181,7 @@
 func TestRefusalKeepsTheConnection(t *testing.T) {
 	var accepted []*message.Message
 	in := newIntakeOf(t, 1, &accepted)
-	in.registry.Adopt("another", 7, 0)
+	in.registry.Adopt("another", 7, 0, 0)
 	c := dialClient(t, newClientServer(t, in))
 	if got := askNote(t, c, "a"); got != http.StatusServiceUnavailable {
 		t.Fatalf("answered %d by a node without capacity", got)
--- a/internal/ingress/http/handler.go
+++ b/internal/ingress/http/handler.go
@@ -194,7 +194,7 @@
 func (h *Handler) acceptMessage(w http.ResponseWriter, r *http.Request, m *message.Message) bool {
 	// The request's context is not checked: it also ends if the client has only closed its sending side, and waits for
 	// the answer.
-	verdict, retry := h.registry.Reserve(m.ID, m.Destination, m.Class, time.Until(m.Deadline))
+	verdict, retry := h.registry.Reserve(m.ID, m.Destination, m.Class, m.Bytes(), time.Until(m.Deadline))
 	switch verdict {
 	case inflight.Reserved:
 	case inflight.InProgress: // sent again by a client that did not receive the answer
@@ -248,6 +248,6 @@
 	if h.rules != nil {
 		h.rules.Adopt(m)
 	}
-	h.registry.Adopt(m.ID, m.Destination, m.Class)
+	h.registry.Adopt(m.ID, m.Destination, m.Class, m.Bytes())
 	h.accept(m)
 }
--- a/internal/ingress/http/redirect_test.go
+++ b/internal/ingress/http/redirect_test.go
@@ -195,10 +195,10 @@
 	n.onRecord["failed"] = &store.DuplicateError{Response: &message.FinalResponse{Kind: message.Failed}}
 	n.onRecord["open"] = &store.DuplicateError{}
 	n.onRecord["unclear"] = store.ErrUnavailable
-	n.registry.Reserve("reserved", 7, 0, time.Second)
+	n.registry.Reserve("reserved", 7, 0, 0, time.Second)
 	for id, want := range map[string]int{"in-progress": 202, "delivered": 200, "failed": 410, "open": 202, "unclear": 504, "reserved": 503, "new": 307} {
 		if id == "in-progress" {
-			n.registry.Adopt(id, 7, 0)
+			n.registry.Adopt(id, 7, 0, 0)
 		}
 		if w := n.ask("/c", id, "7"); w.Code != want {
 			t.Errorf("%s: %d, want %d", id, w.Code, want)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -36,6 +36,9 @@
 	FinalResponse *FinalResponse // nil while the message is unfinished
 }
 
+// Bytes returns the length of the message's id, key and body.
+func (m *Message) Bytes() int { return len(m.ID) + len(m.Key) + len(m.Body) }
+
 // History summarizes the attempts of a message for the decision module.
 type History struct {
 	Attempts            int
--- a/internal/node/assignment_test.go
+++ b/internal/node/assignment_test.go
@@ -168,7 +168,7 @@
 func TestRelease(t *testing.T) {
 	a, agent, _ := newTestAssignment()
 	assign(a, agent, lease.Assignment{Destination: 1, Quota: 1, Accepting: true}, lease.Assignment{Destination: 2, Quota: 1})
-	a.registry.Reserve("m", 2, 0, time.Second)
+	a.registry.Reserve("m", 2, 0, 0, time.Second)
 	a.release()
 	if len(agent.released) != 0 {
 		t.Fatalf("got %v released with a reservation, want none", agent.released)
@@ -190,8 +190,8 @@
 func TestUnfinished(t *testing.T) {
 	a, agent, _ := newTestAssignment()
 	a.recovered(store.Recovered{Pending: []*message.Message{{ID: "a", Destination: 5}, {ID: "b", Destination: 5}, {ID: "ended", Destination: 6, FinalResponse: &message.FinalResponse{}}}})
-	a.registry.Adopt("a", 5, 0)
-	a.registry.Adopt("late", 7, 0)
+	a.registry.Adopt("a", 5, 0, 0)
+	a.registry.Adopt("late", 7, 0, 0)
 	a.adopted(7)
 	a.release()
 	a.release()
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -69,7 +69,7 @@
 	}
 	n := &node{
 		nodeConfig: c, listener: httpingress.NewListener(listener, clientSockets(c.sockets), clientMemory(c.memoryMB)),
-		registry: inflight.New(inflight.Config{Max: c.settings.MaxInFlight, Admission: c.admission}),
+		registry: inflight.New(inflight.Config{Max: c.settings.MaxInFlight, MaxBytes: messageMemory(c.memoryMB), Admission: c.admission}),
 		engine: engine.New(engine.Config{
 			Settings: c.settings, Seed: c.seed, Kinds: c.kinds, Zones: c.zones, ResponseMargin: c.responseMargin,
 			Assigned: c.assignment != nil, UniqueAddresses: c.uniqueAddresses,
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -18,6 +18,8 @@
 	minRuntimeShare = 0.25
 	// clientShare is the share of the runtime's memory for requests that are being received.
 	clientShare = 0.25
+	// messageShare is the share of the runtime's memory for messages in flight.
+	messageShare = 0.5
 )
 
 // runtimeMemory returns how many bytes the Go runtime may use of a number of MiB, 0 if these are not limited. The files of
@@ -43,6 +45,11 @@
 	return int64(clientShare * float64(runtimeMemory(memoryMB, mappedFileBytes())))
 }
 
+// messageMemory returns how many bytes the messages in flight may have, of a number of MiB; 0 for no limit.
+func messageMemory(memoryMB int) int64 {
+	return int64(messageShare * float64(runtimeMemory(memoryMB, mappedFileBytes())))
+}
+
 // mappedFileBytes returns the size of the files that are mapped into the process, 0 if that is not known.
 func mappedFileBytes() int64 {
 	maps, err := os.Open("/proc/self/maps")
