store/group: the records of a transaction are limited by the time that they take

Change: SQLite measures how long records take without the commit; a transaction gets as many as take 50 ms, 8 at least and 512 at most.

--- a/internal/inflight/registry.go
+++ b/internal/inflight/registry.go
@@ -66,7 +66,7 @@
 type Registry struct {
 	max      int
 	maxBytes int64
-	origin time.Time
+	origin   time.Time
 	// updates is a stack of the batches that are not applied yet, newest first. It is written without the lock.
 	updates atomic.Pointer[updateBatch]
 	rounds  engineRounds
--- a/internal/store/group/backend.go
+++ b/internal/store/group/backend.go
@@ -35,6 +35,13 @@
 	Close() error
 }
 
+// WriteTimer is a backend that measures how long records take.
+type WriteTimer interface {
+	// WriteTime returns how long the last successful Commit took to write its records, without what it takes however many
+	// they are, such as a sync. The writer calls it after Commit.
+	WriteTime() time.Duration
+}
+
 // Taker is a backend that shares its database with other nodes and can take over their messages.
 type Taker interface {
 	// TakeOver makes this node the owner of messages of a node whose lease has expired, and returns them. It takes over as
--- a/internal/store/group/group.go
+++ b/internal/store/group/group.go
@@ -36,6 +36,9 @@
 	// failed Commit and doubled after each successful one: with a fixed limit, a database that is too slow for a full
 	// transaction would never make progress.
 	maxBatchRecords, minBatchRecords = 512, 8
+	// maxWriteTime bounds the time to write the records of a transaction, if the backend measures it: a message to accept may
+	// have to wait for the transaction in progress, and its client waits 400 ms for the answer.
+	maxWriteTime = 50 * time.Millisecond
 	// acceptShareDivisor reserves 1/acceptShareDivisor of a transaction's records for messages to accept.
 	acceptShareDivisor = 8
 	// commitRetryDelay is the pause after a failed transaction.
--- a/internal/store/group/group_test.go
+++ b/internal/store/group/group_test.go
@@ -554,3 +554,45 @@
 	b.commitUntil(t, func() bool { return q.Pending() == 0 })
 	testkit.Must(t, q.Close())
 }
+
+// slowBackend is a backend that needs a time for each record.
+type slowBackend struct {
+	*blockingBackend
+	perRecord, writeTime time.Duration
+}
+
+func (b *slowBackend) Commit(batch []*Record) ([]error, error) {
+	b.writeTime = time.Duration(len(batch)) * b.perRecord
+	time.Sleep(b.writeTime)
+	return make([]error, len(batch)), nil
+}
+
+func (b *slowBackend) WriteTime() time.Duration { return b.writeTime }
+
+// Guards against messages that are rejected because many updates are queued on a slow or busy machine: a message to accept waits
+// for short transactions only. A fast machine writes as many records at once as before.
+func TestAcceptWaitsForShortTransactions(t *testing.T) {
+	for perRecord, want := range map[time.Duration]time.Duration{
+		3 * time.Millisecond:  2 * maxWriteTime,
+		10 * time.Microsecond: maxBatchRecords * 10 * time.Microsecond * 2,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &slowBackend{blockingBackend: newBlockingBackend(), perRecord: perRecord}
+			q := New(Config{}, b, testkit.QuietLog())
+			for range 8 * maxBatchRecords {
+				testkit.Must(t, q.MarkNotified(ctx, &message.Message{Seq: 1}))
+			}
+			time.Sleep(time.Duration(maxBatchRecords+1) * perRecord) // the first transaction has shown how long a record takes
+			began := time.Now()
+			testkit.Must(t, q.Accept(ctx, &message.Message{ID: "m"}))
+			if took := time.Since(began); took > want {
+				t.Errorf("%v a record: got a message accepted after %v, want %v at most", perRecord, took, want)
+			}
+			testkit.Must(t, q.Complete(ctx)) // all is written
+			testkit.Must(t, q.Close())
+			if got := q.batchLimit; perRecord < time.Millisecond && got != maxBatchRecords {
+				t.Errorf("%v a record: got a limit of %d records, want %d", perRecord, got, maxBatchRecords)
+			}
+		})
+	}
+}
--- a/internal/store/group/writer.go
+++ b/internal/store/group/writer.go
@@ -171,7 +171,7 @@
 		q.rejectAccepts(err)
 		return err
 	}
-	q.batchLimit = min(maxBatchRecords, q.batchLimit*2)
+	q.batchLimit = q.nextBatchLimit(len(b.records))
 	onLate, late := q.finishBatch(b, results)
 	for _, m := range late {
 		onLate(m)
@@ -182,6 +182,21 @@
 	return nil
 }
 
+// nextBatchLimit returns the limit of records after a successful transaction with a number of them. A limit of time bounds
+// how long messages to accept wait for updates on a slow or busy machine.
+func (q *Queue) nextBatchLimit(written int) int {
+	limit := min(maxBatchRecords, q.batchLimit*2)
+	timer, ok := q.backend.(WriteTimer)
+	if !ok || written == 0 {
+		return limit
+	}
+	perRecord := timer.WriteTime() / time.Duration(written)
+	if perRecord <= 0 {
+		return limit
+	}
+	return min(limit, max(minBatchRecords, int(maxWriteTime/perRecord)))
+}
+
 // claimBatch claims the records of the next transaction; a claimed record can't be cancelled. Updates go first. If messages
 // to accept are queued, 1/acceptShareDivisor of the batch is reserved for them.
 func (q *Queue) claimBatch() batch {
--- a/internal/store/sqlite/sqlite.go
+++ b/internal/store/sqlite/sqlite.go
@@ -96,7 +96,8 @@
 	conn      *sqlite3.Conn
 	st        statements
 	ids       idIndex
-	commits   int64 // number of commits in the file
+	commits   int64         // number of commits in the file
+	writeTime time.Duration // of the last transaction's records
 	nextSweep time.Time
 	lastSwept int64                     // the last seq that findExpired has read, 0 to start from the oldest
 	closing   atomic.Pointer[time.Time] // when overwrite must stop retrying, set by Closing; safe for concurrent use
--- a/internal/store/sqlite/writer.go
+++ b/internal/store/sqlite/writer.go
@@ -62,8 +62,12 @@
 	return results, nil
 }
 
+// WriteTime implements [group.WriteTimer].
+func (s *backend) WriteTime() time.Duration { return s.writeTime }
+
 // write writes the records of a batch and commits. For each message that is not accepted it sets the record's result.
 func (s *backend) write(batch []*group.Record, results []error) error {
+	began := time.Now()
 	free, err := s.freePages()
 	if err != nil {
 		return err
@@ -93,6 +97,7 @@
 	if err := exec(s.st.meta, s.commits+1, latest.UnixMicro()); err != nil {
 		return err
 	}
+	s.writeTime = time.Since(began)
 	if err := s.conn.Exec("COMMIT"); err != nil {
 		return unresolvedCommitError{err}
 	}
