ingress/http: the time of a request, and requests of unknown length, are bounded too

Two kinds of clients more in the test of slow clients: bodies that are too long, and bodies that are not sent after 100 Continue.

--- a/cmd/wingmount-node/clients_test.go
+++ b/cmd/wingmount-node/clients_test.go
@@ -220,6 +220,15 @@
 		"partial bodies": func(ctx context.Context, g badclient.Group) {
 			g.PartialBodies(ctx, maxBody, 1, func(number int) string { return header(fmt.Sprint("bad-", number), maxBody) })
 		},
+		"bodies that are too long": func(ctx context.Context, g badclient.Group) {
+			const length = 60 << 20
+			g.PartialBodies(ctx, 2*maxBody, 1, func(number int) string { return header(fmt.Sprint("bad-", number), length) })
+		},
+		"bodies that are not sent": func(ctx context.Context, g badclient.Group) {
+			g.PartialBodies(ctx, 0, 0, func(number int) string {
+				return strings.Replace(header(fmt.Sprint("bad-", number), maxBody), "\r\n", "\r\nExpect: 100-continue\r\n", 1)
+			})
+		},
 		"silent": func(ctx context.Context, g badclient.Group) {
 			g.Leave(ctx, 2*time.Second, func(int) []byte { return nil })
 		},
--- a/internal/ingress/http/listener.go
+++ b/internal/ingress/http/listener.go
@@ -111,10 +111,10 @@
 
 // receiveFirst receives the first request of the connection. It returns false if the server has nothing to read.
 func (c *clientConn) receiveFirst() bool {
-	if c.SetReadDeadline(time.Now().Add(headerTimeout)) != nil {
+	if c.SetReadDeadline(c.since.Add(headerTimeout)) != nil {
 		return false
 	}
-	c.receive()
+	c.receive(c.since)
 	return c.receiver.end > 0
 }
 
--- a/internal/ingress/http/memory_test.go
+++ b/internal/ingress/http/memory_test.go
@@ -125,9 +125,7 @@
 	for _, id := range []string{"one", "two"} {
 		_, err := io.WriteString(c, rawNote(id, "Expect: 100-continue\r\n"+noteLength))
 		testkit.Must(t, err)
-		resp, err := http.ReadResponse(r, nil)
-		testkit.Must(t, err)
-		if resp.StatusCode != http.StatusContinue {
+		if resp := readReply(t, r, id); resp.StatusCode != http.StatusContinue {
 			t.Fatalf("%s: got status %d, want 100", id, resp.StatusCode)
 		}
 		_, err = io.WriteString(c, "body")
@@ -136,6 +134,66 @@
 	}
 }
 
+// Guards against clients that get around the limits: a request whose length is not known is the last one of its connection, and one
+// with its length twice has a known length.
+func TestRequestOfUnknownLengthClosesItsConnection(t *testing.T) {
+	var accepted []*message.Message
+	l := newServerWithMemory(t, newIntake(t, &accepted), clientLimit)
+	const check = "GET /healthz HTTP/1.1\r\nHost: x\r\n"
+	for name, test := range map[string]struct {
+		request   string
+		wantClose bool
+	}{
+		"plain":       {check + "\r\n", false},
+		"same length": {check + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok", false},
+		"chunked":     {check + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		"long":        {check + "Content-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), true},
+	} {
+		c := dialClient(t, l)
+		go func() { _, _ = io.WriteString(c, test.request) }() // may be cut off
+		if resp := readReply(t, bufio.NewReader(c), name); resp.StatusCode != http.StatusOK || resp.Close != test.wantClose {
+			t.Errorf("%s: got status %d, the last of its connection %t, want 200, %t", name, resp.StatusCode, resp.Close, test.wantClose)
+		}
+	}
+}
+
+// Guards against clients that hold a connection: the time for a first request counts from the connection, and that for a later one
+// from its first byte, also if that came together with the request before it.
+func TestSlowRequestsEndInTime(t *testing.T) {
+	const begin, beginLater = "POST /note HTT", 1800 * time.Millisecond
+	for name, test := range map[string]struct {
+		first string
+		wait  time.Duration
+		then  string
+		want  time.Duration // from the connection to its end
+	}{
+		"late begin":         {"", beginLater, begin, requestTimeout},
+		"late body":          {"", beginLater, rawNote("a", noteLength) + "b", requestTimeout},
+		"begin of a second":  {rawNote("a", noteLength) + "body" + begin, 0, "", headerTimeout},
+		"second, later":      {rawNote("a", noteLength) + "body", beginLater, begin, beginLater + headerTimeout},
+		"bytes of a second":  {rawNote("a", noteLength) + "body" + begin[:1], beginLater / 2, begin[1:], headerTimeout},
+		"body of the second": {rawNote("a", noteLength) + "body", 0, rawNote("b", noteLength) + "b", requestTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var accepted []*message.Message
+			l := newServerWithMemory(t, newIntake(t, &accepted), clientLimit)
+			start := time.Now()
+			c := dialClient(t, l)
+			_, err := io.WriteString(c, test.first)
+			testkit.Must(t, err)
+			time.Sleep(test.wait)
+			_, err = io.WriteString(c, test.then)
+			testkit.Must(t, err)
+			_, _ = io.Copy(io.Discard, c)
+			const slowMachine = 800 * time.Millisecond
+			if took := time.Since(start); took > test.want+slowMachine {
+				t.Errorf("got the end of the connection after %v, want %v", took, test.want)
+			}
+		})
+	}
+}
+
 // Requests are found in whatever pieces they arrive, also several in one piece.
 func TestRequestsInPiecesAreAnswered(t *testing.T) {
 	const requests = 8
--- a/internal/ingress/http/receive.go
+++ b/internal/ingress/http/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"strconv"
 	"time"
@@ -40,7 +41,7 @@
 	delivered int    // how much of it the server has read
 	end       int    // of the request, 0 until it is complete
 	header    header
-	unbounded bool  // everything else goes directly to the server, which rejects it
+	unbounded bool  // everything else goes directly to the server, which closes the connection with its answer
 	body      int64 // bytes of the body that go directly to the server, as the client waits for 100 Continue
 	err       error // to return once the buffer is delivered
 
@@ -54,7 +55,7 @@
 	line      int // begin of the line in progress
 	lines     int
 	length    int64 // announced length of the body
-	lengths   int   // number of fields with it
+	hasLength bool  // it has been announced
 	unbounded bool  // the length of the body is not valid, or not known
 	expects   bool  // the client waits for 100 Continue before it sends the body
 	complete  bool
@@ -63,11 +64,11 @@
 // Read implements [net.Conn]. It returns bytes of a request once the request is complete.
 func (c *clientConn) Read(b []byte) (int, error) {
 	r := &c.receiver
-	if len(b) == 1 && r.delivered >= r.end && !r.unbounded && r.body == 0 && r.err == nil {
-		return c.readAhead(b)
-	}
-	if r.delivered >= r.end && !r.unbounded && r.body == 0 && r.err == nil {
-		c.receive()
+	if r.needsRequest() {
+		if len(b) == 1 {
+			return c.readAhead(b)
+		}
+		c.receive(time.Time{})
 	}
 	switch {
 	case r.delivered < r.end:
@@ -87,6 +88,11 @@
 	}
 }
 
+// needsRequest reports whether the server has read all that the buffer has for it, and what follows is a new request.
+func (r *receiver) needsRequest() bool {
+	return r.delivered >= r.end && !r.unbounded && r.body == 0 && r.err == nil
+}
+
 // readAhead reads the first byte of the next request. The server does that while it answers, to detect a client that has
 // gone.
 func (c *clientConn) readAhead(b []byte) (int, error) {
@@ -112,46 +118,59 @@
 	r := &c.receiver
 	next := r.buffer[r.end:]
 	r.buffer, r.delivered, r.end, r.header = append([]byte(nil), next...), 0, 0, header{}
-	if r.body == 0 {
+	if r.body == 0 && !r.unbounded {
 		r.memory.release(int64(cap(r.buffer)))
 	}
 	c.setAhead(len(r.buffer) > 0, len(r.buffer) > 0)
 }
 
-// receive reads a request. Afterwards its end is set, or err.
-func (c *clientConn) receive() {
+// receive reads a request. Afterwards its end is set, or err. The time for it counts from began or, if that is zero, from its
+// first byte.
+func (c *clientConn) receive(began time.Time) {
 	r := &c.receiver
-	c.pace()
-	began := time.Time{}
 	if len(r.buffer) > 0 {
+		c.pace()
 		began = time.Now()
+		r.err = c.requestBegan(began)
 	} else {
 		r.memory.release(0)
 	}
 	for r.end == 0 && r.err == nil {
 		headerComplete := r.header.complete
-		if r.scan(); r.end > 0 || r.err != nil {
+		r.scan()
+		if r.end > 0 || r.err != nil {
 			break
 		}
-		if err := r.grow(); err != nil {
-			r.err = err
-			break
+		if r.header.complete && !headerComplete {
+			r.err = c.SetReadDeadline(began.Add(requestTimeout))
 		}
-		if r.header.complete && !headerComplete && c.SetReadDeadline(began.Add(requestTimeout)) != nil {
-			r.err = io.EOF
-			break
+		if r.err == nil {
+			r.err = r.grow()
 		}
-		n, err := c.readSocket(r.buffer[len(r.buffer):cap(r.buffer)])
-		r.buffer = r.buffer[:len(r.buffer)+n]
-		r.err = err
-		if n > 0 && began.IsZero() {
-			began = time.Now()
-			r.err = c.requestBegan(began)
+		if r.err == nil {
+			began = c.receiveMore(began)
 		}
 	}
 	c.finishReceive()
 }
 
+// receiveMore reads what has arrived of a request into the buffer, or sets err. It returns when the request began, which is
+// zero before its first byte.
+func (c *clientConn) receiveMore(began time.Time) time.Time {
+	r := &c.receiver
+	first := len(r.buffer) == 0
+	n, err := c.readSocket(r.buffer[len(r.buffer):cap(r.buffer)])
+	r.buffer, r.err = r.buffer[:len(r.buffer)+n], err
+	if !first || n == 0 || err != nil {
+		return began
+	}
+	if began.IsZero() {
+		began = time.Now()
+	}
+	r.err = c.requestBegan(began)
+	return began
+}
+
 // requestBegan limits the time for the header, and counts the buffer as memory of the request.
 func (c *clientConn) requestBegan(at time.Time) error {
 	if err := c.SetReadDeadline(at.Add(headerTimeout)); err != nil {
@@ -167,13 +186,13 @@
 	if r.memory.isEvicted() && r.end == 0 {
 		r.err = errNoMemory
 	}
-	answer := ""
-	switch r.err {
-	case nil:
+	var answer string
+	switch {
+	case r.err == nil:
 		return
-	case errNoMemory:
+	case errors.Is(r.err, errNoMemory):
 		answer = noMemoryAnswer
-	case errTooManyFields:
+	case errors.Is(r.err, errTooManyFields):
 		answer = tooManyFieldsAnswer
 	default:
 		r.end = len(r.buffer)
@@ -208,7 +227,7 @@
 		length := bytes.IndexByte(r.buffer[h.scanned:], '\n')
 		if length < 0 {
 			if len(r.buffer) > maxReceivedHeader { // the server rejects it
-				r.unbounded, r.end = true, len(r.buffer)
+				r.passOn()
 			}
 			h.scanned = len(r.buffer)
 			return
@@ -223,7 +242,7 @@
 	}
 	switch end := h.scanned + int(h.length); {
 	case h.unbounded:
-		r.unbounded, r.end = true, len(r.buffer)
+		r.passOn()
 	case h.expects:
 		r.body, r.end = max(0, int64(end-len(r.buffer))), min(end, len(r.buffer))
 		if r.body > 0 {
@@ -234,11 +253,18 @@
 	}
 }
 
+// passOn lets the server read all that is there and all that follows. Until the connection closes it counts as one in the server.
+func (r *receiver) passOn() {
+	r.unbounded, r.end = true, len(r.buffer)
+	if err := r.memory.reserve(idleConnBytes); err != nil {
+		r.err, r.end = err, 0
+	}
+}
+
 // add adds a line of the header. An empty line completes it.
 func (h *header) add(line []byte) {
 	if len(line) == 0 {
 		h.complete = true
-		h.unbounded = h.unbounded || h.lengths > 1
 		return
 	}
 	h.lines++
@@ -247,9 +273,9 @@
 	switch {
 	case bytes.EqualFold(name, []byte("Content-Length")):
 		length, err := strconv.ParseUint(string(value), 10, 63)
-		h.lengths++
-		h.length = int64(length)
-		h.unbounded = h.unbounded || err != nil || length > message.MaxBodyLength
+		differs := h.hasLength && int64(length) != h.length
+		h.length, h.hasLength = int64(length), true
+		h.unbounded = h.unbounded || err != nil || differs || length > message.MaxBodyLength
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		h.unbounded = true
 	case bytes.EqualFold(name, []byte("Expect")):
@@ -261,9 +287,6 @@
 // pipelineBurst of them.
 func (c *clientConn) pace() {
 	r := &c.receiver
-	if len(r.buffer) == 0 {
-		return
-	}
 	const perPause = int(pipelineRate * pipelinePause / time.Second)
 	now := time.Now()
 	if due := int(now.Sub(r.pacedAt) / pipelinePause); due > 0 {
--- a/internal/ingress/http/server.go
+++ b/internal/ingress/http/server.go
@@ -53,7 +53,7 @@
 		if ok && c.clientHasLeft(r) {
 			panic(http.ErrAbortHandler) // closes the connection
 		}
-		if ok && c.serving() || l.crowded() {
+		if ok && (c.serving() || c.receiver.unbounded) || l.crowded() {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
