--- a/internal/ruleset/change.go
+++ b/internal/ruleset/change.go
@@ -30,11 +30,13 @@
 // when that one has completed. If the file can't be read, does not compile or can't be persisted, Reload returns an
 // error and changes nothing.
 func (m *Manager) Reload() error {
+	m.fileMu.Lock() // also for the reading: of two concurrent reloads the later one applies what it has read last
+	defer m.fileMu.Unlock()
 	loaded, text, err := m.config.Load()
 	if err != nil {
 		return err
 	}
-	return m.requestChange(ruleSet{loaded, text})
+	return m.requestChangeLocked(ruleSet{loaded, text})
 }
 
 // requestChange starts a change to a rule set, or queues it if a change is in progress.
--- a/internal/store/intents/replay.go
+++ b/internal/store/intents/replay.go
@@ -61,10 +61,10 @@
 		if m == nil || m.FinalResponse != nil || delivered[i.seq] {
 			continue
 		}
-		missing++
 		if i.isAttempt() && m.History.Attempts >= i.history.Attempts {
 			continue
 		}
+		missing++
 		if err := s.replayIntent(ctx, m, i); err != nil {
 			return nil, latest, err
 		}
