--- a/cmd/wingmount-node/clients_test.go
+++ b/cmd/wingmount-node/clients_test.go
@@ -166,6 +166,46 @@
 	slowest time.Duration
 }
 
+// stallWatch measures for how long this process had no processor, which is not the node's doing.
+type stallWatch struct {
+	mu     sync.Mutex
+	stalls []stall
+}
+
+// stall is a time by which a goroutine ran late.
+type stall struct {
+	end  time.Time
+	late time.Duration
+}
+
+// watchStalls measures until the context ends.
+func watchStalls(ctx context.Context) *stallWatch {
+	const interval, usual = 5 * time.Millisecond, 5 * time.Millisecond
+	w := &stallWatch{}
+	go func() {
+		for ctx.Err() == nil {
+			due := time.Now().Add(interval)
+			time.Sleep(interval)
+			if late := time.Since(due); late > usual {
+				w.mu.Lock()
+				w.stalls = append(w.stalls, stall{time.Now(), late})
+				w.mu.Unlock()
+			}
+		}
+	}()
+	return w
+}
+
+// since returns for how long this process was stalled since a time.
+func (w *stallWatch) since(start time.Time) (sum time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.stalls {
+		sum += min(s.late, max(0, s.end.Sub(start)))
+	}
+	return sum
+}
+
 // observe runs clients that misbehave, and meanwhile measures the memory of the process and the answers to a sound client.
 func (n *testNode) observe(t *testing.T, misbehave func(ctx context.Context)) observation {
 	t.Helper()
@@ -177,6 +217,7 @@
 		defer close(done)
 		misbehave(ctx)
 	}()
+	stalls := watchStalls(ctx)
 	sampled := time.NewTicker(20 * time.Millisecond)
 	defer sampled.Stop()
 	asked := time.NewTicker(soundInterval)
@@ -193,7 +234,9 @@
 			id := fmt.Sprint("sound-", o.sound)
 			o.sound++
 			sound.Go(func() {
+				start := time.Now()
 				status, took, err := badclient.Answered(n.address, request(id), 5*time.Second)
+				took -= stalls.since(start)
 				mu.Lock()
 				defer mu.Unlock()
 				o.slowest = max(o.slowest, took)
