--- a/internal/store/sqlite/writer.go
+++ b/internal/store/sqlite/writer.go
@@ -85,6 +85,7 @@
 			return err
 		}
 	}
+	s.writeTime = time.Since(began)
 	if err := beforeCommit.At(); err != nil {
 		return err
 	}
@@ -97,7 +98,6 @@
 	if err := exec(s.st.meta, s.commits+1, latest.UnixMicro()); err != nil {
 		return err
 	}
-	s.writeTime = time.Since(began)
 	if err := s.conn.Exec("COMMIT"); err != nil {
 		return unresolvedCommitError{err}
 	}
